--- a/cmd/filbertlever/main.go
+++ b/cmd/filbertlever/main.go
@@ -16,20 +16,21 @@
 
 // arguments is the command line.
 type arguments struct {
-	Entry      entryCommand              `cmd:"" help:"Run an entry: tells callers which entry to use and routes their requests."`
-	Agent      agentCommand              `cmd:"" help:"Run an agent beside a backend server."`
-	Bundle     bundleCommand             `cmd:"" help:"Create, check, sign and roll bundles."`
-	Stop       stopCommand               `cmd:"" help:"Plan the graceful stop of a host."`
-	Hosts      hostsCommand              `cmd:"" help:"List hosts and what they serve."`
-	Ask        askCommand                `cmd:"" help:"Ask a model and stream the answer."`
-	Order      orderCommand              `cmd:"" help:"Run a call of a plain service, at most once."`
-	Lookup     lookupCommand             `cmd:"" help:"Look up an order sent earlier, without running it."`
-	Locate     locateCommand             `cmd:"" help:"List the entry hosts to use, best first."`
-	Keys       keysCommand               `cmd:"" help:"Make keys, certificates and tokens."`
-	Config     configCommand             `cmd:"" help:"Check settings files and print examples."`
-	Reference  referenceCommand          `cmd:"" hidden:"" help:"Print the reference pages of the docs."`
-	Completion kongcompletion.Completion `cmd:"" help:"Print the code for shell completion."`
-	Version    kong.VersionFlag          `help:"Print the version."`
+	Entry        entryCommand              `cmd:"" help:"Run an entry: tells callers which entry to use and routes their requests."`
+	Agent        agentCommand              `cmd:"" help:"Run an agent beside a backend server."`
+	Bundle       bundleCommand             `cmd:"" help:"Create, check, sign and roll bundles."`
+	Stop         stopCommand               `cmd:"" help:"Plan the graceful stop of a host."`
+	Hosts        hostsCommand              `cmd:"" help:"List hosts and what they serve."`
+	Ask          askCommand                `cmd:"" help:"Ask a model and stream the answer."`
+	Order        orderCommand              `cmd:"" help:"Run a call of a plain service, at most once."`
+	Lookup       lookupCommand             `cmd:"" help:"Look up an order sent earlier, without running it."`
+	Locate       locateCommand             `cmd:"" help:"List the entry hosts to use, best first."`
+	Installation installationCommand       `cmd:"" help:"Run processes on the users' platform."`
+	Keys         keysCommand               `cmd:"" help:"Make keys, certificates and tokens."`
+	Config       configCommand             `cmd:"" help:"Check settings files and print examples."`
+	Reference    referenceCommand          `cmd:"" hidden:"" help:"Print the reference pages of the docs."`
+	Completion   kongcompletion.Completion `cmd:"" help:"Print the code for shell completion."`
+	Version      kong.VersionFlag          `help:"Print the version."`
 }
 
 const description = `Weight distribution for bursts: rolls signed bundles of models to hosts and answers callers.
--- /dev/null
+++ b/internal/coordination/fleet/fleet.go
@@ -0,0 +1,446 @@
+// Package fleet keeps what one entry believes of the backend servers of all
+// services, and picks one for each request.
+package fleet
+
+import (
+	"cmp"
+	"math/rand/v2"
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/filbertlever/filbertlever"
+	"github.com/filbertlever/filbertlever/internal/coordination/catalog"
+	"github.com/filbertlever/filbertlever/internal/coordination/membership"
+	"github.com/filbertlever/filbertlever/internal/coordination/routing"
+)
+
+// Config holds the costs and times of a Fleet.
+type Config struct {
+	Site   string
+	Region string
+	// Regions gives the region of each site.
+	Regions map[string]string
+	// OtherSite and OtherRegion are what a server there must be better by.
+	OtherSite   time.Duration
+	OtherRegion time.Duration
+	// PlainService is what a plain service takes for a request, until known.
+	PlainService time.Duration
+	// ReportFresh is how long a server's own report goes before the list.
+	ReportFresh time.Duration
+	// ReportTransit is the age of a report beyond the engine's own lag.
+	ReportTransit time.Duration
+	// SwitchMost is how long a server may be switching weights before a missing
+	// end of it is taken for a lost report.
+	SwitchMost time.Duration
+	// LapseGrace is how long after the store's return a missing entry may be one
+	// that lapsed while the store was away and comes back.
+	LapseGrace time.Duration
+}
+
+// DefaultConfig returns the costs used in production.
+func DefaultConfig() Config {
+	return Config{
+		OtherSite:   20 * time.Millisecond,
+		OtherRegion: 40 * time.Millisecond,
+		// Orders and lookups take 15 to 30 ms at their servers.
+		PlainService: 30 * time.Millisecond,
+		ReportFresh:  2 * time.Second,
+		// Agents report every 200 ms, so a report is 100 ms old on average.
+		ReportTransit: 100 * time.Millisecond,
+		SwitchMost:    4 * time.Second,
+		LapseGrace:    2200 * time.Millisecond,
+	}
+}
+
+// Request is what is placed.
+type Request struct {
+	Service string
+	// Model is empty for plain services.
+	Model string
+	// Version is the only version wanted; 0 means any.
+	Version      uint64
+	PromptTokens int
+	// Avoid are servers that the request has been to.
+	Avoid []filbertlever.HostID
+}
+
+// Placement is the server picked for a request.
+type Placement struct {
+	Backend catalog.Backend
+	// Found is false if no server can take the request.
+	Found     bool
+	Predicted time.Duration
+	Reason    routing.Reason
+	Weighed   int
+	// ReportAge is the age of the load report that decided; negative if none.
+	ReportAge time.Duration
+}
+
+// server is what is known of one life of a backend server.
+type server struct {
+	backend catalog.Backend
+	sends   routing.Sends
+	// reported are the models by the server's own report, at reportedAt.
+	reported   []catalog.Model
+	reportedAt time.Duration
+	hasReport  bool
+	// switchingUntil is when the server is taken to have ended its switch.
+	switchingUntil time.Duration
+	// missingSince is when the list first lacked the server; 0 if it is listed.
+	missingSince time.Duration
+}
+
+// Fleet is not safe for concurrent use. Times are of one steady clock.
+type Fleet struct {
+	config  Config
+	rng     *rand.Rand
+	state   *catalog.State
+	table   *membership.Table
+	routers map[string]*routing.Router
+	servers map[string]*server
+	// byAddress gives the server listed last for an address.
+	byAddress map[string]string
+	revision  uint64
+	// wobbly are servers whose fitness changes with time alone.
+	wobbly map[string]bool
+	// returned is when the store was last reached again after an absence.
+	returned time.Duration
+	epoch    time.Time
+}
+
+// New returns a fleet that knows no server.
+func New(config Config, rng *rand.Rand) *Fleet {
+	return &Fleet{
+		config:    config,
+		rng:       rng,
+		table:     membership.New(membership.DefaultConfig()),
+		routers:   map[string]*routing.Router{},
+		servers:   map[string]*server{},
+		byAddress: map[string]string{},
+		wobbly:    map[string]bool{},
+		epoch:     time.Unix(0, 0),
+		returned:  -config.LapseGrace,
+	}
+}
+
+// at maps the steady clock to the times that membership counts in.
+func (f *Fleet) at(now time.Duration) time.Time { return f.epoch.Add(now) }
+
+// SetState takes the desired state that is in force.
+func (f *Fleet) SetState(state *catalog.State, now time.Duration) {
+	old := f.state
+	f.state = state
+	for name := range f.routers {
+		if old != nil && !sameEngine(old.Services[name].Engine, state.Services[name].Engine) {
+			delete(f.routers, name)
+		}
+	}
+	for id := range f.servers {
+		f.place(id, now)
+	}
+}
+
+func sameEngine(a, b *catalog.Engine) bool {
+	if a == nil || b == nil {
+		return a == b
+	}
+	return a.Slots == b.Slots && a.Step == b.Step && a.PromptToken == b.PromptToken &&
+		a.UsualPrompt == b.UsualPrompt && a.UsualAnswer == b.UsualAnswer
+}
+
+// StoreReturned notes that the store is reached again after an absence.
+func (f *Fleet) StoreReturned(now time.Duration) { f.returned = now }
+
+// Apply takes servers that the list shows or no longer shows. A whole list
+// also drops the servers that it lacks.
+func (f *Fleet) Apply(present []catalog.Backend, gone []string, whole bool, now time.Duration) {
+	listed := map[string]bool{}
+	for _, backend := range present {
+		listed[backend.ID] = true
+		f.show(backend)
+	}
+	if whole {
+		for id := range f.servers {
+			if !listed[id] {
+				gone = append(gone, id)
+			}
+		}
+	}
+	for _, id := range gone {
+		if s, ok := f.servers[id]; ok && s.missingSince == 0 {
+			s.missingSince = max(now, 1)
+			f.wobbly[id] = true
+		}
+	}
+	f.list(now)
+	for _, backend := range present {
+		f.place(backend.ID, now)
+	}
+	f.refresh(now)
+}
+
+// show takes one server as it is listed now.
+func (f *Fleet) show(backend catalog.Backend) {
+	s, ok := f.servers[backend.ID]
+	if !ok {
+		s = &server{}
+		f.servers[backend.ID] = s
+	}
+	s.backend = backend
+	s.missingSince = 0
+	f.byAddress[backend.Address] = backend.ID
+}
+
+// list hands the present list to the membership table.
+func (f *Fleet) list(now time.Duration) {
+	f.revision++
+	hosts := make([]filbertlever.Host, 0, len(f.servers))
+	for _, s := range f.servers {
+		hosts = append(hosts, f.host(s.backend))
+	}
+	f.table.ApplyList(f.revision, hosts, f.at(now))
+}
+
+func (f *Fleet) host(b catalog.Backend) filbertlever.Host {
+	return filbertlever.Host{ID: filbertlever.HostID(b.ID), Site: b.Site, Region: f.config.Regions[b.Site], Leaving: b.Leaving}
+}
+
+// plainTarget is the target of services without models.
+const plainTarget routing.Target = "plain"
+
+func modelTarget(model string) routing.Target { return routing.Target(model) }
+
+func versionTarget(model string, version uint64) routing.Target {
+	return routing.Target(model + "@" + strconv.FormatUint(version, 10))
+}
+
+// place brings the router up to date on one server.
+func (f *Fleet) place(id string, now time.Duration) {
+	s := f.servers[id]
+	router := f.router(s.backend.Service)
+	if router == nil {
+		return
+	}
+	host := f.host(s.backend)
+	router.SetHost(host, f.usable(s, now))
+	router.SetLoaded(host.ID, f.targets(s, now))
+	if !s.hasReport {
+		router.Report(host.ID, routing.Load{Concurrency: s.backend.Slots})
+	}
+}
+
+// targets are what a server can serve: by its own report while that is fresh,
+// else by the list, which is up to a heartbeat behind.
+func (f *Fleet) targets(s *server, now time.Duration) []routing.Target {
+	if f.state == nil || f.state.Services[s.backend.Service].Engine == nil {
+		return []routing.Target{plainTarget}
+	}
+	models := s.backend.Models
+	if s.hasReport && now-s.reportedAt < f.config.ReportFresh {
+		models = s.reported
+	}
+	var targets []routing.Target
+	for _, model := range models {
+		targets = append(targets, modelTarget(model.Name), versionTarget(model.Name, model.Version))
+	}
+	return targets
+}
+
+// usable reports whether new requests may go to a server.
+//
+// Guard: an entry that lapsed while the store was away is missing from the
+// list for a moment though its server lives; all servers may be so at once. Only
+// what is still missing some time after the store's return is gone.
+func (f *Fleet) usable(s *server, now time.Duration) bool {
+	if s.missingSince != 0 && now-f.returned >= f.config.LapseGrace {
+		return false
+	}
+	return now >= s.switchingUntil && f.table.Usable(filbertlever.HostID(s.backend.ID), f.at(now))
+}
+
+// router returns the router of a service, or nil if the state lacks it.
+func (f *Fleet) router(name string) *routing.Router {
+	if router, ok := f.routers[name]; ok {
+		return router
+	}
+	if f.state == nil {
+		return nil
+	}
+	service, ok := f.state.Services[name]
+	if !ok {
+		return nil
+	}
+	config := routing.Config{
+		Service: f.config.PlainService, OtherSite: f.config.OtherSite, OtherRegion: f.config.OtherRegion, Samples: samples,
+	}
+	if e := service.Engine; e != nil {
+		config.Service = serviceTime(e)
+		config.PrefillToken = e.PromptToken
+		config.FirstToken = firstPasses * time.Duration(e.Stride) * e.Step
+	}
+	router := routing.New(config, f.config.Site, f.config.Region, f.rng)
+	f.routers[name] = router
+	return router
+}
+
+const (
+	// samples is how many servers are weighed. Of 16 to 60 servers eight drawn
+	// at random hold one of the least loaded fifth five times in six.
+	samples = 8
+	// firstPasses is how many passes of an engine a new request waits through
+	// before its first event, with others' prompts read between.
+	firstPasses = 2
+)
+
+// serviceTime is how long a request holds a slot of a full engine: each of the
+// batch waits while the prompts of all are read.
+func serviceTime(e *catalog.Engine) time.Duration {
+	reading := time.Duration(e.Slots*e.UsualPrompt) * e.PromptToken
+	return reading + time.Duration(e.UsualAnswer)*e.Step
+}
+
+// Load is a server's own report, as its agent sends it.
+type Load struct {
+	// Address is where the server serves.
+	Address string
+	// Sequence grows with each report, also across restarts of the agent.
+	Sequence uint64
+	Running  int
+	Queued   int
+	// Switching is true from shortly before a load order until it is done.
+	Switching bool
+	Models    []catalog.Model
+}
+
+// Report takes a server's own report.
+func (f *Fleet) Report(load Load, now time.Duration) {
+	s, ok := f.servers[f.byAddress[load.Address]]
+	if !ok {
+		return
+	}
+	s.hasReport = true
+	s.reported = load.Models
+	s.reportedAt = now
+	s.switchingUntil = 0
+	if load.Switching {
+		s.switchingUntil = now + f.config.SwitchMost
+		f.wobbly[s.backend.ID] = true
+	}
+	f.place(s.backend.ID, now)
+	router := f.router(s.backend.Service)
+	if router == nil {
+		return
+	}
+	lag := f.config.ReportTransit
+	if e := f.state.Services[s.backend.Service].Engine; e != nil {
+		lag += e.ReportLag
+	}
+	router.Report(filbertlever.HostID(s.backend.ID), routing.Load{
+		Sequence: load.Sequence, Running: load.Running, Queued: load.Queued,
+		Concurrency: s.backend.Slots, Seen: s.sends.Before(now - lag),
+	})
+}
+
+// Choose picks a server and counts the request as sent there; Ended takes that
+// back.
+func (f *Fleet) Choose(request Request, now time.Duration) Placement {
+	f.refresh(now)
+	router := f.router(request.Service)
+	if router == nil {
+		return Placement{Reason: routing.ReasonNone}
+	}
+	target := plainTarget
+	switch {
+	case f.state.Services[request.Service].Engine == nil:
+	case request.Version != 0:
+		target = versionTarget(request.Model, request.Version)
+	default:
+		target = modelTarget(request.Model)
+	}
+	choice := router.Choose(&routing.Request{Target: target, PromptTokens: request.PromptTokens, Avoid: request.Avoid})
+	s, ok := f.servers[string(choice.Host)]
+	if !ok {
+		return Placement{Reason: choice.Reason, Weighed: choice.Weighed}
+	}
+	s.sends.Add(now)
+	age := time.Duration(-1)
+	if s.hasReport {
+		age = now - s.reportedAt
+	}
+	return Placement{Backend: s.backend, Found: true, Predicted: choice.Predicted, Reason: choice.Reason, Weighed: choice.Weighed, ReportAge: age}
+}
+
+// Ended notes that a request sent to a server has ended there, or was not sent.
+func (f *Fleet) Ended(id string) {
+	if s, ok := f.servers[id]; ok {
+		if router := f.router(s.backend.Service); router != nil {
+			router.Ended(filbertlever.HostID(id))
+		}
+	}
+}
+
+// Answered notes that a server answered a request soundly.
+func (f *Fleet) Answered(id string, now time.Duration) {
+	f.table.Answered(filbertlever.HostID(id), f.at(now))
+}
+
+// Failed notes that a server could not be reached, broke off, or answered
+// unsoundly; it gets no request for a while.
+func (f *Fleet) Failed(id string, now time.Duration) {
+	f.table.Failed(filbertlever.HostID(id), f.at(now))
+	f.wobbly[id] = true
+	if _, ok := f.servers[id]; ok {
+		f.place(id, now)
+	}
+}
+
+// refresh takes note of what time alone has changed.
+func (f *Fleet) refresh(now time.Duration) {
+	for id := range f.wobbly {
+		s, ok := f.servers[id]
+		if !ok {
+			delete(f.wobbly, id)
+			continue
+		}
+		if s.missingSince != 0 && now-f.returned >= f.config.LapseGrace {
+			f.drop(id, s)
+			continue
+		}
+		f.place(id, now)
+		if f.usable(s, now) && s.missingSince == 0 {
+			delete(f.wobbly, id)
+		}
+	}
+}
+
+// drop forgets a server that is gone.
+func (f *Fleet) drop(id string, s *server) {
+	if router := f.router(s.backend.Service); router != nil {
+		router.SetHost(f.host(s.backend), false)
+		router.SetLoaded(filbertlever.HostID(id), nil)
+	}
+	delete(f.servers, id)
+	delete(f.wobbly, id)
+	if f.byAddress[s.backend.Address] == id {
+		delete(f.byAddress, s.backend.Address)
+	}
+}
+
+// Backends returns the servers of a service that are not gone, by ID.
+func (f *Fleet) Backends(service string) []catalog.Backend {
+	var backends []catalog.Backend
+	for _, s := range f.servers {
+		if s.backend.Service == service && s.missingSince == 0 {
+			backends = append(backends, s.backend)
+		}
+	}
+	slices.SortFunc(backends, func(a, b catalog.Backend) int { return cmp.Compare(a.ID, b.ID) })
+	return backends
+}
+
+// Known reports whether a server is still listed.
+func (f *Fleet) Known(id string) bool {
+	_, ok := f.servers[id]
+	return ok
+}
--- /dev/null
+++ b/internal/coordination/fleet/fleet_test.go
@@ -0,0 +1,181 @@
+package fleet
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/filbertlever/filbertlever/internal/coordination/catalog"
+)
+
+const (
+	modelService = "models"
+	plainService = "orders"
+	model        = "drafter"
+)
+
+func engine() *catalog.Engine {
+	return &catalog.Engine{
+		Slots: 16, Step: 7 * time.Millisecond, Stride: 6, PromptToken: 32 * time.Microsecond,
+		UsualPrompt: 900, UsualAnswer: 119, ReportLag: 200 * time.Millisecond, Models: []string{model},
+	}
+}
+
+func state() *catalog.State {
+	services := []catalog.Service{{Name: modelService, Engine: engine()}, {Name: plainService}}
+	return catalog.New(1, nil, services, nil, catalog.Limits{})
+}
+
+func newFleet() *Fleet {
+	config := DefaultConfig()
+	config.Site, config.Region = "a", "ra"
+	config.Regions = map[string]string{"a": "ra", "b": "rb"}
+	return New(config, rand.New(rand.NewPCG(1, 2)))
+}
+
+func listed(id, service, address string, version uint64) catalog.Backend {
+	b := catalog.Backend{ID: id, Service: service, Address: address, Site: "a", Slots: 16}
+	if version > 0 {
+		b.Models = []catalog.Model{{Name: model, Version: version}}
+	}
+	return b
+}
+
+// An order is refused with "no server" though its three servers are up and
+// listed. The list arrives after the desired state; a server was judged before
+// the membership table knew it, and nothing judged it again.
+func TestServersListedAfterTheStateAreUsedAtOnce(t *testing.T) {
+	c := qt.New(t)
+	f := newFleet()
+	f.SetState(state(), 0)
+	f.Apply([]catalog.Backend{listed("o1", plainService, "10.0.0.1:1", 0)}, nil, true, time.Second)
+	c.Assert(f.Choose(Request{Service: plainService}, time.Second).Backend.ID, qt.Equals, "o1")
+}
+
+// The same the other way round: the list is read before the desired state.
+func TestServersListedBeforeTheStateAreUsed(t *testing.T) {
+	c := qt.New(t)
+	f := newFleet()
+	f.Apply([]catalog.Backend{listed("o1", plainService, "10.0.0.1:1", 0), listed("o2", plainService, "10.0.0.2:1", 0)}, nil, true, 0)
+	f.SetState(state(), 0)
+	used := map[string]bool{}
+	for range 20 {
+		used[f.Choose(Request{Service: plainService}, 0).Backend.ID] = true
+	}
+	c.Assert(used, qt.DeepEquals, map[string]bool{"o1": true, "o2": true})
+}
+
+// A caller's request reaches a server that has no weights, which refuses it.
+// An added server is listed seconds before it holds a model.
+func TestEmptyServersGetNoRequests(t *testing.T) {
+	c := qt.New(t)
+	f := newFleet()
+	f.SetState(state(), 0)
+	f.Apply([]catalog.Backend{listed("m1", modelService, "10.0.0.1:1", 0)}, nil, true, 0)
+	c.Assert(f.Choose(Request{Service: modelService, Model: model}, 0).Found, qt.IsFalse)
+	f.Report(Load{Address: "10.0.0.1:1", Sequence: 1, Models: []catalog.Model{{Name: model, Version: 1}}}, time.Second)
+	c.Assert(f.Choose(Request{Service: modelService, Model: model}, time.Second).Backend.ID, qt.Equals, "m1")
+}
+
+// A request after the bound of a new version begins on the older one. Only
+// servers that hold the version wanted may be picked.
+func TestOnlyTheWantedVersionIsPicked(t *testing.T) {
+	c := qt.New(t)
+	f := newFleet()
+	f.SetState(state(), 0)
+	f.Apply([]catalog.Backend{listed("m1", modelService, "10.0.0.1:1", 1), listed("m2", modelService, "10.0.0.2:1", 2)}, nil, true, 0)
+	for range 20 {
+		c.Assert(f.Choose(Request{Service: modelService, Model: model, Version: 2}, 0).Backend.ID, qt.Equals, "m2")
+	}
+}
+
+// A request reaches a server seconds after it said that it leaves, and is cut
+// off when the server exits.
+func TestLeavingServersGetNoRequests(t *testing.T) {
+	c := qt.New(t)
+	f := newFleet()
+	f.SetState(state(), 0)
+	leaving := listed("o1", plainService, "10.0.0.1:1", 0)
+	f.Apply([]catalog.Backend{leaving}, nil, true, 0)
+	leaving.Leaving = true
+	f.Apply([]catalog.Backend{leaving}, nil, false, time.Second)
+	c.Assert(f.Choose(Request{Service: plainService}, time.Second).Found, qt.IsFalse)
+}
+
+// Every request is refused for two seconds after the store's return. All
+// entries of live servers lapsed while the store was away and are missing from
+// the first list read after it.
+func TestServersThatLapsedWithTheStoreAreKeptForAWhile(t *testing.T) {
+	c := qt.New(t)
+	f := newFleet()
+	f.SetState(state(), 0)
+	f.Apply([]catalog.Backend{listed("o1", plainService, "10.0.0.1:1", 0)}, nil, true, 0)
+	back := 20 * time.Second
+	f.StoreReturned(back)
+	f.Apply(nil, []string{"o1"}, false, back)
+	c.Assert(f.Choose(Request{Service: plainService}, back+time.Second).Found, qt.IsTrue)
+	c.Assert(f.Choose(Request{Service: plainService}, back+3*time.Second).Found, qt.IsFalse)
+}
+
+// The same entries come back within the grace: the server goes on being used.
+func TestALapsedServerThatReturnsStays(t *testing.T) {
+	c := qt.New(t)
+	f := newFleet()
+	f.SetState(state(), 0)
+	one := listed("o1", plainService, "10.0.0.1:1", 0)
+	f.Apply([]catalog.Backend{one}, nil, true, 0)
+	f.StoreReturned(20 * time.Second)
+	f.Apply(nil, []string{"o1"}, false, 20*time.Second)
+	f.Apply([]catalog.Backend{one}, nil, false, 21*time.Second)
+	c.Assert(f.Choose(Request{Service: plainService}, 30*time.Second).Found, qt.IsTrue)
+}
+
+// A server that breaks off answers gets no request for a moment, and some again
+// after it.
+func TestFailingServersPause(t *testing.T) {
+	c := qt.New(t)
+	f := newFleet()
+	f.SetState(state(), 0)
+	f.Apply([]catalog.Backend{listed("o1", plainService, "10.0.0.1:1", 0)}, nil, true, 0)
+	f.Failed("o1", time.Second)
+	c.Assert(f.Choose(Request{Service: plainService}, time.Second).Found, qt.IsFalse)
+	c.Assert(f.Choose(Request{Service: plainService}, 2*time.Second).Found, qt.IsTrue)
+}
+
+// Requests sent to a server just before it switches weights wait through the
+// switch. Its agent tells ahead, and entries send elsewhere.
+func TestSwitchingServersGetNoRequests(t *testing.T) {
+	c := qt.New(t)
+	f := newFleet()
+	f.SetState(state(), 0)
+	f.Apply([]catalog.Backend{listed("m1", modelService, "10.0.0.1:1", 1)}, nil, true, 0)
+	models := []catalog.Model{{Name: model, Version: 1}}
+	f.Report(Load{Address: "10.0.0.1:1", Sequence: 1, Switching: true, Models: models}, time.Second)
+	c.Assert(f.Choose(Request{Service: modelService, Model: model}, time.Second).Found, qt.IsFalse)
+	f.Report(Load{Address: "10.0.0.1:1", Sequence: 2, Models: models}, 2*time.Second)
+	c.Assert(f.Choose(Request{Service: modelService, Model: model}, 2*time.Second).Found, qt.IsTrue)
+}
+
+// Placement is on the path of every request: it must not allocate much and
+// stay cheap with the number of servers.
+func BenchmarkChoose(b *testing.B) {
+	for _, count := range []int{16, 256, 2700} {
+		f := newFleet()
+		f.SetState(state(), 0)
+		var list []catalog.Backend
+		for i := range count {
+			list = append(list, listed(string(rune('a'+i%26))+time.Duration(i).String(), modelService, time.Duration(i).String(), 1))
+		}
+		f.Apply(list, nil, true, 0)
+		b.Run(time.Duration(count).String(), func(b *testing.B) {
+			b.ReportAllocs()
+			for b.Loop() {
+				p := f.Choose(Request{Service: modelService, Model: model, PromptTokens: 900}, 0)
+				f.Ended(p.Backend.ID)
+			}
+		})
+	}
+}
+
--- a/internal/coordination/routing/routing.go
+++ b/internal/coordination/routing/routing.go
@@ -20,6 +20,8 @@
 	Policy Policy
 	// Service is how long a request occupies a slot, until reports tell.
 	Service time.Duration
+	// FirstToken is what an idle host takes to the first token of an empty prompt.
+	FirstToken time.Duration
 	// PrefillToken is the time to prefill one prompt token.
 	PrefillToken time.Duration
 	// OtherSite and OtherRegion are what a host there costs more.
@@ -331,7 +333,7 @@
 	case h.site != r.site:
 		predicted += r.config.OtherSite
 	}
-	return predicted + r.wait(h)
+	return predicted + r.config.FirstToken + r.wait(h)
 }
 
 // wait predicts the queueing time: what the report says, corrected by what
--- /dev/null
+++ b/internal/settings/installation.go
@@ -0,0 +1,148 @@
+package settings
+
+import (
+	"fmt"
+	"os"
+	"time"
+
+	"github.com/filbertlever/filbertlever"
+	"github.com/filbertlever/filbertlever/pkg/document"
+)
+
+// Installation is the settings file of a process on a users' platform, where
+// the store is shared, callers send plain HTTP and nothing has a disk.
+type Installation struct {
+	// Host names this host.
+	Host   filbertlever.HostID `yaml:"Host"`
+	Site   string              `yaml:"Site"`
+	Region string              `yaml:"Region"`
+	// Regions gives the region of each site.
+	Regions map[string]string `yaml:"Regions"`
+	// Store is the address of the platform's store.
+	Store  string             `yaml:"Store"`
+	Listen InstallationListen `yaml:"Listen"`
+	// Seeds are peer addresses of entries to ask first; some may be gone.
+	Seeds       []string    `yaml:"Seeds"`
+	ModelServer ModelServer `yaml:"ModelServer"`
+	Bounds      Bounds      `yaml:"Bounds"`
+	Machine     Machine     `yaml:"Machine"`
+	Log         Log         `yaml:"Log"`
+}
+
+// InstallationListen is where a process listens. An agent has only Datagrams
+// and Metrics.
+type InstallationListen struct {
+	// Callers is where callers send requests.
+	Callers string `yaml:"Callers"`
+	// Ready answers whether new callers should come.
+	Ready string `yaml:"Ready"`
+	// Locate answers which entries a caller should use.
+	Locate string `yaml:"Locate"`
+	// Peers is where other processes call.
+	Peers string `yaml:"Peers"`
+	// Datagrams takes heartbeats and load reports over UDP.
+	Datagrams string `yaml:"Datagrams"`
+	// Metrics serves counters and histograms.
+	Metrics string `yaml:"Metrics"`
+}
+
+// ModelServer is the model server beside an agent.
+type ModelServer struct {
+	Address string `yaml:"Address"`
+	Service string `yaml:"Service"`
+}
+
+// Bounds are what the users hold the system to.
+type Bounds struct {
+	// Revoke is the time in which a key that is taken away stops working; 0
+	// means no bound.
+	Revoke document.Duration `yaml:"Revoke"`
+	// Version is the time in which a named version is the only one to answer;
+	// 0 means no bound.
+	Version document.Duration `yaml:"Version"`
+	// RetryRatio and RetrySlack bound the retries of all entries together, in
+	// any window of some seconds.
+	RetryRatio float64 `yaml:"RetryRatio"`
+	RetrySlack float64 `yaml:"RetrySlack"`
+	// Keep is how long callers may keep an answer of Locate.
+	Keep document.Duration `yaml:"Keep"`
+	// Stop is the time from the signal to stop to the end of the process.
+	Stop document.Duration `yaml:"Stop"`
+}
+
+// Machine is what the host gives a process.
+type Machine struct {
+	Cores  int           `yaml:"Cores"`
+	Memory document.Size `yaml:"Memory"`
+}
+
+// DefaultInstallation returns the settings that a file changes.
+func DefaultInstallation() Installation {
+	return Installation{
+		Bounds: Bounds{
+			RetryRatio: 0.1,
+			Keep:       document.Duration(2 * time.Second),
+			Stop:       document.Duration(8 * time.Second),
+		},
+		Machine: Machine{Cores: 1},
+		Log:     Log{Level: "Info", Format: "JSON"},
+	}
+}
+
+// LoadInstallation reads and checks a file for UseEntry or UseAgent.
+func LoadInstallation(path string, use Use) (*Installation, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("settings: %w", err)
+	}
+	s, err := ParseInstallation(data, use)
+	if err != nil {
+		return nil, fmt.Errorf("settings %s:\n%w", path, err)
+	}
+	return s, nil
+}
+
+// ParseInstallation decodes and checks a file as a whole. Its error is a
+// document.Faults with every fault.
+func ParseInstallation(data []byte, use Use) (*Installation, error) {
+	s := DefaultInstallation()
+	check := document.Decode(data, &s)
+	if check.Parsed() {
+		s.check(check, use)
+	}
+	if err := check.Err(); err != nil {
+		return nil, err
+	}
+	return &s, nil
+}
+
+func (s *Installation) check(c *document.Checker, use Use) {
+	c.Require(s.Host != "", "Host", s.Host, "expected a name")
+	c.Require(s.Site != "", "Site", s.Site, "expected a name")
+	requireAddress(c, "Store", s.Store)
+	requireAddress(c, "Listen.Datagrams", s.Listen.Datagrams)
+	if s.Listen.Metrics != "" {
+		requireAddress(c, "Listen.Metrics", s.Listen.Metrics)
+	}
+	switch use {
+	case UseEntry:
+		requireAddress(c, "Listen.Callers", s.Listen.Callers)
+		requireAddress(c, "Listen.Ready", s.Listen.Ready)
+		requireAddress(c, "Listen.Locate", s.Listen.Locate)
+		requireAddress(c, "Listen.Peers", s.Listen.Peers)
+	case UseAgent:
+		requireAddress(c, "ModelServer.Address", s.ModelServer.Address)
+		c.Require(s.ModelServer.Service != "", "ModelServer.Service", s.ModelServer.Service, "expected the name of a service")
+	}
+	for i, seed := range s.Seeds {
+		requireAddress(c, fmt.Sprintf("Seeds[%d]", i), seed)
+	}
+	c.Require(s.Bounds.RetryRatio >= 0 && s.Bounds.RetryRatio <= 1, "Bounds.RetryRatio", s.Bounds.RetryRatio, "expected a share from 0 to 1")
+	c.Require(s.Bounds.RetrySlack >= 0, "Bounds.RetrySlack", s.Bounds.RetrySlack, "expected 0 or more requests")
+	c.Require(s.Bounds.Revoke >= 0, "Bounds.Revoke", time.Duration(s.Bounds.Revoke), "expected 0 or more")
+	c.Require(s.Bounds.Version >= 0, "Bounds.Version", time.Duration(s.Bounds.Version), "expected 0 or more")
+	c.Require(s.Bounds.Keep > 0, "Bounds.Keep", time.Duration(s.Bounds.Keep), "expected more than 0")
+	c.Require(s.Bounds.Stop > 0, "Bounds.Stop", time.Duration(s.Bounds.Stop), "expected more than 0")
+	c.Require(s.Machine.Cores > 0, "Machine.Cores", s.Machine.Cores, "expected 1 or more")
+	c.Require(s.Machine.Memory >= 0, "Machine.Memory", s.Machine.Memory, "expected 0 or more")
+}
--- /dev/null
+++ b/internal/transport/gateway/attempts.go
@@ -0,0 +1,349 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/filbertlever/filbertlever"
+	"github.com/filbertlever/filbertlever/internal/coordination/catalog"
+	"github.com/filbertlever/filbertlever/internal/coordination/fleet"
+	"github.com/filbertlever/filbertlever/internal/coordination/forward"
+	"github.com/filbertlever/filbertlever/internal/transport/boottime"
+	"github.com/filbertlever/filbertlever/internal/transport/channel"
+)
+
+// Times and sizes of attempts.
+const (
+	// headGoals is how many goals a server may take to begin its answer before
+	// a request that may run again is sent elsewhere.
+	headGoals = 4
+	// headLeast is the least of these times, so that a short goal does not
+	// send again what is merely queued.
+	headLeast = 400 * time.Millisecond
+	// wholeBytes is how much of an answer is read before any of it is sent on,
+	// so that one that breaks off can be had elsewhere.
+	wholeBytes = 256 << 10
+)
+
+// attempts is the sending of one request until it has its final answer.
+type attempts struct {
+	*exchange
+	forward.Attempts
+	tried []filbertlever.HostID
+	// stream is the state of an answer made of events; nil before its head.
+	stream *eventStream
+	// unsent is set when the last attempt reached no server.
+	last fleet.Placement
+}
+
+// run sends the request until it has a final answer.
+func (x *exchange) run() {
+	a := &attempts{exchange: x, Attempts: forward.Attempts{
+		Class: forward.Class{Repeatable: x.route.Repeatable(), Servers: x.route.Attempts}}}
+	for first := true; ; first = false {
+		placement, p := a.place(first)
+		if p != nil {
+			a.giveUp(p)
+			return
+		}
+		a.last = placement
+		a.tried = append(a.tried, filbertlever.HostID(placement.Backend.ID))
+		end, reply := a.try(placement)
+		if end == 0 {
+			return
+		}
+		if !a.next(end, reply) {
+			return
+		}
+	}
+}
+
+// place picks a server, or says why the request cannot be served.
+func (a *attempts) place(first bool) (fleet.Placement, *problem) {
+	g := a.gateway
+	now := boottime.Now()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if first {
+		g.budget(a.service).Fresh()
+	}
+	placement := g.fleet.Choose(a.wanted(now), now)
+	fields := []zap.Field{zap.String("Request", a.call.ID), zap.String("Service", a.service),
+		zap.String("Backend", placement.Backend.ID), zap.Duration("Predicted", placement.Predicted),
+		zap.Int("Weighed", placement.Weighed), zap.Duration("ReportAge", placement.ReportAge), zap.String("Why", string(placement.Reason))}
+	if !placement.Found {
+		g.log.Info("no server", fields...)
+		return placement, busy(reasonNoServer, returnAfterNone(g.rng.Float64()))
+	}
+	goal := a.route.Goal - time.Since(a.arrived)
+	admitted, retry := g.gate.Admit(placement.Predicted, goal, a.remaining(), g.rng)
+	if a.stream != nil || g.plain(a.service) {
+		// An answer that has begun goes on wherever it can, and a plain service
+		// has a queue of a few places of its own, which refuses.
+		admitted = true
+	}
+	if !admitted {
+		g.fleet.Ended(placement.Backend.ID)
+		g.log.Info("refused", fields...)
+		return placement, busy(reasonBusy, retry)
+	}
+	g.log.Info("placed", fields...)
+	return placement, nil
+}
+
+func (g *Gateway) plain(service string) bool {
+	state := g.state.Load()
+	return state != nil && state.Services[service].Engine == nil
+}
+
+// returnAfterNone is when to come back if no server at all can take a request:
+// about when another may be up.
+func returnAfterNone(spread float64) time.Duration {
+	return time.Duration((0.5 + 0.5*spread) * float64(time.Second))
+}
+
+// wanted describes the request for placement; the caller holds the lock.
+func (a *attempts) wanted(now time.Duration) fleet.Request {
+	request := fleet.Request{Service: a.service, Model: a.call.Model, PromptTokens: a.call.PromptTokens, Avoid: a.tried}
+	if a.call.Model != "" {
+		request.Version = a.gateway.strict(a.call.Model, now)
+	}
+	if a.stream != nil && a.stream.version != 0 {
+		// An answer that has begun is finished by the same weights.
+		request.Version = a.stream.version
+	}
+	return request
+}
+
+// try sends the request to one server. It returns 0 if the caller has its final
+// answer, else how the attempt ended, and the server's failure if it gave one.
+func (a *attempts) try(placement fleet.Placement) (forward.End, *Reply) {
+	g := a.gateway
+	id := placement.Backend.ID
+	defer func() {
+		g.mu.Lock()
+		g.fleet.Ended(id)
+		g.mu.Unlock()
+	}()
+	ctx, cancel := context.WithCancel(a.ctx)
+	defer cancel()
+	watch := a.watchHead(cancel)
+	reply, err := g.sender.Send(ctx, a.dispatch(placement.Backend))
+	if watch != nil {
+		watch.Stop()
+	}
+	if err != nil {
+		return a.sendFailed(id, err), nil
+	}
+	if end := a.judge(id, reply); end != 0 {
+		if end != forward.EndFailed {
+			reply.Finish(a.drainSmall(reply))
+			return end, nil
+		}
+		return end, reply
+	}
+	if reply.Stream {
+		return a.relayStream(id, reply, cancel), nil
+	}
+	return a.relayWhole(id, reply), nil
+}
+
+// watchHead ends the attempt if its server does not begin to answer in time,
+// for requests that another server may still run.
+func (a *attempts) watchHead(cancel func()) *time.Timer {
+	if !a.Class.Repeatable || a.Sent()+1 >= a.Class.Servers || a.route.Goal <= 0 {
+		return nil
+	}
+	return time.AfterFunc(max(headGoals*a.route.Goal, headLeast), cancel)
+}
+
+func (a *attempts) dispatch(backend catalog.Backend) *Dispatch {
+	d := &Dispatch{
+		Call: a.call, Backend: backend, Organisation: a.organisation.ID,
+		Urgency: min(max(a.urgency, 0), lowestUrgency), Left: max(a.remaining(), 0),
+	}
+	if a.call.Model != "" {
+		a.gateway.mu.Lock()
+		d.Version = a.wanted(boottime.Now()).Version
+		a.gateway.mu.Unlock()
+	}
+	if a.stream != nil {
+		d.LastEvent = a.stream.last
+	}
+	return d
+}
+
+// lowestUrgency is the least urgent rank that engines know.
+const lowestUrgency = 9
+
+// sendFailed notes an attempt that got no answer.
+func (a *attempts) sendFailed(id string, err error) forward.End {
+	var failed *channel.SendError
+	end := forward.EndLost
+	if errors.As(err, &failed) && !failed.Sent {
+		end = forward.EndUnsent
+	}
+	if !a.callerLeft() && a.remaining() > 0 {
+		a.blame(id, end, err)
+	}
+	return end
+}
+
+// blame logs an attempt that its server spoilt, and keeps others from it.
+func (a *attempts) blame(id string, end forward.End, err error) {
+	g := a.gateway
+	g.log.Warn("attempt failed", zap.String("Request", a.call.ID), zap.String("Backend", id),
+		zap.Stringer("End", end), zap.Error(err))
+	g.mu.Lock()
+	g.fleet.Failed(id, boottime.Now())
+	g.mu.Unlock()
+}
+
+// judge sorts the head of an answer; 0 means that it can be sent on.
+func (a *attempts) judge(id string, reply *Reply) forward.End {
+	switch {
+	case reply.NotRun && reply.Moved:
+		return forward.EndMoved
+	case reply.NotRun:
+		return forward.EndRefused
+	case !reply.Sound:
+		a.blame(id, forward.EndLost, errUnsound)
+		return forward.EndLost
+	case reply.Status >= http.StatusInternalServerError:
+		return forward.EndFailed
+	}
+	g := a.gateway
+	g.mu.Lock()
+	g.fleet.Answered(id, boottime.Now())
+	g.mu.Unlock()
+	return 0
+}
+
+var errUnsound = errors.New("answer without the server's receipt")
+
+// drainSmall reads the short body of a refusal so that its channel can be kept.
+func (a *attempts) drainSmall(reply *Reply) bool {
+	if reply.Length < 0 || reply.Length > 4<<10 {
+		return false
+	}
+	_, err := io.Copy(io.Discard, reply.Body)
+	return err == nil
+}
+
+// next decides what follows an attempt; it returns true to try again.
+func (a *attempts) next(end forward.End, failure *Reply) bool {
+	g := a.gateway
+	if a.callerLeft() {
+		a.finishFailure(failure)
+		a.ended(0, reasonCallerEnd, zap.String("Backend", a.last.Backend.ID))
+		return false
+	}
+	g.mu.Lock()
+	step := a.After(end, g.budget(a.service), a.remaining(), true)
+	g.mu.Unlock()
+	g.log.Info("attempt ended", zap.String("Request", a.call.ID), zap.String("Backend", a.last.Backend.ID),
+		zap.Stringer("End", end), zap.Stringer("Step", step), zap.Int("Sent", a.Sent()), zap.Duration("Left", a.remaining()))
+	if step == forward.StepAgain {
+		a.finishFailure(failure)
+		g.metrics.retries.WithLabelValues(a.service, end.String()).Inc()
+		return true
+	}
+	if step == forward.StepPass && failure != nil && a.stream == nil {
+		a.pass(failure)
+		return false
+	}
+	a.finishFailure(failure)
+	a.giveUp(a.problem(step))
+	return false
+}
+
+func (a *attempts) finishFailure(failure *Reply) {
+	if failure != nil {
+		failure.Finish(a.drainSmall(failure))
+	}
+}
+
+// pass hands a server's own failure on.
+func (a *attempts) pass(failure *Reply) {
+	if end := a.relayWhole(a.last.Backend.ID, failure); end != 0 {
+		a.giveUp(a.problem(forward.StepUnknown))
+	}
+}
+
+// problem is the entry's own final answer for a step.
+func (a *attempts) problem(step forward.Step) *problem {
+	switch step {
+	case forward.StepNotRun:
+		return busy(reasonRefused, a.gateway.returnTime())
+	case forward.StepTimeout:
+		return &problem{status: http.StatusGatewayTimeout, reason: reasonTime}
+	}
+	return &problem{status: http.StatusBadGateway, reason: reasonUnknown}
+}
+
+// giveUp ends the request without an answer of a server.
+//
+// Guards: an answer that has begun cannot be taken back, so its channel is
+// broken and the caller sees that it is not whole; and once a server may have
+// run the request, the caller is not told that it did not.
+func (a *attempts) giveUp(p *problem) {
+	if a.stream != nil {
+		a.ended(http.StatusOK, reasonBroken, zap.String("LastEvent", a.stream.last))
+		panic(http.ErrAbortHandler)
+	}
+	if a.MayHaveRun() && p.retry > 0 {
+		p = a.problem(forward.StepUnknown)
+	}
+	a.refuse(p)
+}
+
+// relayWhole sends on an answer that is not a stream. What fits into memory is
+// read whole first, so that an answer that breaks off is never begun.
+func (a *attempts) relayWhole(id string, reply *Reply) forward.End {
+	body, err := io.ReadAll(io.LimitReader(reply.Body, wholeBytes+1))
+	if err != nil {
+		reply.Finish(false)
+		if !a.callerLeft() && a.remaining() > 0 {
+			a.blame(id, forward.EndLost, err)
+		}
+		return forward.EndLost
+	}
+	a.begun = time.Now()
+	copyHeader(a.writer.Header(), reply.Header)
+	if len(body) <= wholeBytes {
+		reply.Finish(true)
+		a.writer.Header().Set("Content-Length", strconv.Itoa(len(body)))
+		a.writer.WriteHeader(reply.Status)
+		// A caller that does not take its answer is noticed by the server loop.
+		_, _ = a.writer.Write(body)
+		a.ended(reply.Status, "", zap.String("Backend", id))
+		return 0
+	}
+	if reply.Length >= 0 {
+		a.writer.Header().Set("Content-Length", strconv.FormatInt(reply.Length, 10))
+	}
+	a.writer.WriteHeader(reply.Status)
+	_, err = a.writer.Write(body)
+	if err == nil {
+		_, err = io.Copy(a.writer, reply.Body)
+	}
+	reply.Finish(err == nil)
+	if err != nil {
+		a.ended(reply.Status, reasonBroken, zap.String("Backend", id), zap.Error(err))
+		panic(http.ErrAbortHandler)
+	}
+	a.ended(reply.Status, "", zap.String("Backend", id))
+	return 0
+}
+
+func copyHeader(to, from http.Header) {
+	for name, values := range from {
+		to[name] = append([]string(nil), values...)
+	}
+}
--- /dev/null
+++ b/internal/transport/gateway/datagrams.go
@@ -0,0 +1,206 @@
+package gateway
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"net/http"
+	"slices"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/filbertlever/filbertlever/internal/coordination/catalog"
+	"github.com/filbertlever/filbertlever/internal/coordination/fleet"
+	"github.com/filbertlever/filbertlever/internal/transport/boottime"
+)
+
+// Datagram is a message between processes that may be lost.
+type Datagram struct {
+	// Beat is an entry's heartbeat.
+	Beat *Beat `json:",omitempty"`
+	// Load is an agent's report on its backend server.
+	Load *LoadReport `json:",omitempty"`
+	// Changed tells an agent that there is a newer view than it knows.
+	Changed uint64 `json:",omitempty"`
+}
+
+// Beat tells other entries that one lives.
+type Beat struct {
+	Entry Entry
+	Ready bool
+	Named []NamedAge
+}
+
+// NamedAge is a named version and how long ago it was named.
+type NamedAge struct {
+	Model   string
+	Version uint64
+	Age     time.Duration
+	// Known is false if the age is not known by any process.
+	Known bool
+}
+
+// LoadReport is a backend server's load and the agent's last known view.
+type LoadReport struct {
+	fleet.Load
+	// View is the revision of the view that the agent has of this entry.
+	View uint64
+}
+
+// View is what an agent needs to know.
+type View struct {
+	// Revision is the answering entry's own count of changes.
+	Revision uint64
+	Entries  []Entry
+	// Named are the versions wanted of the models of the agent's service.
+	Named []NamedAge
+	// Place is the server's place among the Count servers of its service.
+	Place int
+	Count int
+}
+
+const datagramBytes = 8 << 10
+
+func (g *Gateway) runDatagrams(ctx context.Context) {
+	go g.runClose(ctx)
+	buffer := make([]byte, datagramBytes)
+	for {
+		n, from, err := g.socket.ReadFrom(buffer)
+		if err != nil {
+			if ctx.Err() == nil {
+				g.log.Error("datagrams end", zap.Error(err))
+			}
+			return
+		}
+		var d Datagram
+		if err := json.Unmarshal(buffer[:n], &d); err != nil {
+			g.metrics.badDatagrams.Inc()
+			continue
+		}
+		g.take(&d, from)
+	}
+}
+
+func (g *Gateway) runClose(ctx context.Context) {
+	<-ctx.Done()
+	_ = g.socket.Close()
+}
+
+func (g *Gateway) take(d *Datagram, from net.Addr) {
+	now := boottime.Now()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if d.Beat != nil && d.Beat.Entry.Host != g.config.Self.Host {
+		g.peers.hear(d.Beat.Entry, d.Beat.Ready, now)
+		for _, n := range d.Beat.Named {
+			if n.Known {
+				g.heardNamed(n.Model, n.Version, n.Age, now)
+			}
+		}
+	}
+	if d.Load != nil {
+		g.fleet.Report(d.Load.Load, now)
+		if d.Load.View != g.revision {
+			g.send(Datagram{Changed: g.revision}, from)
+		}
+	}
+}
+
+// send sends a datagram; one that cannot be sent is as good as lost.
+func (g *Gateway) send(d Datagram, to net.Addr) {
+	data, err := json.Marshal(d)
+	if err != nil {
+		g.log.Error("datagram not encoded", zap.Error(err))
+		return
+	}
+	_, _ = g.socket.WriteTo(data, to)
+}
+
+func (g *Gateway) runHeartbeat(ctx context.Context) {
+	ticker := time.NewTicker(beatEvery)
+	defer ticker.Stop()
+	for {
+		g.beat(boottime.Now())
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+// beat tells the other entries that this one lives.
+func (g *Gateway) beat(now time.Duration) {
+	ready := g.Ready()
+	g.mu.Lock()
+	addresses := g.peers.addresses()
+	beat := &Beat{Entry: g.config.Self, Ready: ready, Named: g.namedAges(now)}
+	g.mu.Unlock()
+	for _, address := range addresses {
+		to, err := net.ResolveUDPAddr("udp4", address)
+		if err != nil {
+			g.log.Warn("entry has a bad address", zap.String("Address", address), zap.Error(err))
+			continue
+		}
+		g.send(Datagram{Beat: beat}, to)
+	}
+}
+
+func (g *Gateway) namedAges(now time.Duration) []NamedAge {
+	var ages []NamedAge
+	for model, n := range g.named {
+		ages = append(ages, NamedAge{Model: model, Version: n.version, Age: now - n.since, Known: !n.guessed})
+	}
+	return ages
+}
+
+// PathView is where agents read an entry's View.
+const PathView = "/view"
+
+// PeerRoutes adds the calls of other processes.
+func (g *Gateway) PeerRoutes(mux *http.ServeMux) {
+	g.relay.Routes(mux)
+	mux.HandleFunc("GET "+PathView, g.serveView)
+}
+
+func (g *Gateway) serveView(w http.ResponseWriter, r *http.Request) {
+	service, address := r.URL.Query().Get("Service"), r.URL.Query().Get("Address")
+	view, ok := g.view(service, address)
+	if !ok {
+		http.Error(w, "no desired state is known", http.StatusServiceUnavailable)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(view)
+}
+
+// firstVersion is the version of a model that nobody has named another of.
+const firstVersion = 1
+
+func (g *Gateway) view(service, address string) (View, bool) {
+	state := g.state.Load()
+	if state == nil {
+		return View{}, false
+	}
+	now := boottime.Now()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	view := View{Revision: g.revision, Entries: g.peers.alive(now)}
+	backends := g.fleet.Backends(service)
+	view.Count = len(backends)
+	view.Place = max(slices.IndexFunc(backends, func(b catalog.Backend) bool { return b.Address == address }), 0)
+	engine := state.Services[service].Engine
+	if engine == nil {
+		return view, true
+	}
+	for _, model := range engine.Models {
+		n, ok := g.named[model]
+		if !ok {
+			view.Named = append(view.Named, NamedAge{Model: model, Version: firstVersion})
+			continue
+		}
+		view.Named = append(view.Named, NamedAge{Model: model, Version: n.version, Age: now - n.since, Known: !n.guessed})
+	}
+	return view, true
+}
--- /dev/null
+++ b/internal/transport/gateway/gateway.go
@@ -0,0 +1,275 @@
+package gateway
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"go.uber.org/zap"
+
+	"github.com/filbertlever/filbertlever"
+	"github.com/filbertlever/filbertlever/internal/coordination/admission"
+	"github.com/filbertlever/filbertlever/internal/coordination/catalog"
+	"github.com/filbertlever/filbertlever/internal/coordination/drain"
+	"github.com/filbertlever/filbertlever/internal/coordination/fleet"
+	"github.com/filbertlever/filbertlever/internal/coordination/relays"
+	"github.com/filbertlever/filbertlever/internal/coordination/retry"
+	"github.com/filbertlever/filbertlever/internal/coordination/switchover"
+	"github.com/filbertlever/filbertlever/internal/transport/boottime"
+	"github.com/filbertlever/filbertlever/internal/transport/relay"
+)
+
+// Config holds the settings of a Gateway.
+type Config struct {
+	Self Entry
+	// Regions gives the region of each site.
+	Regions map[string]string
+	// Revoke is the time in which a key that is taken away stops working; a key
+	// is refused once the view is older. 0 means no bound.
+	Revoke time.Duration
+	// Bound is the time in which a named version is the only one to answer.
+	Bound time.Duration
+	// RetryRatio and RetrySlack bound the retries of all entries together.
+	RetryRatio float64
+	RetrySlack float64
+	// Keep is how long callers may keep an answer of Locate.
+	Keep time.Duration
+	// Grace is how long after a stop's announcement new requests are taken, and
+	// Leave when the process must have ended.
+	Grace time.Duration
+	Leave time.Duration
+}
+
+// named is the version of a model that operators want.
+type named struct {
+	version uint64
+	// since is when it was named, as far as known.
+	since time.Duration
+	// guessed is true while since is not known from a process that saw it named.
+	guessed bool
+}
+
+// Gateway is one entry.
+type Gateway struct {
+	config  Config
+	store   Store
+	codec   Codec
+	sender  Sender
+	relay   *relay.Relay
+	log     *zap.Logger
+	metrics *metrics
+	socket  net.PacketConn
+
+	state atomic.Pointer[catalog.State]
+	// confirmed is when the read was sent that last confirmed the state; 0 if
+	// none has.
+	confirmed atomic.Int64
+	running   atomic.Int64
+	// revoke is Config.Revoke, which may change.
+	revoke atomic.Int64
+
+	mu      sync.Mutex
+	rng     *rand.Rand
+	fleet   *fleet.Fleet
+	gate    admission.EntryGate
+	budgets map[string]*retry.Budget
+	peers   *peers
+	named   map[string]named
+	// revision grows with each change that agents must hear of.
+	revision uint64
+	stop     *drain.Stop
+	left     bool
+}
+
+// New returns a gateway; its loops run until ctx ends. The socket takes
+// heartbeats and load reports.
+func New(ctx context.Context, config Config, store Store, codec Codec, sender Sender, origin relay.Origin,
+	client *http.Client, socket net.PacketConn, log *zap.Logger, registry prometheus.Registerer, rng *rand.Rand) *Gateway {
+	fleetConfig := fleet.DefaultConfig()
+	fleetConfig.Site, fleetConfig.Region, fleetConfig.Regions = config.Self.Site, config.Self.Region, config.Regions
+	g := &Gateway{
+		config: config, store: store, codec: codec, sender: sender, log: log, socket: socket,
+		metrics: newMetrics(registry), rng: rng, fleet: fleet.New(fleetConfig, rng), gate: admission.DefaultEntryGate(),
+		budgets: map[string]*retry.Budget{}, peers: newPeers(config.Self, boottime.Now()), named: map[string]named{},
+		stop: drain.New(drain.Config{Grace: config.Grace, Move: config.Leave}),
+	}
+	g.revoke.Store(int64(config.Revoke))
+	g.relay = relay.New(relays.Entry{Host: config.Self.Host, Site: config.Self.Site}, relayView{g}, origin, client, log, registry)
+	for _, loop := range []func(context.Context){g.runDesired, g.runBackends, g.runEntries, g.runHeartbeat} {
+		go loop(ctx)
+	}
+	go g.runDatagrams(ctx)
+	return g
+}
+
+// age returns how old the view of the desired state is; false if there is none.
+func (g *Gateway) age(now time.Duration) (time.Duration, bool) {
+	confirmed := g.confirmed.Load()
+	return now - time.Duration(confirmed), confirmed != 0
+}
+
+// revokeMargin is left for the way from a caller to this process.
+const revokeMargin = 200 * time.Millisecond
+
+// fresh reports whether keys may be taken as good.
+//
+// Guard: a host cut off from the store does not hear that a key was taken away,
+// and would run requests of a caller that is no longer allowed; once the last
+// read that confirmed the view is nearly as old as the bound, keys are refused.
+// The age counts from when the read was sent, on a clock that also runs while
+// the host is suspended.
+func (g *Gateway) fresh(now time.Duration) bool {
+	age, ok := g.age(now)
+	revoke := time.Duration(g.revoke.Load())
+	return ok && (revoke <= 0 || age < revoke-revokeMargin)
+}
+
+// Ready reports whether new callers should come here.
+func (g *Gateway) Ready() bool {
+	g.mu.Lock()
+	leaving := g.stop.Leaving()
+	g.mu.Unlock()
+	return !leaving && g.state.Load() != nil && g.fresh(boottime.Now())
+}
+
+// Locate returns where callers should connect, and for how long to keep that.
+func (g *Gateway) Locate(_, site string) ([]string, time.Duration) {
+	ready := g.Ready()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.peers.locate(site, ready, boottime.Now()), g.config.Keep
+}
+
+// strict returns the only version of a model that may answer now, or 0.
+func (g *Gateway) strict(model string, now time.Duration) uint64 {
+	n, ok := g.named[model]
+	if !ok || g.config.Bound <= 0 {
+		return 0
+	}
+	if now-n.since < switchover.DefaultConfig(g.config.Bound).Strict() {
+		return 0
+	}
+	return n.version
+}
+
+// setNamed takes versions that operators have named.
+func (g *Gateway) setNamed(versions []catalog.NamedVersion, first bool, now time.Duration) {
+	for _, v := range versions {
+		if v.Version <= g.named[v.Model].version {
+			continue
+		}
+		n := named{version: v.Version, since: now}
+		if first {
+			// Named before this process started, it is not known when: the bound
+			// may have passed already.
+			n.since, n.guessed = now-g.config.Bound, true
+		}
+		g.named[v.Model] = n
+		g.revision++
+		g.log.Info("version named", zap.String("Model", v.Model), zap.Uint64("Version", v.Version), zap.Bool("BeforeStart", first))
+		g.relay.Prefetch(v)
+	}
+}
+
+// heardNamed takes a peer's word on when a version was named.
+func (g *Gateway) heardNamed(model string, version uint64, age, now time.Duration) {
+	n, ok := g.named[model]
+	if ok && n.version == version && n.guessed {
+		g.named[model] = named{version: version, since: now - age}
+		g.revision++
+	}
+}
+
+// budget returns the retry budget of a service; the caller holds the lock.
+func (g *Gateway) budget(service string) *retry.Budget {
+	b, ok := g.budgets[service]
+	if !ok {
+		b = retry.NewBudget(retry.Shared(g.config.RetryRatio, g.config.RetrySlack, g.peers.registered()))
+		g.budgets[service] = b
+	}
+	return b
+}
+
+// resizeBudgets follows the number of entries; the caller holds the lock.
+func (g *Gateway) resizeBudgets() {
+	for _, b := range g.budgets {
+		b.Resize(retry.Shared(g.config.RetryRatio, g.config.RetrySlack, g.peers.registered()))
+	}
+}
+
+// leaveTick is how often the progress of a stop is looked at.
+const leaveTick = 50 * time.Millisecond
+
+// Reconfigure takes bounds that have changed; addresses and names stay.
+func (g *Gateway) Reconfigure(config Config) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.revoke.Store(int64(config.Revoke))
+	g.config.Bound, g.config.Keep = config.Bound, config.Keep
+	g.config.RetryRatio, g.config.RetrySlack = config.RetryRatio, config.RetrySlack
+	g.resizeBudgets()
+}
+
+// Leave announces the stop, lets callers learn of it, and returns when what was
+// begun has ended, or when ctx ends.
+func (g *Gateway) Leave(ctx context.Context) {
+	g.mu.Lock()
+	g.stop.Announce(time.Now())
+	g.mu.Unlock()
+	g.log.Info("leaving", zap.Int64("Running", g.running.Load()))
+	g.beat(boottime.Now())
+	go g.runUnregister(ctx)
+	ticker := time.NewTicker(leaveTick)
+	defer ticker.Stop()
+	for {
+		g.mu.Lock()
+		phase := g.stop.Advance(time.Now(), int(g.running.Load()))
+		g.mu.Unlock()
+		if phase == drain.PhaseDone {
+			return
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+func (g *Gateway) runUnregister(ctx context.Context) {
+	if err := g.store.Unregister(ctx, g.config.Self); err != nil {
+		g.log.Warn("entry not unregistered", zap.Error(err))
+	}
+}
+
+// relayView tells the relay about the installation.
+type relayView struct{ g *Gateway }
+
+// Origin returns the origin of weights.
+func (v relayView) Origin() (address, site string, ok bool) {
+	state := v.g.state.Load()
+	if state == nil {
+		return "", "", false
+	}
+	origin, ok := state.Origin()
+	return origin.Origin, origin.OriginSite, ok
+}
+
+// Relays returns the entries that are alive.
+func (v relayView) Relays() ([]relays.Entry, map[filbertlever.HostID]string) {
+	v.g.mu.Lock()
+	defer v.g.mu.Unlock()
+	alive := v.g.peers.alive(boottime.Now())
+	entries := make([]relays.Entry, 0, len(alive))
+	addresses := make(map[filbertlever.HostID]string, len(alive))
+	for _, e := range alive {
+		entries = append(entries, relays.Entry{Host: e.Host, Site: e.Site})
+		addresses[e.Host] = e.Peers
+	}
+	return entries, addresses
+}
--- /dev/null
+++ b/internal/transport/gateway/metrics.go
@@ -0,0 +1,66 @@
+package gateway
+
+import (
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/filbertlever/filbertlever/internal/transport/boottime"
+)
+
+// metrics are an entry's figures. None bears an organisation, so that nobody
+// who reads metrics learns of one.
+type metrics struct {
+	outcomes     *prometheus.CounterVec
+	retries      *prometheus.CounterVec
+	first        *prometheus.HistogramVec
+	badDatagrams prometheus.Counter
+}
+
+func newMetrics(registry prometheus.Registerer) *metrics {
+	m := &metrics{
+		outcomes: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "filbertlever_gateway_outcomes_total",
+			Help: "Callers' requests by service and outcome.",
+		}, []string{"Service", "Outcome"}),
+		retries: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "filbertlever_gateway_retries_total",
+			Help: "Attempts after the first of a request, by service and how the one before ended.",
+		}, []string{"Service", "End"}),
+		first: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Name:    "filbertlever_gateway_first_seconds",
+			Help:    "Time from a request's head to the first byte of its answer.",
+			Buckets: []float64{.01, .02, .05, .1, .15, .2, .3, .4, .6, 1, 2, 4},
+		}, []string{"Service"}),
+		badDatagrams: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "filbertlever_gateway_bad_datagrams_total",
+			Help: "Datagrams that could not be read.",
+		}),
+	}
+	registry.MustRegister(m.outcomes, m.retries, m.first, m.badDatagrams)
+	return m
+}
+
+// Register adds figures that are read from the gateway itself.
+func (g *Gateway) Register(registry prometheus.Registerer) {
+	registry.MustRegister(
+		prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+			Name: "filbertlever_gateway_running",
+			Help: "Callers' requests under way.",
+		}, func() float64 { return float64(g.running.Load()) }),
+		prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+			Name: "filbertlever_gateway_view_age_seconds",
+			Help: "Age of the read that last confirmed the desired state.",
+		}, func() float64 {
+			age, _ := g.age(boottime.Now())
+			return age.Seconds()
+		}),
+		prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+			Name: "filbertlever_gateway_state_version",
+			Help: "Version of the desired state in force; 0 if none.",
+		}, func() float64 {
+			if state := g.state.Load(); state != nil {
+				return float64(state.Version)
+			}
+			return 0
+		}),
+	)
+}
--- /dev/null
+++ b/internal/transport/gateway/peers.go
@@ -0,0 +1,146 @@
+package gateway
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/filbertlever/filbertlever"
+)
+
+// Times of what entries hear of each other.
+const (
+	// beatEvery is how often an entry tells the others that it lives.
+	beatEvery = 400 * time.Millisecond
+	// beatMissed is the silence after which an entry is not named to callers:
+	// three heartbeats, since datagrams are lost now and then.
+	beatMissed = 1300 * time.Millisecond
+	// startTrust is how long after its start an entry takes the registered ones
+	// to be alive, until they can have been heard.
+	startTrust = 1500 * time.Millisecond
+)
+
+// siteLeast is how many entries of a caller's own site are enough to name no
+// others: one of them may be gone by the time that the caller comes.
+const siteLeast = 2
+
+// locateMost bounds the addresses named to a caller.
+const locateMost = 64
+
+// peers is what an entry knows of the others. The gateway's lock guards it.
+type peers struct {
+	self    Entry
+	started time.Duration
+	known   map[filbertlever.HostID]*peer
+}
+
+type peer struct {
+	entry Entry
+	// listed is true while the store has the entry's row.
+	listed bool
+	heard  time.Duration
+	ready  bool
+}
+
+func newPeers(self Entry, now time.Duration) *peers {
+	return &peers{self: self, started: now, known: map[filbertlever.HostID]*peer{}}
+}
+
+// list takes rows of the store.
+func (p *peers) list(present []Entry, gone []string, whole bool) {
+	if whole {
+		for _, known := range p.known {
+			known.listed = false
+		}
+	}
+	for _, entry := range present {
+		if entry.Host == p.self.Host {
+			continue
+		}
+		known, ok := p.known[entry.Host]
+		if !ok {
+			known = &peer{}
+			p.known[entry.Host] = known
+		}
+		known.entry, known.listed = entry, true
+	}
+	for _, host := range gone {
+		if known, ok := p.known[filbertlever.HostID(host)]; ok {
+			known.listed = false
+		}
+	}
+	for host, known := range p.known {
+		if !known.listed {
+			delete(p.known, host)
+		}
+	}
+}
+
+// hear takes a heartbeat.
+func (p *peers) hear(entry Entry, ready bool, now time.Duration) {
+	known, ok := p.known[entry.Host]
+	if !ok {
+		// A live entry whose row has not been read yet.
+		known = &peer{listed: true}
+		p.known[entry.Host] = known
+	}
+	known.entry, known.heard, known.ready = entry, now, ready
+}
+
+// living reports whether an entry is taken to be alive.
+func (p *peers) living(known *peer, now time.Duration) bool {
+	if known.heard == 0 {
+		return now-p.started < startTrust
+	}
+	return now-known.heard < beatMissed
+}
+
+// registered returns how many entries there are by the store's rows.
+func (p *peers) registered() int { return len(p.known) + 1 }
+
+// alive returns the entries that are alive, this one included, by name.
+func (p *peers) alive(now time.Duration) []Entry {
+	entries := []Entry{p.self}
+	for _, known := range p.known {
+		if p.living(known, now) {
+			entries = append(entries, known.entry)
+		}
+	}
+	slices.SortFunc(entries, func(a, b Entry) int { return cmp.Compare(a.Host, b.Host) })
+	return entries
+}
+
+// addresses returns where datagrams go: to every entry that may live.
+func (p *peers) addresses() []string {
+	var addresses []string
+	for _, known := range p.known {
+		addresses = append(addresses, known.entry.Datagrams)
+	}
+	return addresses
+}
+
+// locate returns the addresses for a caller at a site. Bytes between regions
+// are scarce, so a site's callers stay there while it has entries enough.
+func (p *peers) locate(site string, selfReady bool, now time.Duration) []string {
+	var near, all []string
+	add := func(entry Entry) {
+		all = append(all, entry.Callers)
+		if entry.Site == site {
+			near = append(near, entry.Callers)
+		}
+	}
+	if selfReady {
+		add(p.self)
+	}
+	for _, known := range p.known {
+		if p.living(known, now) && (known.ready || known.heard == 0) {
+			add(known.entry)
+		}
+	}
+	slices.Sort(near)
+	slices.Sort(all)
+	if len(near) >= siteLeast {
+		all = near
+	}
+	return all[:min(len(all), locateMost)]
+}
--- /dev/null
+++ b/internal/transport/gateway/ports.go
@@ -0,0 +1,141 @@
+// Package gateway is an entry on an installation: it takes callers' requests,
+// places each at a backend server, and returns one whole answer. What the
+// installation speaks is behind the interfaces of this file.
+package gateway
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/filbertlever/filbertlever"
+	"github.com/filbertlever/filbertlever/internal/coordination/catalog"
+)
+
+// Call is a caller's request.
+type Call struct {
+	// ID names one attempt of a caller.
+	ID     string
+	Method string
+	Host   string
+	// Path selects the route; Target is the path and query as they were sent.
+	Path   string
+	Target string
+	// Header is what is passed on as the caller sent it.
+	Header http.Header
+	Key    string
+	// Bounded is true if the caller said how long it waits, which is Left.
+	Bounded bool
+	Left    time.Duration
+	// Model is empty for plain services.
+	Model        string
+	PromptTokens int
+	AnswerTokens int
+	// LastEvent is the last event of a stream that the caller has; may be empty.
+	LastEvent string
+	Body      []byte
+}
+
+// Codec reads the head of callers' requests.
+type Codec interface {
+	Parse(r *http.Request) (*Call, error)
+}
+
+// Dispatch is a request on its way to one backend server.
+type Dispatch struct {
+	Call         *Call
+	Backend      catalog.Backend
+	Organisation filbertlever.OrganisationID
+	// Urgency is 0 for the most urgent; negative sends none.
+	Urgency int
+	// Left is the time that the server has.
+	Left time.Duration
+	// Version is the only version of the weights that may answer; 0 means any.
+	Version uint64
+	// LastEvent is the event after which a stream goes on; may be empty.
+	LastEvent string
+}
+
+// Reply is the head of a backend server's answer.
+type Reply struct {
+	Status int
+	Header http.Header
+	Body   io.Reader
+	// Length is negative if the server did not say.
+	Length int64
+	// Sound is true if the answer bears the server's receipt and is as it was made.
+	Sound bool
+	// Stream is true if the body is a series of events.
+	Stream bool
+	// NotRun is true if the server says that it did not run the request.
+	NotRun bool
+	// Moved is true if another server, or other weights, were met than expected.
+	Moved bool
+	// Leaving is true if the server ends the channel after this answer.
+	Leaving bool
+	// Version is the version of the weights that answer; 0 if unknown.
+	Version uint64
+	// Finish ends the use of the channel, which is kept only after a whole answer.
+	Finish func(whole bool)
+}
+
+// Sender sends requests to backend servers. An error that is a
+// *channel.SendError tells whether the request may have reached the server.
+type Sender interface {
+	Send(ctx context.Context, dispatch *Dispatch) (*Reply, error)
+}
+
+// ErrHistoryGone means that a feed can no longer go on from a revision.
+var ErrHistoryGone = errors.New("the history asked for is gone")
+
+// Desired is the desired state, or what has changed of it.
+type Desired struct {
+	// Revision is that of the whole store.
+	Revision uint64
+	// State is nil if it has not changed.
+	State *catalog.State
+	Named []catalog.NamedVersion
+}
+
+// Backends is the list of backend servers, or what has changed of it.
+type Backends struct {
+	Revision uint64
+	Present  []catalog.Backend
+	Gone     []string
+}
+
+// Entry is how an entry registers.
+type Entry struct {
+	Host   filbertlever.HostID
+	Site   string
+	Region string
+	// Callers is where callers connect, Peers where other processes do.
+	Callers string
+	Peers   string
+	// Datagrams is where heartbeats and load reports are sent.
+	Datagrams string
+	// Incarnation names this life of the process.
+	Incarnation filbertlever.Incarnation
+}
+
+// Entries is the list of entries, or what has changed of it.
+type Entries struct {
+	Revision uint64
+	Present  []Entry
+	Gone     []string
+}
+
+// Store is what an entry needs of the platform's store. Follow calls return
+// after wait at the latest, also if nothing has changed.
+type Store interface {
+	ReadDesired(ctx context.Context) (Desired, error)
+	FollowDesired(ctx context.Context, after uint64, wait time.Duration) (Desired, error)
+	ReadBackends(ctx context.Context) (Backends, error)
+	FollowBackends(ctx context.Context, after uint64, wait time.Duration) (Backends, error)
+	ReadEntries(ctx context.Context) (Entries, error)
+	FollowEntries(ctx context.Context, after uint64, wait time.Duration) (Entries, error)
+	Register(ctx context.Context, entry Entry) error
+	Unregister(ctx context.Context, entry Entry) error
+}
--- /dev/null
+++ b/internal/transport/installation/installation.go
@@ -0,0 +1,194 @@
+// Package installation starts the processes that run on a users' platform:
+// listeners, logs, metrics, settings that change, and the graceful stop.
+package installation
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"runtime"
+	"runtime/debug"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+
+	"github.com/filbertlever/filbertlever"
+	"github.com/filbertlever/filbertlever/internal/settings"
+	"github.com/filbertlever/filbertlever/internal/transport/logsink"
+)
+
+// Times and sizes of listeners.
+const (
+	// headerTime bounds the arrival of a request's head.
+	headerTime = 3 * time.Second
+	// idleTime is how long a caller's channel may be unused. Callers use one
+	// again after up to four fifths of the operators' limit, usually 15 s.
+	idleTime    = 75 * time.Second
+	headerBytes = 64 << 10
+	// memoryShare is the part of a host's memory that the collector aims for.
+	memoryShare = 0.6
+	// closing is left at the end of a stop to close what is idle.
+	closing = 500 * time.Millisecond
+)
+
+// process is what entries and agents have in common.
+type process struct {
+	log      *zap.Logger
+	level    zap.AtomicLevel
+	registry *prometheus.Registry
+	servers  []*http.Server
+	failed   chan error
+	clean    []func()
+}
+
+// start prepares a process. Logs go to out.
+func start(s *settings.Installation, role filbertlever.Role, out io.Writer) (*process, error) {
+	runtime.GOMAXPROCS(s.Machine.Cores)
+	if s.Machine.Memory > 0 {
+		debug.SetMemoryLimit(int64(memoryShare * float64(s.Machine.Memory)))
+	}
+	level, err := zapcore.ParseLevel(s.Log.Level)
+	if err != nil {
+		return nil, fmt.Errorf("log level: %w", err)
+	}
+	sink, flush := logsink.New(out)
+	p := &process{level: zap.NewAtomicLevelAt(level), registry: prometheus.NewRegistry(), failed: make(chan error, 8)}
+	p.clean = append(p.clean, flush)
+	p.log = zap.New(zapcore.NewCore(zapcore.NewJSONEncoder(encoding()), sink, p.level)).
+		With(zap.String("Host", string(s.Host)), zap.String("Role", string(role)))
+	p.registry.MustRegister(collectors.NewGoCollector(), prometheus.NewCounterFunc(prometheus.CounterOpts{
+		Name: "filbertlever_log_dropped_total",
+		Help: "Log lines dropped because the output could not take them.",
+	}, func() float64 { return float64(sink.Dropped()) }))
+	if s.Listen.Metrics != "" {
+		mux := http.NewServeMux()
+		mux.Handle("GET /metrics", promhttp.HandlerFor(p.registry, promhttp.HandlerOpts{}))
+		if err := p.listen(s.Listen.Metrics, mux); err != nil {
+			return nil, err
+		}
+	}
+	return p, nil
+}
+
+func encoding() zapcore.EncoderConfig {
+	config := zap.NewProductionEncoderConfig()
+	config.EncodeTime = zapcore.RFC3339NanoTimeEncoder
+	config.EncodeDuration = zapcore.MillisDurationEncoder
+	config.TimeKey, config.LevelKey, config.MessageKey = "Time", "Level", "Message"
+	return config
+}
+
+// close runs the clean-up functions, the last first.
+func (p *process) close() {
+	for _, server := range p.servers {
+		_ = server.Close()
+	}
+	for i := len(p.clean) - 1; i >= 0; i-- {
+		p.clean[i]()
+	}
+}
+
+func (p *process) listen(address string, handler http.Handler) error {
+	listener, err := net.Listen("tcp4", address)
+	if err != nil {
+		return fmt.Errorf("listen on %s: %w", address, err)
+	}
+	server := &http.Server{
+		Handler: handler, ReadHeaderTimeout: headerTime, IdleTimeout: idleTime, MaxHeaderBytes: headerBytes,
+		ErrorLog: zap.NewStdLog(p.log.WithOptions(zap.IncreaseLevel(zap.ErrorLevel))),
+	}
+	p.servers = append(p.servers, server)
+	go (&serving{server: server, listener: listener, failed: p.failed}).run()
+	return nil
+}
+
+// serving serves one listener.
+type serving struct {
+	server   *http.Server
+	listener net.Listener
+	failed   chan error
+}
+
+func (s *serving) run() {
+	if err := s.server.Serve(s.listener); err != nil && !errors.Is(err, http.ErrServerClosed) {
+		s.failed <- fmt.Errorf("serve %s: %w", s.listener.Addr(), err)
+	}
+}
+
+// shutdown lets answers that are being written go out.
+func (p *process) shutdown() {
+	ctx, cancel := context.WithTimeout(context.Background(), closing)
+	defer cancel()
+	for _, server := range p.servers {
+		_ = server.Shutdown(ctx)
+	}
+}
+
+// reloadEvery is how often the settings file is looked at for changes that no
+// signal tells of.
+const reloadEvery = time.Second
+
+// reloading follows a settings file.
+type reloading struct {
+	path    string
+	use     settings.Use
+	process *process
+	// reload is signalled when the file should be read again.
+	reload <-chan os.Signal
+	apply  func(*settings.Installation)
+}
+
+// run reads the file when it changes or a signal says so. A file with faults
+// is logged and changes nothing.
+func (r *reloading) run(ctx context.Context) {
+	last := r.stamp()
+	ticker := time.NewTicker(reloadEvery)
+	defer ticker.Stop()
+	for {
+		signalled := false
+		select {
+		case <-ctx.Done():
+			return
+		case <-r.reload:
+			signalled = true
+		case <-ticker.C:
+		}
+		stamp := r.stamp()
+		if stamp == last && !signalled {
+			continue
+		}
+		last = stamp
+		s, err := settings.LoadInstallation(r.path, r.use)
+		if err != nil {
+			r.process.log.Error("settings not reloaded", zap.Error(err))
+			continue
+		}
+		if level, err := zapcore.ParseLevel(s.Log.Level); err == nil {
+			r.process.level.SetLevel(level)
+		}
+		r.apply(s)
+		r.process.log.Info("settings reloaded", zap.Bool("Signalled", signalled))
+	}
+}
+
+// fileStamp tells whether a file has changed.
+type fileStamp struct {
+	size     int64
+	modified time.Time
+}
+
+func (r *reloading) stamp() fileStamp {
+	info, err := os.Stat(r.path)
+	if err != nil {
+		return fileStamp{}
+	}
+	return fileStamp{size: info.Size(), modified: info.ModTime()}
+}
--- /dev/null
+++ b/internal/transport/installation/roles.go
@@ -0,0 +1,162 @@
+package installation
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"os"
+	"strconv"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/filbertlever/filbertlever"
+	"github.com/filbertlever/filbertlever/internal/settings"
+	"github.com/filbertlever/filbertlever/internal/transport/gateway"
+	"github.com/filbertlever/filbertlever/internal/transport/relay"
+	"github.com/filbertlever/filbertlever/internal/transport/sidecar"
+)
+
+// EntryPorts is what an entry needs of a platform.
+type EntryPorts struct {
+	Store  gateway.Store
+	Codec  gateway.Codec
+	Sender gateway.Sender
+	Origin relay.Origin
+	// Routes adds the calls that the platform itself makes.
+	Routes func(mux *http.ServeMux, g *gateway.Gateway)
+}
+
+// AgentPorts is what an agent needs of a platform.
+type AgentPorts struct {
+	Engine  sidecar.Engine
+	Entries sidecar.EntryLister
+}
+
+// File is a settings file and how changes of it are told.
+type File struct {
+	Path   string
+	Reload <-chan os.Signal
+}
+
+// Times of stops.
+const (
+	// takeShare is the part of a stop in which new requests are still taken,
+	// while callers learn to go elsewhere. Requests last 6 s at most on the
+	// users' installations, and a stop 8 s.
+	takeShare = 0.2
+	// stopMargin is left before the platform ends the process.
+	stopMargin = 500 * time.Millisecond
+	// peerTimeout bounds connections between processes.
+	dialTimeout = 700 * time.Millisecond
+)
+
+// RunEntry runs an entry until ctx ends, then leaves.
+func RunEntry(ctx context.Context, s *settings.Installation, file File, ports EntryPorts) error {
+	p, err := start(s, filbertlever.RoleEntry, os.Stdout)
+	if err != nil {
+		return err
+	}
+	defer p.close()
+	socket, err := net.ListenPacket("udp4", s.Listen.Datagrams)
+	if err != nil {
+		return fmt.Errorf("listen on %s: %w", s.Listen.Datagrams, err)
+	}
+	work, endWork := context.WithCancel(context.Background())
+	defer endWork()
+	g := gateway.New(work, gatewayConfig(s), ports.Store, ports.Codec, ports.Sender, ports.Origin, newClient(),
+		socket, p.log, p.registry, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
+	g.Register(p.registry)
+	if err := p.listenEntry(s, g, ports); err != nil {
+		return err
+	}
+	r := &reloading{path: file.Path, use: settings.UseEntry, process: p, reload: file.Reload,
+		apply: func(s *settings.Installation) { g.Reconfigure(gatewayConfig(s)) }}
+	go r.run(work)
+	p.log.Info("started", zap.String("Callers", s.Listen.Callers), zap.String("Peers", s.Listen.Peers))
+	select {
+	case <-ctx.Done():
+	case err := <-p.failed:
+		return err
+	}
+	leave, cancel := context.WithTimeout(context.Background(), time.Duration(s.Bounds.Stop)-stopMargin)
+	defer cancel()
+	g.Leave(leave)
+	p.shutdown()
+	p.log.Info("stopped")
+	return nil
+}
+
+// listenEntry opens an entry's listeners. Calls that share an address share a
+// listener.
+func (p *process) listenEntry(s *settings.Installation, g *gateway.Gateway, ports EntryPorts) error {
+	platform := http.NewServeMux()
+	ports.Routes(platform, g)
+	peers := http.NewServeMux()
+	g.PeerRoutes(peers)
+	if err := p.listen(s.Listen.Callers, g); err != nil {
+		return err
+	}
+	if err := p.listen(s.Listen.Peers, peers); err != nil {
+		return err
+	}
+	if err := p.listen(s.Listen.Ready, platform); err != nil {
+		return err
+	}
+	if s.Listen.Locate == s.Listen.Ready {
+		return nil
+	}
+	return p.listen(s.Listen.Locate, platform)
+}
+
+func gatewayConfig(s *settings.Installation) gateway.Config {
+	stop := time.Duration(s.Bounds.Stop)
+	return gateway.Config{
+		Self: gateway.Entry{
+			Host: s.Host, Site: s.Site, Region: s.Region, Callers: s.Listen.Callers, Peers: s.Listen.Peers,
+			Datagrams: s.Listen.Datagrams, Incarnation: filbertlever.Incarnation(strconv.FormatInt(time.Now().UnixNano(), 36)),
+		},
+		Regions: s.Regions, Revoke: time.Duration(s.Bounds.Revoke), Bound: time.Duration(s.Bounds.Version),
+		RetryRatio: s.Bounds.RetryRatio, RetrySlack: s.Bounds.RetrySlack, Keep: time.Duration(s.Bounds.Keep),
+		Grace: time.Duration(takeShare * float64(stop)), Leave: stop,
+	}
+}
+
+// newClient returns a client for calls between processes.
+func newClient() *http.Client {
+	dialer := &net.Dialer{Timeout: dialTimeout, KeepAliveConfig: net.KeepAliveConfig{
+		Enable: true, Idle: time.Second, Interval: 500 * time.Millisecond, Count: 3}}
+	return &http.Client{Transport: &http.Transport{
+		DialContext: dialer.DialContext, DisableCompression: true, MaxIdleConnsPerHost: 8, IdleConnTimeout: 30 * time.Second}}
+}
+
+// RunAgent runs an agent until ctx ends.
+func RunAgent(ctx context.Context, s *settings.Installation, file File, ports AgentPorts) error {
+	p, err := start(s, filbertlever.RoleAgent, os.Stdout)
+	if err != nil {
+		return err
+	}
+	defer p.close()
+	socket, err := net.ListenPacket("udp4", s.Listen.Datagrams)
+	if err != nil {
+		return fmt.Errorf("listen on %s: %w", s.Listen.Datagrams, err)
+	}
+	work, endWork := context.WithCancel(context.Background())
+	defer endWork()
+	sidecar.New(work, sidecar.Config{
+		Site: s.Site, Service: s.ModelServer.Service, Address: s.ModelServer.Address, Seeds: s.Seeds,
+		Bound: time.Duration(s.Bounds.Version),
+	}, ports.Engine, ports.Entries, newClient(), socket, p.log, p.registry)
+	r := &reloading{path: file.Path, use: settings.UseAgent, process: p, reload: file.Reload, apply: func(*settings.Installation) {}}
+	go r.run(work)
+	p.log.Info("started", zap.String("ModelServer", s.ModelServer.Address), zap.String("Service", s.ModelServer.Service))
+	select {
+	case <-ctx.Done():
+	case err := <-p.failed:
+		return err
+	}
+	p.log.Info("stopped")
+	return nil
+}
--- /dev/null
+++ b/internal/transport/relay/relay.go
@@ -0,0 +1,439 @@
+// Package relay passes pieces of weights from the origin on to the agents of
+// its site. A piece is verified before it is kept or passed on.
+package relay
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"go.uber.org/zap"
+
+	"github.com/filbertlever/filbertlever"
+	"github.com/filbertlever/filbertlever/internal/coordination/catalog"
+	"github.com/filbertlever/filbertlever/internal/coordination/relays"
+)
+
+// Manifest lists the pieces of one version of a model's weights.
+type Manifest struct {
+	Model      string
+	Version    uint64
+	PieceBytes int
+	// Digests are the SHA-256 of the pieces in order, in hex.
+	Digests []string
+}
+
+// Verify reports whether data is the piece that the manifest lists.
+func (m *Manifest) Verify(piece int, data []byte) bool {
+	sum := sha256.Sum256(data)
+	return piece >= 0 && piece < len(m.Digests) && hex.EncodeToString(sum[:]) == m.Digests[piece]
+}
+
+// Origin draws from the origin of weights.
+type Origin interface {
+	Manifest(ctx context.Context, address string, version catalog.NamedVersion) (Manifest, error)
+	Piece(ctx context.Context, address string, version catalog.NamedVersion, piece int) ([]byte, error)
+}
+
+// View tells a relay what it needs to know of the installation.
+type View interface {
+	// Origin returns the address and site of the origin, if known.
+	Origin() (address, site string, ok bool)
+	// Relays returns the entries that are alive, with the peer address of each.
+	Relays() ([]relays.Entry, map[filbertlever.HostID]string)
+}
+
+// Bounds of a relay.
+const (
+	// versionsKept bounds the versions in memory, 2 MB each on the users' sites.
+	versionsKept = 3
+	// originParallel is how many pieces one entry draws at once: enough to fill
+	// the origin's thin link with three entries, below its 48 connections.
+	originParallel = 4
+	// fetchTries is how often a piece is tried before the caller is told.
+	fetchTries = 4
+	fetchPause = 50 * time.Millisecond
+	// peerTimeout bounds a fetch from another entry, which may itself wait for
+	// the origin.
+	peerTimeout = 3 * time.Second
+	pieceMost   = 64 << 20
+)
+
+// Relay is the relay of one entry.
+type Relay struct {
+	self    relays.Entry
+	view    View
+	origin  Origin
+	client  *http.Client
+	log     *zap.Logger
+	metrics *metrics
+
+	draws chan struct{}
+
+	mu       sync.Mutex
+	versions []*version
+	// byDigest finds pieces that versions share.
+	byDigest map[string][]byte
+}
+
+// version is one version of a model's weights.
+type version struct {
+	named    catalog.NamedVersion
+	manifest *flight[Manifest]
+	pieces   map[int]*flight[[]byte]
+}
+
+// flight is a value being fetched once for all who want it.
+type flight[T any] struct {
+	done  chan struct{}
+	value T
+	err   error
+}
+
+type metrics struct {
+	bytes   *prometheus.CounterVec
+	corrupt prometheus.Counter
+}
+
+// New returns the relay of an entry.
+func New(self relays.Entry, view View, origin Origin, client *http.Client, log *zap.Logger, registry prometheus.Registerer) *Relay {
+	m := &metrics{
+		bytes: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "filbertlever_relay_bytes_total",
+			Help: "Bytes of weights drawn by an entry, by source.",
+		}, []string{"Source"}),
+		corrupt: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "filbertlever_relay_corrupt_total",
+			Help: "Pieces that did not match their digest.",
+		}),
+	}
+	registry.MustRegister(m.bytes, m.corrupt)
+	return &Relay{self: self, view: view, origin: origin, client: client, log: log, metrics: m,
+		draws: make(chan struct{}, originParallel), byDigest: map[string][]byte{}}
+}
+
+// Paths of the calls between entries and agents.
+const (
+	pathManifest = "/weights/manifest"
+	pathPiece    = "/weights/piece"
+)
+
+// Routes adds the calls that agents and other entries make.
+func (r *Relay) Routes(mux *http.ServeMux) {
+	mux.HandleFunc("GET "+pathManifest, r.serveManifest)
+	mux.HandleFunc("GET "+pathPiece, r.servePiece)
+}
+
+func query(req *http.Request) (catalog.NamedVersion, int, error) {
+	values := req.URL.Query()
+	number, err := strconv.ParseUint(values.Get("Version"), 10, 64)
+	if err != nil {
+		return catalog.NamedVersion{}, 0, fmt.Errorf("version %q: expected a number", values.Get("Version"))
+	}
+	piece := 0
+	if text := values.Get("Piece"); text != "" {
+		if piece, err = strconv.Atoi(text); err != nil {
+			return catalog.NamedVersion{}, 0, fmt.Errorf("piece %q: expected a number", text)
+		}
+	}
+	return catalog.NamedVersion{Model: values.Get("Model"), Version: number}, piece, nil
+}
+
+func (r *Relay) serveManifest(w http.ResponseWriter, req *http.Request) {
+	named, _, err := query(req)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	manifest, err := r.Manifest(req.Context(), named)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusServiceUnavailable)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(manifest)
+}
+
+func (r *Relay) servePiece(w http.ResponseWriter, req *http.Request) {
+	named, piece, err := query(req)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	data, err := r.Piece(req.Context(), named, piece)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusServiceUnavailable)
+		return
+	}
+	w.Header().Set("Content-Length", strconv.Itoa(len(data)))
+	_, _ = w.Write(data)
+}
+
+// Manifest returns the manifest of a version.
+func (r *Relay) Manifest(ctx context.Context, named catalog.NamedVersion) (Manifest, error) {
+	r.mu.Lock()
+	v := r.version(named)
+	f := v.manifest
+	if f == nil || f.failed() {
+		f = &flight[Manifest]{done: make(chan struct{})}
+		v.manifest = f
+		go r.runManifest(named, f)
+	}
+	r.mu.Unlock()
+	return f.wait(ctx)
+}
+
+func (r *Relay) runManifest(named catalog.NamedVersion, f *flight[Manifest]) {
+	defer close(f.done)
+	for try := range fetchTries {
+		source, address, origin := r.source(named, -1, try)
+		if address == "" {
+			f.err = fmt.Errorf("manifest of %s version %d: no source is known", named.Model, named.Version)
+		} else if origin {
+			f.value, f.err = r.origin.Manifest(context.Background(), address, named)
+		} else {
+			f.value, f.err = FetchManifest(context.Background(), r.client, address, named)
+		}
+		if f.err == nil {
+			return
+		}
+		r.log.Warn("manifest not drawn", zap.String("Model", named.Model), zap.Uint64("Version", named.Version),
+			zap.String("Source", source), zap.Error(f.err))
+		time.Sleep(fetchPause << try)
+	}
+}
+
+// Piece returns a piece of a version, verified.
+func (r *Relay) Piece(ctx context.Context, named catalog.NamedVersion, piece int) ([]byte, error) {
+	manifest, err := r.Manifest(ctx, named)
+	if err != nil {
+		return nil, err
+	}
+	if piece < 0 || piece >= len(manifest.Digests) {
+		return nil, fmt.Errorf("piece %d of %s: expected 0 to %d", piece, named.Model, len(manifest.Digests)-1)
+	}
+	r.mu.Lock()
+	if data, ok := r.byDigest[manifest.Digests[piece]]; ok {
+		r.mu.Unlock()
+		return data, nil
+	}
+	v := r.version(named)
+	f := v.pieces[piece]
+	if f == nil || f.failed() {
+		f = &flight[[]byte]{done: make(chan struct{})}
+		v.pieces[piece] = f
+		go r.runPiece(named, &manifest, piece, f)
+	}
+	r.mu.Unlock()
+	return f.wait(ctx)
+}
+
+// runPiece draws one piece.
+//
+// Guard: a piece may come corrupted from the origin or another entry; it is
+// checked against the manifest before it is kept, and drawn again if it fails.
+func (r *Relay) runPiece(named catalog.NamedVersion, manifest *Manifest, piece int, f *flight[[]byte]) {
+	defer close(f.done)
+	for try := range fetchTries {
+		source, address, origin := r.source(named, piece, try)
+		data, err := r.draw(named, piece, address, origin)
+		if err == nil && !manifest.Verify(piece, data) {
+			r.metrics.corrupt.Inc()
+			err = fmt.Errorf("piece %d of %s version %d from %s: digest differs", piece, named.Model, named.Version, source)
+		}
+		if err == nil {
+			r.metrics.bytes.WithLabelValues(kindOf(origin)).Add(float64(len(data)))
+			r.keep(manifest.Digests[piece], data)
+			f.value, f.err = data, nil
+			return
+		}
+		f.err = err
+		r.log.Warn("piece not drawn", zap.String("Model", named.Model), zap.Uint64("Version", named.Version),
+			zap.Int("Piece", piece), zap.String("Source", source), zap.Error(err))
+		time.Sleep(fetchPause << try)
+	}
+}
+
+func kindOf(origin bool) string {
+	if origin {
+		return "Origin"
+	}
+	return "Entry"
+}
+
+func (r *Relay) draw(named catalog.NamedVersion, piece int, address string, origin bool) ([]byte, error) {
+	if address == "" {
+		return nil, fmt.Errorf("piece %d of %s: no source is known", piece, named.Model)
+	}
+	if !origin {
+		return FetchPiece(context.Background(), r.client, address, named, piece)
+	}
+	r.draws <- struct{}{}
+	defer func() { <-r.draws }()
+	return r.origin.Piece(context.Background(), address, named, piece)
+}
+
+// source returns from where a piece is drawn at the given try. After two
+// failures at other entries the origin is asked directly.
+func (r *Relay) source(named catalog.NamedVersion, piece, try int) (name, address string, origin bool) {
+	originAddress, originSite, ok := r.view.Origin()
+	entries, addresses := r.view.Relays()
+	key := fmt.Sprintf("%s/%d/%d", named.Model, named.Version, piece)
+	host := relays.Source(r.self, entries, originSite, key)
+	if host != "" && try < fetchTries/2 {
+		return string(host), addresses[host], false
+	}
+	if !ok {
+		return "Origin", "", true
+	}
+	return "Origin", originAddress, true
+}
+
+func (r *Relay) keep(digest string, data []byte) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.byDigest[digest] = data
+}
+
+// version returns the record of a version; the caller holds the lock.
+func (r *Relay) version(named catalog.NamedVersion) *version {
+	for _, v := range r.versions {
+		if v.named == named {
+			return v
+		}
+	}
+	v := &version{named: named, pieces: map[int]*flight[[]byte]{}}
+	r.versions = append(r.versions, v)
+	if len(r.versions) > versionsKept {
+		r.versions = r.versions[1:]
+		r.forget()
+	}
+	return v
+}
+
+// forget drops the pieces that no kept version lists; the caller holds the lock.
+func (r *Relay) forget() {
+	wanted := map[string]bool{}
+	for _, v := range r.versions {
+		if v.manifest == nil || !v.manifest.ended() {
+			continue
+		}
+		for _, digest := range v.manifest.value.Digests {
+			wanted[digest] = true
+		}
+	}
+	for digest := range r.byDigest {
+		if !wanted[digest] {
+			delete(r.byDigest, digest)
+		}
+	}
+}
+
+// Prefetch draws the pieces whose home is this entry, so that they are there
+// when agents ask. It returns at once.
+func (r *Relay) Prefetch(named catalog.NamedVersion) { go r.runPrefetch(named) }
+
+func (r *Relay) runPrefetch(named catalog.NamedVersion) {
+	ctx, cancel := context.WithTimeout(context.Background(), 4*peerTimeout)
+	defer cancel()
+	manifest, err := r.Manifest(ctx, named)
+	if err != nil {
+		r.log.Warn("weights not prefetched", zap.String("Model", named.Model), zap.Uint64("Version", named.Version), zap.Error(err))
+		return
+	}
+	entries, _ := r.view.Relays()
+	var group sync.WaitGroup
+	lanes := make(chan struct{}, originParallel)
+	for piece := range manifest.Digests {
+		key := fmt.Sprintf("%s/%d/%d", named.Model, named.Version, piece)
+		if relays.Home(entries, r.self.Site, key) != r.self.Host {
+			continue
+		}
+		lanes <- struct{}{}
+		group.Go(func() {
+			defer func() { <-lanes }()
+			// A failure was logged where it arose; agents ask again.
+			_, _ = r.Piece(ctx, named, piece)
+		})
+	}
+	group.Wait()
+	r.log.Info("weights prefetched", zap.String("Model", named.Model), zap.Uint64("Version", named.Version))
+}
+
+func (f *flight[T]) ended() bool {
+	select {
+	case <-f.done:
+		return true
+	default:
+		return false
+	}
+}
+
+func (f *flight[T]) failed() bool { return f.ended() && f.err != nil }
+
+func (f *flight[T]) wait(ctx context.Context) (T, error) {
+	select {
+	case <-f.done:
+		return f.value, f.err
+	case <-ctx.Done():
+		var none T
+		return none, ctx.Err()
+	}
+}
+
+// FetchManifest asks an entry for a manifest.
+func FetchManifest(ctx context.Context, client *http.Client, address string, named catalog.NamedVersion) (Manifest, error) {
+	var manifest Manifest
+	data, err := fetch(ctx, client, address, pathManifest, named, nil)
+	if err == nil {
+		err = json.Unmarshal(data, &manifest)
+	}
+	if err != nil {
+		return Manifest{}, fmt.Errorf("manifest of %s version %d from %s: %w", named.Model, named.Version, address, err)
+	}
+	return manifest, nil
+}
+
+// FetchPiece asks an entry for a piece, which is not yet verified.
+func FetchPiece(ctx context.Context, client *http.Client, address string, named catalog.NamedVersion, piece int) ([]byte, error) {
+	data, err := fetch(ctx, client, address, pathPiece, named, &piece)
+	if err != nil {
+		return nil, fmt.Errorf("piece %d of %s version %d from %s: %w", piece, named.Model, named.Version, address, err)
+	}
+	return data, nil
+}
+
+func fetch(ctx context.Context, client *http.Client, address, path string, named catalog.NamedVersion, piece *int) ([]byte, error) {
+	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
+	defer cancel()
+	values := url.Values{"Model": {named.Model}, "Version": {strconv.FormatUint(named.Version, 10)}}
+	if piece != nil {
+		values.Set("Piece", strconv.Itoa(*piece))
+	}
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+path+"?"+values.Encode(), nil)
+	if err != nil {
+		return nil, err
+	}
+	response, err := client.Do(request)
+	if err != nil {
+		return nil, err
+	}
+	defer func() { _ = response.Body.Close() }()
+	data, err := io.ReadAll(io.LimitReader(response.Body, pieceMost))
+	if err != nil {
+		return nil, err
+	}
+	if response.StatusCode != http.StatusOK {
+		return nil, fmt.Errorf("answered %d: %s", response.StatusCode, data[:min(len(data), 200)])
+	}
+	return data, nil
+}
--- /dev/null
+++ b/internal/transport/sidecar/sidecar.go
@@ -0,0 +1,429 @@
+// Package sidecar is the agent beside one model server of an installation: it
+// brings the server the weights that operators have named, and tells the
+// entries the server's load. It is the only one that orders its server.
+package sidecar
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"sync"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"go.uber.org/zap"
+
+	"github.com/filbertlever/filbertlever/internal/coordination/catalog"
+	"github.com/filbertlever/filbertlever/internal/coordination/fleet"
+	"github.com/filbertlever/filbertlever/internal/coordination/switchover"
+	"github.com/filbertlever/filbertlever/internal/transport/boottime"
+	"github.com/filbertlever/filbertlever/internal/transport/gateway"
+	"github.com/filbertlever/filbertlever/internal/transport/relay"
+)
+
+// Report is a model server's own report.
+type Report struct {
+	Models []catalog.Model
+	// Loading is true while an order is under way.
+	Loading bool
+	// Orders counts the orders that the server has begun since its start.
+	Orders  uint64
+	Queued  int
+	Running int
+	// Pace is above 1 if the server is slower than it should be; 0 if unknown.
+	Pace float64
+}
+
+// Engine is the model server on this host.
+type Engine interface {
+	Report(ctx context.Context) (Report, error)
+	Stage(ctx context.Context, model string, piece int, data []byte) error
+	Staged(ctx context.Context, model string, piece int) ([]byte, error)
+	Load(ctx context.Context, model string, version uint64) error
+}
+
+// EntryLister reads the entries from the store, for when no seed answers.
+type EntryLister interface {
+	ReadEntries(ctx context.Context) (gateway.Entries, error)
+}
+
+// Config holds the settings of a Sidecar.
+type Config struct {
+	Site string
+	// Service is the service of the model server, at Address.
+	Service string
+	Address string
+	// Seeds are peer addresses of entries to ask first.
+	Seeds []string
+	// Bound is the time from the naming of a version to when it must be served.
+	Bound time.Duration
+}
+
+// Times of an agent.
+const (
+	// reportEvery is how often the load is told: engines' reports are some
+	// hundred milliseconds old anyway.
+	reportEvery = 200 * time.Millisecond
+	// viewEvery is how often the view is read without being told of a change.
+	viewEvery = 3 * time.Second
+	// viewTimeout bounds the reading of a view.
+	viewTimeout = time.Second
+	// quietBefore is how long before a load order entries are told to send
+	// nothing more, so that the batch is short when the order comes.
+	quietBefore = 250 * time.Millisecond
+	// parallel is how many pieces are fetched at once: enough to keep the
+	// host's link full over the delay between two.
+	parallel = 4
+	// loadMost bounds the waiting for a load to end before it is looked at anew.
+	loadMost = 6 * time.Second
+	// retryPause is the pause after a failed step of a load.
+	retryPause = 200 * time.Millisecond
+	// storeEvery bounds how often the store is asked for entries.
+	storeEvery = 2 * time.Second
+)
+
+// Sidecar is the agent of one model server.
+type Sidecar struct {
+	config  Config
+	engine  Engine
+	lister  EntryLister
+	client  *http.Client
+	socket  net.PacketConn
+	log     *zap.Logger
+	metrics *metrics
+	// wake is signalled when an entry tells of a newer view.
+	wake chan struct{}
+
+	mu        sync.Mutex
+	entries   []gateway.Entry
+	views     map[string]uint64
+	viewed    gateway.View
+	viewedAt  time.Duration
+	hasView   bool
+	askedAt   time.Duration
+	switching bool
+	loading   bool
+	report    Report
+	hasReport bool
+	// pieces holds what was fetched, by digest, so that versions share pieces.
+	pieces map[string][]byte
+}
+
+type metrics struct {
+	loads   *prometheus.CounterVec
+	fetched prometheus.Counter
+	corrupt prometheus.Counter
+	seconds prometheus.Histogram
+}
+
+// New returns an agent; its loops run until ctx ends.
+func New(ctx context.Context, config Config, engine Engine, lister EntryLister, client *http.Client,
+	socket net.PacketConn, log *zap.Logger, registry prometheus.Registerer) *Sidecar {
+	m := &metrics{
+		loads: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "filbertlever_agent_loads_total", Help: "Loads ordered, by result.",
+		}, []string{"Result"}),
+		fetched: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "filbertlever_agent_fetched_bytes_total", Help: "Bytes of weights fetched.",
+		}),
+		corrupt: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "filbertlever_agent_corrupt_total", Help: "Pieces that did not match their digest, fetched or staged.",
+		}),
+		seconds: prometheus.NewHistogram(prometheus.HistogramOpts{
+			Name: "filbertlever_agent_fetch_seconds", Help: "Time to fetch and verify a whole set of weights.",
+			Buckets: []float64{.5, 1, 2, 2.5, 3, 4, 6, 10, 20},
+		}),
+	}
+	registry.MustRegister(m.loads, m.fetched, m.corrupt, m.seconds)
+	s := &Sidecar{
+		config: config, engine: engine, lister: lister, client: client, socket: socket, log: log, metrics: m,
+		wake: make(chan struct{}, 1), views: map[string]uint64{}, pieces: map[string][]byte{},
+	}
+	go s.runReports(ctx)
+	go s.runDatagrams(ctx)
+	go s.runViews(ctx)
+	return s
+}
+
+func (s *Sidecar) runReports(ctx context.Context) {
+	ticker := time.NewTicker(reportEvery)
+	defer ticker.Stop()
+	lost := false
+	for {
+		report, err := s.engine.Report(ctx)
+		if err != nil && !lost && ctx.Err() == nil {
+			s.log.Warn("model server lost", zap.Error(err))
+		}
+		if err == nil && lost {
+			s.log.Info("model server regained", zap.Int("Models", len(report.Models)))
+		}
+		lost = err != nil
+		s.mu.Lock()
+		s.report, s.hasReport = report, err == nil
+		s.mu.Unlock()
+		if err == nil {
+			s.tell()
+			s.consider(ctx)
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+// tell sends the load report to every entry.
+func (s *Sidecar) tell() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.hasReport {
+		return
+	}
+	load := fleet.Load{
+		Address: s.config.Address, Sequence: uint64(time.Now().UnixNano()),
+		Running: s.report.Running, Queued: s.report.Queued, Switching: s.switching, Models: s.report.Models,
+	}
+	for _, entry := range s.entries {
+		d := gateway.Datagram{Load: &gateway.LoadReport{Load: load, View: s.views[entry.Datagrams]}}
+		data, err := json.Marshal(d)
+		if err != nil {
+			s.log.Error("report not encoded", zap.Error(err))
+			return
+		}
+		to, err := net.ResolveUDPAddr("udp4", entry.Datagrams)
+		if err != nil {
+			s.log.Warn("entry has a bad address", zap.String("Address", entry.Datagrams), zap.Error(err))
+			continue
+		}
+		// A datagram that cannot be sent is as good as lost; the next follows.
+		_, _ = s.socket.WriteTo(data, to)
+	}
+}
+
+func (s *Sidecar) runDatagrams(ctx context.Context) {
+	go s.runClose(ctx)
+	buffer := make([]byte, 2<<10)
+	for {
+		n, _, err := s.socket.ReadFrom(buffer)
+		if err != nil {
+			if ctx.Err() == nil {
+				s.log.Error("datagrams end", zap.Error(err))
+			}
+			return
+		}
+		var d gateway.Datagram
+		if json.Unmarshal(buffer[:n], &d) == nil && d.Changed != 0 {
+			select {
+			case s.wake <- struct{}{}:
+			default:
+			}
+		}
+	}
+}
+
+func (s *Sidecar) runClose(ctx context.Context) {
+	<-ctx.Done()
+	_ = s.socket.Close()
+}
+
+// runViews keeps the view of what is wanted current.
+func (s *Sidecar) runViews(ctx context.Context) {
+	lost := false
+	for {
+		err := s.refreshView(ctx)
+		pause := viewEvery
+		if err != nil {
+			pause = retryPause
+			if !lost && ctx.Err() == nil {
+				s.log.Warn("entries lost", zap.Error(err))
+			}
+		} else if lost {
+			s.log.Info("entries regained")
+		}
+		lost = err != nil
+		select {
+		case <-ctx.Done():
+			return
+		case <-s.wake:
+		case <-time.After(pause):
+		}
+	}
+}
+
+var errNoEntry = errors.New("no entry answers")
+
+// refreshView reads the view from the first entry that answers, those of the
+// own site first.
+func (s *Sidecar) refreshView(ctx context.Context) error {
+	for _, address := range s.viewAddresses(ctx) {
+		view, err := s.fetchView(ctx, address)
+		if err != nil {
+			s.log.Debug("view not read", zap.String("Entry", address), zap.Error(err))
+			continue
+		}
+		now := boottime.Now()
+		s.mu.Lock()
+		s.viewed, s.viewedAt, s.hasView = view, now, true
+		if len(view.Entries) > 0 {
+			s.entries = view.Entries
+		}
+		for _, entry := range view.Entries {
+			if entry.Peers == address {
+				s.views[entry.Datagrams] = view.Revision
+			}
+		}
+		s.mu.Unlock()
+		return nil
+	}
+	return errNoEntry
+}
+
+// viewAddresses returns the peer addresses to ask, in order.
+func (s *Sidecar) viewAddresses(ctx context.Context) []string {
+	s.mu.Lock()
+	var near, far []string
+	for _, entry := range s.entries {
+		if entry.Site == s.config.Site {
+			near = append(near, entry.Peers)
+		} else {
+			far = append(far, entry.Peers)
+		}
+	}
+	failed := !s.hasView || boottime.Now()-s.viewedAt > 2*viewEvery
+	ask := failed && boottime.Now()-s.askedAt > storeEvery
+	if ask {
+		s.askedAt = boottime.Now()
+	}
+	s.mu.Unlock()
+	addresses := append(append(near, far...), s.config.Seeds...)
+	if !ask || s.lister == nil {
+		return addresses
+	}
+	// Seeds may be gone for long; the store knows who is there now.
+	entries, err := s.lister.ReadEntries(ctx)
+	if err != nil {
+		s.log.Warn("entries not read from the store", zap.Error(err))
+		return addresses
+	}
+	for _, entry := range entries.Present {
+		addresses = append(addresses, entry.Peers)
+	}
+	return addresses
+}
+
+func (s *Sidecar) fetchView(ctx context.Context, address string) (gateway.View, error) {
+	ctx, cancel := context.WithTimeout(ctx, viewTimeout)
+	defer cancel()
+	values := url.Values{"Service": {s.config.Service}, "Address": {s.config.Address}}
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+gateway.PathView+"?"+values.Encode(), nil)
+	if err != nil {
+		return gateway.View{}, err
+	}
+	response, err := s.client.Do(request)
+	if err != nil {
+		return gateway.View{}, err
+	}
+	defer func() { _ = response.Body.Close() }()
+	if response.StatusCode != http.StatusOK {
+		_, _ = io.Copy(io.Discard, response.Body)
+		return gateway.View{}, fmt.Errorf("view from %s: answered %d", address, response.StatusCode)
+	}
+	var view gateway.View
+	if err := json.NewDecoder(response.Body).Decode(&view); err != nil {
+		return gateway.View{}, fmt.Errorf("view from %s: %w", address, err)
+	}
+	return view, nil
+}
+
+// consider starts a load if the server lacks a wanted version.
+func (s *Sidecar) consider(ctx context.Context) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.loading || !s.hasView || s.report.Loading {
+		return
+	}
+	for _, wanted := range s.viewed.Named {
+		if held(s.report.Models, wanted.Model) >= wanted.Version {
+			continue
+		}
+		s.loading = true
+		job := load{
+			agent: s, named: catalog.NamedVersion{Model: wanted.Model, Version: wanted.Version},
+			empty: held(s.report.Models, wanted.Model) == 0,
+			since: s.viewedAt - wanted.Age,
+			turn:  switchover.DefaultConfig(s.config.Bound).Turn(s.viewed.Place, s.viewed.Count),
+		}
+		go job.run(ctx)
+		return
+	}
+}
+
+// held returns the version of a model that a server holds, 0 for none.
+func held(models []catalog.Model, name string) uint64 {
+	for _, model := range models {
+		if model.Name == name {
+			return model.Version
+		}
+	}
+	return 0
+}
+
+// wanted returns the version of a model that is wanted now.
+func (s *Sidecar) wanted(model string) uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, named := range s.viewed.Named {
+		if named.Model == model {
+			return named.Version
+		}
+	}
+	return 0
+}
+
+func (s *Sidecar) setSwitching(on bool) {
+	s.mu.Lock()
+	s.switching = on
+	s.mu.Unlock()
+	s.tell()
+}
+
+// relays returns the peer addresses of entries, those of the own site first.
+func (s *Sidecar) relays() (near, all []gateway.Entry) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, entry := range s.entries {
+		if entry.Site == s.config.Site {
+			near = append(near, entry)
+		}
+	}
+	return near, s.entries
+}
+
+// verified returns a piece fetched earlier.
+func (s *Sidecar) piece(digest string) ([]byte, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	data, ok := s.pieces[digest]
+	return data, ok
+}
+
+// keepOnly drops pieces that a manifest does not list.
+func (s *Sidecar) keepOnly(manifest *relay.Manifest) {
+	wanted := make(map[string]bool, len(manifest.Digests))
+	for _, digest := range manifest.Digests {
+		wanted[digest] = true
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for digest := range s.pieces {
+		if !wanted[digest] {
+			delete(s.pieces, digest)
+		}
+	}
+}
