--- a/internal/coordination/fleet/fleet.go
+++ b/internal/coordination/fleet/fleet.go
@@ -59,7 +59,9 @@
 	// Model is empty for plain services.
 	Model string
 	// Version is the only version wanted; 0 means any.
-	Version      uint64
+	Version uint64
+	// Least is the oldest version wanted, one that SetNamed told; 0 means any.
+	Least        uint64
 	PromptTokens int
 	// Avoid are servers that the request has been to.
 	Avoid []filbertlever.HostID
@@ -69,7 +71,9 @@
 type Placement struct {
 	Backend catalog.Backend
 	// Found is false if no server can take the request.
-	Found     bool
+	Found bool
+	// Version is the version that must answer, if Version or Least was wanted.
+	Version   uint64
 	Predicted time.Duration
 	Reason    routing.Reason
 	Weighed   int
@@ -80,7 +84,9 @@
 // server is what is known of one life of a backend server.
 type server struct {
 	backend catalog.Backend
-	sends   routing.Sends
+	// sends and ends are this entry's requests to the server.
+	sends routing.Sends
+	ends  routing.Sends
 	// reported are the models by the server's own report, at reportedAt.
 	reported   []catalog.Model
 	reportedAt time.Duration
@@ -102,11 +108,15 @@
 	// byAddress gives the server listed last for an address.
 	byAddress map[string]string
 	revision  uint64
+	// named are the versions of each model that operators have named.
+	named map[string][]uint64
 	// wobbly are servers whose fitness changes with time alone.
 	wobbly map[string]bool
 	// returned is when the store was last reached again after an absence.
 	returned time.Duration
 	epoch    time.Time
+	// senders is how many entries prefer the same servers as this one.
+	senders int
 }
 
 // New returns a fleet that knows no server.
@@ -118,6 +128,7 @@
 		routers:   map[string]*routing.Router{},
 		servers:   map[string]*server{},
 		byAddress: map[string]string{},
+		named:     map[string][]uint64{},
 		wobbly:    map[string]bool{},
 		epoch:     time.Unix(0, 0),
 		returned:  -config.LapseGrace,
@@ -149,9 +160,26 @@
 		a.UsualPrompt == b.UsualPrompt && a.UsualAnswer == b.UsualAnswer
 }
 
+// SetSenders tells how many entries prefer the same servers as this one: those
+// of its region.
+func (f *Fleet) SetSenders(n int) {
+	f.senders = n
+	for _, router := range f.routers {
+		router.SetSenders(n)
+	}
+}
+
 // StoreReturned notes that the store is reached again after an absence.
 func (f *Fleet) StoreReturned(now time.Duration) { f.returned = now }
 
+// SetNamed takes the versions of a model that operators have named.
+func (f *Fleet) SetNamed(model string, versions []uint64, now time.Duration) {
+	f.named[model] = versions
+	for id := range f.servers {
+		f.place(id, now)
+	}
+}
+
 // Apply takes servers that the list shows or no longer shows. A whole list
 // also drops the servers that it lacks.
 func (f *Fleet) Apply(present []catalog.Backend, gone []string, whole bool, now time.Duration) {
@@ -215,6 +243,10 @@
 	return routing.Target(model + "@" + strconv.FormatUint(version, 10))
 }
 
+func leastTarget(model string, version uint64) routing.Target {
+	return routing.Target(model + ">=" + strconv.FormatUint(version, 10))
+}
+
 // place brings the router up to date on one server.
 func (f *Fleet) place(id string, now time.Duration) {
 	s := f.servers[id]
@@ -236,17 +268,36 @@
 	if f.state == nil || f.state.Services[s.backend.Service].Engine == nil {
 		return []routing.Target{plainTarget}
 	}
-	models := s.backend.Models
-	if s.hasReport && now-s.reportedAt < f.config.ReportFresh {
-		models = s.reported
-	}
 	var targets []routing.Target
-	for _, model := range models {
+	for _, model := range f.models(s, now) {
 		targets = append(targets, modelTarget(model.Name), versionTarget(model.Name, model.Version))
+		for _, named := range f.named[model.Name] {
+			if model.Version >= named {
+				targets = append(targets, leastTarget(model.Name, named))
+			}
+		}
 	}
 	return targets
 }
 
+// models are what a server holds.
+func (f *Fleet) models(s *server, now time.Duration) []catalog.Model {
+	if s.hasReport && now-s.reportedAt < f.config.ReportFresh {
+		return s.reported
+	}
+	return s.backend.Models
+}
+
+// version is the version that a server holds of a model; 0 if none.
+func (f *Fleet) version(s *server, model string, now time.Duration) uint64 {
+	for _, m := range f.models(s, now) {
+		if m.Name == model {
+			return m.Version
+		}
+	}
+	return 0
+}
+
 // usable reports whether new requests may go to a server.
 //
 // Guard: an entry that lapsed while the store was away is missing from the
@@ -280,6 +331,7 @@
 		config.FirstToken = firstPasses * time.Duration(e.Stride) * e.Step
 	}
 	router := routing.New(config, f.config.Site, f.config.Region, f.rng)
+	router.SetSenders(f.senders)
 	f.routers[name] = router
 	return router
 }
@@ -338,7 +390,7 @@
 	}
 	router.Report(filbertlever.HostID(s.backend.ID), routing.Load{
 		Sequence: load.Sequence, Running: load.Running, Queued: load.Queued,
-		Concurrency: s.backend.Slots, Seen: s.sends.Before(now - lag),
+		Concurrency: s.backend.Slots, Seen: s.sends.Before(now - lag), Ended: s.ends.Since(now - lag),
 	})
 }
 
@@ -355,6 +407,8 @@
 	case f.state.Services[request.Service].Engine == nil:
 	case request.Version != 0:
 		target = versionTarget(request.Model, request.Version)
+	case request.Least != 0:
+		target = leastTarget(request.Model, request.Least)
 	default:
 		target = modelTarget(request.Model)
 	}
@@ -368,12 +422,17 @@
 	if s.hasReport {
 		age = now - s.reportedAt
 	}
-	return Placement{Backend: s.backend, Found: true, Predicted: choice.Predicted, Reason: choice.Reason, Weighed: choice.Weighed, ReportAge: age}
+	placement := Placement{Backend: s.backend, Found: true, Predicted: choice.Predicted, Reason: choice.Reason, Weighed: choice.Weighed, ReportAge: age}
+	if request.Version != 0 || request.Least != 0 {
+		placement.Version = f.version(s, request.Model, now)
+	}
+	return placement
 }
 
 // Ended notes that a request sent to a server has ended there, or was not sent.
-func (f *Fleet) Ended(id string) {
+func (f *Fleet) Ended(id string, now time.Duration) {
 	if s, ok := f.servers[id]; ok {
+		s.ends.Add(now)
 		if router := f.router(s.backend.Service); router != nil {
 			router.Ended(filbertlever.HostID(id))
 		}
--- a/internal/coordination/forward/forward.go
+++ b/internal/coordination/forward/forward.go
@@ -8,6 +8,12 @@
 	"github.com/filbertlever/filbertlever/internal/coordination/retry"
 )
 
+// Budget bounds further attempts.
+type Budget interface {
+	// Again takes one attempt out of the budget if there is room for it.
+	Again(attempt retry.Attempt, remaining, now time.Duration) bool
+}
+
 // Class is what may be done with a request.
 type Class struct {
 	// Repeatable requests may run more than once.
@@ -77,7 +83,7 @@
 // Guards: a request that may run once is sent again only if no server can have
 // run it, or an order would be doubled. "Not run" is told only while no attempt
 // may have run, also of a request that may be repeated.
-func (a *Attempts) After(end End, budget *retry.Budget, remaining time.Duration, elsewhere bool) Step {
+func (a *Attempts) After(end End, budget Budget, remaining, now time.Duration, elsewhere bool) Step {
 	a.note(end)
 	if remaining <= 0 {
 		if a.mayHaveRun {
@@ -85,7 +91,7 @@
 		}
 		return StepNotRun
 	}
-	if elsewhere && a.mayRepeat(end) && a.affordable(end, budget, remaining) {
+	if elsewhere && a.mayRepeat(end) && a.affordable(end, budget, remaining, now) {
 		return StepAgain
 	}
 	switch {
@@ -128,11 +134,11 @@
 	EndFailed:  retry.EndFailed,
 }
 
-func (a *Attempts) affordable(end End, budget *retry.Budget, remaining time.Duration) bool {
+func (a *Attempts) affordable(end End, budget Budget, remaining, now time.Duration) bool {
 	if end == EndUnsent {
 		return remaining >= retry.MinRemaining
 	}
-	return budget.Again(retry.Attempt{End: ends[end], Number: a.sent}, remaining)
+	return budget.Again(retry.Attempt{End: ends[end], Number: a.sent}, remaining, now)
 }
 
 var endNames = [...]string{"None", "Unsent", "Refused", "Moved", "Lost", "Failed"}
--- a/internal/coordination/retry/retry.go
+++ b/internal/coordination/retry/retry.go
@@ -35,26 +35,6 @@
 	return &Budget{config: config, saved: config.Burst, loss: config.LossBurst}
 }
 
-// Resize changes the shares; what was saved is kept as far as it still fits.
-func (b *Budget) Resize(config Config) {
-	b.config = config
-	b.saved = min(b.saved, config.Burst)
-	b.loss = min(b.loss, config.LossBurst)
-}
-
-// Shared returns the shares of one of several processes that retry against the
-// same backend servers under one bound: extra requests over a window are at
-// most ratio of the fresh ones and slack more. Half of each part is for
-// refusals, and a tenth is left for views of the processes' number that differ.
-func Shared(ratio, slack float64, processes int) Config {
-	const refusals, losses = 0.5, 0.4
-	each := slack / float64(max(processes, 1))
-	return Config{
-		Share: ratio * refusals, Burst: each * refusals,
-		LossShare: ratio * losses, LossBurst: each * losses,
-	}
-}
-
 // Fresh notes a fresh request.
 func (b *Budget) Fresh() {
 	b.saved = min(b.saved+b.config.Share, b.config.Burst)
--- a/internal/coordination/routing/routing.go
+++ b/internal/coordination/routing/routing.go
@@ -61,6 +61,9 @@
 	// Seen is how many requests of this router the agent had received when it
 	// counted, so that those still on their way can be added.
 	Seen uint64
+	// Ended is how many requests of this router have ended at the server since
+	// it counted.
+	Ended int
 }
 
 // Target is one kind of work: a set of weights that hosts have loaded.
@@ -117,7 +120,8 @@
 	load   Load
 	// dispatched is how many requests this router sent to the incarnation.
 	dispatched uint64
-	// sent is how many of them the last report had not seen.
+	// sent is how many requests the last report had not seen, less those that
+	// have ended since: this router's own, times Senders.
 	sent int
 	// loaded are the targets that the host serves.
 	loaded []Target
@@ -157,6 +161,9 @@
 	prefixes [prefixSlots]prefixHint
 	// turn counts choices, for policies that take turns.
 	turn int
+	// senders is how many routers, this one included, send to the same hosts
+	// alike; at least 1.
+	senders int
 }
 
 type prefixHint struct {
@@ -174,9 +181,19 @@
 		rng:    rng,
 		index:  map[filbertlever.HostID]int32{},
 		pools:  map[Target]*pool{},
+
+		senders: 1,
 	}
 }
 
+// SetSenders tells how many routers send to the same hosts as this one does.
+//
+// Guard: between two reports all of them take the same idle host for the best,
+// each counting only what it sent itself, and bury it; an engine that has just
+// come back got ten requests in 0.1 s so. What this router sends stands for what
+// the others send too.
+func (r *Router) SetSenders(n int) { r.senders = max(n, 1) }
+
 // SetHost adds a host or changes what is known of it.
 func (r *Router) SetHost(h filbertlever.Host, usable bool) {
 	i, ok := r.index[h.ID]
@@ -227,7 +244,7 @@
 		h.dispatched = load.Seen
 	}
 	h.load = load
-	h.sent = int(h.dispatched - min(load.Seen, h.dispatched))
+	h.sent = r.senders * (int(h.dispatched-min(load.Seen, h.dispatched)) - load.Ended)
 }
 
 // Ended notes that a request sent to a host ended without a report of the
@@ -237,16 +254,7 @@
 	if !ok {
 		return
 	}
-	h := &r.hosts[i]
-	if h.sent > 0 {
-		h.sent--
-		return
-	}
-	if h.load.Queued > 0 {
-		h.load.Queued--
-		return
-	}
-	h.load.Running = max(h.load.Running-1, 0)
+	r.hosts[i].sent -= r.senders
 }
 
 // Choose picks a host for a request and counts it as sent there. Choice.Host
@@ -341,7 +349,7 @@
 // slower, since engines batch.
 func (r *Router) wait(h *host) time.Duration {
 	concurrency := max(h.load.Concurrency, 1)
-	busy := h.load.Running + h.load.Queued + h.sent
+	busy := max(h.load.Running+h.load.Queued+h.sent, 0)
 	over := busy + 1 - concurrency
 	service := r.config.Service
 	if h.load.Queued > 0 && h.load.Wait > 0 {
@@ -364,7 +372,7 @@
 }
 
 func (r *Router) sent(i int32, prefix uint64) {
-	r.hosts[i].sent++
+	r.hosts[i].sent += r.senders
 	r.hosts[i].dispatched++
 	if prefix != 0 {
 		r.prefixes[prefix%prefixSlots] = prefixHint{prefix: prefix, host: i}
--- a/internal/coordination/routing/sends.go
+++ b/internal/coordination/routing/sends.go
@@ -19,6 +19,10 @@
 	s.total++
 }
 
+// Since returns how many sends were made at or after a time, as far as they are
+// remembered.
+func (s *Sends) Since(t time.Duration) int { return int(s.total - s.Before(t)) }
+
 // Before returns how many sends were made before a time. Sends that are no
 // longer remembered count as made before it.
 func (s *Sends) Before(t time.Duration) uint64 {
--- a/internal/coordination/switchover/switchover.go
+++ b/internal/coordination/switchover/switchover.go
@@ -10,32 +10,100 @@
 	// Bound is the time from the naming of a version to when no request may
 	// begin on an older one.
 	Bound time.Duration
-	// Fetch is the time kept for every server to have the weights.
-	Fetch time.Duration
-	// Away is how long one server takes to end its batch and load.
-	Away time.Duration
+	// Ready is the time kept for every server to have the weights laid beside it
+	// and to have been quiet for Quiet.
+	Ready time.Duration
+	// Quiet is how long before its change a server gets no new requests, so that
+	// fewer answers have to go on elsewhere.
+	Quiet time.Duration
+	// Load is how long one server takes to change.
+	Load time.Duration
 	// Reserve is kept for delays before the bound.
 	Reserve time.Duration
 }
 
-// DefaultConfig returns the times for a bound. A set of 2 MB takes 2.2 s on a
-// server's link of 7.6 Mbit/s; a batch ends in about 1 s and 0.3 s is the load.
+// DefaultConfig returns the times for a bound. A set of 2 MB takes 2.6 s on a
+// server's link of 7.6 Mbit/s beside the server's own answers, 0.1 s to lay down
+// and check, and 0.3 s to load.
 func DefaultConfig(bound time.Duration) Config {
-	return Config{Bound: bound, Fetch: 2600 * time.Millisecond, Away: 1500 * time.Millisecond, Reserve: 1200 * time.Millisecond}
+	const fetch, lay = 2700 * time.Millisecond, 200 * time.Millisecond
+	const quiet = 500 * time.Millisecond
+	return Config{Bound: bound, Ready: fetch + lay + quiet, Quiet: quiet, Load: 400 * time.Millisecond, Reserve: 600 * time.Millisecond}
 }
 
+// Named is a version that operators have named.
+type Named struct {
+	Version uint64
+	// Since is when it was named, on the clock of the other times.
+	Since time.Duration
+	// Whole is true if all its pieces are on the host and verified.
+	Whole bool
+}
+
+// last is how long after the naming a server may begin its change at the latest.
+func (c Config) last() time.Duration { return max(c.Bound-c.Reserve-c.Load, 0) }
+
 // Turn returns how long after the naming of a version the server at a place
 // among count servers begins its change. Turns are spread evenly over the time
-// between fetching and the latest begin.
+// between being ready and the latest begin.
 func (c Config) Turn(place, count int) time.Duration {
-	last := c.Bound - c.Reserve - c.Away
-	if last <= c.Fetch || count <= 1 {
-		return min(c.Fetch, max(last, 0))
+	last := c.last()
+	if last <= c.Ready || count <= 1 {
+		return min(c.Ready, last)
 	}
-	return c.Fetch + (last-c.Fetch)*time.Duration(place)/time.Duration(count-1)
+	return c.Ready + (last-c.Ready)*time.Duration(place)/time.Duration(count-1)
 }
 
 // Strict returns how long after the naming of a version requests are sent only
 // to servers that hold it, and say so. One that has waited in a server's queue
 // must not begin on the older version after the bound.
 func (c Config) Strict() time.Duration { return max(c.Bound-c.Reserve, 0) }
+
+// Next returns the version that a server at a place should change to, and when
+// it begins. Named is in order of versions; ok is false if there is nothing to
+// change to yet. A server's turn is that of the oldest version that it lacks,
+// whose bound comes first; it then takes the newest that is there, so that one
+// change serves several versions. An empty server serves nothing that could
+// suffer and changes at once.
+func (c Config) Next(held uint64, named []Named, place, count int) (version uint64, begin time.Duration, ok bool) {
+	oldest := true
+	for _, n := range named {
+		if n.Version <= held {
+			continue
+		}
+		if oldest {
+			begin, oldest = n.Since+c.Turn(place, count), false
+		}
+		if n.Whole {
+			version, ok = n.Version, true
+		}
+	}
+	if held == 0 {
+		begin = 0
+	}
+	return version, begin, ok
+}
+
+// Fetches returns the version to fetch next. If versions follow each other
+// quickly, the newest alone will do as long as it can be there in time for the
+// bound of the oldest; else the oldest comes first.
+func (c Config) Fetches(held uint64, named []Named, now time.Duration) (version uint64, ok bool) {
+	var oldest, newest *Named
+	for i := range named {
+		if named[i].Version <= held {
+			continue
+		}
+		if oldest == nil {
+			oldest = &named[i]
+		}
+		newest = &named[i]
+	}
+	if newest == nil || newest.Whole {
+		return 0, false
+	}
+	inTime := now+c.Ready <= oldest.Since+(c.Ready+c.last())/2
+	if held == 0 || oldest.Whole || inTime {
+		return newest.Version, true
+	}
+	return oldest.Version, true
+}
--- /dev/null
+++ b/internal/coordination/switchover/switchover_test.go
@@ -0,0 +1,90 @@
+package switchover
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+const bound = 8 * time.Second
+
+// Callers wait while every server of a service loads at once. Turns must be
+// spread, and the last server must have changed before the bound.
+func TestTurnsAreSpreadAndEndBeforeTheBound(t *testing.T) {
+	c := qt.New(t)
+	config := DefaultConfig(bound)
+	const count = 27
+	away := 0
+	for place := range count {
+		turn := config.Turn(place, count)
+		c.Assert(turn >= config.Ready, qt.IsTrue)
+		c.Assert(turn+config.Load+config.Reserve <= bound, qt.IsTrue)
+		if turn < config.Ready+config.Load+config.Quiet {
+			away++
+		}
+	}
+	c.Assert(away <= count/3, qt.IsTrue, qt.Commentf("%d of %d servers are away at once", away, count))
+}
+
+// A request begins on version 1 after the bound of version 2 has passed. A
+// third version is named meanwhile; a server that waits for its turn for the
+// third misses the second one's bound.
+func TestAVersionNamedLaterDoesNotPutOffTheFirst(t *testing.T) {
+	c := qt.New(t)
+	config := DefaultConfig(bound)
+	named := []Named{{Version: 2, Since: 0, Whole: true}, {Version: 3, Since: 3 * time.Second}}
+	version, begin, ok := config.Next(1, named, 26, 27)
+	c.Assert(ok, qt.IsTrue)
+	c.Assert(version, qt.Equals, uint64(2))
+	c.Assert(begin, qt.Equals, config.Turn(26, 27))
+}
+
+// The same, but the third version is there when the turn comes: one change
+// takes the server to it.
+func TestOneChangeServesTwoVersions(t *testing.T) {
+	c := qt.New(t)
+	config := DefaultConfig(bound)
+	named := []Named{{Version: 2, Since: 0, Whole: true}, {Version: 3, Since: time.Second, Whole: true}}
+	version, begin, _ := config.Next(1, named, 26, 27)
+	c.Assert(version, qt.Equals, uint64(3))
+	c.Assert(begin, qt.Equals, config.Turn(26, 27))
+	_, _, ok := config.Next(3, named, 26, 27)
+	c.Assert(ok, qt.IsFalse)
+}
+
+// An added server stays empty for seconds though its weights are there. It has
+// no requests that a change could disturb.
+func TestAnEmptyServerDoesNotWaitForItsTurn(t *testing.T) {
+	c := qt.New(t)
+	version, begin, ok := DefaultConfig(bound).Next(0, []Named{{Version: 2, Since: time.Minute, Whole: true}}, 20, 27)
+	c.Assert(ok, qt.IsTrue)
+	c.Assert(version, qt.Equals, uint64(2))
+	c.Assert(begin, qt.Equals, time.Duration(0))
+}
+
+// Two versions half a second apart: fetching both in turn would take the time
+// of the link twice, and the second alone is enough.
+func TestASupersededVersionIsNotFetched(t *testing.T) {
+	c := qt.New(t)
+	config := DefaultConfig(bound)
+	named := []Named{{Version: 2, Since: 0}, {Version: 3, Since: 500 * time.Millisecond}}
+	version, ok := config.Fetches(1, named, 500*time.Millisecond)
+	c.Assert(ok, qt.IsTrue)
+	c.Assert(version, qt.Equals, uint64(3))
+}
+
+// A version named two seconds later would come too late for the first one's
+// bound, which is fetched to its end.
+func TestAVersionCloseToItsBoundIsFetchedFirst(t *testing.T) {
+	c := qt.New(t)
+	config := DefaultConfig(bound)
+	named := []Named{{Version: 2, Since: 0}, {Version: 3, Since: 3 * time.Second}}
+	version, ok := config.Fetches(1, named, 3*time.Second)
+	c.Assert(ok, qt.IsTrue)
+	c.Assert(version, qt.Equals, uint64(2))
+	named[0].Whole = true
+	version, ok = config.Fetches(1, named, 3*time.Second)
+	c.Assert(ok, qt.IsTrue)
+	c.Assert(version, qt.Equals, uint64(3))
+}
--- a/internal/settings/installation.go
+++ b/internal/settings/installation.go
@@ -61,9 +61,10 @@
 	// 0 means no bound.
 	Version document.Duration `yaml:"Version"`
 	// RetryRatio and RetrySlack bound the retries of all entries together, in
-	// any window of some seconds.
-	RetryRatio float64 `yaml:"RetryRatio"`
-	RetrySlack float64 `yaml:"RetrySlack"`
+	// any RetryWindow.
+	RetryRatio  float64           `yaml:"RetryRatio"`
+	RetrySlack  float64           `yaml:"RetrySlack"`
+	RetryWindow document.Duration `yaml:"RetryWindow"`
 	// Keep is how long callers may keep an answer of Locate.
 	Keep document.Duration `yaml:"Keep"`
 	// Stop is the time from the signal to stop to the end of the process.
@@ -80,9 +81,10 @@
 func DefaultInstallation() Installation {
 	return Installation{
 		Bounds: Bounds{
-			RetryRatio: 0.1,
-			Keep:       document.Duration(2 * time.Second),
-			Stop:       document.Duration(8 * time.Second),
+			RetryRatio:  0.1,
+			RetryWindow: document.Duration(10 * time.Second),
+			Keep:        document.Duration(2 * time.Second),
+			Stop:        document.Duration(8 * time.Second),
 		},
 		Machine: Machine{Cores: 1},
 		Log:     Log{Level: "Info", Format: "JSON"},
@@ -139,6 +141,7 @@
 	}
 	c.Require(s.Bounds.RetryRatio >= 0 && s.Bounds.RetryRatio <= 1, "Bounds.RetryRatio", s.Bounds.RetryRatio, "expected a share from 0 to 1")
 	c.Require(s.Bounds.RetrySlack >= 0, "Bounds.RetrySlack", s.Bounds.RetrySlack, "expected 0 or more requests")
+	c.Require(s.Bounds.RetryWindow > 0, "Bounds.RetryWindow", time.Duration(s.Bounds.RetryWindow), "expected more than 0")
 	c.Require(s.Bounds.Revoke >= 0, "Bounds.Revoke", time.Duration(s.Bounds.Revoke), "expected 0 or more")
 	c.Require(s.Bounds.Version >= 0, "Bounds.Version", time.Duration(s.Bounds.Version), "expected 0 or more")
 	c.Require(s.Bounds.Keep > 0, "Bounds.Keep", time.Duration(s.Bounds.Keep), "expected more than 0")
--- a/internal/transport/gateway/attempts.go
+++ b/internal/transport/gateway/attempts.go
@@ -11,7 +11,6 @@
 	"go.uber.org/zap"
 
 	"github.com/filbertlever/filbertlever"
-	"github.com/filbertlever/filbertlever/internal/coordination/catalog"
 	"github.com/filbertlever/filbertlever/internal/coordination/fleet"
 	"github.com/filbertlever/filbertlever/internal/coordination/forward"
 	"github.com/filbertlever/filbertlever/internal/transport/boottime"
@@ -71,9 +70,9 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if first {
-		g.budget(a.service).Fresh()
+		g.budget(a.service).Fresh(now)
 	}
-	placement := g.fleet.Choose(a.wanted(now), now)
+	placement := a.choose(now)
 	fields := []zap.Field{zap.String("Request", a.call.ID), zap.String("Service", a.service),
 		zap.String("Backend", placement.Backend.ID), zap.Duration("Predicted", placement.Predicted),
 		zap.Int("Weighed", placement.Weighed), zap.Duration("ReportAge", placement.ReportAge), zap.String("Why", string(placement.Reason))}
@@ -89,7 +88,7 @@
 		admitted = true
 	}
 	if !admitted {
-		g.fleet.Ended(placement.Backend.ID)
+		g.fleet.Ended(placement.Backend.ID, now)
 		g.log.Info("refused", fields...)
 		return placement, busy(reasonBusy, retry)
 	}
@@ -97,6 +96,26 @@
 	return placement, nil
 }
 
+// choose picks a server; the caller holds the lock.
+//
+// An answer that has begun is finished by the same weights if a server that has
+// them can go on before the caller sees a pause. During a switch few servers
+// have them, which are about to change too; then newer weights finish it, since
+// an answer that breaks off is asked for again and made by those all the same.
+func (a *attempts) choose(now time.Duration) fleet.Placement {
+	g := a.gateway
+	wanted := a.wanted(now)
+	placement := g.fleet.Choose(wanted, now)
+	if wanted.Version == 0 || placement.Found && placement.Predicted < a.route.Pause {
+		return placement
+	}
+	if placement.Found {
+		g.fleet.Ended(placement.Backend.ID, now)
+	}
+	wanted.Version = 0
+	return g.fleet.Choose(wanted, now)
+}
+
 func (g *Gateway) plain(service string) bool {
 	state := g.state.Load()
 	return state != nil && state.Services[service].Engine == nil
@@ -112,10 +131,9 @@
 func (a *attempts) wanted(now time.Duration) fleet.Request {
 	request := fleet.Request{Service: a.service, Model: a.call.Model, PromptTokens: a.call.PromptTokens, Avoid: a.tried}
 	if a.call.Model != "" {
-		request.Version = a.gateway.strict(a.call.Model, now)
+		request.Least = a.gateway.least(a.call.Model, now)
 	}
-	if a.stream != nil && a.stream.version != 0 {
-		// An answer that has begun is finished by the same weights.
+	if a.stream != nil && a.stream.version >= request.Least {
 		request.Version = a.stream.version
 	}
 	return request
@@ -128,13 +146,13 @@
 	id := placement.Backend.ID
 	defer func() {
 		g.mu.Lock()
-		g.fleet.Ended(id)
+		g.fleet.Ended(id, boottime.Now())
 		g.mu.Unlock()
 	}()
 	ctx, cancel := context.WithCancel(a.ctx)
 	defer cancel()
 	watch := a.watchHead(cancel)
-	reply, err := g.sender.Send(ctx, a.dispatch(placement.Backend))
+	reply, err := g.sender.Send(ctx, a.dispatch(placement))
 	if watch != nil {
 		watch.Stop()
 	}
@@ -163,18 +181,14 @@
 	return time.AfterFunc(max(headGoals*a.route.Goal, headLeast), cancel)
 }
 
-func (a *attempts) dispatch(backend catalog.Backend) *Dispatch {
+func (a *attempts) dispatch(placement fleet.Placement) *Dispatch {
 	d := &Dispatch{
-		Call: a.call, Backend: backend, Organisation: a.organisation.ID,
-		Urgency: min(max(a.urgency, 0), lowestUrgency), Left: max(a.remaining(), 0),
-	}
-	if a.call.Model != "" {
-		a.gateway.mu.Lock()
-		d.Version = a.wanted(boottime.Now()).Version
-		a.gateway.mu.Unlock()
+		Call: a.call, Backend: placement.Backend, Organisation: a.organisation.ID,
+		Urgency: min(max(a.urgency, 0), lowestUrgency), Left: max(a.remaining(), 0), Version: placement.Version,
 	}
 	if a.stream != nil {
-		d.LastEvent = a.stream.last
+		// The caller is waiting in the middle of its answer.
+		d.LastEvent, d.Urgency = a.stream.last, 0
 	}
 	return d
 }
@@ -245,7 +259,7 @@
 		return false
 	}
 	g.mu.Lock()
-	step := a.After(end, g.budget(a.service), a.remaining(), true)
+	step := a.After(end, g.budget(a.service), a.remaining(), boottime.Now(), true)
 	g.mu.Unlock()
 	g.log.Info("attempt ended", zap.String("Request", a.call.ID), zap.String("Backend", a.last.Backend.ID),
 		zap.Stringer("End", end), zap.Stringer("Step", step), zap.Int("Sent", a.Sent()), zap.Duration("Left", a.remaining()))
--- a/internal/transport/gateway/datagrams.go
+++ b/internal/transport/gateway/datagrams.go
@@ -53,7 +53,8 @@
 	// Revision is the answering entry's own count of changes.
 	Revision uint64
 	Entries  []Entry
-	// Named are the versions wanted of the models of the agent's service.
+	// Named are the versions wanted of the models of the agent's service, the
+	// oldest of each model first.
 	Named []NamedAge
 	// Place is the server's place among the Count servers of its service.
 	Place int
@@ -134,6 +135,7 @@
 func (g *Gateway) beat(now time.Duration) {
 	ready := g.Ready()
 	g.mu.Lock()
+	g.fleet.SetSenders(g.peers.inRegion(now))
 	addresses := g.peers.addresses()
 	beat := &Beat{Entry: g.config.Self, Ready: ready, Named: g.namedAges(now)}
 	g.mu.Unlock()
@@ -149,7 +151,15 @@
 
 func (g *Gateway) namedAges(now time.Duration) []NamedAge {
 	var ages []NamedAge
-	for model, n := range g.named {
+	for model := range g.named {
+		ages = append(ages, g.agesOf(model, now)...)
+	}
+	return ages
+}
+
+func (g *Gateway) agesOf(model string, now time.Duration) []NamedAge {
+	var ages []NamedAge
+	for _, n := range g.named[model] {
 		ages = append(ages, NamedAge{Model: model, Version: n.version, Age: now - n.since, Known: !n.guessed})
 	}
 	return ages
@@ -195,12 +205,11 @@
 		return view, true
 	}
 	for _, model := range engine.Models {
-		n, ok := g.named[model]
-		if !ok {
+		if len(g.named[model]) == 0 {
 			view.Named = append(view.Named, NamedAge{Model: model, Version: firstVersion})
 			continue
 		}
-		view.Named = append(view.Named, NamedAge{Model: model, Version: n.version, Age: now - n.since, Known: !n.guessed})
+		view.Named = append(view.Named, g.agesOf(model, now)...)
 	}
 	return view, true
 }
--- a/internal/transport/gateway/gateway.go
+++ b/internal/transport/gateway/gateway.go
@@ -34,9 +34,11 @@
 	Revoke time.Duration
 	// Bound is the time in which a named version is the only one to answer.
 	Bound time.Duration
-	// RetryRatio and RetrySlack bound the retries of all entries together.
-	RetryRatio float64
-	RetrySlack float64
+	// RetryRatio and RetrySlack bound the retries of all entries together
+	// within any RetryWindow.
+	RetryRatio  float64
+	RetrySlack  float64
+	RetryWindow time.Duration
 	// Keep is how long callers may keep an answer of Locate.
 	Keep time.Duration
 	// Grace is how long after a stop's announcement new requests are taken, and
@@ -77,9 +79,10 @@
 	rng     *rand.Rand
 	fleet   *fleet.Fleet
 	gate    admission.EntryGate
-	budgets map[string]*retry.Budget
+	budgets map[string]*retry.Window
 	peers   *peers
-	named   map[string]named
+	// named are the versions of each model that operators want, oldest first.
+	named map[string][]named
 	// revision grows with each change that agents must hear of.
 	revision uint64
 	stop     *drain.Stop
@@ -95,7 +98,7 @@
 	g := &Gateway{
 		config: config, store: store, codec: codec, sender: sender, log: log, socket: socket,
 		metrics: newMetrics(registry), rng: rng, fleet: fleet.New(fleetConfig, rng), gate: admission.DefaultEntryGate(),
-		budgets: map[string]*retry.Budget{}, peers: newPeers(config.Self, boottime.Now()), named: map[string]named{},
+		budgets: map[string]*retry.Window{}, peers: newPeers(config.Self, boottime.Now()), named: map[string][]named{},
 		stop: drain.New(drain.Config{Grace: config.Grace, Move: config.Leave}),
 	}
 	g.revoke.Store(int64(config.Revoke))
@@ -145,22 +148,25 @@
 	return g.peers.locate(site, ready, boottime.Now()), g.config.Keep
 }
 
-// strict returns the only version of a model that may answer now, or 0.
-func (g *Gateway) strict(model string, now time.Duration) uint64 {
-	n, ok := g.named[model]
-	if !ok || g.config.Bound <= 0 {
+// least returns the oldest version of a model that may answer now; 0 means any.
+func (g *Gateway) least(model string, now time.Duration) uint64 {
+	if g.config.Bound <= 0 {
 		return 0
 	}
-	if now-n.since < switchover.DefaultConfig(g.config.Bound).Strict() {
-		return 0
+	strict := switchover.DefaultConfig(g.config.Bound).Strict()
+	least := uint64(0)
+	for _, n := range g.named[model] {
+		if now-n.since >= strict {
+			least = max(least, n.version)
+		}
 	}
-	return n.version
+	return least
 }
 
 // setNamed takes versions that operators have named.
 func (g *Gateway) setNamed(versions []catalog.NamedVersion, first bool, now time.Duration) {
 	for _, v := range versions {
-		if v.Version <= g.named[v.Model].version {
+		if v.Version <= g.newest(v.Model) {
 			continue
 		}
 		n := named{version: v.Version, since: now}
@@ -169,36 +175,74 @@
 			// may have passed already.
 			n.since, n.guessed = now-g.config.Bound, true
 		}
-		g.named[v.Model] = n
+		g.named[v.Model] = append(g.current(v.Model, now), n)
+		g.fleet.SetNamed(v.Model, g.versions(v.Model), now)
 		g.revision++
 		g.log.Info("version named", zap.String("Model", v.Model), zap.Uint64("Version", v.Version), zap.Bool("BeforeStart", first))
 		g.relay.Prefetch(v)
 	}
 }
 
+// namedKept is how many bounds a version that was superseded is remembered:
+// its own bound still counts for servers that skip it.
+const namedKept = 2
+
+// current returns the named versions of a model that still matter.
+func (g *Gateway) current(model string, now time.Duration) []named {
+	var kept []named
+	for _, n := range g.named[model] {
+		if now-n.since < namedKept*g.config.Bound {
+			kept = append(kept, n)
+		}
+	}
+	return kept
+}
+
+func (g *Gateway) newest(model string) uint64 {
+	list := g.named[model]
+	if len(list) == 0 {
+		return 0
+	}
+	return list[len(list)-1].version
+}
+
+func (g *Gateway) versions(model string) []uint64 {
+	var versions []uint64
+	for _, n := range g.named[model] {
+		versions = append(versions, n.version)
+	}
+	return versions
+}
+
 // heardNamed takes a peer's word on when a version was named.
 func (g *Gateway) heardNamed(model string, version uint64, age, now time.Duration) {
-	n, ok := g.named[model]
-	if ok && n.version == version && n.guessed {
-		g.named[model] = named{version: version, since: now - age}
-		g.revision++
+	for i, n := range g.named[model] {
+		if n.version == version && n.guessed {
+			g.named[model][i] = named{version: version, since: now - age}
+			g.revision++
+		}
 	}
 }
 
 // budget returns the retry budget of a service; the caller holds the lock.
-func (g *Gateway) budget(service string) *retry.Budget {
+func (g *Gateway) budget(service string) *retry.Window {
 	b, ok := g.budgets[service]
 	if !ok {
-		b = retry.NewBudget(retry.Shared(g.config.RetryRatio, g.config.RetrySlack, g.peers.registered()))
+		b = retry.NewWindow(g.retryWindow())
 		g.budgets[service] = b
 	}
 	return b
 }
 
+// retryWindow is this entry's part of the bound on retries.
+func (g *Gateway) retryWindow() retry.WindowConfig {
+	return retry.SharedWindow(g.config.RetryWindow, g.config.RetryRatio, g.config.RetrySlack, g.peers.registered())
+}
+
 // resizeBudgets follows the number of entries; the caller holds the lock.
 func (g *Gateway) resizeBudgets() {
 	for _, b := range g.budgets {
-		b.Resize(retry.Shared(g.config.RetryRatio, g.config.RetrySlack, g.peers.registered()))
+		b.Resize(g.retryWindow())
 	}
 }
 
--- a/internal/transport/gateway/peers.go
+++ b/internal/transport/gateway/peers.go
@@ -110,6 +110,17 @@
 	return entries
 }
 
+// inRegion returns how many living entries are in this one's region.
+func (p *peers) inRegion(now time.Duration) int {
+	count := 0
+	for _, entry := range p.alive(now) {
+		if entry.Region == p.self.Region {
+			count++
+		}
+	}
+	return count
+}
+
 // addresses returns where datagrams go: to every entry that may live.
 func (p *peers) addresses() []string {
 	var addresses []string
--- a/internal/transport/gateway/watch.go
+++ b/internal/transport/gateway/watch.go
@@ -16,6 +16,10 @@
 	// when it returns, so its age stays below twice this, well under the bound
 	// of keys, at 0.7 calls a second.
 	followWait = 1500 * time.Millisecond
+	// gather is how long changes are left to gather after one was heard, since
+	// they come in series and each answer is a call. All bounds of what is heard
+	// here are 2 s and more.
+	gather = 250 * time.Millisecond
 	// retryFirst and retryMost are the pauses after failed calls.
 	retryFirst = 100 * time.Millisecond
 	retryMost  = 800 * time.Millisecond
@@ -57,6 +61,9 @@
 		if lost {
 			g.log.Info("store regained", zap.String("Table", w.name), zap.Uint64("Revision", next))
 		}
+		if changed := next != revision; changed && revision != 0 {
+			g.sleep(ctx, gather)
+		}
 		revision, first, lost, pause = next, false, false, retryFirst
 	}
 }
--- a/internal/transport/sidecar/load.go
+++ b/internal/transport/sidecar/load.go
@@ -10,22 +10,183 @@
 
 	"github.com/filbertlever/filbertlever/internal/coordination/catalog"
 	"github.com/filbertlever/filbertlever/internal/coordination/relays"
+	"github.com/filbertlever/filbertlever/internal/coordination/switchover"
 	"github.com/filbertlever/filbertlever/internal/transport/boottime"
 	"github.com/filbertlever/filbertlever/internal/transport/gateway"
 	"github.com/filbertlever/filbertlever/internal/transport/relay"
 )
 
-// load brings one version of a model's weights to the server.
+// Times of loads.
+const (
+	// weightsEvery is how often it is looked at what to fetch or load next.
+	weightsEvery = 100 * time.Millisecond
+	// stageTime is kept to lay the pieces beside the server and read them back.
+	stageTime = 250 * time.Millisecond
+	// loadMost bounds the waiting for a load to end before it is looked at anew.
+	loadMost = 6 * time.Second
+	// awaitPause is how often a load under way is looked at.
+	awaitPause = 50 * time.Millisecond
+	// retryPause is the pause after a failed step.
+	retryPause = 200 * time.Millisecond
+)
+
+// How many pieces are fetched at once: for an empty server enough to keep the
+// host's link full; for one that serves a single one, since callers' events wait
+// behind what is queued on the link, 34 ms for each piece.
+const (
+	lanesEmpty   = 4
+	lanesServing = 1
+)
+
+// weights is what an agent holds of one model. The agent's lock guards it.
+type weights struct {
+	// whole has the manifests of versions whose pieces are all here.
+	whole    map[uint64]*relay.Manifest
+	fetching bool
+	loading  bool
+}
+
+func (s *Sidecar) runWeights(ctx context.Context) {
+	ticker := time.NewTicker(weightsEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			s.step(ctx, boottime.Now())
+		}
+	}
+}
+
+// step starts what is to be fetched or loaded next.
+func (s *Sidecar) step(ctx context.Context, now time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.hasView || !s.hasReport {
+		return
+	}
+	config := switchover.DefaultConfig(s.config.Bound)
+	for model, named := range s.named() {
+		m, ok := s.models[model]
+		if !ok {
+			m = &weights{whole: map[uint64]*relay.Manifest{}}
+			s.models[model] = m
+		}
+		for i := range named {
+			named[i].Whole = m.whole[named[i].Version] != nil
+		}
+		has := held(s.report.Models, model)
+		if version, ok := config.Fetches(has, named, now); ok && !m.fetching {
+			m.fetching = true
+			f := &fetching{agent: s, weights: m, named: catalog.NamedVersion{Model: model, Version: version}, lanes: lanesServing}
+			if has == 0 {
+				f.lanes = lanesEmpty
+			}
+			go f.run(ctx)
+		}
+		version, begin, ok := config.Next(has, named, s.viewed.Place, s.viewed.Count)
+		if !ok || m.loading || s.report.Loading || now < begin-config.Quiet-stageTime {
+			continue
+		}
+		m.loading = true
+		l := &load{agent: s, weights: m, named: catalog.NamedVersion{Model: model, Version: version}, empty: has == 0, begin: begin, quiet: config.Quiet, manifest: m.whole[version]}
+		go l.run(ctx)
+	}
+}
+
+// named returns the versions wanted of each model, oldest first.
+func (s *Sidecar) named() map[string][]switchover.Named {
+	models := map[string][]switchover.Named{}
+	for _, n := range s.viewed.Named {
+		models[n.Model] = append(models[n.Model], switchover.Named{Version: n.Version, Since: s.viewedAt - n.Age})
+	}
+	return models
+}
+
+// fetching brings the pieces of one version to the host.
+type fetching struct {
+	agent   *Sidecar
+	weights *weights
+	named   catalog.NamedVersion
+	lanes   int
+}
+
+func (f *fetching) run(ctx context.Context) {
+	s := f.agent
+	began := boottime.Now()
+	manifest, err := f.manifest(ctx)
+	if err == nil {
+		err = f.fetch(ctx, &manifest)
+	}
+	if err != nil {
+		s.log.Warn("weights not fetched", zap.String("Model", f.named.Model), zap.Uint64("Version", f.named.Version), zap.Error(err))
+		sleep(ctx, retryPause)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	f.weights.fetching = false
+	if err != nil {
+		return
+	}
+	took := boottime.Now() - began
+	s.metrics.seconds.Observe(took.Seconds())
+	s.log.Info("weights fetched", zap.String("Model", f.named.Model), zap.Uint64("Version", f.named.Version), zap.Duration("Took", took))
+	f.weights.whole[f.named.Version] = &manifest
+	s.prune(f.named.Model, f.weights)
+}
+
+// prune drops versions older than the one that is served, and the pieces that
+// only they had; the caller holds the lock.
+func (s *Sidecar) prune(model string, m *weights) {
+	has := held(s.report.Models, model)
+	for version := range m.whole {
+		if version < has {
+			delete(m.whole, version)
+		}
+	}
+	wanted := map[string]bool{}
+	for _, other := range s.models {
+		if other.fetching {
+			// Pieces of a fetch under way are in no manifest yet.
+			return
+		}
+		for _, manifest := range other.whole {
+			for _, digest := range manifest.Digests {
+				wanted[digest] = true
+			}
+		}
+	}
+	for digest := range s.pieces {
+		if !wanted[digest] {
+			delete(s.pieces, digest)
+		}
+	}
+}
+
+func sleep(ctx context.Context, pause time.Duration) {
+	if pause <= 0 {
+		return
+	}
+	select {
+	case <-ctx.Done():
+	case <-time.After(pause):
+	}
+}
+
+// load makes the server serve one version whose pieces are here.
 type load struct {
-	agent *Sidecar
-	named catalog.NamedVersion
-	// empty is true if the server holds nothing of the model, so that there is
-	// no capacity to keep.
+	agent    *Sidecar
+	weights  *weights
+	named    catalog.NamedVersion
+	manifest *relay.Manifest
+	// empty is true if the server serves nothing of the model, so that nothing
+	// has to be kept from it.
 	empty bool
-	// since is when the version was named, and turn how long after that this
-	// server changes.
-	since time.Duration
-	turn  time.Duration
+	// begin is when the order is to be given.
+	begin time.Duration
+	// quiet is how long before that the server gets no new requests.
+	quiet time.Duration
 }
 
 func (l *load) run(ctx context.Context) {
@@ -35,66 +196,43 @@
 	if err != nil {
 		result = "Failed"
 		s.log.Warn("load failed", zap.String("Model", l.named.Model), zap.Uint64("Version", l.named.Version), zap.Error(err))
-		l.sleep(ctx, retryPause)
+		sleep(ctx, retryPause)
 	}
 	s.metrics.loads.WithLabelValues(result).Inc()
 	s.mu.Lock()
-	s.loading, s.switching = false, false
-	s.mu.Unlock()
+	defer s.mu.Unlock()
+	l.weights.loading, s.switching = false, false
+	s.prune(l.named.Model, l.weights)
 }
 
-// carry fetches, waits for the turn, stages, checks and orders.
+// carry stages and checks the pieces, keeps requests away and gives the order.
 func (l *load) carry(ctx context.Context) error {
 	s := l.agent
-	began := boottime.Now()
-	manifest, err := l.manifest(ctx)
-	if err != nil {
-		return err
-	}
-	s.keepOnly(&manifest)
-	if err := l.fetch(ctx, &manifest); err != nil {
+	if err := l.stage(ctx, l.manifest); err != nil {
 		return err
 	}
-	took := boottime.Now() - began
-	s.metrics.seconds.Observe(took.Seconds())
-	s.log.Info("weights fetched", zap.String("Model", l.named.Model), zap.Uint64("Version", l.named.Version), zap.Duration("Took", took))
 	if !l.empty {
-		l.sleep(ctx, l.since+l.turn-quietBefore-boottime.Now())
-		if s.wanted(l.named.Model) != l.named.Version && boottime.Now() < l.since+l.turn {
-			return fmt.Errorf("version %d is superseded", l.named.Version)
-		}
+		sleep(ctx, l.begin-l.quiet-boottime.Now())
 		s.setSwitching(true)
-		l.sleep(ctx, quietBefore)
-	}
-	if err := l.stage(ctx, &manifest); err != nil {
-		return err
+		sleep(ctx, l.quiet)
 	}
 	if err := s.engine.Load(ctx, l.named.Model, l.named.Version); err != nil {
 		return err
 	}
+	s.log.Info("load ordered", zap.String("Model", l.named.Model), zap.Uint64("Version", l.named.Version), zap.Bool("Empty", l.empty))
 	return l.await(ctx)
 }
 
-func (l *load) sleep(ctx context.Context, pause time.Duration) {
-	if pause <= 0 {
-		return
-	}
-	select {
-	case <-ctx.Done():
-	case <-time.After(pause):
-	}
-}
-
 // sources returns the entries to ask for a piece, in order: the piece's home at
 // the own site, then the others there, then all.
-func (l *load) sources(piece int) []gateway.Entry {
-	near, all := l.agent.relays()
+func (f *fetching) sources(piece int) []gateway.Entry {
+	near, all := f.agent.relays()
 	candidates := make([]relays.Entry, 0, len(near))
 	for _, entry := range near {
 		candidates = append(candidates, relays.Entry{Host: entry.Host, Site: entry.Site})
 	}
-	key := fmt.Sprintf("%s/%d/%d", l.named.Model, l.named.Version, piece)
-	home := relays.Home(candidates, l.agent.config.Site, key)
+	key := fmt.Sprintf("%s/%d/%d", f.named.Model, f.named.Version, piece)
+	home := relays.Home(candidates, f.agent.config.Site, key)
 	var ordered []gateway.Entry
 	for _, entry := range near {
 		if entry.Host == home {
@@ -107,17 +245,17 @@
 		}
 	}
 	for _, entry := range all {
-		if entry.Site != l.agent.config.Site {
+		if entry.Site != f.agent.config.Site {
 			ordered = append(ordered, entry)
 		}
 	}
 	return ordered
 }
 
-func (l *load) manifest(ctx context.Context) (relay.Manifest, error) {
+func (f *fetching) manifest(ctx context.Context) (relay.Manifest, error) {
 	var last error = errNoEntry
-	for _, entry := range l.sources(-1) {
-		manifest, err := relay.FetchManifest(ctx, l.agent.client, entry.Peers, l.named)
+	for _, entry := range f.sources(-1) {
+		manifest, err := relay.FetchManifest(ctx, f.agent.client, entry.Peers, f.named)
 		if err == nil && len(manifest.Digests) > 0 {
 			return manifest, nil
 		}
@@ -129,13 +267,13 @@
 }
 
 // fetch draws every piece that is not held, some at once.
-func (l *load) fetch(ctx context.Context, manifest *relay.Manifest) error {
+func (f *fetching) fetch(ctx context.Context, manifest *relay.Manifest) error {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	lanes := make(chan struct{}, parallel)
+	lanes := make(chan struct{}, f.lanes)
 	var group sync.WaitGroup
 	for piece, digest := range manifest.Digests {
-		if _, ok := l.agent.piece(digest); ok {
+		if _, ok := f.agent.piece(digest); ok {
 			continue
 		}
 		lanes <- struct{}{}
@@ -144,7 +282,7 @@
 		}
 		group.Go(func() {
 			defer func() { <-lanes }()
-			if err := l.fetchPiece(ctx, manifest, piece); err != nil {
+			if err := f.fetchPiece(ctx, manifest, piece); err != nil {
 				cancel(err)
 			}
 		})
@@ -157,11 +295,11 @@
 //
 // Guard: a piece may be corrupted on its way or at an entry; only one that
 // matches the manifest's digest is kept.
-func (l *load) fetchPiece(ctx context.Context, manifest *relay.Manifest, piece int) error {
-	s := l.agent
+func (f *fetching) fetchPiece(ctx context.Context, manifest *relay.Manifest, piece int) error {
+	s := f.agent
 	var last error = errNoEntry
-	for _, entry := range l.sources(piece) {
-		data, err := relay.FetchPiece(ctx, s.client, entry.Peers, l.named, piece)
+	for _, entry := range f.sources(piece) {
+		data, err := relay.FetchPiece(ctx, s.client, entry.Peers, f.named, piece)
 		if err != nil {
 			last = err
 			continue
@@ -221,7 +359,7 @@
 func (l *load) await(ctx context.Context) error {
 	s := l.agent
 	for end := boottime.Now() + loadMost; boottime.Now() < end; {
-		l.sleep(ctx, awaitPause)
+		sleep(ctx, awaitPause)
 		report, err := s.engine.Report(ctx)
 		if err != nil {
 			return err
@@ -231,8 +369,7 @@
 			s.report, s.hasReport, s.switching = report, true, false
 			s.mu.Unlock()
 			s.tell()
-			s.log.Info("version served", zap.String("Model", l.named.Model), zap.Uint64("Version", l.named.Version),
-				zap.Duration("SinceNamed", boottime.Now()-l.since))
+			s.log.Info("version served", zap.String("Model", l.named.Model), zap.Uint64("Version", l.named.Version))
 			return nil
 		}
 		if !report.Loading {
@@ -241,6 +378,3 @@
 	}
 	return fmt.Errorf("version %d not served after %v", l.named.Version, loadMost)
 }
-
-// awaitPause is how often a load under way is looked at.
-const awaitPause = 100 * time.Millisecond
--- a/internal/transport/sidecar/sidecar.go
+++ b/internal/transport/sidecar/sidecar.go
@@ -20,10 +20,8 @@
 
 	"github.com/filbertlever/filbertlever/internal/coordination/catalog"
 	"github.com/filbertlever/filbertlever/internal/coordination/fleet"
-	"github.com/filbertlever/filbertlever/internal/coordination/switchover"
 	"github.com/filbertlever/filbertlever/internal/transport/boottime"
 	"github.com/filbertlever/filbertlever/internal/transport/gateway"
-	"github.com/filbertlever/filbertlever/internal/transport/relay"
 )
 
 // Report is a model server's own report.
@@ -73,16 +71,6 @@
 	viewEvery = 3 * time.Second
 	// viewTimeout bounds the reading of a view.
 	viewTimeout = time.Second
-	// quietBefore is how long before a load order entries are told to send
-	// nothing more, so that the batch is short when the order comes.
-	quietBefore = 250 * time.Millisecond
-	// parallel is how many pieces are fetched at once: enough to keep the
-	// host's link full over the delay between two.
-	parallel = 4
-	// loadMost bounds the waiting for a load to end before it is looked at anew.
-	loadMost = 6 * time.Second
-	// retryPause is the pause after a failed step of a load.
-	retryPause = 200 * time.Millisecond
 	// storeEvery bounds how often the store is asked for entries.
 	storeEvery = 2 * time.Second
 )
@@ -99,17 +87,18 @@
 	// wake is signalled when an entry tells of a newer view.
 	wake chan struct{}
 
-	mu        sync.Mutex
-	entries   []gateway.Entry
-	views     map[string]uint64
-	viewed    gateway.View
-	viewedAt  time.Duration
-	hasView   bool
-	askedAt   time.Duration
+	mu       sync.Mutex
+	entries  []gateway.Entry
+	views    map[string]uint64
+	viewed   gateway.View
+	viewedAt time.Duration
+	hasView  bool
+	askedAt  time.Duration
+	// switching is true while entries should send nothing here.
 	switching bool
-	loading   bool
 	report    Report
 	hasReport bool
+	models    map[string]*weights
 	// pieces holds what was fetched, by digest, so that versions share pieces.
 	pieces map[string][]byte
 }
@@ -142,11 +131,12 @@
 	registry.MustRegister(m.loads, m.fetched, m.corrupt, m.seconds)
 	s := &Sidecar{
 		config: config, engine: engine, lister: lister, client: client, socket: socket, log: log, metrics: m,
-		wake: make(chan struct{}, 1), views: map[string]uint64{}, pieces: map[string][]byte{},
+		wake: make(chan struct{}, 1), views: map[string]uint64{}, models: map[string]*weights{}, pieces: map[string][]byte{},
 	}
 	go s.runReports(ctx)
 	go s.runDatagrams(ctx)
 	go s.runViews(ctx)
+	go s.runWeights(ctx)
 	return s
 }
 
@@ -168,7 +158,6 @@
 		s.mu.Unlock()
 		if err == nil {
 			s.tell()
-			s.consider(ctx)
 		}
 		select {
 		case <-ctx.Done():
@@ -341,29 +330,6 @@
 	return view, nil
 }
 
-// consider starts a load if the server lacks a wanted version.
-func (s *Sidecar) consider(ctx context.Context) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.loading || !s.hasView || s.report.Loading {
-		return
-	}
-	for _, wanted := range s.viewed.Named {
-		if held(s.report.Models, wanted.Model) >= wanted.Version {
-			continue
-		}
-		s.loading = true
-		job := load{
-			agent: s, named: catalog.NamedVersion{Model: wanted.Model, Version: wanted.Version},
-			empty: held(s.report.Models, wanted.Model) == 0,
-			since: s.viewedAt - wanted.Age,
-			turn:  switchover.DefaultConfig(s.config.Bound).Turn(s.viewed.Place, s.viewed.Count),
-		}
-		go job.run(ctx)
-		return
-	}
-}
-
 // held returns the version of a model that a server holds, 0 for none.
 func held(models []catalog.Model, name string) uint64 {
 	for _, model := range models {
@@ -374,18 +340,6 @@
 	return 0
 }
 
-// wanted returns the version of a model that is wanted now.
-func (s *Sidecar) wanted(model string) uint64 {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for _, named := range s.viewed.Named {
-		if named.Model == model {
-			return named.Version
-		}
-	}
-	return 0
-}
-
 func (s *Sidecar) setSwitching(on bool) {
 	s.mu.Lock()
 	s.switching = on
@@ -405,25 +359,10 @@
 	return near, s.entries
 }
 
-// verified returns a piece fetched earlier.
+// piece returns a piece fetched earlier.
 func (s *Sidecar) piece(digest string) ([]byte, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	data, ok := s.pieces[digest]
 	return data, ok
 }
-
-// keepOnly drops pieces that a manifest does not list.
-func (s *Sidecar) keepOnly(manifest *relay.Manifest) {
-	wanted := make(map[string]bool, len(manifest.Digests))
-	for _, digest := range manifest.Digests {
-		wanted[digest] = true
-	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for digest := range s.pieces {
-		if !wanted[digest] {
-			delete(s.pieces, digest)
-		}
-	}
-}
