--- /dev/null
+++ b/internal/coordination/admission/entry_test.go
@@ -0,0 +1,108 @@
+package admission
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+func newRng() *rand.Rand { return rand.New(rand.NewPCG(3, 4)) }
+
+// Kinds with a short goal are refused most while all engines are full, and a
+// kind's callers think the system is down. The gate looks at places alone.
+func TestTheGateTreatsAllKindsAlike(t *testing.T) {
+	c := qt.New(t)
+	gate := DefaultEntryGate()
+	for _, predicted := range []time.Duration{90 * time.Millisecond, 250 * time.Millisecond} {
+		admitted, _ := gate.Admit(1, predicted, 6*time.Second, newRng())
+		c.Assert(admitted, qt.IsTrue)
+		admitted, _ = gate.Admit(2, predicted, 6*time.Second, newRng())
+		c.Assert(admitted, qt.IsFalse)
+	}
+}
+
+// A request that cannot be answered in the time it has left is refused at once,
+// also if a place is free.
+func TestWhatCannotEndIsRefusedAtOnce(t *testing.T) {
+	admitted, retry := DefaultEntryGate().Admit(-5, time.Second, time.Second, newRng())
+	qt.Assert(t, admitted, qt.IsFalse)
+	qt.Assert(t, retry > 0, qt.IsTrue)
+}
+
+// Callers refused together come back together and are refused again. Their
+// times are spread, and soon enough that an answer can still be in time.
+func TestRefusedCallersComeBackSpreadAndSoon(t *testing.T) {
+	c := qt.New(t)
+	rng := newRng()
+	seen := map[time.Duration]bool{}
+	for range 50 {
+		_, retry := DefaultEntryGate().Admit(2, 200*time.Millisecond, 6*time.Second, rng)
+		c.Assert(retry >= earliestReturn && retry <= 2*earliestReturn, qt.IsTrue)
+		seen[retry] = true
+	}
+	c.Assert(len(seen) > 40, qt.IsTrue)
+}
+
+// While weights load, callers are told to come back when they are there, not
+// before and not all in the same moment.
+func TestComeBackWhenTheWeightsAreThere(t *testing.T) {
+	c := qt.New(t)
+	rng := newRng()
+	for range 50 {
+		retry := ReturnWhenReady(1800*time.Millisecond, rng)
+		c.Assert(retry >= 1800*time.Millisecond && retry <= 1800*time.Millisecond+readySpread, qt.IsTrue)
+	}
+	c.Assert(ReturnWhenReady(0, rng) >= readyUnknown, qt.IsTrue)
+}
+
+// The load of a day on which 270 streams a second meet 16 engines that can run
+// 190: one region of 6 engines with 16 places, its 3 entries that know each
+// other's requests. Callers get 1.34 s answers from 16 places, so 72 a second
+// can be served; with the gate nearly all of those begin with at most one
+// request ahead, without it every queue grows until the deadline.
+func TestOverloadIsRefusedAndTheRestIsInTime(t *testing.T) {
+	c := qt.New(t)
+	rng := newRng()
+	const engines, places, perSecond, seconds = 6, 16, 101, 20
+	const service = 1340 * time.Millisecond
+	run := func(gate EntryGate) (inTime, late int) {
+		var ends [engines][]time.Duration
+		for i := range perSecond * seconds {
+			now := time.Duration(i) * time.Second / perSecond
+			best, fewest := 0, 1<<30
+			for e := range ends {
+				live := ends[e][:0]
+				for _, end := range ends[e] {
+					if end > now {
+						live = append(live, end)
+					}
+				}
+				ends[e] = live
+				if len(live) < fewest {
+					best, fewest = e, len(live)
+				}
+			}
+			ahead := fewest + 1 - places
+			wait := time.Duration(max(ahead, 0)) * service / places
+			if ok, _ := gate.Admit(ahead, 130*time.Millisecond+wait, 6*time.Second, rng); !ok {
+				continue
+			}
+			length := time.Duration(rng.ExpFloat64() * float64(service))
+			ends[best] = append(ends[best], now+wait+length)
+			if 130*time.Millisecond+wait <= 300*time.Millisecond {
+				inTime++
+			} else {
+				late++
+			}
+		}
+		return inTime, late
+	}
+	inTime, late := run(DefaultEntryGate())
+	openInTime, openLate := run(EntryGate{Waiting: 1 << 20, LateShare: 1})
+	t.Logf("with the gate %d in time, %d late; without %d and %d", inTime, late, openInTime, openLate)
+	c.Assert(late, qt.Equals, 0)
+	c.Assert(inTime > 5*openInTime, qt.IsTrue)
+	c.Assert(float64(inTime) > 0.85*72*seconds, qt.IsTrue)
+}
--- a/internal/coordination/fleet/fleet.go
+++ b/internal/coordination/fleet/fleet.go
@@ -424,6 +424,31 @@
 	return counts
 }
 
+// chooseSuspected picks among servers that failed lately.
+//
+// Guard: if all servers of a service fail some of their requests, all are under
+// suspicion most of the time, and every request would be refused though most
+// would be answered.
+func (f *Fleet) chooseSuspected(router *routing.Router, service string, wanted *routing.Request, now time.Duration) routing.Choice {
+	var suspected []string
+	for id := range f.wobbly {
+		s, ok := f.servers[id]
+		fit := ok && s.backend.Service == service && s.missingSince == 0 && now >= s.switchingUntil
+		if fit && f.table.Fit(filbertlever.HostID(id), f.at(now)) {
+			suspected = append(suspected, id)
+			router.SetHost(f.host(s.backend), true)
+		}
+	}
+	choice := routing.Choice{Reason: routing.ReasonNone}
+	if len(suspected) > 0 {
+		choice = router.Choose(wanted)
+	}
+	for _, id := range suspected {
+		f.place(id, now)
+	}
+	return choice
+}
+
 // SetCounts takes how many requests another entry has at each server; nil if
 // the entry is gone.
 func (f *Fleet) SetCounts(entry filbertlever.HostID, counts map[string]int, now time.Duration) {
@@ -462,7 +487,11 @@
 	default:
 		target = modelTarget(request.Model)
 	}
-	choice := router.Choose(&routing.Request{Target: target, PromptTokens: request.PromptTokens, Avoid: request.Avoid, Now: now})
+	wanted := &routing.Request{Target: target, PromptTokens: request.PromptTokens, Avoid: request.Avoid, Now: now}
+	choice := router.Choose(wanted)
+	if choice.Host == "" {
+		choice = f.chooseSuspected(router, request.Service, wanted, now)
+	}
 	s, ok := f.servers[string(choice.Host)]
 	if !ok {
 		return Placement{Reason: choice.Reason, Weighed: choice.Weighed, ReadyIn: f.readyIn(request, now)}
--- a/internal/coordination/membership/membership.go
+++ b/internal/coordination/membership/membership.go
@@ -160,17 +160,24 @@
 	return t.pick(func(m *member) bool { return m.host.Role == role && t.usable(m, now) })
 }
 
+// Fit reports whether the host would be usable but for a suspicion.
+func (t *Table) Fit(id filbertlever.HostID, now time.Time) bool {
+	m, ok := t.members[id]
+	return ok && t.fit(m, now)
+}
+
 func (t *Table) usable(m *member, now time.Time) bool {
+	return t.fit(m, now) && !now.Before(m.suspectUntil)
+}
+
+func (t *Table) fit(m *member, now time.Time) bool {
 	if m.host.ID == "" || m.host.Leaving {
 		return false
 	}
 	if m.left != "" && m.left == m.incarnation {
 		return false
 	}
-	if !m.listed && now.Sub(m.seen) > t.config.Provisional {
-		return false
-	}
-	return !now.Before(m.suspectUntil)
+	return m.listed || now.Sub(m.seen) <= t.config.Provisional
 }
 
 func (t *Table) pick(want func(*member) bool) []filbertlever.Host {
