Find silent servers by their answers; ask entries for the view side by side

A server with requests that sends no part of any answer for 0.6 s gets no more, and its waiting requests go on elsewhere after 1.5 goals in place of 4. Views are asked for from the next entry after 60 ms.

--- a/internal/coordination/fleet/fleet.go
+++ b/internal/coordination/fleet/fleet.go
@@ -35,6 +35,10 @@
 	// SwitchMost is how long a server may be switching weights before a missing
 	// end of it is taken for a lost report.
 	SwitchMost time.Duration
+	// EngineStall and PlainStall are the silences after which a server with
+	// requests gets no more.
+	EngineStall time.Duration
+	PlainStall  time.Duration
 	// LapseGrace is how long after the store's return a missing entry may be one
 	// that lapsed while the store was away and comes back.
 	LapseGrace time.Duration
@@ -51,8 +55,12 @@
 		// Orders and lookups take 15 to 30 ms at their servers.
 		PlainService: 30 * time.Millisecond,
 		ReportFresh:  2 * time.Second,
-		SwitchMost:   4 * time.Second,
-		LapseGrace:   2200 * time.Millisecond,
+		// The first event of one request in a full engine's queue takes 0.5 s at
+		// most; work at plain servers 110 ms at most.
+		EngineStall: 600 * time.Millisecond,
+		PlainStall:  300 * time.Millisecond,
+		SwitchMost:  4 * time.Second,
+		LapseGrace:  2200 * time.Millisecond,
 	}
 }
 
@@ -95,8 +103,11 @@
 	backend catalog.Backend
 	// own is how many requests of this entry the server has now, and others how
 	// many each other entry says that it has there.
-	own    int
-	others map[filbertlever.HostID]int
+	own int
+	// progressAt is when a part of an answer last came, or the first of the
+	// present requests was sent.
+	progressAt time.Duration
+	others     map[filbertlever.HostID]int
 	// load is what the server itself reported last.
 	load Load
 	// reported are the models by the server's own report, at reportedAt.
@@ -107,6 +118,8 @@
 	loadedAt time.Duration
 	// switchingUntil is when the server is taken to have ended its switch.
 	switchingUntil time.Duration
+	// placedUsable is what the router was told last.
+	placedUsable bool
 	// missingSince is when the list first lacked the server; 0 if it is listed.
 	missingSince time.Duration
 }
@@ -126,6 +139,8 @@
 	named map[string][]uint64
 	// wobbly are servers whose fitness changes with time alone.
 	wobbly map[string]bool
+	// active are servers with requests of this entry, which may fall silent.
+	active map[string]*server
 	// returned is when the store was last reached again after an absence.
 	returned time.Duration
 	epoch    time.Time
@@ -142,6 +157,7 @@
 		byAddress: map[string]string{},
 		named:     map[string][]uint64{},
 		wobbly:    map[string]bool{},
+		active:    map[string]*server{},
 		epoch:     time.Unix(0, 0),
 		returned:  -config.LapseGrace,
 	}
@@ -258,7 +274,8 @@
 		return
 	}
 	host := f.host(s.backend)
-	router.SetHost(host, f.usable(s, now))
+	s.placedUsable = f.usable(s, now)
+	router.SetHost(host, s.placedUsable)
 	router.SetLoaded(host.ID, f.targets(s, now))
 	f.count(s, now)
 }
@@ -308,7 +325,37 @@
 	if s.missingSince != 0 && now-f.returned >= f.config.LapseGrace {
 		return false
 	}
-	return now >= s.switchingUntil && f.table.Usable(filbertlever.HostID(s.backend.ID), f.at(now))
+	return now >= s.switchingUntil && !f.stalled(s, now) && f.table.Usable(filbertlever.HostID(s.backend.ID), f.at(now))
+}
+
+// stalled reports whether a server has requests and has been silent for longer
+// than any sound one is.
+//
+// Guard: a host that stands still refuses nothing and breaks nothing off; until
+// the first of its requests is given up it looks idle, and more are sent to it.
+// A sound engine sends a part of some answer every tenth of a second.
+func (f *Fleet) stalled(s *server, now time.Duration) bool {
+	if s.own == 0 {
+		return false
+	}
+	limit := f.config.PlainStall
+	if f.state != nil && f.state.Services[s.backend.Service].Engine != nil {
+		limit = f.config.EngineStall
+	}
+	return now-s.progressAt > limit
+}
+
+// Stalled reports whether a server is silent; its requests are better elsewhere.
+func (f *Fleet) Stalled(id string, now time.Duration) bool {
+	s, ok := f.servers[id]
+	return ok && f.stalled(s, now)
+}
+
+// Progress notes that a part of an answer came from a server.
+func (f *Fleet) Progress(id string, now time.Duration) {
+	if s, ok := f.servers[id]; ok {
+		s.progressAt = now
+	}
 }
 
 // router returns the router of a service, or nil if the state lacks it.
@@ -496,7 +543,11 @@
 	if !ok {
 		return Placement{Reason: choice.Reason, Weighed: choice.Weighed, ReadyIn: f.readyIn(request, now)}
 	}
+	if s.own == 0 {
+		s.progressAt = now
+	}
 	s.own++
+	f.active[s.backend.ID] = s
 	age := time.Duration(-1)
 	if s.hasReport {
 		age = now - s.reportedAt
@@ -515,6 +566,11 @@
 func (f *Fleet) Ended(id string) {
 	if s, ok := f.servers[id]; ok {
 		s.own = max(s.own-1, 0)
+		if s.own == 0 {
+			delete(f.active, id)
+			// It can no longer be silent; the next look tells whether it is fit.
+			f.wobbly[id] = true
+		}
 		if router := f.router(s.backend.Service); router != nil {
 			router.Ended(filbertlever.HostID(id))
 		}
@@ -584,8 +640,23 @@
 	}
 }
 
+// setUsable tells the router whether a server is usable, if that has changed.
+func (f *Fleet) setUsable(s *server, now time.Duration) {
+	usable := f.usable(s, now)
+	if usable == s.placedUsable {
+		return
+	}
+	if router := f.router(s.backend.Service); router != nil {
+		s.placedUsable = usable
+		router.SetHost(f.host(s.backend), usable)
+	}
+}
+
 // refresh takes note of what time alone has changed.
 func (f *Fleet) refresh(now time.Duration) {
+	for _, s := range f.active {
+		f.setUsable(s, now)
+	}
 	for id := range f.wobbly {
 		s, ok := f.servers[id]
 		if !ok {
@@ -597,7 +668,7 @@
 			continue
 		}
 		f.place(id, now)
-		if f.usable(s, now) && s.missingSince == 0 {
+		if s.missingSince == 0 && f.usable(s, now) {
 			delete(f.wobbly, id)
 		}
 	}
@@ -611,6 +682,7 @@
 	}
 	delete(f.servers, id)
 	delete(f.wobbly, id)
+	delete(f.active, id)
 	if f.byAddress[s.backend.Address] == id {
 		delete(f.byAddress, s.backend.Address)
 	}
--- a/internal/coordination/fleet/fleet_test.go
+++ b/internal/coordination/fleet/fleet_test.go
@@ -288,3 +288,21 @@
 	f.Choose(Request{Service: modelService, Model: model}, 0)
 	c.Assert(f.Choose(Request{Service: modelService, Model: model}, 0).Backend.ID, qt.Equals, "m2")
 }
+
+// A host stands still for seconds. It refuses nothing, and until the first of
+// its requests is given up, more and more callers wait there.
+func TestASilentServerGetsNoMoreRequests(t *testing.T) {
+	c := qt.New(t)
+	f := newFleet()
+	f.SetState(state(), 0)
+	f.Apply([]catalog.Backend{listed("m1", modelService, "10.0.0.1:1", 1), listed("m2", modelService, "10.0.0.2:1", 1)}, nil, true, 0)
+	f.SetCounts("entry-2", map[string]int{"m2": 15}, 0)
+	now := time.Second
+	wanted := Request{Service: modelService, Model: model}
+	c.Assert(f.Choose(wanted, now).Backend.ID, qt.Equals, "m1")
+	c.Assert(f.Choose(wanted, now+500*time.Millisecond).Backend.ID, qt.Equals, "m1")
+	c.Assert(f.Stalled("m1", now+700*time.Millisecond), qt.IsTrue)
+	c.Assert(f.Choose(wanted, now+700*time.Millisecond).Backend.ID, qt.Equals, "m2")
+	f.Progress("m1", now+800*time.Millisecond)
+	c.Assert(f.Choose(wanted, now+800*time.Millisecond).Backend.ID, qt.Equals, "m1")
+}
--- a/internal/transport/gateway/attempts.go
+++ b/internal/transport/gateway/attempts.go
@@ -23,6 +23,10 @@
 	// headGoals is how many goals a server may take to begin its answer before
 	// a request that may run again is sent elsewhere.
 	headGoals = 4
+	// stalledGoals and stalledEvery are when it is first looked, and how often
+	// then, whether the server sends nothing to anybody.
+	stalledGoals = 1.5
+	stalledEvery = 100 * time.Millisecond
 	// headLeast is the least of these times, so that a short goal does not
 	// send again what is merely queued.
 	headLeast = 400 * time.Millisecond
@@ -146,11 +150,9 @@
 	}()
 	ctx, cancel := context.WithCancel(a.ctx)
 	defer cancel()
-	watch := a.watchHead(cancel)
+	watch := a.watchHead(id, cancel)
 	reply, err := g.sender.Send(ctx, a.dispatch(placement))
-	if watch != nil {
-		watch.Stop()
-	}
+	watch.end()
 	if err != nil {
 		return a.sendFailed(id, err), nil
 	}
@@ -167,13 +169,55 @@
 	return a.relayWhole(id, reply), nil
 }
 
+// headWatch waits for the head of an answer.
+type headWatch struct {
+	attempts *attempts
+	backend  string
+	cancel   func()
+	done     chan struct{}
+}
+
 // watchHead ends the attempt if its server does not begin to answer in time,
 // for requests that another server may still run.
-func (a *attempts) watchHead(cancel func()) *time.Timer {
+func (a *attempts) watchHead(backend string, cancel func()) *headWatch {
 	if !a.Class.Repeatable || a.Sent()+1 >= a.Class.Servers || a.route.Goal <= 0 {
 		return nil
 	}
-	return time.AfterFunc(max(headGoals*a.route.Goal, headLeast), cancel)
+	w := &headWatch{attempts: a, backend: backend, cancel: cancel, done: make(chan struct{})}
+	go w.run()
+	return w
+}
+
+// run looks first after the time in which most answers begin, then often: a
+// server that sends nothing to anybody is given up sooner than one that is busy.
+func (w *headWatch) run() {
+	a := w.attempts
+	began := time.Now()
+	timer := time.NewTimer(max(time.Duration(stalledGoals*float64(a.route.Goal)), headLeast))
+	defer timer.Stop()
+	for {
+		select {
+		case <-w.done:
+			return
+		case <-timer.C:
+		}
+		g := a.gateway
+		g.mu.Lock()
+		stalled := g.fleet.Stalled(w.backend, boottime.Now())
+		g.mu.Unlock()
+		if stalled || time.Since(began) >= max(headGoals*a.route.Goal, headLeast) {
+			w.cancel()
+			return
+		}
+		timer.Reset(stalledEvery)
+	}
+}
+
+// end stops the watch; nil watches nothing.
+func (w *headWatch) end() {
+	if w != nil {
+		close(w.done)
+	}
 }
 
 func (a *attempts) dispatch(placement fleet.Placement) *Dispatch {
@@ -230,7 +274,9 @@
 	}
 	g := a.gateway
 	g.mu.Lock()
-	g.fleet.Answered(id, boottime.Now())
+	now := boottime.Now()
+	g.fleet.Answered(id, now)
+	g.fleet.Progress(id, now)
 	g.mu.Unlock()
 	return 0
 }
--- a/internal/transport/gateway/stream.go
+++ b/internal/transport/gateway/stream.go
@@ -47,8 +47,8 @@
 	reader := bufio.NewReaderSize(reply.Body, 4<<10)
 	for first := true; ; first = false {
 		event, err := readEvent(reader)
-		if first && err == nil {
-			a.observe(id)
+		if err == nil {
+			a.observe(id, first)
 		}
 		if quiet != nil {
 			quiet.Reset(a.quietTime())
@@ -69,13 +69,16 @@
 	}
 }
 
-// observe tells the placement how long a server took to its first event.
-func (a *attempts) observe(id string) {
+// observe tells the placement that an event came, and how long the first took.
+func (a *attempts) observe(id string, first bool) {
 	g := a.gateway
 	now := boottime.Now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.fleet.Observe(id, a.last.Predicted, now-a.placedAt, now)
+	g.fleet.Progress(id, now)
+	if first {
+		g.fleet.Observe(id, a.last.Predicted, now-a.placedAt, now)
+	}
 }
 
 // beginStream sends the head of the first server's answer, which stays.
--- a/internal/transport/sidecar/sidecar.go
+++ b/internal/transport/sidecar/sidecar.go
@@ -260,32 +260,70 @@
 
 var errNoEntry = errors.New("no entry answers")
 
+// hedgePause is how long one entry is given before the next is asked too. One
+// without power answers nothing, and waiting for it would put off a load.
+const hedgePause = 60 * time.Millisecond
+
+// fetched is an entry's answer.
+type fetched struct {
+	address string
+	view    gateway.View
+	err     error
+}
+
 // refreshView reads the view from the first entry that answers, those of the
-// own site first.
+// own site asked first.
 func (s *Sidecar) refreshView(ctx context.Context) error {
-	for _, address := range s.viewAddresses(ctx) {
-		view, err := s.fetchView(ctx, address)
-		if err != nil {
-			s.log.Debug("view not read", zap.String("Entry", address), zap.Error(err))
-			continue
-		}
-		now := boottime.Now()
-		s.mu.Lock()
-		s.viewed, s.viewedAt, s.hasView = view, now, true
-		if len(view.Entries) > 0 {
-			s.entries = view.Entries
-		}
-		for _, entry := range view.Entries {
-			if entry.Peers == address {
-				s.views[entry.Datagrams] = view.Revision
+	ctx, cancel := context.WithTimeout(ctx, viewTimeout)
+	defer cancel()
+	addresses := s.viewAddresses(ctx)
+	answers := make(chan fetched, len(addresses))
+	asked, ended := 0, 0
+	next := time.NewTimer(0)
+	defer next.Stop()
+	for ended < len(addresses) {
+		select {
+		case <-ctx.Done():
+			return errNoEntry
+		case <-next.C:
+			if asked < len(addresses) {
+				go s.runFetch(ctx, addresses[asked], answers)
+				asked++
+				next.Reset(hedgePause)
+			}
+		case answer := <-answers:
+			ended++
+			if answer.err == nil {
+				s.setView(answer)
+				return nil
 			}
+			s.log.Debug("view not read", zap.String("Entry", answer.address), zap.Error(answer.err))
+			next.Reset(0)
 		}
-		s.mu.Unlock()
-		return nil
 	}
 	return errNoEntry
 }
 
+func (s *Sidecar) runFetch(ctx context.Context, address string, answers chan<- fetched) {
+	view, err := s.fetchView(ctx, address)
+	answers <- fetched{address: address, view: view, err: err}
+}
+
+func (s *Sidecar) setView(answer fetched) {
+	now := boottime.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.viewed, s.viewedAt, s.hasView = answer.view, now, true
+	if len(answer.view.Entries) > 0 {
+		s.entries = answer.view.Entries
+	}
+	for _, entry := range answer.view.Entries {
+		if entry.Peers == answer.address {
+			s.views[entry.Datagrams] = answer.view.Revision
+		}
+	}
+}
+
 // viewAddresses returns the peer addresses to ask, in order.
 func (s *Sidecar) viewAddresses(ctx context.Context) []string {
 	s.mu.Lock()
@@ -320,8 +358,6 @@
 }
 
 func (s *Sidecar) fetchView(ctx context.Context, address string) (gateway.View, error) {
-	ctx, cancel := context.WithTimeout(ctx, viewTimeout)
-	defer cancel()
 	values := url.Values{"Service": {s.config.Service}, "Address": {s.config.Address}}
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+gateway.PathView+"?"+values.Encode(), nil)
 	if err != nil {
