--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 STATICCHECK := honnef.co/go/tools/cmd/staticcheck@v0.8.2
 BIN := bin
 
-.PHONY: help build demo check fmt vet lint test layers docs docs-check generate guards matrix fuzz bench-weights bench-requests bench-control
+.PHONY: help build demo platform-demo check fmt vet lint test layers docs docs-check generate guards matrix fuzz bench-weights bench-requests bench-control
 
 help: ## list the jobs
 	@awk -F': .*## ' '/^[a-z-]+:.*## / {printf "%-14s %s\n", $$1, $$2}' $(MAKEFILE_LIST)
@@ -14,6 +14,9 @@
 demo: ## start the whole path on this machine and show it
 	@scripts/demo.sh
 
+platform-demo: ## show the path on the users' platform, against its stand-in
+	@scripts/platform-demo.sh
+
 check: fmt vet lint build layers docs-check test ## everything that CI checks
 
 fmt: ## fail if a file is not formatted
--- /dev/null
+++ b/cmd/filbertlever-standin/installation.go
@@ -0,0 +1,73 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"time"
+
+	"github.com/filbertlever/filbertlever/platform/standin"
+)
+
+// usersPlatformCommand stands in for the users' platform: its store, model
+// servers that start empty, a plain server and the origin of weights.
+type usersPlatformCommand struct {
+	Store  string   `required:"" help:"IP:port of the store."`
+	Origin string   `required:"" help:"IP:port of the origin of weights."`
+	Models []string `required:"" help:"IP:port of each model server."`
+	Plain  []string `required:"" help:"IP:port of each plain server."`
+	// Control sits beside the store, so that a person can play the operator.
+	Control string `required:"" help:"IP:port to name versions on: POST /version?model=drafter&version=2."`
+}
+
+// What the stand-in's desired state holds.
+const (
+	standinHost  = "portal.example"
+	standinKey   = "key-of-hauler-1"
+	standinModel = "drafter"
+)
+
+// Run serves all parts until ctx ends.
+func (c *usersPlatformCommand) Run(ctx context.Context) error {
+	store := standin.NewStore()
+	origin := standin.NewOrigin(64, 32<<10)
+	if err := store.Put("op", "config", standin.DesiredState(standinHost, standinKey, standinModel, c.Origin)); err != nil {
+		return err
+	}
+	servers := []*http.Server{
+		{Addr: c.Store, Handler: store}, {Addr: c.Origin, Handler: origin},
+		{Addr: c.Control, Handler: standin.OperatorHandler(store)},
+	}
+	for i, address := range c.Models {
+		server := standin.NewServer(fmt.Sprintf("model-%d", i+1))
+		server.Events, server.Pause = 20, 40*time.Millisecond
+		servers = append(servers, &http.Server{Addr: address, Handler: server})
+		go (&standin.Heartbeat{Store: store, Server: server, Service: "models", Address: address}).Run(ctx)
+	}
+	for i, address := range c.Plain {
+		server := standin.NewServer(fmt.Sprintf("plain-%d", i+1))
+		servers = append(servers, &http.Server{Addr: address, Handler: server})
+		go (&standin.Heartbeat{Store: store, Server: server, Service: "orders", Address: address}).Run(ctx)
+	}
+	failed := make(chan error, len(servers))
+	for _, server := range servers {
+		go (&serving{server: server, failed: failed}).run()
+	}
+	defer closeAll(servers)
+	select {
+	case <-ctx.Done():
+		return nil
+	case err := <-failed:
+		if errors.Is(err, http.ErrServerClosed) {
+			return nil
+		}
+		return err
+	}
+}
+
+func closeAll(servers []*http.Server) {
+	for _, server := range servers {
+		_ = server.Close()
+	}
+}
--- a/cmd/filbertlever-standin/main.go
+++ b/cmd/filbertlever-standin/main.go
@@ -18,9 +18,10 @@
 )
 
 type arguments struct {
-	Platform platformCommand `cmd:"" help:"Table service, object store, host list, origin and weight store."`
-	Engine   engineCommand   `cmd:"" help:"A model engine."`
-	Service  serviceCommand  `cmd:"" help:"A plain service."`
+	Platform platformCommand      `cmd:"" help:"Table service, object store, host list, origin and weight store."`
+	Engine   engineCommand        `cmd:"" help:"A model engine."`
+	Service  serviceCommand       `cmd:"" help:"A plain service."`
+	Users    usersPlatformCommand `cmd:"" name:"users-platform" help:"The users' platform: store, model and plain servers, origin."`
 }
 
 type listen struct {
--- a/internal/transport/logsink/logsink.go
+++ b/internal/transport/logsink/logsink.go
@@ -57,7 +57,9 @@
 			// A log that cannot be written has nowhere to say so.
 			_, _ = s.out.Write(batch)
 		case <-s.done:
-			_, _ = s.out.Write(s.gather(batch[:0]))
+			for batch = s.gather(batch[:0]); len(batch) > 0; batch = s.gather(batch[:0]) {
+				_, _ = s.out.Write(batch)
+			}
 			return
 		}
 	}
--- /dev/null
+++ b/internal/transport/logsink/logsink_test.go
@@ -0,0 +1,50 @@
+package logsink
+
+import (
+	"bytes"
+	"fmt"
+	"strings"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// stuck is an output that takes nothing until it is released.
+type stuck struct {
+	release chan struct{}
+	taken   bytes.Buffer
+}
+
+func (s *stuck) Write(p []byte) (int, error) {
+	<-s.release
+	return s.taken.Write(p)
+}
+
+// Requests hang because whoever reads the log does not. Lines beyond the queue
+// are dropped and counted, and writing one never waits.
+func TestAStuckOutputStopsNobody(t *testing.T) {
+	c := qt.New(t)
+	out := &stuck{release: make(chan struct{})}
+	sink, stop := New(out)
+	const lines = 2 * queueLines
+	for n := range lines {
+		written, err := fmt.Fprintf(sink, "line %d\n", n)
+		c.Assert(err, qt.IsNil)
+		c.Assert(written > 0, qt.IsTrue)
+	}
+	close(out.release)
+	stop()
+	kept := strings.Count(out.taken.String(), "\n")
+	c.Assert(int64(kept)+sink.Dropped(), qt.Equals, int64(lines))
+	c.Assert(sink.Dropped() > 0, qt.IsTrue)
+}
+
+// A process that stops must not lose its last lines.
+func TestStoppingFlushes(t *testing.T) {
+	c := qt.New(t)
+	var out bytes.Buffer
+	sink, stop := New(&out)
+	_, _ = sink.Write([]byte("last\n"))
+	stop()
+	c.Assert(out.String(), qt.Equals, "last\n")
+}
--- /dev/null
+++ b/internal/transport/relay/relay_test.go
@@ -0,0 +1,140 @@
+package relay
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"errors"
+	"net/http"
+	"net/http/httptest"
+	"sync/atomic"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/prometheus/client_golang/prometheus"
+	"go.uber.org/zap"
+
+	"github.com/filbertlever/filbertlever"
+	"github.com/filbertlever/filbertlever/internal/coordination/catalog"
+	"github.com/filbertlever/filbertlever/internal/coordination/relays"
+)
+
+var drafter = catalog.NamedVersion{Model: "drafter", Version: 1}
+
+// source is an origin of one piece.
+type source struct {
+	data   []byte
+	spoilt atomic.Int32
+	down   atomic.Bool
+	drawn  atomic.Int32
+}
+
+var errDown = errors.New("origin is down")
+
+func (s *source) Manifest(context.Context, string, catalog.NamedVersion) (Manifest, error) {
+	if s.down.Load() {
+		return Manifest{}, errDown
+	}
+	sum := sha256.Sum256(s.data)
+	return Manifest{Model: drafter.Model, Version: drafter.Version, Digests: []string{hex.EncodeToString(sum[:])}}, nil
+}
+
+func (s *source) Piece(context.Context, string, catalog.NamedVersion, int) ([]byte, error) {
+	if s.down.Load() {
+		return nil, errDown
+	}
+	s.drawn.Add(1)
+	if s.spoilt.Add(-1) >= 0 {
+		return []byte("spoilt"), nil
+	}
+	return s.data, nil
+}
+
+// alone is an installation of one entry.
+type alone struct{}
+
+func (alone) Origin() (address, site string, ok bool) { return "origin", "a", true }
+
+func (alone) Relays() ([]relays.Entry, map[filbertlever.HostID]string) {
+	return []relays.Entry{{Host: "e1", Site: "a"}}, map[filbertlever.HostID]string{"e1": "127.0.0.1:1"}
+}
+
+func newRelay(origin Origin) *Relay {
+	return New(relays.Entry{Host: "e1", Site: "a"}, alone{}, origin, &http.Client{}, zap.NewNop(), prometheus.NewRegistry())
+}
+
+// Many agents ask for one piece at the same moment; the origin's thin link must
+// carry it once.
+func TestAPieceIsDrawnOnceForAll(t *testing.T) {
+	c := qt.New(t)
+	origin := &source{data: []byte("weights")}
+	r := newRelay(origin)
+	results := make(chan error, 20)
+	for range 20 {
+		go func() {
+			_, err := r.Piece(context.Background(), drafter, 0)
+			results <- err
+		}()
+	}
+	for range 20 {
+		c.Assert(<-results, qt.IsNil)
+	}
+	c.Assert(origin.drawn.Load(), qt.Equals, int32(1))
+}
+
+// The origin sends a spoilt piece: it is drawn again and never passed on.
+func TestASpoiltPieceIsDrawnAgain(t *testing.T) {
+	c := qt.New(t)
+	origin := &source{data: []byte("weights")}
+	origin.spoilt.Store(1)
+	data, err := newRelay(origin).Piece(context.Background(), drafter, 0)
+	c.Assert(err, qt.IsNil)
+	c.Assert(string(data), qt.Equals, "weights")
+}
+
+// The origin is down for longer than a fetch tries. The next one that asks must
+// not be told of the old failure.
+func TestAFailureIsNotRemembered(t *testing.T) {
+	c := qt.New(t)
+	origin := &source{data: []byte("weights")}
+	origin.down.Store(true)
+	r := newRelay(origin)
+	_, err := r.Piece(context.Background(), drafter, 0)
+	c.Assert(err, qt.IsNotNil)
+	origin.down.Store(false)
+	_, err = r.Piece(context.Background(), drafter, 0)
+	c.Assert(err, qt.IsNil)
+}
+
+// A piece that the version does not have, and bad queries.
+func TestBadRequests(t *testing.T) {
+	c := qt.New(t)
+	mux := http.NewServeMux()
+	newRelay(&source{data: []byte("weights")}).Routes(mux)
+	for query, want := range map[string]int{
+		"?Model=drafter&Version=1&Piece=0": http.StatusOK,
+		"?Model=drafter&Version=1&Piece=9": http.StatusServiceUnavailable,
+		"?Model=drafter&Version=x&Piece=0": http.StatusBadRequest,
+		"?Model=drafter&Version=1&Piece=x": http.StatusBadRequest,
+	} {
+		w := httptest.NewRecorder()
+		mux.ServeHTTP(w, httptest.NewRequest(http.MethodGet, pathPiece+query, nil))
+		c.Check(w.Code, qt.Equals, want, qt.Commentf(query))
+	}
+}
+
+// One piece of 32 KiB that is held, from an entry to an agent.
+func BenchmarkServePiece(b *testing.B) {
+	r := newRelay(&source{data: make([]byte, 32<<10)})
+	mux := http.NewServeMux()
+	r.Routes(mux)
+	server := httptest.NewServer(mux)
+	defer server.Close()
+	address := server.Listener.Addr().String()
+	b.ReportAllocs()
+	for b.Loop() {
+		if _, err := FetchPiece(context.Background(), http.DefaultClient, address, drafter, 0); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
