--- a/internal/settings/reference.go
+++ b/internal/settings/reference.go
@@ -16,6 +16,8 @@
 	fmt.Fprintln(w, "\nDurations read like 250ms, sizes like 64MiB. Unknown fields are faults.")
 	fmt.Fprintln(w, "\n| field | type | default |\n| --- | --- | --- |")
 	writeFields(w, "", reflect.ValueOf(Defaults()))
+	fmt.Fprintln(w, "\n## On the users' platform\n\nFor `filbertlever installation`.\n\n| field | type | default |\n| --- | --- | --- |")
+	writeFields(w, "", reflect.ValueOf(DefaultInstallation()))
 	for _, use := range []Use{UseEntry, UseAgent, UseOperator} {
 		fmt.Fprintf(w, "\n## Example: %s\n\n```yaml\n%s```\n", use, Example(use))
 	}
@@ -28,7 +30,13 @@
 		switch field.Kind() {
 		case reflect.Struct:
 			writeFields(w, name, field)
+		case reflect.Map:
+			fmt.Fprintf(w, "| `%s` | map of %s | |\n", name, typeName(field.Type().Elem()))
 		case reflect.Slice:
+			if field.Type().Elem().Kind() != reflect.Struct {
+				fmt.Fprintf(w, "| `%s[]` | %s | |\n", name, typeName(field.Type().Elem()))
+				continue
+			}
 			writeFields(w, name+"[]", reflect.New(field.Type().Elem()).Elem())
 		default:
 			fmt.Fprintf(w, "| `%s` | %s | %s |\n", name, typeName(field.Type()), defaultText(field))
