One reader of the store a region; fewer messages between regions

One entry of a region now follows the store and the others follow it, with the age of its view; an entry whose reader is gone, cut off or too old asks the store itself. Heartbeats and counts to other regions go less often the more entries there are, agents' reports each 5 s.

--- a/internal/transport/gateway/datagrams.go
+++ b/internal/transport/gateway/datagrams.go
@@ -34,7 +34,6 @@
 	Entry Entry
 	Ready bool
 	Named []NamedAge
-	Counts
 }
 
 // Counts tells how many requests an entry has at each backend server.
@@ -107,7 +106,6 @@
 	defer g.mu.Unlock()
 	if d.Beat != nil && d.Beat.Entry.Host != g.config.Self.Host {
 		g.peers.hear(d.Beat.Entry, d.Beat.Ready, now)
-		g.takeCounts(&d.Beat.Counts, now)
 		for _, n := range d.Beat.Named {
 			if n.Known {
 				g.heardNamed(n.Model, n.Version, n.Age, now)
@@ -145,8 +143,8 @@
 func (g *Gateway) runHeartbeat(ctx context.Context) {
 	ticker := time.NewTicker(beatEvery)
 	defer ticker.Stop()
-	for {
-		g.beat(boottime.Now())
+	for turn := 0; ; turn++ {
+		g.beat(boottime.Now(), turn%farBeats == 0)
 		select {
 		case <-ctx.Done():
 			return
@@ -155,15 +153,15 @@
 	}
 }
 
-// beat tells the other entries that this one lives.
-func (g *Gateway) beat(now time.Duration) {
+// beat tells the other entries of the region, or all, that this one lives.
+func (g *Gateway) beat(now time.Duration, all bool) {
 	ready := g.Ready()
 	g.mu.Lock()
 	for _, host := range g.peers.silent(now) {
 		g.fleet.SetCounts(host, nil, now)
 	}
-	addresses := g.peers.addresses(false)
-	beat := &Beat{Entry: g.config.Self, Ready: ready, Named: g.namedAges(now), Counts: g.counts(now)}
+	addresses := g.peers.addresses(!all)
+	beat := &Beat{Entry: g.config.Self, Ready: ready, Named: g.namedAges(now)}
 	g.mu.Unlock()
 	g.sendAll(Datagram{Beat: beat}, addresses)
 }
@@ -183,36 +181,57 @@
 	return Counts{From: g.config.Self.Host, Sequence: int64(now), Requests: g.fleet.Counts()}
 }
 
-// countsEvery is how often an entry tells those of its region what it has at
-// each server, if that has changed. A server takes about 12 requests a second,
-// so this leaves a third of a request unknown, where reports of the servers alone,
-// 0.3 s old, leave four.
-const countsEvery = 25 * time.Millisecond
-
-// farTurns is how many turns of counts pass between two that go to entries of
-// other regions too, which send here only what their own servers cannot take.
-const farTurns = 5
+// How often an entry tells the others what it has at each server, if that has
+// changed. A server takes about 12 requests a second, so 25 ms leave a third of a
+// request unknown, where reports of the servers alone, 0.3 s old, leave four.
+const (
+	countsEvery = 25 * time.Millisecond
+	// nearShare is how many other entries of the region add one such period.
+	nearShare = 8
+	// farEach is what each entry of other regions adds to the period there: they
+	// send here only what their own servers cannot take. 42 entries that told
+	// all others every 125 ms made 174 MB in 34 s.
+	farEach = 24 * time.Millisecond
+)
 
+// runCounts tells what has changed, less often the more entries there are.
 func (g *Gateway) runCounts(ctx context.Context) {
 	ticker := time.NewTicker(countsEvery)
 	defer ticker.Stop()
-	var last map[string]int
-	for turn := 0; ; turn++ {
+	var lastNear, lastFar map[string]int
+	var nearAt, farAt time.Duration
+	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
 		}
+		now := boottime.Now()
 		g.mu.Lock()
-		counts := g.counts(boottime.Now())
-		addresses := g.peers.addresses(turn%farTurns != 0)
+		near, far := g.peers.near()
+		counts := g.counts(now)
 		g.mu.Unlock()
-		if maps.Equal(last, counts.Requests) {
-			continue
+		if now-nearAt >= countsEvery*time.Duration(near/nearShare) && !maps.Equal(lastNear, counts.Requests) {
+			lastNear, nearAt = counts.Requests, now
+			g.sendCounts(&counts, true)
 		}
-		last = counts.Requests
-		g.sendAll(Datagram{Counts: &counts}, addresses)
+		if now-farAt >= farEach*time.Duration(far) && !maps.Equal(lastFar, counts.Requests) {
+			lastFar, farAt = counts.Requests, now
+			g.sendCounts(&counts, false)
+		}
+	}
+}
+
+// sendCounts sends counts to the entries of the region, or to those elsewhere.
+func (g *Gateway) sendCounts(counts *Counts, near bool) {
+	g.mu.Lock()
+	addresses := g.peers.addresses(true)
+	if !near {
+		all := g.peers.addresses(false)
+		addresses = slices.DeleteFunc(all, func(address string) bool { return slices.Contains(addresses, address) })
 	}
+	g.mu.Unlock()
+	g.sendAll(Datagram{Counts: counts}, addresses)
 }
 
 func (g *Gateway) namedAges(now time.Duration) []NamedAge {
@@ -238,6 +257,7 @@
 func (g *Gateway) PeerRoutes(mux *http.ServeMux) {
 	g.relay.Routes(mux)
 	mux.HandleFunc("GET "+PathView, g.serveView)
+	mux.HandleFunc("GET "+PathFeed, g.serveFeed)
 }
 
 func (g *Gateway) serveView(w http.ResponseWriter, r *http.Request) {
--- a/internal/transport/gateway/gateway.go
+++ b/internal/transport/gateway/gateway.go
@@ -66,6 +66,8 @@
 	log     *zap.Logger
 	metrics *metrics
 	socket  net.PacketConn
+	client  *http.Client
+	feeds   *feeds
 
 	state atomic.Pointer[catalog.State]
 	// confirmed is when the read was sent that last confirmed the state; 0 if
@@ -96,7 +98,7 @@
 	fleetConfig := fleet.DefaultConfig()
 	fleetConfig.Site, fleetConfig.Region, fleetConfig.Regions = config.Self.Site, config.Self.Region, config.Regions
 	g := &Gateway{
-		config: config, store: store, codec: codec, sender: sender, log: log, socket: socket,
+		config: config, store: store, codec: codec, sender: sender, log: log, socket: socket, client: client, feeds: newFeeds(),
 		metrics: newMetrics(registry), rng: rng, fleet: fleet.New(fleetConfig, rng), gate: admission.DefaultEntryGate(),
 		budgets: map[string]*retry.Window{}, peers: newPeers(config.Self, boottime.Now()), named: map[string][]named{},
 		stop: drain.New(drain.Config{Grace: config.Grace, Move: config.Leave}),
@@ -266,7 +268,7 @@
 	g.stop.Announce(time.Now())
 	g.mu.Unlock()
 	g.log.Info("leaving", zap.Int64("Running", g.running.Load()))
-	g.beat(boottime.Now())
+	g.beat(boottime.Now(), true)
 	go g.runUnregister(ctx)
 	ticker := time.NewTicker(leaveTick)
 	defer ticker.Stop()
--- a/internal/transport/gateway/peers.go
+++ b/internal/transport/gateway/peers.go
@@ -15,6 +15,12 @@
 	// beatMissed is the silence after which an entry is not named to callers:
 	// three heartbeats, since datagrams are lost now and then.
 	beatMissed = 1300 * time.Millisecond
+	// farBeats is how many heartbeats pass between two that go to other regions
+	// too, which only want to know who relays weights; farMissed is the silence
+	// there. All-to-all heartbeats of 42 entries were a third of all bytes
+	// between regions.
+	farBeats  = 5
+	farMissed = 5 * time.Second
 	// startTrust is how long after its start an entry takes the registered ones
 	// to be alive, until they can have been heard.
 	startTrust = 1500 * time.Millisecond
@@ -110,9 +116,18 @@
 	if known.heard == 0 {
 		return now-p.started < startTrust
 	}
+	if known.entry.Region != p.self.Region {
+		return now-known.heard < farMissed
+	}
 	return now-known.heard < beatMissed
 }
 
+// isReady reports whether an entry has said that it is ready.
+func (p *peers) isReady(host filbertlever.HostID) bool {
+	known, ok := p.known[host]
+	return ok && known.ready
+}
+
 // registered returns how many entries there are by the store's rows.
 func (p *peers) registered() int { return len(p.known) + 1 }
 
@@ -140,6 +155,19 @@
 	return addresses
 }
 
+// near returns how many other entries of the region there are, and far how many
+// elsewhere.
+func (p *peers) near() (near, far int) {
+	for _, known := range p.known {
+		if known.entry.Region == p.self.Region {
+			near++
+		} else {
+			far++
+		}
+	}
+	return near, far
+}
+
 // silent returns the entries that were heard once and are no longer.
 func (p *peers) silent(now time.Duration) []filbertlever.HostID {
 	var hosts []filbertlever.HostID
--- a/internal/transport/gateway/ports.go
+++ b/internal/transport/gateway/ports.go
@@ -92,10 +92,26 @@
 // ErrHistoryGone means that a feed can no longer go on from a revision.
 var ErrHistoryGone = errors.New("the history asked for is gone")
 
-// Desired is the desired state, or what has changed of it.
-type Desired struct {
+// Table names a table of the store by what it holds.
+type Table string
+
+// The tables.
+const (
+	TableDesired  Table = "Desired"
+	TableBackends Table = "Backends"
+	TableEntries  Table = "Entries"
+)
+
+// Rows are rows of a table as the store sent them.
+type Rows struct {
 	// Revision is that of the whole store.
 	Revision uint64
+	// Raw is opaque; it is empty if there are no rows.
+	Raw []byte
+}
+
+// Desired is the desired state, or what has changed of it.
+type Desired struct {
 	// State is nil if it has not changed.
 	State *catalog.State
 	Named []catalog.NamedVersion
@@ -103,9 +119,8 @@
 
 // Backends is the list of backend servers, or what has changed of it.
 type Backends struct {
-	Revision uint64
-	Present  []catalog.Backend
-	Gone     []string
+	Present []catalog.Backend
+	Gone    []string
 }
 
 // Entry is how an entry registers.
@@ -124,20 +139,19 @@
 
 // Entries is the list of entries, or what has changed of it.
 type Entries struct {
-	Revision uint64
-	Present  []Entry
-	Gone     []string
+	Present []Entry
+	Gone    []string
 }
 
-// Store is what an entry needs of the platform's store. Follow calls return
-// after wait at the latest, also if nothing has changed.
+// Store is what an entry needs of the platform's store. Follow returns after
+// wait at the latest, also if nothing has changed. Desired, Backends and Entries
+// decode rows that are newer than a revision.
 type Store interface {
-	ReadDesired(ctx context.Context) (Desired, error)
-	FollowDesired(ctx context.Context, after uint64, wait time.Duration) (Desired, error)
-	ReadBackends(ctx context.Context) (Backends, error)
-	FollowBackends(ctx context.Context, after uint64, wait time.Duration) (Backends, error)
-	ReadEntries(ctx context.Context) (Entries, error)
-	FollowEntries(ctx context.Context, after uint64, wait time.Duration) (Entries, error)
+	Read(ctx context.Context, table Table) (Rows, error)
+	Follow(ctx context.Context, table Table, after uint64, wait time.Duration) (Rows, error)
+	Desired(rows Rows, after uint64) (Desired, error)
+	Backends(rows Rows, after uint64) (Backends, error)
+	Entries(rows Rows, after uint64) (Entries, error)
 	Register(ctx context.Context, entry Entry) error
 	Unregister(ctx context.Context, entry Entry) error
 }
--- a/internal/transport/gateway/watch.go
+++ b/internal/transport/gateway/watch.go
@@ -14,8 +14,11 @@
 const (
 	// followWait is how long a feed waits for a change. The view is confirmed
 	// when it returns, so its age stays below twice this, well under the bound
-	// of keys, at 0.7 calls a second.
-	followWait = 1500 * time.Millisecond
+	// of keys, at one call a second.
+	followWait = time.Second
+	// entriesWait is longer: entries hear each other directly, and only learn of
+	// new ones here.
+	entriesWait = 6 * time.Second
 	// gather is how long changes are left to gather after one was heard, since
 	// they come in series and each answer is a call. All bounds of what is heard
 	// here are 2 s and more.
@@ -25,46 +28,101 @@
 	retryMost  = 800 * time.Millisecond
 )
 
-// watch keeps one table's view current: read is called for a whole view, and
-// follow for changes after it. Both return the new revision.
+// watch keeps one table's view current.
 type watch struct {
-	name   string
-	read   func(ctx context.Context, first bool) (uint64, error)
-	follow func(ctx context.Context, after uint64) (uint64, error)
+	gateway *Gateway
+	table   Table
+	wait    time.Duration
+	// apply takes rows newer than after; whole is true if they are all there are.
+	apply func(rows Rows, after uint64, whole, first bool) error
+	// confirmed takes the time at which the view was surely current; nil if
+	// nobody wants to know.
+	confirmed func(at time.Duration)
+
+	// revision is up to where the view is current; 0 if it must be read.
+	revision uint64
+	first    bool
+	lost     bool
 }
 
-func (g *Gateway) run(ctx context.Context, w watch) {
-	revision, first, lost := uint64(0), true, false
+// run reads the table and follows it until ctx ends.
+func (w *watch) run(ctx context.Context) {
+	w.first = true
 	pause := retryFirst
 	for ctx.Err() == nil {
-		var err error
-		next := revision
-		if revision == 0 {
-			next, err = w.read(ctx, first)
-		} else {
-			next, err = w.follow(ctx, revision)
-		}
-		if errors.Is(err, ErrHistoryGone) {
-			g.log.Warn("store dropped its history", zap.String("Table", w.name), zap.Uint64("Revision", revision))
-			revision = 0
-			continue
-		}
-		if err != nil {
-			if !lost && ctx.Err() == nil {
-				lost = true
-				g.log.Warn("store lost", zap.String("Table", w.name), zap.Error(err))
-			}
-			g.sleep(ctx, pause)
+		changed, err := w.turn(ctx)
+		switch {
+		case errors.Is(err, ErrHistoryGone):
+			w.gateway.log.Warn("store dropped its history", zap.String("Table", string(w.table)), zap.Uint64("Revision", w.revision))
+			w.revision = 0
+		case err != nil:
+			w.noteLost(ctx, err)
+			w.gateway.sleep(ctx, pause)
 			pause = min(2*pause, retryMost)
-			continue
-		}
-		if lost {
-			g.log.Info("store regained", zap.String("Table", w.name), zap.Uint64("Revision", next))
-		}
-		if changed := next != revision; changed && revision != 0 {
-			g.sleep(ctx, gather)
+		default:
+			w.noteRegained()
+			pause = retryFirst
+			if changed {
+				w.gateway.sleep(ctx, gather)
+			}
 		}
-		revision, first, lost, pause = next, false, false, retryFirst
+	}
+}
+
+// turn makes one call, to the store or to the region's reader.
+func (w *watch) turn(ctx context.Context) (changed bool, err error) {
+	g := w.gateway
+	if w.revision == 0 {
+		return false, w.readAll(ctx)
+	}
+	if rows, at, ok := g.followReader(ctx, w.table, w.revision); ok {
+		return len(rows.Raw) > 0, w.take(rows, at, false)
+	}
+	sent := boottime.Now()
+	rows, err := g.store.Follow(ctx, w.table, w.revision, w.wait)
+	if err != nil {
+		return false, err
+	}
+	g.feeds.publish(w.table, w.revision, rows, sent)
+	return len(rows.Raw) > 0, w.take(rows, sent, false)
+}
+
+func (w *watch) readAll(ctx context.Context) error {
+	g := w.gateway
+	sent := boottime.Now()
+	rows, err := g.store.Read(ctx, w.table)
+	if err != nil {
+		return err
+	}
+	g.feeds.restart(w.table, rows.Revision, sent)
+	return w.take(rows, sent, true)
+}
+
+// take applies rows that were surely all there were at a time.
+func (w *watch) take(rows Rows, at time.Duration, whole bool) error {
+	after := w.revision
+	if err := w.apply(rows, after, whole, w.first); err != nil {
+		return err
+	}
+	w.first = false
+	w.revision = max(w.revision, rows.Revision)
+	if w.confirmed != nil {
+		w.confirmed(at)
+	}
+	return nil
+}
+
+func (w *watch) noteLost(ctx context.Context, err error) {
+	if !w.lost && ctx.Err() == nil {
+		w.lost = true
+		w.gateway.log.Warn("store lost", zap.String("Table", string(w.table)), zap.Error(err))
+	}
+}
+
+func (w *watch) noteRegained() {
+	if w.lost {
+		w.lost = false
+		w.gateway.log.Info("store regained", zap.String("Table", string(w.table)), zap.Uint64("Revision", w.revision))
 	}
 }
 
@@ -80,37 +138,23 @@
 }
 
 func (g *Gateway) runDesired(ctx context.Context) {
-	apply := func(desired Desired, sent time.Duration, first bool) uint64 {
-		g.applyDesired(desired, first)
-		g.confirmed.Store(int64(sent))
-		return desired.Revision
-	}
-	g.run(ctx, watch{
-		name: "Desired",
-		read: func(ctx context.Context, first bool) (uint64, error) {
-			sent := boottime.Now()
-			desired, err := g.store.ReadDesired(ctx)
-			if err != nil {
-				return 0, err
-			}
-			return apply(desired, sent, first), nil
-		},
-		follow: func(ctx context.Context, after uint64) (uint64, error) {
-			sent := boottime.Now()
-			desired, err := g.store.FollowDesired(ctx, after, followWait)
-			if err != nil {
-				return 0, err
-			}
-			return apply(desired, sent, false), nil
-		},
-	})
+	w := &watch{gateway: g, table: TableDesired, wait: followWait, apply: g.applyDesired,
+		confirmed: func(at time.Duration) {
+			// The region's reader may be a little behind what was read directly.
+			g.confirmed.Store(max(g.confirmed.Load(), int64(at)))
+		}}
+	w.run(ctx)
 }
 
 // applyDesired puts a desired state in force.
 //
 // Guard: an answer of the store may arrive after a newer one, and the older
 // state must not come back; only a higher version is taken.
-func (g *Gateway) applyDesired(desired Desired, first bool) {
+func (g *Gateway) applyDesired(rows Rows, after uint64, _, first bool) error {
+	desired, err := g.store.Desired(rows, after)
+	if err != nil {
+		return err
+	}
 	now := boottime.Now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -118,84 +162,75 @@
 	if desired.State != nil && (old == nil || desired.State.Version > old.Version) {
 		g.fleet.SetState(desired.State, now)
 		g.state.Store(desired.State)
-		g.log.Info("desired state in force", zap.Uint64("Version", desired.State.Version), zap.Uint64("Revision", desired.Revision))
+		g.log.Info("desired state in force", zap.Uint64("Version", desired.State.Version), zap.Uint64("Revision", rows.Revision))
 	}
 	g.setNamed(desired.Named, first, now)
+	return nil
 }
 
 func (g *Gateway) runBackends(ctx context.Context) {
 	last := boottime.Now()
-	apply := func(backends Backends, whole bool) uint64 {
+	apply := func(rows Rows, after uint64, whole, _ bool) error {
+		backends, err := g.store.Backends(rows, after)
+		if err != nil {
+			return err
+		}
 		now := boottime.Now()
 		g.mu.Lock()
 		defer g.mu.Unlock()
-		if now-last > 2*followWait {
+		if now-last > absence {
 			g.fleet.StoreReturned(now)
 		}
 		last = now
-		g.fleet.Apply(backends.Present, backends.Gone, whole, now)
-		for _, b := range backends.Present {
-			g.log.Info("backend server listed", zap.String("Backend", b.ID), zap.String("Service", b.Service),
-				zap.String("Address", b.Address), zap.Bool("Leaving", b.Leaving), zap.Int("Models", len(b.Models)))
+		if whole || len(rows.Raw) > 0 {
+			g.fleet.Apply(backends.Present, backends.Gone, whole, now)
+			g.logBackends(backends)
 		}
-		for _, id := range backends.Gone {
-			g.log.Info("backend server gone", zap.String("Backend", id))
-		}
-		return backends.Revision
-	}
-	g.run(ctx, watch{
-		name: "Backends",
-		read: func(ctx context.Context, _ bool) (uint64, error) {
-			backends, err := g.store.ReadBackends(ctx)
-			if err != nil {
-				return 0, err
-			}
-			return apply(backends, true), nil
-		},
-		follow: func(ctx context.Context, after uint64) (uint64, error) {
-			backends, err := g.store.FollowBackends(ctx, after, followWait)
-			if err != nil {
-				return 0, err
-			}
-			return apply(backends, false), nil
-		},
-	})
+		return nil
+	}
+	w := &watch{gateway: g, table: TableBackends, wait: followWait, apply: apply}
+	w.run(ctx)
+}
+
+// absence is the time without an answer after which the store counts as having
+// been away: longer than two calls in a row take.
+const absence = 3 * time.Second
+
+func (g *Gateway) logBackends(backends Backends) {
+	for _, b := range backends.Present {
+		g.log.Info("backend server listed", zap.String("Backend", b.ID), zap.String("Service", b.Service),
+			zap.String("Address", b.Address), zap.Bool("Leaving", b.Leaving), zap.Int("Models", len(b.Models)))
+	}
+	for _, id := range backends.Gone {
+		g.log.Info("backend server gone", zap.String("Backend", id))
+	}
 }
 
 func (g *Gateway) runEntries(ctx context.Context) {
-	apply := func(entries Entries, whole bool) uint64 {
+	g.register(ctx)
+	apply := func(rows Rows, after uint64, whole, _ bool) error {
+		entries, err := g.store.Entries(rows, after)
+		if err != nil {
+			return err
+		}
 		g.mu.Lock()
 		defer g.mu.Unlock()
 		g.peers.list(entries.Present, entries.Gone, whole)
 		g.resizeBudgets()
-		return entries.Revision
-	}
-	registered := false
-	g.run(ctx, watch{
-		name: "Entries",
-		read: func(ctx context.Context, _ bool) (uint64, error) {
-			if !registered {
-				if err := g.store.Register(ctx, g.config.Self); err != nil {
-					return 0, err
-				}
-				registered = true
-			}
-			entries, err := g.store.ReadEntries(ctx)
-			if err != nil {
-				return 0, err
-			}
-			return apply(entries, true), nil
-		},
-		follow: func(ctx context.Context, after uint64) (uint64, error) {
-			entries, err := g.store.FollowEntries(ctx, after, entriesWait)
-			if err != nil {
-				return 0, err
-			}
-			return apply(entries, false), nil
-		},
-	})
+		return nil
+	}
+	w := &watch{gateway: g, table: TableEntries, wait: entriesWait, apply: apply}
+	w.run(ctx)
 }
 
-// entriesWait is longer than followWait: entries hear each other directly, and
-// only learn of new ones here.
-const entriesWait = 6 * time.Second
+// register writes this entry's row, until the store has taken it.
+func (g *Gateway) register(ctx context.Context) {
+	for pause := retryFirst; ctx.Err() == nil; pause = min(2*pause, retryMost) {
+		err := g.store.Register(ctx, g.config.Self)
+		if err == nil {
+			return
+		}
+		g.log.Warn("entry not registered", zap.Error(err))
+		g.sleep(ctx, pause)
+	}
+}
--- a/internal/transport/sidecar/sidecar.go
+++ b/internal/transport/sidecar/sidecar.go
@@ -70,7 +70,7 @@
 	// farTurns is how many reports pass between two that go to entries of other
 	// sites too: bytes between regions are scarce, and those entries count what
 	// they and others send.
-	farTurns = 5
+	farTurns = 25
 	// viewEvery is how often the view is read without being told of a change.
 	viewEvery = 3 * time.Second
 	// viewTimeout bounds the reading of a view.
