Reset what is given up; hosts whose agents fell silent come last

Given-up requests now end with a reset, which takes them back; the test saw an orderly end first. A server of the own region whose agent has missed three reports and which sends no answers gets nothing while there is another.

--- a/internal/coordination/fleet/fleet.go
+++ b/internal/coordination/fleet/fleet.go
@@ -39,6 +39,10 @@
 	// requests gets no more.
 	EngineStall time.Duration
 	PlainStall  time.Duration
+	// ReportMissed is the time without a report after which a server of this
+	// region is silent, and ReportForgotten when it counts as one without agent.
+	ReportMissed    time.Duration
+	ReportForgotten time.Duration
 	// LapseGrace is how long after the store's return a missing entry may be one
 	// that lapsed while the store was away and comes back.
 	LapseGrace time.Duration
@@ -59,8 +63,11 @@
 		// most; work at plain servers 110 ms at most.
 		EngineStall: 600 * time.Millisecond,
 		PlainStall:  300 * time.Millisecond,
-		SwitchMost:  4 * time.Second,
-		LapseGrace:  2200 * time.Millisecond,
+		// Three reports missed, and one late.
+		ReportMissed:    700 * time.Millisecond,
+		ReportForgotten: 15 * time.Second,
+		SwitchMost:      4 * time.Second,
+		LapseGrace:      2200 * time.Millisecond,
 	}
 }
 
@@ -105,8 +112,9 @@
 	// many each other entry says that it has there.
 	own int
 	// progressAt is when a part of an answer last came, or the first of the
-	// present requests was sent.
+	// present requests was sent; heardAt only the former.
 	progressAt time.Duration
+	heardAt    time.Duration
 	others     map[filbertlever.HostID]int
 	// load is what the server itself reported last.
 	load Load
@@ -139,8 +147,8 @@
 	named map[string][]uint64
 	// wobbly are servers whose fitness changes with time alone.
 	wobbly map[string]bool
-	// active are servers with requests of this entry, which may fall silent.
-	active map[string]*server
+	// sweptAt is when all servers were last looked at for silence.
+	sweptAt time.Duration
 	// returned is when the store was last reached again after an absence.
 	returned time.Duration
 	epoch    time.Time
@@ -157,7 +165,6 @@
 		byAddress: map[string]string{},
 		named:     map[string][]uint64{},
 		wobbly:    map[string]bool{},
-		active:    map[string]*server{},
 		epoch:     time.Unix(0, 0),
 		returned:  -config.LapseGrace,
 	}
@@ -325,7 +332,7 @@
 	if s.missingSince != 0 && now-f.returned >= f.config.LapseGrace {
 		return false
 	}
-	return now >= s.switchingUntil && !f.stalled(s, now) && f.table.Usable(filbertlever.HostID(s.backend.ID), f.at(now))
+	return now >= s.switchingUntil && !f.stalled(s, now) && !f.silent(s, now) && f.table.Usable(filbertlever.HostID(s.backend.ID), f.at(now))
 }
 
 // stalled reports whether a server has requests and has been silent for longer
@@ -354,8 +361,23 @@
 // Progress notes that a part of an answer came from a server.
 func (f *Fleet) Progress(id string, now time.Duration) {
 	if s, ok := f.servers[id]; ok {
-		s.progressAt = now
+		s.progressAt, s.heardAt = now, now
+	}
+}
+
+// silent reports whether a server of this region, whose agent tells of it five
+// times a second, has not been heard of for a while, by its agent or its answers.
+//
+// Guard: of several hosts that stand still at once, a request that is given up
+// at one is sent to the next, and reaches it when it wakes, long after its
+// caller has left. An agent that is merely being restarted is no sign as long as
+// the server's answers go on.
+func (f *Fleet) silent(s *server, now time.Duration) bool {
+	if !s.hasReport || f.config.Regions[s.backend.Site] != f.config.Region {
+		return false
 	}
+	quiet := now - max(s.reportedAt, s.heardAt)
+	return quiet > f.config.ReportMissed && now-s.reportedAt < f.config.ReportForgotten
 }
 
 // router returns the router of a service, or nil if the state lacks it.
@@ -547,7 +569,6 @@
 		s.progressAt = now
 	}
 	s.own++
-	f.active[s.backend.ID] = s
 	age := time.Duration(-1)
 	if s.hasReport {
 		age = now - s.reportedAt
@@ -566,11 +587,6 @@
 func (f *Fleet) Ended(id string) {
 	if s, ok := f.servers[id]; ok {
 		s.own = max(s.own-1, 0)
-		if s.own == 0 {
-			delete(f.active, id)
-			// It can no longer be silent; the next look tells whether it is fit.
-			f.wobbly[id] = true
-		}
 		if router := f.router(s.backend.Service); router != nil {
 			router.Ended(filbertlever.HostID(id))
 		}
@@ -640,6 +656,9 @@
 	}
 }
 
+// sweepEvery is how often all servers are looked at for silence.
+const sweepEvery = 50 * time.Millisecond
+
 // setUsable tells the router whether a server is usable, if that has changed.
 func (f *Fleet) setUsable(s *server, now time.Duration) {
 	usable := f.usable(s, now)
@@ -654,8 +673,11 @@
 
 // refresh takes note of what time alone has changed.
 func (f *Fleet) refresh(now time.Duration) {
-	for _, s := range f.active {
-		f.setUsable(s, now)
+	if now-f.sweptAt >= sweepEvery {
+		f.sweptAt = now
+		for _, s := range f.servers {
+			f.setUsable(s, now)
+		}
 	}
 	for id := range f.wobbly {
 		s, ok := f.servers[id]
@@ -682,7 +704,6 @@
 	}
 	delete(f.servers, id)
 	delete(f.wobbly, id)
-	delete(f.active, id)
 	if f.byAddress[s.backend.Address] == id {
 		delete(f.byAddress, s.backend.Address)
 	}
--- a/internal/coordination/fleet/fleet_test.go
+++ b/internal/coordination/fleet/fleet_test.go
@@ -306,3 +306,25 @@
 	f.Progress("m1", now+800*time.Millisecond)
 	c.Assert(f.Choose(wanted, now+800*time.Millisecond).Backend.ID, qt.Equals, "m1")
 }
+
+// Hosts stand still, several at once. A request given up at one of them was sent
+// to the next, and reached it long after its caller had left. Their agents stand
+// still with them, which is seen before anything is sent.
+func TestServersWhoseAgentsFellSilentComeLast(t *testing.T) {
+	c := qt.New(t)
+	f := newFleet()
+	f.SetState(state(), 0)
+	f.Apply([]catalog.Backend{listed("m1", modelService, "10.0.0.1:1", 1), listed("m2", modelService, "10.0.0.2:1", 1)}, nil, true, 0)
+	models := []catalog.Model{{Name: model, Version: 1}}
+	report := func(address string, sequence uint64, now time.Duration) {
+		f.Report(Load{Address: address, Sequence: sequence, Models: models}, now)
+	}
+	wanted := Request{Service: modelService, Model: model}
+	report("10.0.0.1:1", 1, time.Second)
+	report("10.0.0.2:1", 1, 2*time.Second)
+	for range 10 {
+		c.Assert(f.Choose(wanted, 2*time.Second).Backend.ID, qt.Equals, "m2")
+	}
+	f.Progress("m1", 2100*time.Millisecond)
+	c.Assert(f.Choose(wanted, 2100*time.Millisecond).Backend.ID, qt.Equals, "m1")
+}
--- a/internal/transport/channel/channel.go
+++ b/internal/transport/channel/channel.go
@@ -130,10 +130,10 @@
 	if err != nil {
 		return nil, &SendError{Address: address, Err: err}
 	}
-	stop := context.AfterFunc(ctx, func() { _ = c.Close() })
+	stop := context.AfterFunc(ctx, c.abort)
 	fail := func(err error) (*Answer, error) {
 		stop()
-		_ = c.Close()
+		c.abort()
 		if cause := ctx.Err(); cause != nil {
 			err = cause
 		}
@@ -168,7 +168,11 @@
 func (a *Answer) Finish(whole bool) {
 	live := a.stop()
 	c := a.conn
-	if !live || !whole || a.stray || a.Response.Close || c.reader.Buffered() > 0 || !c.written() {
+	if !whole {
+		c.abort()
+		return
+	}
+	if !live || a.stray || a.Response.Close || c.reader.Buffered() > 0 || !c.written() {
 		_ = c.Close()
 		return
 	}
@@ -177,6 +181,19 @@
 	a.pool.put(c)
 }
 
+// abort ends a connection with a reset.
+//
+// Guard: a request may lie unread at a host that stands still or behind a cut. An
+// orderly end would follow it there, and it would be read and begun long after
+// its caller has left; a reset takes it back.
+func (c *conn) abort() {
+	if tcp, ok := c.Conn.(*net.TCPConn); ok {
+		// A connection that is gone already needs no reset.
+		_ = tcp.SetLinger(0)
+	}
+	_ = c.Close()
+}
+
 // written reports whether the whole request went out.
 //
 // Guard: a server may answer before it has read a long body and read on later;
--- a/internal/transport/channel/channel_test.go
+++ b/internal/transport/channel/channel_test.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -227,13 +228,15 @@
 	c.Assert(err, qt.IsNotNil)
 }
 
-// A caller leaves: the connection to the server ends at once.
-func TestCancellingEndsTheConnection(t *testing.T) {
+// A server that stood still begins requests whose callers have long left: they
+// lay unread at its host. A caller's leaving resets the connection at once, which
+// takes back what is unread; an orderly end would not.
+func TestCancellingResetsTheConnection(t *testing.T) {
 	c := qt.New(t)
-	ended := make(chan struct{})
+	ended := make(chan error, 1)
 	s := newScript(t, func(_ int, _ *http.Request, conn net.Conn) {
-		_, _ = conn.Read(make([]byte, 1))
-		close(ended)
+		_, err := conn.Read(make([]byte, 1))
+		ended <- err
 	})
 	pool, closePool := New()
 	defer closePool()
@@ -241,7 +244,7 @@
 	time.AfterFunc(50*time.Millisecond, cancel)
 	_, err := pool.Do(ctx, "server", s.address(), &Request{Method: http.MethodGet, Target: "/x", Host: "h", Header: http.Header{}}, nil)
 	c.Assert(errors.Is(err, context.Canceled), qt.IsTrue)
-	<-ended
+	c.Assert(errors.Is(<-ended, syscall.ECONNRESET), qt.IsTrue)
 }
 
 // How long a connection is kept, by what its server says.
