--- a/internal/coordination/admission/entry.go
+++ b/internal/coordination/admission/entry.go
@@ -57,8 +57,9 @@
 
 // Times to come back when no server can take a request.
 const (
-	// readyUnknown is used when nothing tells when one will.
-	readyUnknown = 500 * time.Millisecond
+	// readyUnknown is used when nothing tells when one will: a server's row is
+	// 1.2 s behind at most, and its agent tells within a second.
+	readyUnknown = time.Second
 	// readySpread is the time over which callers return once servers are ready:
 	// a service that starts anew takes in about half a second what waits for it.
 	readySpread = 700 * time.Millisecond
--- a/internal/coordination/fleet/fleet.go
+++ b/internal/coordination/fleet/fleet.go
@@ -43,6 +43,8 @@
 	// region is silent, and ReportForgotten when it counts as one without agent.
 	ReportMissed    time.Duration
 	ReportForgotten time.Duration
+	// SilentTold is how long another entry's word on a silent server holds.
+	SilentTold time.Duration
 	// LapseGrace is how long after the store's return a missing entry may be one
 	// that lapsed while the store was away and comes back.
 	LapseGrace time.Duration
@@ -65,6 +67,7 @@
 		PlainStall:  300 * time.Millisecond,
 		// Three reports missed, and one late.
 		ReportMissed:    700 * time.Millisecond,
+		SilentTold:      time.Second,
 		ReportForgotten: 15 * time.Second,
 		SwitchMost:      4 * time.Second,
 		LapseGrace:      2200 * time.Millisecond,
@@ -128,6 +131,9 @@
 	switchingUntil time.Duration
 	// placedUsable is what the router was told last.
 	placedUsable bool
+	// silentUntil is until when entries of the server's own region say that it is
+	// silent; this entry, of another region, cannot see it.
+	silentUntil time.Duration
 	// missingSince is when the list first lacked the server; 0 if it is listed.
 	missingSince time.Duration
 }
@@ -332,7 +338,7 @@
 	if s.missingSince != 0 && now-f.returned >= f.config.LapseGrace {
 		return false
 	}
-	return now >= s.switchingUntil && !f.stalled(s, now) && !f.silent(s, now) && f.table.Usable(filbertlever.HostID(s.backend.ID), f.at(now))
+	return now >= s.switchingUntil && now >= s.silentUntil && !f.stalled(s, now) && !f.silent(s, now) && f.table.Usable(filbertlever.HostID(s.backend.ID), f.at(now))
 }
 
 // stalled reports whether a server has requests and has been silent for longer
@@ -380,6 +386,30 @@
 	return quiet > f.config.ReportMissed && now-s.reportedAt < f.config.ReportForgotten
 }
 
+// Silent returns the servers of this region that are silent, for entries of
+// other regions.
+func (f *Fleet) Silent(now time.Duration) []string {
+	var ids []string
+	for id, s := range f.servers {
+		if f.silent(s, now) || f.config.Regions[s.backend.Site] == f.config.Region && f.stalled(s, now) {
+			ids = append(ids, id)
+		}
+	}
+	slices.Sort(ids)
+	return ids
+}
+
+// SetSilent takes another entry's word on servers of its region.
+func (f *Fleet) SetSilent(ids []string, now time.Duration) {
+	for _, id := range ids {
+		s, ok := f.servers[id]
+		if ok && f.config.Regions[s.backend.Site] != f.config.Region {
+			s.silentUntil = now + f.config.SilentTold
+			f.setUsable(s, now)
+		}
+	}
+}
+
 // router returns the router of a service, or nil if the state lacks it.
 func (f *Fleet) router(name string) *routing.Router {
 	if router, ok := f.routers[name]; ok {
@@ -593,6 +623,12 @@
 	}
 }
 
+// ReadyIn is when the first server of a service will hold what it is being
+// brought; 0 if nothing is known to be.
+func (f *Fleet) ReadyIn(service string, now time.Duration) time.Duration {
+	return f.readyIn(Request{Service: service}, now)
+}
+
 // readyIn is when the first server will hold what a request needs.
 func (f *Fleet) readyIn(request Request, now time.Duration) time.Duration {
 	first := time.Duration(0)
--- a/internal/coordination/fleet/fleet_test.go
+++ b/internal/coordination/fleet/fleet_test.go
@@ -328,3 +328,21 @@
 	f.Progress("m1", 2100*time.Millisecond)
 	c.Assert(f.Choose(wanted, 2100*time.Millisecond).Backend.ID, qt.Equals, "m1")
 }
+
+// A request that was given up at a host that stands still is sent to another
+// region, to a host that stands still too. Entries there know, and tell.
+func TestSilentServersOfAnotherRegionAreToldOf(t *testing.T) {
+	c := qt.New(t)
+	f := newFleet()
+	f.SetState(state(), 0)
+	near, far, other := listed("m1", modelService, "10.0.0.1:1", 1), listed("m2", modelService, "10.0.0.2:1", 1), listed("m3", modelService, "10.0.0.3:1", 1)
+	far.Site, other.Site = "b", "b"
+	f.Apply([]catalog.Backend{near, far, other}, nil, true, 0)
+	f.SetCounts("entry-9", map[string]int{"m3": 10}, time.Second)
+	f.SetSilent([]string{"m1", "m2"}, time.Second)
+	wanted := Request{Service: modelService, Model: model, Avoid: []filbertlever.HostID{"m1"}}
+	c.Assert(f.Choose(wanted, time.Second).Backend.ID, qt.Equals, "m3")
+	c.Assert(f.Choose(wanted, 3*time.Second).Backend.ID, qt.Equals, "m2")
+	wanted.Avoid = nil
+	c.Assert(f.Choose(wanted, time.Second).Backend.ID, qt.Equals, "m1", qt.Commentf("others' word on a server of the own region was taken"))
+}
--- a/internal/transport/gateway/attempts.go
+++ b/internal/transport/gateway/attempts.go
@@ -328,7 +328,11 @@
 		return false
 	}
 	a.finishFailure(failure)
-	a.giveUp(a.problem(step))
+	p := a.problem(step)
+	if step == forward.StepNotRun && end == forward.EndMoved {
+		p.retry = g.returnWhenReady(a.service)
+	}
+	a.giveUp(p)
 	return false
 }
 
--- a/internal/transport/gateway/datagrams.go
+++ b/internal/transport/gateway/datagrams.go
@@ -42,6 +42,8 @@
 	// Sequence orders the counts of one entry, also across its restarts.
 	Sequence int64
 	Requests map[string]int
+	// Silent are servers of the entry's region that have fallen silent.
+	Silent []string `json:",omitempty"`
 }
 
 // NamedAge is a named version and how long ago it was named.
@@ -127,6 +129,7 @@
 func (g *Gateway) takeCounts(counts *Counts, now time.Duration) {
 	if g.peers.newer(counts.From, counts.Sequence) {
 		g.fleet.SetCounts(counts.From, counts.Requests, now)
+		g.fleet.SetSilent(counts.Silent, now)
 	}
 }
 
@@ -178,7 +181,7 @@
 }
 
 func (g *Gateway) counts(now time.Duration) Counts {
-	return Counts{From: g.config.Self.Host, Sequence: int64(now), Requests: g.fleet.Counts()}
+	return Counts{From: g.config.Self.Host, Sequence: int64(now), Requests: g.fleet.Counts(), Silent: g.fleet.Silent(now)}
 }
 
 // How often an entry tells the others what it has at each server, if that has
@@ -198,7 +201,7 @@
 func (g *Gateway) runCounts(ctx context.Context) {
 	ticker := time.NewTicker(countsEvery)
 	defer ticker.Stop()
-	var lastNear, lastFar map[string]int
+	var lastNear, lastFar Counts
 	var nearAt, farAt time.Duration
 	for {
 		select {
@@ -211,17 +214,23 @@
 		near, far := g.peers.near()
 		counts := g.counts(now)
 		g.mu.Unlock()
-		if now-nearAt >= countsEvery*time.Duration(near/nearShare) && !maps.Equal(lastNear, counts.Requests) {
-			lastNear, nearAt = counts.Requests, now
+		if now-nearAt >= countsEvery*time.Duration(near/nearShare) && !same(&lastNear, &counts) {
+			lastNear, nearAt = counts, now
 			g.sendCounts(&counts, true)
 		}
-		if now-farAt >= farEach*time.Duration(far) && !maps.Equal(lastFar, counts.Requests) {
-			lastFar, farAt = counts.Requests, now
+		if now-farAt >= farEach*time.Duration(far) && !same(&lastFar, &counts) {
+			lastFar, farAt = counts, now
 			g.sendCounts(&counts, false)
 		}
 	}
 }
 
+// same reports whether counts tell nothing new. What they say of silent servers
+// holds for a moment only and is always told.
+func same(a, b *Counts) bool {
+	return len(b.Silent) == 0 && len(a.Silent) == 0 && maps.Equal(a.Requests, b.Requests)
+}
+
 // sendCounts sends counts to the entries of the region, or to those elsewhere.
 func (g *Gateway) sendCounts(counts *Counts, near bool) {
 	g.mu.Lock()
--- a/internal/transport/gateway/serve.go
+++ b/internal/transport/gateway/serve.go
@@ -294,3 +294,10 @@
 	defer g.mu.Unlock()
 	return admission.ReturnTime(0, g.rng)
 }
+
+// returnWhenReady is when to come back to a service whose servers hold nothing.
+func (g *Gateway) returnWhenReady(service string) time.Duration {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return admission.ReturnWhenReady(g.fleet.ReadyIn(service, boottime.Now()), g.rng)
+}
