--- a/internal/transport/gateway/gateway.go
+++ b/internal/transport/gateway/gateway.go
@@ -88,7 +88,6 @@
 	// revision grows with each change that agents must hear of.
 	revision uint64
 	stop     *drain.Stop
-	left     bool
 }
 
 // New returns a gateway; its loops run until ctx ends. The socket takes
--- a/internal/transport/gateway/watch.go
+++ b/internal/transport/gateway/watch.go
@@ -207,7 +207,7 @@
 }
 
 func (g *Gateway) runEntries(ctx context.Context) {
-	g.register(ctx)
+	go g.runRegister(ctx)
 	apply := func(rows Rows, after uint64, whole, _ bool) error {
 		entries, err := g.store.Entries(rows, after)
 		if err != nil {
@@ -223,8 +223,8 @@
 	w.run(ctx)
 }
 
-// register writes this entry's row, until the store has taken it.
-func (g *Gateway) register(ctx context.Context) {
+// runRegister writes this entry's row, until the store has taken it.
+func (g *Gateway) runRegister(ctx context.Context) {
 	for pause := retryFirst; ctx.Err() == nil; pause = min(2*pause, retryMost) {
 		err := g.store.Register(ctx, g.config.Self)
 		if err == nil {
