--- /dev/null
+++ b/internal/coordination/fleet/choose.go
@@ -0,0 +1,143 @@
+package fleet
+
+import (
+	"time"
+
+	"github.com/filbertlever/filbertlever"
+	"github.com/filbertlever/filbertlever/internal/coordination/catalog"
+	"github.com/filbertlever/filbertlever/internal/coordination/routing"
+)
+
+// Request is what is placed.
+type Request struct {
+	Service string
+	// Model is empty for plain services.
+	Model string
+	// Version is the only version wanted; 0 means any.
+	Version uint64
+	// Least is the oldest version wanted, one that SetNamed told; 0 means any.
+	Least        uint64
+	PromptTokens int
+	// Avoid are servers that the request has been to.
+	Avoid []filbertlever.HostID
+}
+
+// Placement is the server picked for a request.
+type Placement struct {
+	Backend catalog.Backend
+	// Found is false if no server can take the request.
+	Found bool
+	// Version is the version that must answer, if Version or Least was wanted.
+	Version   uint64
+	Predicted time.Duration
+	// Ahead is how many requests the server has beyond what it runs at once,
+	// this one included; 0 or less if it need not wait.
+	Ahead   int
+	Reason  routing.Reason
+	Weighed int
+	// ReportAge is the age of the load report that decided; negative if none.
+	ReportAge time.Duration
+	// ReadyIn is when a server is predicted to be able to take the request, if
+	// none can now; 0 if that is not known.
+	ReadyIn time.Duration
+}
+
+// Choose picks a server and counts the request as sent there; Ended takes that
+// back.
+func (f *Fleet) Choose(request Request, now time.Duration) Placement {
+	f.refresh(now)
+	router := f.router(request.Service)
+	if router == nil {
+		return Placement{Reason: routing.ReasonNone}
+	}
+	target := plainTarget
+	switch {
+	case f.state.Services[request.Service].Engine == nil:
+	case request.Version != 0:
+		target = versionTarget(request.Model, request.Version)
+	case request.Least != 0:
+		target = leastTarget(request.Model, request.Least)
+	default:
+		target = modelTarget(request.Model)
+	}
+	wanted := &routing.Request{Target: target, PromptTokens: request.PromptTokens, Avoid: request.Avoid, Now: now}
+	choice := router.Choose(wanted)
+	if choice.Host == "" {
+		choice = f.chooseSuspected(router, request.Service, wanted, now)
+	}
+	s, ok := f.servers[string(choice.Host)]
+	if !ok {
+		return Placement{Reason: choice.Reason, Weighed: choice.Weighed, ReadyIn: f.readyIn(request, now)}
+	}
+	if s.own == 0 {
+		s.progressAt = now
+	}
+	s.own++
+	age := time.Duration(-1)
+	if s.hasReport {
+		age = now - s.reportedAt
+	}
+	placement := Placement{Backend: s.backend, Found: true, Predicted: choice.Predicted, Ahead: choice.Ahead, Reason: choice.Reason, Weighed: choice.Weighed, ReportAge: age}
+	if f.config.Regions[s.backend.Site] != f.config.Region {
+		placement.Ahead += f.config.FarMargin
+	}
+	if request.Version != 0 || request.Least != 0 {
+		placement.Version = f.version(s, request.Model, now)
+	}
+	return placement
+}
+
+// chooseSuspected picks among servers that failed lately.
+//
+// Guard: if all servers of a service fail some of their requests, all are under
+// suspicion most of the time, and every request would be refused though most
+// would be answered.
+func (f *Fleet) chooseSuspected(router *routing.Router, service string, wanted *routing.Request, now time.Duration) routing.Choice {
+	var suspected []string
+	for id := range f.wobbly {
+		s, ok := f.servers[id]
+		fit := ok && s.backend.Service == service && s.missingSince == 0 && now >= s.switchingUntil
+		if fit && f.table.Fit(filbertlever.HostID(id), f.at(now)) {
+			suspected = append(suspected, id)
+			router.SetHost(f.host(s.backend), true)
+		}
+	}
+	choice := routing.Choice{Reason: routing.ReasonNone}
+	if len(suspected) > 0 {
+		choice = router.Choose(wanted)
+	}
+	for _, id := range suspected {
+		f.place(id, now)
+	}
+	return choice
+}
+
+// Ended notes that a request sent to a server has ended there, or was not sent.
+func (f *Fleet) Ended(id string) {
+	if s, ok := f.servers[id]; ok {
+		s.own = max(s.own-1, 0)
+		if router := f.router(s.backend.Service); router != nil {
+			router.Ended(filbertlever.HostID(id))
+		}
+	}
+}
+
+// ReadyIn is when the first server of a service will hold what it is being
+// brought; 0 if nothing is known to be.
+func (f *Fleet) ReadyIn(service string, now time.Duration) time.Duration {
+	return f.readyIn(Request{Service: service}, now)
+}
+
+// readyIn is when the first server will hold what a request needs.
+func (f *Fleet) readyIn(request Request, now time.Duration) time.Duration {
+	first := time.Duration(0)
+	for _, s := range f.servers {
+		if s.backend.Service != request.Service || s.loadedAt <= now {
+			continue
+		}
+		if in := s.loadedAt - now; first == 0 || in < first {
+			first = in
+		}
+	}
+	return first
+}
--- /dev/null
+++ b/internal/coordination/fleet/health.go
@@ -0,0 +1,191 @@
+package fleet
+
+import (
+	"slices"
+	"time"
+
+	"github.com/filbertlever/filbertlever"
+)
+
+// usable reports whether new requests may go to a server.
+//
+// Guard: an entry that lapsed while the store was away is missing from the
+// list for a moment though its server lives; all servers may be so at once. Only
+// what is still missing some time after the store's return is gone.
+func (f *Fleet) usable(s *server, now time.Duration) bool {
+	if s.missingSince != 0 && now-f.returned >= f.config.LapseGrace {
+		return false
+	}
+	return now >= s.switchingUntil && now >= s.silentUntil && !f.stalled(s, now) && !f.silent(s, now) && f.table.Usable(filbertlever.HostID(s.backend.ID), f.at(now))
+}
+
+// stalled reports whether a server has requests and has been silent for longer
+// than any sound one is.
+//
+// Guard: a host that stands still refuses nothing and breaks nothing off; until
+// the first of its requests is given up it looks idle, and more are sent to it.
+// A sound engine sends a part of some answer every tenth of a second.
+func (f *Fleet) stalled(s *server, now time.Duration) bool {
+	if s.own == 0 {
+		return false
+	}
+	limit := f.config.PlainStall
+	if f.state != nil && f.state.Services[s.backend.Service].Engine != nil {
+		limit = f.config.EngineStall
+	}
+	return now-s.progressAt > limit
+}
+
+// Stalled reports whether a server is silent; its requests are better elsewhere.
+func (f *Fleet) Stalled(id string, now time.Duration) bool {
+	s, ok := f.servers[id]
+	return ok && f.stalled(s, now)
+}
+
+// Progress notes that a part of an answer came from a server.
+func (f *Fleet) Progress(id string, now time.Duration) {
+	if s, ok := f.servers[id]; ok {
+		s.progressAt, s.heardAt = now, now
+	}
+}
+
+// silent reports whether a server of this region, whose agent tells of it five
+// times a second, has not been heard of for a while, by its agent or its answers.
+//
+// Guard: of several hosts that stand still at once, a request that is given up
+// at one is sent to the next, and reaches it when it wakes, long after its
+// caller has left. An agent that is merely being restarted is no sign as long as
+// the server's answers go on.
+func (f *Fleet) silent(s *server, now time.Duration) bool {
+	if !s.hasReport || f.config.Regions[s.backend.Site] != f.config.Region {
+		return false
+	}
+	quiet := now - max(s.reportedAt, s.heardAt)
+	return quiet > f.config.ReportMissed && now-s.reportedAt < f.config.ReportForgotten
+}
+
+// Silent returns the servers of this region that are silent, for entries of
+// other regions.
+func (f *Fleet) Silent(now time.Duration) []string {
+	var ids []string
+	for id, s := range f.servers {
+		if f.silent(s, now) || f.config.Regions[s.backend.Site] == f.config.Region && f.stalled(s, now) {
+			ids = append(ids, id)
+		}
+	}
+	slices.Sort(ids)
+	return ids
+}
+
+// SetSilent takes another entry's word on servers of its region.
+func (f *Fleet) SetSilent(ids []string, now time.Duration) {
+	for _, id := range ids {
+		s, ok := f.servers[id]
+		if ok && f.config.Regions[s.backend.Site] != f.config.Region {
+			s.silentUntil = now + f.config.SilentTold
+			f.setUsable(s, now)
+		}
+	}
+}
+
+// Observe notes how long a server took to begin an answer beside what was
+// predicted for it.
+func (f *Fleet) Observe(id string, predicted, took, now time.Duration) {
+	if s, ok := f.servers[id]; ok {
+		if router := f.router(s.backend.Service); router != nil {
+			router.Observe(filbertlever.HostID(id), predicted, took, now)
+		}
+	}
+}
+
+// Answered notes that a server answered a request soundly.
+func (f *Fleet) Answered(id string, now time.Duration) {
+	f.table.Answered(filbertlever.HostID(id), f.at(now))
+}
+
+// Failed notes that a server could not be reached, broke off, or answered
+// unsoundly; it gets no request for a while.
+func (f *Fleet) Failed(id string, now time.Duration) {
+	f.table.Failed(filbertlever.HostID(id), f.at(now))
+	f.wobbly[id] = true
+	if _, ok := f.servers[id]; ok {
+		f.place(id, now)
+	}
+}
+
+// Replaced notes that another server answers at the address of this one, so
+// that this one is gone.
+func (f *Fleet) Replaced(id string, now time.Duration) {
+	if s, ok := f.servers[id]; ok {
+		f.drop(id, s)
+		f.list(now)
+	}
+}
+
+// Lacks notes that a server says that it does not hold what was expected.
+//
+// Guard: the list is a heartbeat behind, and after a loss of power it still
+// names what every server held before; all requests would go to servers that
+// hold nothing. Until the server's agent or the list says more, it holds nothing.
+func (f *Fleet) Lacks(id string, now time.Duration) {
+	s, ok := f.servers[id]
+	if !ok || f.state == nil || f.state.Services[s.backend.Service].Engine == nil {
+		return
+	}
+	s.backend.Models = nil
+	s.reported = nil
+	f.place(id, now)
+}
+
+// sweepEvery is how often all servers are looked at for silence.
+const sweepEvery = 50 * time.Millisecond
+
+// setUsable tells the router whether a server is usable, if that has changed.
+func (f *Fleet) setUsable(s *server, now time.Duration) {
+	usable := f.usable(s, now)
+	if usable == s.placedUsable {
+		return
+	}
+	if router := f.router(s.backend.Service); router != nil {
+		s.placedUsable = usable
+		router.SetHost(f.host(s.backend), usable)
+	}
+}
+
+// refresh takes note of what time alone has changed.
+func (f *Fleet) refresh(now time.Duration) {
+	if now-f.sweptAt >= sweepEvery {
+		f.sweptAt = now
+		for _, s := range f.servers {
+			f.setUsable(s, now)
+		}
+	}
+	for id := range f.wobbly {
+		s, ok := f.servers[id]
+		if !ok {
+			delete(f.wobbly, id)
+			continue
+		}
+		if s.missingSince != 0 && now-f.returned >= f.config.LapseGrace {
+			f.drop(id, s)
+			continue
+		}
+		f.place(id, now)
+		if s.missingSince == 0 && f.usable(s, now) {
+			delete(f.wobbly, id)
+		}
+	}
+}
+
+// drop forgets a server that is gone.
+func (f *Fleet) drop(id string, s *server) {
+	if router := f.router(s.backend.Service); router != nil {
+		router.SetHost(f.host(s.backend), false)
+		router.SetLoaded(filbertlever.HostID(id), nil)
+	}
+	delete(f.servers, id)
+	delete(f.wobbly, id)
+	if f.byAddress[s.backend.Address] == id {
+		delete(f.byAddress, s.backend.Address)
+	}
+}
--- /dev/null
+++ b/internal/coordination/routing/predict.go
@@ -0,0 +1,106 @@
+package routing
+
+import (
+	"time"
+
+	"github.com/filbertlever/filbertlever"
+)
+
+// predict returns the time to the first token if the request went to host i.
+// The prefix's owner is taken to have it cached: every entry sends it there, so
+// if it is not true yet it soon is.
+func (r *Router) predict(i int32, request *Request, owner bool) time.Duration {
+	h := &r.hosts[i]
+	prefill := float64(request.PromptTokens)
+	if owner || r.hit(i, request.Prefix) {
+		prefill *= 1 - r.config.HitShare
+	}
+	predicted := time.Duration(prefill * float64(r.config.PrefillToken))
+	switch {
+	case h.region != r.region:
+		predicted += r.config.OtherRegion
+	case h.site != r.site:
+		predicted += r.config.OtherSite
+	}
+	if request.Now > 0 {
+		// An engine reads prompts one after the other and makes no token meanwhile.
+		predicted += max(h.readUntil-request.Now, 0) + h.biasNow(request.Now)
+	}
+	return predicted + r.config.FirstToken + r.wait(h)
+}
+
+// wait predicts the queueing time: what the report says, corrected by what
+// was sent since. Below the concurrency limit a busier host is still a little
+// slower, since engines batch.
+func (r *Router) wait(h *host) time.Duration {
+	concurrency := max(h.load.Concurrency, 1)
+	busy := h.load.Running + h.load.Queued + h.sent
+	over := h.over()
+	service := r.config.Service
+	if h.load.Queued > 0 && h.load.Wait > 0 {
+		service = h.load.Wait * time.Duration(concurrency) / time.Duration(h.load.Queued+1)
+	}
+	share := service / time.Duration(concurrency)
+	if over <= 0 {
+		return share * time.Duration(busy) / time.Duration(batchShare*concurrency)
+	}
+	// One place is free half a turn from now on average.
+	return share*time.Duration(over) - share/2 + share/batchShare
+}
+
+// over is how many requests would wait with one more.
+func (h *host) over() int {
+	return h.load.Running + h.load.Queued + h.sent + 1 - max(h.load.Concurrency, 1)
+}
+
+func (r *Router) hit(i int32, prefix uint64) bool {
+	if prefix == 0 {
+		return false
+	}
+	hint := r.prefixes[prefix%prefixSlots]
+	return hint.prefix == prefix && hint.host == i
+}
+
+// biasNow returns what is left of the bias.
+func (h *host) biasNow(now time.Duration) time.Duration {
+	left := 1 - float64(now-h.biasAt)/float64(biasLasts)
+	return time.Duration(max(left, 0) * float64(h.bias))
+}
+
+// Observe notes the time to a first token beside what was predicted for it.
+//
+// Guard: a host whose link or processor is slow has as few requests as a sound
+// one, and its callers wait; what its answers took is the only sign.
+func (r *Router) Observe(id filbertlever.HostID, predicted, took, now time.Duration) {
+	i, ok := r.index[id]
+	if !ok {
+		return
+	}
+	h := &r.hosts[i]
+	old := h.biasNow(now)
+	// The prediction holds the bias already; what it was without is compared.
+	late := took - max(predicted-old, 0)
+	h.bias = min(max(old+time.Duration(biasShare*float64(late-old)), 0), biasMost)
+	h.biasAt = now
+}
+
+// reads notes that a host has one more prompt to read.
+func (r *Router) reads(i int32, request *Request) {
+	h := &r.hosts[i]
+	h.readUntil = max(h.readUntil, request.Now) + time.Duration(request.PromptTokens)*r.config.PrefillToken
+}
+
+// batchShare tells how little a fuller batch slows a request: a full one by half
+// of what one place in the queue does. Measured on engines of 16 places: the
+// first token after 98 ms alone, 142 ms in a full batch, 75 ms more for each
+// request that waits.
+const batchShare = 2
+
+const (
+	// biasShare is the weight of the newest observation.
+	biasShare = 0.3
+	// biasLasts is how long a bias takes to fade, so that a host that was slow is
+	// tried again: a few requests a second then tell how it is.
+	biasLasts = 4 * time.Second
+	biasMost  = 2 * time.Second
+)
