Weights after an outage: only a piece's home goes to the origin, by few connections

Entries now keep none, failed entries are left out and the next home is asked, and one that is asked as the home acts as it, so that two with different views do not wait for each other.

--- a/internal/transport/relay/relay.go
+++ b/internal/transport/relay/relay.go
@@ -11,6 +11,7 @@
 	"io"
 	"net/http"
 	"net/url"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -57,9 +58,11 @@
 	// versionsKept bounds the versions in memory, 2 MB each on the users' sites.
 	versionsKept = 3
 	// originParallel is how many pieces one entry draws at once: enough to fill
-	// the origin's thin link with three entries, below its 48 connections.
-	originParallel = 4
-	// fetchTries is how often a piece is tried before the caller is told.
+	// the origin's thin link with three entries, and with a dozen still below the
+	// 48 connections that the origin takes.
+	originParallel = 3
+	// fetchTries is how often a piece is tried before the caller is told, each
+	// time without the entries that failed before.
 	fetchTries = 4
 	fetchPause = 50 * time.Millisecond
 	// peerTimeout bounds a fetch from another entry, which may itself wait for
@@ -87,9 +90,16 @@
 
 // version is one version of a model's weights.
 type version struct {
-	named    catalog.NamedVersion
-	manifest *flight[Manifest]
-	pieces   map[int]*flight[[]byte]
+	named catalog.NamedVersion
+	// manifests and pieces are by whether this entry was asked as their home.
+	manifests map[bool]*flight[Manifest]
+	pieces    map[wanted]*flight[[]byte]
+}
+
+// wanted is a piece, and whether this entry was asked for it as its home.
+type wanted struct {
+	piece int
+	home  bool
 }
 
 // flight is a value being fetched once for all who want it.
@@ -148,13 +158,16 @@
 	return catalog.NamedVersion{Model: values.Get("Model"), Version: number}, piece, nil
 }
 
+// asHome reports whether another entry asks, which takes this one for the home.
+func asHome(req *http.Request) bool { return req.URL.Query().Get("Home") != "" }
+
 func (r *Relay) serveManifest(w http.ResponseWriter, req *http.Request) {
 	named, _, err := query(req)
 	if err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
-	manifest, err := r.Manifest(req.Context(), named)
+	manifest, err := r.Manifest(req.Context(), named, asHome(req))
 	if err != nil {
 		http.Error(w, err.Error(), http.StatusServiceUnavailable)
 		return
@@ -169,7 +182,7 @@
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
-	data, err := r.Piece(req.Context(), named, piece)
+	data, err := r.Piece(req.Context(), named, piece, asHome(req))
 	if err != nil {
 		http.Error(w, err.Error(), http.StatusServiceUnavailable)
 		return
@@ -178,43 +191,54 @@
 	_, _ = w.Write(data)
 }
 
-// Manifest returns the manifest of a version.
-func (r *Relay) Manifest(ctx context.Context, named catalog.NamedVersion) (Manifest, error) {
+// Manifest returns the manifest of a version. Home says that another entry asks,
+// which takes this one for its home.
+//
+// Guard: two entries whose views of the living ones differ may each take the
+// other for a piece's home, and wait for each other; one that is asked as the
+// home acts as the home.
+func (r *Relay) Manifest(ctx context.Context, named catalog.NamedVersion, home bool) (Manifest, error) {
 	r.mu.Lock()
 	v := r.version(named)
-	f := v.manifest
+	if known := v.manifests[!home]; known != nil && known.ended() && known.err == nil {
+		r.mu.Unlock()
+		return known.value, nil
+	}
+	f := v.manifests[home]
 	if f == nil || f.failed() {
 		f = &flight[Manifest]{done: make(chan struct{})}
-		v.manifest = f
-		go r.runManifest(named, f)
+		v.manifests[home] = f
+		go r.runManifest(named, home, f)
 	}
 	r.mu.Unlock()
 	return f.wait(ctx)
 }
 
-func (r *Relay) runManifest(named catalog.NamedVersion, f *flight[Manifest]) {
+func (r *Relay) runManifest(named catalog.NamedVersion, home bool, f *flight[Manifest]) {
 	defer close(f.done)
+	failed := map[filbertlever.HostID]bool{}
 	for try := range fetchTries {
-		source, address, origin := r.source(named, -1, try)
+		source, address, origin := r.source(named, -1, home, failed)
 		if address == "" {
 			f.err = fmt.Errorf("manifest of %s version %d: no source is known", named.Model, named.Version)
 		} else if origin {
 			f.value, f.err = r.origin.Manifest(context.Background(), address, named)
 		} else {
-			f.value, f.err = FetchManifest(context.Background(), r.client, address, named)
+			f.value, f.err = fetchManifest(context.Background(), r.client, address, named, true)
 		}
 		if f.err == nil {
 			return
 		}
 		r.log.Warn("manifest not drawn", zap.String("Model", named.Model), zap.Uint64("Version", named.Version),
 			zap.String("Source", source), zap.Error(f.err))
+		failed[filbertlever.HostID(source)] = true
 		time.Sleep(fetchPause << try)
 	}
 }
 
-// Piece returns a piece of a version, verified.
-func (r *Relay) Piece(ctx context.Context, named catalog.NamedVersion, piece int) ([]byte, error) {
-	manifest, err := r.Manifest(ctx, named)
+// Piece returns a piece of a version, verified. Home is as in Manifest.
+func (r *Relay) Piece(ctx context.Context, named catalog.NamedVersion, piece int, home bool) ([]byte, error) {
+	manifest, err := r.Manifest(ctx, named, home)
 	if err != nil {
 		return nil, err
 	}
@@ -227,11 +251,12 @@
 		return data, nil
 	}
 	v := r.version(named)
-	f := v.pieces[piece]
+	w := wanted{piece: piece, home: home}
+	f := v.pieces[w]
 	if f == nil || f.failed() {
 		f = &flight[[]byte]{done: make(chan struct{})}
-		v.pieces[piece] = f
-		go r.runPiece(named, &manifest, piece, f)
+		v.pieces[w] = f
+		go r.runPiece(named, &manifest, w, f)
 	}
 	r.mu.Unlock()
 	return f.wait(ctx)
@@ -241,10 +266,16 @@
 //
 // Guard: a piece may come corrupted from the origin or another entry; it is
 // checked against the manifest before it is kept, and drawn again if it fails.
-func (r *Relay) runPiece(named catalog.NamedVersion, manifest *Manifest, piece int, f *flight[[]byte]) {
+func (r *Relay) runPiece(named catalog.NamedVersion, manifest *Manifest, w wanted, f *flight[[]byte]) {
 	defer close(f.done)
+	piece := w.piece
+	failed := map[filbertlever.HostID]bool{}
 	for try := range fetchTries {
-		source, address, origin := r.source(named, piece, try)
+		if data, ok := r.held(manifest.Digests[piece]); ok {
+			f.value, f.err = data, nil
+			return
+		}
+		source, address, origin := r.source(named, piece, w.home, failed)
 		data, err := r.draw(named, piece, address, origin)
 		if err == nil && !manifest.Verify(piece, data) {
 			r.metrics.corrupt.Inc()
@@ -259,6 +290,7 @@
 		f.err = err
 		r.log.Warn("piece not drawn", zap.String("Model", named.Model), zap.Uint64("Version", named.Version),
 			zap.Int("Piece", piece), zap.String("Source", source), zap.Error(err))
+		failed[filbertlever.HostID(source)] = true
 		time.Sleep(fetchPause << try)
 	}
 }
@@ -275,27 +307,42 @@
 		return nil, fmt.Errorf("piece %d of %s: no source is known", piece, named.Model)
 	}
 	if !origin {
-		return FetchPiece(context.Background(), r.client, address, named, piece)
+		return fetchPiece(context.Background(), r.client, address, named, piece, true)
 	}
 	r.draws <- struct{}{}
 	defer func() { <-r.draws }()
 	return r.origin.Piece(context.Background(), address, named, piece)
 }
 
-// source returns from where a piece is drawn at the given try. After two
-// failures at other entries the origin is asked directly.
-func (r *Relay) source(named catalog.NamedVersion, piece, try int) (name, address string, origin bool) {
+// originName is how the origin is called in logs.
+const originName = "Origin"
+
+// source returns from where a piece is drawn, without the entries that failed.
+//
+// Guard: if every entry that fails to get a piece from another went to the
+// origin, an outage would end with all of them there, over its bound of
+// connections, and none would get a piece; only a piece's home goes there.
+func (r *Relay) source(named catalog.NamedVersion, piece int, home bool, failed map[filbertlever.HostID]bool) (name, address string, origin bool) {
 	originAddress, originSite, ok := r.view.Origin()
 	entries, addresses := r.view.Relays()
+	entries = slices.DeleteFunc(entries, func(e relays.Entry) bool {
+		return e.Host != r.self.Host && (failed[e.Host] || home && e.Site == r.self.Site)
+	})
 	key := fmt.Sprintf("%s/%d/%d", named.Model, named.Version, piece)
-	host := relays.Source(r.self, entries, originSite, key)
-	if host != "" && try < fetchTries/2 {
+	if host := relays.Source(r.self, entries, originSite, key); host != "" {
 		return string(host), addresses[host], false
 	}
 	if !ok {
-		return "Origin", "", true
+		return originName, "", true
 	}
-	return "Origin", originAddress, true
+	return originName, originAddress, true
+}
+
+func (r *Relay) held(digest string) ([]byte, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	data, ok := r.byDigest[digest]
+	return data, ok
 }
 
 func (r *Relay) keep(digest string, data []byte) {
@@ -311,7 +358,7 @@
 			return v
 		}
 	}
-	v := &version{named: named, pieces: map[int]*flight[[]byte]{}}
+	v := &version{named: named, manifests: map[bool]*flight[Manifest]{}, pieces: map[wanted]*flight[[]byte]{}}
 	r.versions = append(r.versions, v)
 	if len(r.versions) > versionsKept {
 		r.versions = r.versions[1:]
@@ -322,17 +369,19 @@
 
 // forget drops the pieces that no kept version lists; the caller holds the lock.
 func (r *Relay) forget() {
-	wanted := map[string]bool{}
+	listed := map[string]bool{}
 	for _, v := range r.versions {
-		if v.manifest == nil || !v.manifest.ended() {
-			continue
-		}
-		for _, digest := range v.manifest.value.Digests {
-			wanted[digest] = true
+		for _, manifest := range v.manifests {
+			if !manifest.ended() {
+				continue
+			}
+			for _, digest := range manifest.value.Digests {
+				listed[digest] = true
+			}
 		}
 	}
 	for digest := range r.byDigest {
-		if !wanted[digest] {
+		if !listed[digest] {
 			delete(r.byDigest, digest)
 		}
 	}
@@ -345,7 +394,7 @@
 func (r *Relay) runPrefetch(named catalog.NamedVersion) {
 	ctx, cancel := context.WithTimeout(context.Background(), 4*peerTimeout)
 	defer cancel()
-	manifest, err := r.Manifest(ctx, named)
+	manifest, err := r.Manifest(ctx, named, false)
 	if err != nil {
 		r.log.Warn("weights not prefetched", zap.String("Model", named.Model), zap.Uint64("Version", named.Version), zap.Error(err))
 		return
@@ -362,7 +411,7 @@
 		group.Go(func() {
 			defer func() { <-lanes }()
 			// A failure was logged where it arose; agents ask again.
-			_, _ = r.Piece(ctx, named, piece)
+			_, _ = r.Piece(ctx, named, piece, false)
 		})
 	}
 	group.Wait()
@@ -390,10 +439,19 @@
 	}
 }
 
-// FetchManifest asks an entry for a manifest.
+// FetchManifest asks an entry for a manifest, for an agent.
 func FetchManifest(ctx context.Context, client *http.Client, address string, named catalog.NamedVersion) (Manifest, error) {
+	return fetchManifest(ctx, client, address, named, false)
+}
+
+// FetchPiece asks an entry for a piece, for an agent; it is not yet verified.
+func FetchPiece(ctx context.Context, client *http.Client, address string, named catalog.NamedVersion, piece int) ([]byte, error) {
+	return fetchPiece(ctx, client, address, named, piece, false)
+}
+
+func fetchManifest(ctx context.Context, client *http.Client, address string, named catalog.NamedVersion, home bool) (Manifest, error) {
 	var manifest Manifest
-	data, err := fetch(ctx, client, address, pathManifest, named, nil)
+	data, err := fetch(ctx, client, address, pathManifest, named, nil, home)
 	if err == nil {
 		err = json.Unmarshal(data, &manifest)
 	}
@@ -403,22 +461,24 @@
 	return manifest, nil
 }
 
-// FetchPiece asks an entry for a piece, which is not yet verified.
-func FetchPiece(ctx context.Context, client *http.Client, address string, named catalog.NamedVersion, piece int) ([]byte, error) {
-	data, err := fetch(ctx, client, address, pathPiece, named, &piece)
+func fetchPiece(ctx context.Context, client *http.Client, address string, named catalog.NamedVersion, piece int, home bool) ([]byte, error) {
+	data, err := fetch(ctx, client, address, pathPiece, named, &piece, home)
 	if err != nil {
 		return nil, fmt.Errorf("piece %d of %s version %d from %s: %w", piece, named.Model, named.Version, address, err)
 	}
 	return data, nil
 }
 
-func fetch(ctx context.Context, client *http.Client, address, path string, named catalog.NamedVersion, piece *int) ([]byte, error) {
+func fetch(ctx context.Context, client *http.Client, address, path string, named catalog.NamedVersion, piece *int, home bool) ([]byte, error) {
 	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
 	defer cancel()
 	values := url.Values{"Model": {named.Model}, "Version": {strconv.FormatUint(named.Version, 10)}}
 	if piece != nil {
 		values.Set("Piece", strconv.Itoa(*piece))
 	}
+	if home {
+		values.Set("Home", "1")
+	}
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+path+"?"+values.Encode(), nil)
 	if err != nil {
 		return nil, err
--- a/internal/transport/relay/relay_test.go
+++ b/internal/transport/relay/relay_test.go
@@ -9,6 +9,7 @@
 	"net/http/httptest"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 	"github.com/prometheus/client_golang/prometheus"
@@ -72,7 +73,7 @@
 	results := make(chan error, 20)
 	for range 20 {
 		go func() {
-			_, err := r.Piece(context.Background(), drafter, 0)
+			_, err := r.Piece(context.Background(), drafter, 0, false)
 			results <- err
 		}()
 	}
@@ -87,7 +88,7 @@
 	c := qt.New(t)
 	origin := &source{data: []byte("weights")}
 	origin.spoilt.Store(1)
-	data, err := newRelay(origin).Piece(context.Background(), drafter, 0)
+	data, err := newRelay(origin).Piece(context.Background(), drafter, 0, false)
 	c.Assert(err, qt.IsNil)
 	c.Assert(string(data), qt.Equals, "weights")
 }
@@ -99,10 +100,10 @@
 	origin := &source{data: []byte("weights")}
 	origin.down.Store(true)
 	r := newRelay(origin)
-	_, err := r.Piece(context.Background(), drafter, 0)
+	_, err := r.Piece(context.Background(), drafter, 0, false)
 	c.Assert(err, qt.IsNotNil)
 	origin.down.Store(false)
-	_, err = r.Piece(context.Background(), drafter, 0)
+	_, err = r.Piece(context.Background(), drafter, 0, false)
 	c.Assert(err, qt.IsNil)
 }
 
@@ -138,3 +139,72 @@
 		}
 	}
 }
+
+// view is an installation of several entries, this one of another site than the
+// origin's.
+type view struct {
+	addresses map[filbertlever.HostID]string
+}
+
+func (view) Origin() (address, site string, ok bool) { return "origin", "a", true }
+
+func (v view) Relays() ([]relays.Entry, map[filbertlever.HostID]string) {
+	return []relays.Entry{{Host: "a1", Site: "a"}, {Host: "a2", Site: "a"}, {Host: "b1", Site: "b"}}, v.addresses
+}
+
+// No server gets its weights back after a loss of power. The origin takes few
+// connections; an entry whose way to one other failed asked it directly, as did
+// all, and nobody got through. The next entry at the origin's site is asked.
+func TestAFailedEntryIsReplacedByAnotherAndNotByTheOrigin(t *testing.T) {
+	c := qt.New(t)
+	near := newRelay(&source{data: []byte("weights")})
+	mux := http.NewServeMux()
+	near.Routes(mux)
+	alive := httptest.NewServer(mux)
+	defer alive.Close()
+	for _, dead := range []filbertlever.HostID{"a1", "a2"} {
+		v := view{addresses: map[filbertlever.HostID]string{"a1": alive.Listener.Addr().String(), "a2": alive.Listener.Addr().String()}}
+		v.addresses[dead] = "127.0.0.1:1"
+		origin := &source{data: []byte("weights")}
+		origin.down.Store(true)
+		r := New(relays.Entry{Host: "b1", Site: "b"}, v, origin, &http.Client{}, zap.NewNop(), prometheus.NewRegistry())
+		data, err := r.Piece(context.Background(), drafter, 0, false)
+		c.Assert(err, qt.IsNil)
+		c.Assert(string(data), qt.Equals, "weights")
+	}
+}
+
+// Two entries of one site, which do not see each other alike: each takes the
+// other for the home of a piece. An agent waited until both gave up.
+func TestEntriesWithDifferentViewsDoNotWaitForEachOther(t *testing.T) {
+	c := qt.New(t)
+	origin := &source{data: []byte("weights")}
+	addresses := map[filbertlever.HostID]string{}
+	one := New(relays.Entry{Host: "e1", Site: "a"}, onlyOther{"e2", addresses}, origin, &http.Client{}, zap.NewNop(), prometheus.NewRegistry())
+	two := New(relays.Entry{Host: "e2", Site: "a"}, onlyOther{"e1", addresses}, origin, &http.Client{}, zap.NewNop(), prometheus.NewRegistry())
+	for host, r := range map[filbertlever.HostID]*Relay{"e1": one, "e2": two} {
+		mux := http.NewServeMux()
+		r.Routes(mux)
+		server := httptest.NewServer(mux)
+		defer server.Close()
+		addresses[host] = server.Listener.Addr().String()
+	}
+	began := time.Now()
+	for _, r := range []*Relay{one, two} {
+		_, err := r.Piece(context.Background(), drafter, 0, false)
+		c.Assert(err, qt.IsNil)
+	}
+	c.Assert(time.Since(began) < time.Second, qt.IsTrue)
+}
+
+// onlyOther is a view in which only the other entry lives.
+type onlyOther struct {
+	other     filbertlever.HostID
+	addresses map[filbertlever.HostID]string
+}
+
+func (onlyOther) Origin() (address, site string, ok bool) { return "origin", "a", true }
+
+func (v onlyOther) Relays() ([]relays.Entry, map[filbertlever.HostID]string) {
+	return []relays.Entry{{Host: v.other, Site: "a"}}, v.addresses
+}
