--- /dev/null
+++ b/internal/transport/gateway/peers_test.go
@@ -0,0 +1,68 @@
+package gateway
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/filbertlever/filbertlever"
+)
+
+func entryAt(host, site, region string) Entry {
+	return Entry{Host: filbertlever.HostID(host), Site: site, Region: region, Callers: host, Incarnation: "1"}
+}
+
+// A server looks full for seconds: counts that were overtaken on their way bring
+// back requests that have ended. A restarted entry begins to count anew.
+func TestOlderCountsAreLeftOut(t *testing.T) {
+	c := qt.New(t)
+	p := newPeers(entryAt("e1", "a", "ra"), 0)
+	other := entryAt("e2", "a", "ra")
+	p.hear(other, true, time.Second)
+	c.Assert(p.newer("e2", 5), qt.IsTrue)
+	c.Assert(p.newer("e2", 4), qt.IsFalse)
+	c.Assert(p.newer("e2", 6), qt.IsTrue)
+	other.Incarnation = "2"
+	p.hear(other, true, time.Second)
+	c.Assert(p.newer("e2", 1), qt.IsTrue)
+	c.Assert(p.newer("unknown", 1), qt.IsFalse)
+}
+
+// Which entries callers of a site are told of.
+func TestLocate(t *testing.T) {
+	const now = 10 * time.Second
+	heard := func(p *peers, host, site string, ready bool, at time.Duration) {
+		p.hear(entryAt(host, site, "r"+site), ready, at)
+	}
+	tests := []struct {
+		name      string
+		selfReady bool
+		prepare   func(p *peers)
+		want      []string
+	}{
+		{"enough at the own site", true, func(p *peers) { heard(p, "e2", "a", true, now); heard(p, "e3", "b", true, now) }, []string{"e1", "e2"}},
+		{"too few at the own site", true, func(p *peers) { heard(p, "e3", "b", true, now) }, []string{"e1", "e3"}},
+		{"one has fallen silent", true, func(p *peers) { heard(p, "e2", "a", true, now-2*time.Second); heard(p, "e3", "b", true, now) }, []string{"e1", "e3"}},
+		{"one is not ready", true, func(p *peers) { heard(p, "e2", "a", false, now); heard(p, "e3", "b", true, now) }, []string{"e1", "e3"}},
+		{"this one is not ready", false, func(p *peers) { heard(p, "e2", "a", true, now); heard(p, "e3", "b", true, now) }, []string{"e2", "e3"}},
+		{"nobody is", false, func(*peers) {}, nil},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			p := newPeers(entryAt("e1", "a", "ra"), 0)
+			test.prepare(p)
+			qt.Assert(t, p.locate("a", test.selfReady, now), qt.DeepEquals, test.want)
+		})
+	}
+}
+
+// An entry that has just started knows the others only from their rows. They are
+// named until they could have been heard, and no longer.
+func TestRowsAreTrustedAfterAStart(t *testing.T) {
+	c := qt.New(t)
+	p := newPeers(entryAt("e1", "a", "ra"), 10*time.Second)
+	p.list([]Entry{entryAt("e2", "a", "ra")}, nil, true)
+	c.Assert(p.locate("a", true, 11*time.Second), qt.DeepEquals, []string{"e1", "e2"})
+	c.Assert(p.locate("a", true, 12*time.Second), qt.DeepEquals, []string{"e1"})
+}
--- a/internal/transport/sidecar/sidecar.go
+++ b/internal/transport/sidecar/sidecar.go
@@ -114,9 +114,7 @@
 	seconds prometheus.Histogram
 }
 
-// New returns an agent; its loops run until ctx ends.
-func New(ctx context.Context, config Config, engine Engine, lister EntryLister, client *http.Client,
-	socket net.PacketConn, log *zap.Logger, registry prometheus.Registerer) *Sidecar {
+func newMetrics(registry prometheus.Registerer) *metrics {
 	m := &metrics{
 		loads: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "filbertlever_agent_loads_total", Help: "Loads ordered, by result.",
@@ -133,6 +131,13 @@
 		}),
 	}
 	registry.MustRegister(m.loads, m.fetched, m.corrupt, m.seconds)
+	return m
+}
+
+// New returns an agent; its loops run until ctx ends.
+func New(ctx context.Context, config Config, engine Engine, lister EntryLister, client *http.Client,
+	socket net.PacketConn, log *zap.Logger, registry prometheus.Registerer) *Sidecar {
+	m := newMetrics(registry)
 	s := &Sidecar{
 		config: config, engine: engine, lister: lister, client: client, socket: socket, log: log, metrics: m,
 		wake: make(chan struct{}, 1), views: map[string]uint64{}, models: map[string]*weights{}, pieces: map[string][]byte{},
