--- a/internal/transport/relay/relay.go
+++ b/internal/transport/relay/relay.go
@@ -58,9 +58,11 @@
 	// versionsKept bounds the versions in memory, 2 MB each on the users' sites.
 	versionsKept = 3
 	// originParallel is how many pieces one entry draws at once: enough to fill
-	// the origin's thin link with three entries, and with a dozen still below the
-	// 48 connections that the origin takes.
-	originParallel = 3
+	// the origin's thin link with three entries. More entries draw fewer each, so
+	// that all of them together stay at half of the 48 connections that the origin
+	// takes: those of entries that lost power count on for a while.
+	originParallel = 4
+	originTogether = 24
 	// fetchTries is how often a piece is tried before the caller is told, each
 	// time without the entries that failed before.
 	fetchTries = 4
@@ -80,7 +82,10 @@
 	log     *zap.Logger
 	metrics *metrics
 
-	draws chan struct{}
+	// draws are the slots of draws from the origin; drawing is held while some are
+	// taken, so that two draws do not wait for each other's.
+	draws   chan struct{}
+	drawing sync.Mutex
 
 	mu       sync.Mutex
 	versions []*version
@@ -315,11 +320,35 @@
 	if !origin {
 		return fetchPiece(context.Background(), r.client, address, named, piece, true)
 	}
-	r.draws <- struct{}{}
-	defer func() { <-r.draws }()
+	defer r.takeDraws()()
 	return r.origin.Piece(context.Background(), address, named, piece)
 }
 
+// takeDraws waits until this entry may draw one more piece from the origin, and
+// returns what ends that.
+func (r *Relay) takeDraws() func() {
+	entries, _ := r.view.Relays()
+	homes := 0
+	for _, entry := range entries {
+		if entry.Site == r.self.Site {
+			homes++
+		}
+	}
+	// One draw takes a share of the slots, all of them where only one is allowed.
+	allowed := min(max(originTogether/max(homes, 1), 1), originParallel)
+	slots := originParallel / allowed
+	r.drawing.Lock()
+	for range slots {
+		r.draws <- struct{}{}
+	}
+	r.drawing.Unlock()
+	return func() {
+		for range slots {
+			<-r.draws
+		}
+	}
+}
+
 // originName is how the origin is called in logs.
 const originName = "Origin"
 
--- a/internal/transport/sidecar/load.go
+++ b/internal/transport/sidecar/load.go
@@ -6,7 +6,6 @@
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"go.uber.org/zap"
 
 	"github.com/filbertlever/filbertlever/internal/coordination/catalog"
@@ -295,13 +294,10 @@
 	progress := f.progress(manifest)
 	lanes := make(chan struct{}, f.lanes)
 	var group sync.WaitGroup
-	// Agents begin at different pieces, so that all homes draw at once what the
-	// others will ask for next.
-	count := len(manifest.Digests)
-	first := int(xxhash.Sum64String(f.agent.config.Address) % uint64(count))
-	for i := range count {
-		piece := (first + i) % count
-		if _, ok := f.agent.piece(manifest.Digests[piece]); ok {
+	// All agents ask in the same order, in which homes draw: what one waits for
+	// comes next. Beginning at different pieces put off each of them by 0.4 s.
+	for piece, digest := range manifest.Digests {
+		if _, ok := f.agent.piece(digest); ok {
 			continue
 		}
 		lanes <- struct{}{}
