--- a/internal/transport/relay/relay.go
+++ b/internal/transport/relay/relay.go
@@ -6,13 +6,9 @@
 	"context"
 	"crypto/sha256"
 	"encoding/hex"
-	"encoding/json"
 	"fmt"
-	"io"
 	"net/http"
-	"net/url"
 	"slices"
-	"strconv"
 	"sync"
 	"time"
 
@@ -144,62 +140,6 @@
 	pathPiece    = "/weights/piece"
 )
 
-// Routes adds the calls that agents and other entries make.
-func (r *Relay) Routes(mux *http.ServeMux) {
-	mux.HandleFunc("GET "+pathManifest, r.serveManifest)
-	mux.HandleFunc("GET "+pathPiece, r.servePiece)
-}
-
-func query(req *http.Request) (catalog.NamedVersion, int, error) {
-	values := req.URL.Query()
-	number, err := strconv.ParseUint(values.Get("Version"), 10, 64)
-	if err != nil {
-		return catalog.NamedVersion{}, 0, fmt.Errorf("version %q: expected a number", values.Get("Version"))
-	}
-	piece := 0
-	if text := values.Get("Piece"); text != "" {
-		if piece, err = strconv.Atoi(text); err != nil {
-			return catalog.NamedVersion{}, 0, fmt.Errorf("piece %q: expected a number", text)
-		}
-	}
-	return catalog.NamedVersion{Model: values.Get("Model"), Version: number}, piece, nil
-}
-
-// asHome reports whether another entry asks, which takes this one for the home.
-func asHome(req *http.Request) bool { return req.URL.Query().Get("Home") != "" }
-
-func (r *Relay) serveManifest(w http.ResponseWriter, req *http.Request) {
-	named, _, err := query(req)
-	if err != nil {
-		http.Error(w, err.Error(), http.StatusBadRequest)
-		return
-	}
-	r.Prefetch(named)
-	manifest, err := r.Manifest(req.Context(), named, asHome(req))
-	if err != nil {
-		http.Error(w, err.Error(), http.StatusServiceUnavailable)
-		return
-	}
-	w.Header().Set("Content-Type", "application/json")
-	_ = json.NewEncoder(w).Encode(manifest)
-}
-
-func (r *Relay) servePiece(w http.ResponseWriter, req *http.Request) {
-	named, piece, err := query(req)
-	if err != nil {
-		http.Error(w, err.Error(), http.StatusBadRequest)
-		return
-	}
-	r.Prefetch(named)
-	data, err := r.Piece(req.Context(), named, piece, asHome(req))
-	if err != nil {
-		http.Error(w, err.Error(), http.StatusServiceUnavailable)
-		return
-	}
-	w.Header().Set("Content-Length", strconv.Itoa(len(data)))
-	_, _ = w.Write(data)
-}
-
 // Manifest returns the manifest of a version. Home says that another entry asks,
 // which takes this one for its home.
 //
@@ -497,62 +437,3 @@
 		return none, ctx.Err()
 	}
 }
-
-// FetchManifest asks an entry for a manifest, for an agent.
-func FetchManifest(ctx context.Context, client *http.Client, address string, named catalog.NamedVersion) (Manifest, error) {
-	return fetchManifest(ctx, client, address, named, false)
-}
-
-// FetchPiece asks an entry for a piece, for an agent; it is not yet verified.
-func FetchPiece(ctx context.Context, client *http.Client, address string, named catalog.NamedVersion, piece int) ([]byte, error) {
-	return fetchPiece(ctx, client, address, named, piece, false)
-}
-
-func fetchManifest(ctx context.Context, client *http.Client, address string, named catalog.NamedVersion, home bool) (Manifest, error) {
-	var manifest Manifest
-	data, err := fetch(ctx, client, address, pathManifest, named, nil, home)
-	if err == nil {
-		err = json.Unmarshal(data, &manifest)
-	}
-	if err != nil {
-		return Manifest{}, fmt.Errorf("manifest of %s version %d from %s: %w", named.Model, named.Version, address, err)
-	}
-	return manifest, nil
-}
-
-func fetchPiece(ctx context.Context, client *http.Client, address string, named catalog.NamedVersion, piece int, home bool) ([]byte, error) {
-	data, err := fetch(ctx, client, address, pathPiece, named, &piece, home)
-	if err != nil {
-		return nil, fmt.Errorf("piece %d of %s version %d from %s: %w", piece, named.Model, named.Version, address, err)
-	}
-	return data, nil
-}
-
-func fetch(ctx context.Context, client *http.Client, address, path string, named catalog.NamedVersion, piece *int, home bool) ([]byte, error) {
-	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
-	defer cancel()
-	values := url.Values{"Model": {named.Model}, "Version": {strconv.FormatUint(named.Version, 10)}}
-	if piece != nil {
-		values.Set("Piece", strconv.Itoa(*piece))
-	}
-	if home {
-		values.Set("Home", "1")
-	}
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+path+"?"+values.Encode(), nil)
-	if err != nil {
-		return nil, err
-	}
-	response, err := client.Do(request)
-	if err != nil {
-		return nil, err
-	}
-	defer func() { _ = response.Body.Close() }()
-	data, err := io.ReadAll(io.LimitReader(response.Body, pieceMost))
-	if err != nil {
-		return nil, err
-	}
-	if response.StatusCode != http.StatusOK {
-		return nil, fmt.Errorf("answered %d: %s", response.StatusCode, data[:min(len(data), 200)])
-	}
-	return data, nil
-}
