Entries find each other through the seeds while the store does not list them

Entries now ask the seeds for others until the list has been read, and make themselves known to those.

--- a/internal/transport/gateway/datagrams.go
+++ b/internal/transport/gateway/datagrams.go
@@ -267,6 +267,7 @@
 	g.relay.Routes(mux)
 	mux.HandleFunc("GET "+PathView, g.serveView)
 	mux.HandleFunc("GET "+PathFeed, g.serveFeed)
+	mux.HandleFunc("GET "+PathEntries, g.serveEntries)
 }
 
 func (g *Gateway) serveView(w http.ResponseWriter, r *http.Request) {
--- a/internal/transport/gateway/gateway.go
+++ b/internal/transport/gateway/gateway.go
@@ -39,6 +39,9 @@
 	RetryRatio  float64
 	RetrySlack  float64
 	RetryWindow time.Duration
+	// Seeds are peer addresses of entries to ask for others while the store
+	// does not list them.
+	Seeds []string
 	// Keep is how long callers may keep an answer of Locate.
 	Keep time.Duration
 	// Grace is how long after a stop's announcement new requests are taken, and
@@ -74,6 +77,8 @@
 	// none has.
 	confirmed atomic.Int64
 	running   atomic.Int64
+	// listed is true once the store's list of entries has been read.
+	listed atomic.Bool
 	// revoke is Config.Revoke, which may change.
 	revoke atomic.Int64
 
@@ -104,7 +109,7 @@
 	}
 	g.revoke.Store(int64(config.Revoke))
 	g.relay = relay.New(relays.Entry{Host: config.Self.Host, Site: config.Self.Site}, relayView{g}, origin, client, log, registry)
-	for _, loop := range []func(context.Context){g.runDesired, g.runBackends, g.runEntries, g.runHeartbeat, g.runCounts} {
+	for _, loop := range []func(context.Context){g.runDesired, g.runBackends, g.runEntries, g.runHeartbeat, g.runCounts, g.runSeeds} {
 		go loop(ctx)
 	}
 	go g.runDatagrams(ctx)
--- a/internal/transport/gateway/peers.go
+++ b/internal/transport/gateway/peers.go
@@ -84,6 +84,16 @@
 	}
 }
 
+// meet takes entries that another entry told of. Their own heartbeats show whether
+// they live.
+func (p *peers) meet(entries []Entry) {
+	for _, entry := range entries {
+		if _, ok := p.known[entry.Host]; !ok && entry.Host != p.self.Host {
+			p.known[entry.Host] = &peer{entry: entry, listed: true}
+		}
+	}
+}
+
 // hear takes a heartbeat.
 func (p *peers) hear(entry Entry, ready bool, now time.Duration) {
 	known, ok := p.known[entry.Host]
--- a/internal/transport/gateway/watch.go
+++ b/internal/transport/gateway/watch.go
@@ -216,6 +216,7 @@
 		g.mu.Lock()
 		defer g.mu.Unlock()
 		g.peers.list(entries.Present, entries.Gone, whole)
+		g.listed.Store(true)
 		g.resizeBudgets()
 		return nil
 	}
--- a/internal/transport/installation/roles.go
+++ b/internal/transport/installation/roles.go
@@ -119,7 +119,7 @@
 			Datagrams: s.Listen.Datagrams, Incarnation: filbertlever.Incarnation(strconv.FormatInt(time.Now().UnixNano(), 36)),
 		},
 		Regions: s.Regions, Revoke: time.Duration(s.Bounds.Revoke), Bound: time.Duration(s.Bounds.Version),
-		RetryRatio: s.Bounds.RetryRatio, RetrySlack: s.Bounds.RetrySlack, RetryWindow: time.Duration(s.Bounds.RetryWindow), Keep: time.Duration(s.Bounds.Keep),
+		RetryRatio: s.Bounds.RetryRatio, RetrySlack: s.Bounds.RetrySlack, RetryWindow: time.Duration(s.Bounds.RetryWindow), Seeds: s.Seeds, Keep: time.Duration(s.Bounds.Keep),
 		Grace: time.Duration(takeShare * float64(stop)), Leave: stop,
 	}
 }
