--- a/internal/coordination/switchover/switchover.go
+++ b/internal/coordination/switchover/switchover.go
@@ -20,6 +20,8 @@
 	Load time.Duration
 	// Reserve is kept for delays before the bound.
 	Reserve time.Duration
+	// Queue is how long a request may wait in a server's queue before it begins.
+	Queue time.Duration
 }
 
 // readyShare is the least part of a bound that is kept for fetching: thinner
@@ -27,6 +29,10 @@
 // of 10.3 s.
 const readyShare = 0.45
 
+// queueMost is what a request waited in a server's queue at most, beside others
+// that the entries had not yet heard of: 0.77 s, and as much again for safety.
+const queueMost = 1500 * time.Millisecond
+
 // DefaultConfig returns the times for a bound. A set of 2 MB takes 2.6 s on a
 // server's link of 7.6 Mbit/s beside the server's own answers, 0.1 s to lay down
 // and check, and 0.3 s to load.
@@ -34,7 +40,7 @@
 	const fetch, lay = 2700 * time.Millisecond, 200 * time.Millisecond
 	const quiet = 500 * time.Millisecond
 	ready := max(fetch+lay+quiet, time.Duration(readyShare*float64(bound)))
-	return Config{Bound: bound, Ready: ready, Quiet: quiet, Load: 400 * time.Millisecond, Reserve: 600 * time.Millisecond}
+	return Config{Bound: bound, Ready: ready, Quiet: quiet, Load: 400 * time.Millisecond, Reserve: 600 * time.Millisecond, Queue: queueMost}
 }
 
 // Named is a version that operators have named.
@@ -63,7 +69,7 @@
 // Strict returns how long after the naming of a version requests are sent only
 // to servers that hold it, and say so. One that has waited in a server's queue
 // must not begin on the older version after the bound.
-func (c Config) Strict() time.Duration { return max(c.Bound-c.Reserve, 0) }
+func (c Config) Strict() time.Duration { return max(c.Bound-c.Queue, 0) }
 
 // Next returns the version that a server at a place should change to, and when
 // it begins. Named is in order of versions; ok is false if there is nothing to
--- a/internal/coordination/switchover/switchover_test.go
+++ b/internal/coordination/switchover/switchover_test.go
@@ -99,3 +99,15 @@
 	c.Assert(ok, qt.IsTrue)
 	c.Assert(version, qt.Equals, uint64(3))
 }
+
+// A request began on the older version 46 ms after the bound. It was sent 0.71 s
+// before it, while that version was still allowed, and waited 0.77 s in the
+// server's queue. From then on only servers with the new version may be sent to.
+func TestARequestThatWaitsInAQueueDoesNotBeginTooLate(t *testing.T) {
+	c := qt.New(t)
+	for _, bound := range []time.Duration{bound, 10300 * time.Millisecond} {
+		config := DefaultConfig(bound)
+		c.Assert(config.Strict()+770*time.Millisecond < bound, qt.IsTrue)
+		c.Assert(config.Strict() > config.Ready, qt.IsTrue)
+	}
+}
