The oldest version first once the origin is back; a soak of the real programs

Cause: while the origin was away a second version was named. Homes gave up drawing ahead, agents asked one piece at a time, and both versions shared the link: 15 % of the first took 2.4 to 4.4 s, in which every request was refused. A server whose version no longer answers still waited 0.5 s for requests to end. Ruled out: the relays' retries (0.4 s at most), the load.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 STATICCHECK := honnef.co/go/tools/cmd/staticcheck@v0.8.2
 BIN := bin
 
-.PHONY: help build demo platform-demo check fmt vet lint test layers docs docs-check generate guards matrix fuzz bench-weights bench-requests bench-control
+.PHONY: help build demo platform-demo check fmt vet lint test layers docs docs-check generate guards matrix fuzz bench-weights bench-requests bench-control soak soak-known
 
 help: ## list the jobs
 	@awk -F': .*## ' '/^[a-z-]+:.*## / {printf "%-14s %s\n", $$1, $$2}' $(MAKEFILE_LIST)
@@ -66,3 +66,13 @@
 
 bench-control: build ## measure what control costs a process, and its slopes
 	@$(BIN)/filbertlever-bench control
+
+SEEDS ?= 10
+
+soak: ## run the real programs under SEEDS random series of faults, 40 s each
+	go build -o $(BIN)/ ./cmd/filbertlever ./cmd/filbertlever-soak
+	$(BIN)/filbertlever-soak --binary $(BIN)/filbertlever --seeds $(SEEDS) $(SOAK)
+
+soak-known: ## run the seeds that once failed
+	go build -o $(BIN)/ ./cmd/filbertlever ./cmd/filbertlever-soak
+	$(BIN)/filbertlever-soak --binary $(BIN)/filbertlever --known platform/soak/seeds.yaml $(SOAK)
--- /dev/null
+++ b/cmd/filbertlever-soak/main.go
@@ -0,0 +1,94 @@
+// Command filbertlever-soak runs the real programs under random faults and
+// checks what callers and backend servers see.
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"os/signal"
+	"path/filepath"
+	"syscall"
+	"time"
+
+	"github.com/alecthomas/kong"
+
+	"github.com/filbertlever/filbertlever/platform/soak"
+)
+
+type command struct {
+	Binary  string        `required:"" type:"existingfile" help:"The filbertlever program."`
+	Seed    uint64        `help:"First seed; by default one of the clock."`
+	Seeds   int           `default:"1" help:"How many seeds to run, one after the other."`
+	Length  time.Duration `default:"40s" help:"Time of each run."`
+	Entries int           `default:"6" help:"Entries."`
+	Agents  int           `default:"12" help:"Agents, each beside a model server."`
+	Plain   int           `default:"3" help:"Plain servers."`
+	Callers int           `default:"24" help:"Callers."`
+	Logs    string        `default:"soak-logs" help:"Where the logs of failed seeds are kept."`
+}
+
+var errBroken = errors.New("promises were broken")
+
+// Run runs the seeds and reports each.
+func (c *command) Run(ctx context.Context) error {
+	binary, err := filepath.Abs(c.Binary)
+	if err != nil {
+		return err
+	}
+	if c.Seed == 0 {
+		c.Seed = uint64(time.Now().UnixNano()) % 1_000_000
+	}
+	failed := 0
+	for n := range uint64(c.Seeds) {
+		if ctx.Err() != nil {
+			break
+		}
+		ok, err := c.one(ctx, binary, c.Seed+n)
+		if err != nil {
+			return err
+		}
+		if !ok {
+			failed++
+		}
+	}
+	fmt.Printf("%d passed, %d failed\n", c.Seeds-failed, failed)
+	if failed > 0 {
+		return errBroken
+	}
+	return nil
+}
+
+func (c *command) one(ctx context.Context, binary string, seed uint64) (bool, error) {
+	logs := filepath.Join(c.Logs, fmt.Sprint(seed))
+	if err := os.MkdirAll(logs, 0o755); err != nil {
+		return false, err
+	}
+	result, err := soak.Run(ctx, soak.Config{Seed: seed, Length: c.Length, Entries: c.Entries, Agents: c.Agents, Plain: c.Plain,
+		Callers: c.Callers, Binary: binary, Logs: logs})
+	if err != nil {
+		return false, err
+	}
+	fmt.Printf("seed=%d faults=%d requests=%d served=%d refused=%d broken=%d\n",
+		seed, result.Faults, result.Requests, result.Served, result.Refused, len(result.Broken))
+	for i, b := range result.Broken {
+		if i == 8 {
+			break
+		}
+		fmt.Printf("  %s: %s\n", b.Promise, b.What)
+	}
+	if len(result.Broken) == 0 {
+		return true, os.RemoveAll(logs)
+	}
+	return false, nil
+}
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+	defer stop()
+	var c command
+	parser := kong.Parse(&c, kong.Description("Runs filbertlever under random faults and checks its promises."))
+	parser.BindTo(ctx, (*context.Context)(nil))
+	parser.FatalIfErrorf(parser.Run())
+}
--- a/internal/coordination/switchover/switchover.go
+++ b/internal/coordination/switchover/switchover.go
@@ -50,6 +50,9 @@
 	Since time.Duration
 	// Whole is true if all its pieces are on the host and verified.
 	Whole bool
+	// Left is how many pieces are missing, if Known.
+	Left  int
+	Known bool
 }
 
 // last is how long after the naming a server may begin its change at the latest.
@@ -116,8 +119,36 @@
 	}
 	inTime := now+c.Ready <= oldest.Since+(c.Ready+c.last())/2
 	missed := now+c.Ready > oldest.Since+c.Bound
+	if missed && c.sooner(oldest, newest, now) {
+		return oldest.Version, true
+	}
 	if held == 0 || oldest.Whole || inTime || missed {
 		return newest.Version, true
 	}
 	return oldest.Version, true
 }
+
+// sooner reports whether the older of two versions, whose bound is missed, is so
+// nearly here that it can serve while the newer one is fetched: at most half as
+// many pieces are missing, and the newer one is not yet the only one to answer.
+func (c Config) sooner(oldest, newest *Named, now time.Duration) bool {
+	if !oldest.Known || oldest.Whole || oldest == newest || newest.Known && 2*oldest.Left > newest.Left {
+		return false
+	}
+	return now+c.Load+c.Reserve < newest.Since+c.Strict()
+}
+
+// Idle reports whether a server gets no requests: it holds nothing, or a version
+// that it lacks is the only one to answer by now. Nothing has to be kept from it
+// before its change.
+func (c Config) Idle(held uint64, named []Named, now time.Duration) bool {
+	if held == 0 {
+		return true
+	}
+	for _, n := range named {
+		if n.Version > held && c.Bound > 0 && now >= n.Since+c.Strict() {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/coordination/switchover/switchover_test.go
+++ b/internal/coordination/switchover/switchover_test.go
@@ -111,3 +111,43 @@
 		c.Assert(config.Strict() > config.Ready, qt.IsTrue)
 	}
 }
+
+// The origin comes back after two bounds have passed or nearly so. Servers gave
+// up a version of which an eighth was missing for a whole set of the next one, and
+// answered nothing for 2.5 s more.
+func TestANearlyWholeVersionIsFinishedFirst(t *testing.T) {
+	c := qt.New(t)
+	config := DefaultConfig(bound)
+	now := bound + 500*time.Millisecond
+	tests := []struct {
+		name        string
+		left, newer Named
+		want        uint64
+	}{
+		{"an eighth is missing", Named{Left: 8, Known: true}, Named{Since: 4 * time.Second, Left: 64, Known: true}, 2},
+		{"the newer set is not known", Named{Left: 8, Known: true}, Named{Since: 4 * time.Second}, 2},
+		{"most is missing", Named{Left: 48, Known: true}, Named{Since: 4 * time.Second, Left: 64, Known: true}, 3},
+		{"the newer one is nearer", Named{Left: 8, Known: true}, Named{Since: 4 * time.Second, Left: 4, Known: true}, 3},
+		{"the newer one is the only one to answer soon", Named{Left: 8, Known: true}, Named{Since: time.Second, Left: 64, Known: true}, 3},
+		{"nothing was begun", Named{}, Named{Since: 4 * time.Second}, 3},
+	}
+	for _, test := range tests {
+		test.left.Version, test.newer.Version = 2, 3
+		version, ok := config.Fetches(1, []Named{test.left, test.newer}, now)
+		c.Check(ok, qt.IsTrue)
+		c.Check(version, qt.Equals, test.want, qt.Commentf(test.name))
+	}
+}
+
+// A version came after its bound. Every server was kept free of requests for half
+// a second before it changed, though none could get any.
+func TestAServerWithoutRequestsIsIdle(t *testing.T) {
+	c := qt.New(t)
+	config := DefaultConfig(bound)
+	named := []Named{{Version: 2, Since: 0}}
+	c.Assert(config.Idle(0, named, 0), qt.IsTrue)
+	c.Assert(config.Idle(1, named, config.Strict()-1), qt.IsFalse)
+	c.Assert(config.Idle(1, named, config.Strict()), qt.IsTrue)
+	c.Assert(config.Idle(2, named, config.Strict()), qt.IsFalse)
+	c.Assert(DefaultConfig(0).Idle(1, named, time.Hour), qt.IsFalse)
+}
--- a/internal/transport/relay/relay.go
+++ b/internal/transport/relay/relay.go
@@ -85,6 +85,8 @@
 
 	mu       sync.Mutex
 	versions []*version
+	// drawingAhead is true while pieces are drawn ahead.
+	drawingAhead bool
 	// byDigest finds pieces that versions share.
 	byDigest map[string][]byte
 }
@@ -95,8 +97,11 @@
 	// manifests and pieces are by whether this entry was asked as their home.
 	manifests map[bool]*flight[Manifest]
 	pieces    map[wanted]*flight[[]byte]
-	// prefetched is true once this entry's own pieces are being drawn.
-	prefetched bool
+	// ahead is true while this entry's own pieces are to be drawn ahead, which is
+	// given up at aheadUntil; asked is true once that was wanted.
+	ahead      bool
+	asked      bool
+	aheadUntil time.Duration
 }
 
 // wanted is a piece, and whether this entry was asked for it as its home.
@@ -373,54 +378,6 @@
 	}
 }
 
-// Prefetch draws the pieces whose home is this entry, so that they are there
-// when agents ask; a second call does nothing. It returns at once.
-//
-// It is called for a version when it is named and when the first of its pieces is
-// asked for, not for its manifest: after a loss of power most servers still have
-// their pieces staged, and no piece has to move.
-//
-// Drawing only what is asked for leaves the origin's link half idle: 41 added
-// servers had their weights after 5.2 s, where the link allows 2.8 s.
-func (r *Relay) Prefetch(named catalog.NamedVersion) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	v := r.version(named)
-	if !v.prefetched {
-		v.prefetched = true
-		go r.runPrefetch(named)
-	}
-}
-
-func (r *Relay) runPrefetch(named catalog.NamedVersion) {
-	ctx, cancel := context.WithTimeout(context.Background(), 4*peerTimeout)
-	defer cancel()
-	manifest, err := r.Manifest(ctx, named, false)
-	if err != nil {
-		r.mu.Lock()
-		r.version(named).prefetched = false
-		r.mu.Unlock()
-		r.log.Warn("weights not prefetched", zap.String("Model", named.Model), zap.Uint64("Version", named.Version), zap.Error(err))
-		return
-	}
-	entries, _ := r.view.Relays()
-	var group sync.WaitGroup
-	lanes := make(chan struct{}, originParallel)
-	for piece := range manifest.Digests {
-		if relays.Home(entries, r.self.Site, pieceKey(named, piece)) != r.self.Host {
-			continue
-		}
-		lanes <- struct{}{}
-		group.Go(func() {
-			defer func() { <-lanes }()
-			// A failure was logged where it arose; agents ask again.
-			_, _ = r.Piece(ctx, named, piece, false)
-		})
-	}
-	group.Wait()
-	r.log.Info("weights prefetched", zap.String("Model", named.Model), zap.Uint64("Version", named.Version))
-}
-
 func (f *flight[T]) ended() bool {
 	select {
 	case <-f.done:
--- a/internal/transport/sidecar/load.go
+++ b/internal/transport/sidecar/load.go
@@ -42,8 +42,10 @@
 
 // weights is what an agent holds of one model. The agent's lock guards it.
 type weights struct {
-	// whole has the manifests of versions whose pieces are all here.
+	// whole has the manifests of versions whose pieces are all here, and known
+	// those of versions that were begun.
 	whole    map[uint64]*relay.Manifest
+	known    map[uint64]*relay.Manifest
 	fetching bool
 	loading  bool
 	// left is how many pieces of the fetch under way are missing, and pace how
@@ -54,6 +56,10 @@
 	servedAt time.Duration
 }
 
+func newWeights() *weights {
+	return &weights{whole: map[uint64]*relay.Manifest{}, known: map[uint64]*relay.Manifest{}}
+}
+
 // servedIn predicts when the server will hold what it is being brought; 0 if
 // nothing is.
 func (w *weights) servedIn(now time.Duration) time.Duration {
@@ -94,28 +100,35 @@
 	for model, named := range s.named() {
 		m, ok := s.models[model]
 		if !ok {
-			m = &weights{whole: map[uint64]*relay.Manifest{}}
+			m = newWeights()
 			s.models[model] = m
 		}
 		for i := range named {
 			named[i].Whole = m.whole[named[i].Version] != nil
+			if manifest := m.known[named[i].Version]; manifest != nil {
+				named[i].Left, named[i].Known = s.missing(manifest), true
+			}
 		}
 		has := held(s.report.Models, model)
+		idle := config.Idle(has, named, now)
 		if version, ok := config.Fetches(has, named, now); ok && !m.fetching {
 			m.fetching = true
 			f := &fetching{agent: s, weights: m, named: catalog.NamedVersion{Model: model, Version: version}, lanes: lanesServing}
-			if has == 0 {
-				f.lanes, f.empty = lanesEmpty, true
+			if idle {
+				f.lanes, f.idle = lanesEmpty, true
 			}
 			go f.run(ctx)
 		}
 		version, begin, ok := config.Next(has, named, s.viewed.Place, s.viewed.Count)
+		if idle {
+			begin = 0
+		}
 		if !ok || !s.hasReport || m.loading || s.report.Loading || now < begin-config.Quiet-stageTime {
 			continue
 		}
 		m.loading = true
 		m.servedAt = max(now+stageTime, begin) + loadTime
-		l := &load{agent: s, weights: m, named: catalog.NamedVersion{Model: model, Version: version}, empty: has == 0, begin: begin, quiet: config.Quiet, manifest: m.whole[version]}
+		l := &load{agent: s, weights: m, named: catalog.NamedVersion{Model: model, Version: version}, idle: idle, begin: begin, quiet: config.Quiet, manifest: m.whole[version]}
 		go l.run(ctx)
 	}
 }
@@ -135,8 +148,8 @@
 	weights *weights
 	named   catalog.NamedVersion
 	lanes   int
-	// empty is true if the server serves nothing of the model.
-	empty bool
+	// idle is true if the server gets no requests for the model.
+	idle bool
 }
 
 func (f *fetching) run(ctx context.Context) {
@@ -144,6 +157,9 @@
 	began := boottime.Now()
 	manifest, err := f.manifest(ctx)
 	if err == nil {
+		s.mu.Lock()
+		f.weights.known[f.named.Version] = &manifest
+		s.mu.Unlock()
 		f.takeStaged(ctx, &manifest)
 		err = f.fetch(ctx, &manifest)
 	}
@@ -168,18 +184,15 @@
 // only they had; the caller holds the lock.
 func (s *Sidecar) prune(model string, m *weights) {
 	has := held(s.report.Models, model)
-	for version := range m.whole {
+	for version := range m.known {
 		if version < has {
+			delete(m.known, version)
 			delete(m.whole, version)
 		}
 	}
 	wanted := map[string]bool{}
 	for _, other := range s.models {
-		if other.fetching {
-			// Pieces of a fetch under way are in no manifest yet.
-			return
-		}
-		for _, manifest := range other.whole {
+		for _, manifest := range other.known {
 			for _, digest := range manifest.Digests {
 				wanted[digest] = true
 			}
@@ -208,9 +221,9 @@
 	weights  *weights
 	named    catalog.NamedVersion
 	manifest *relay.Manifest
-	// empty is true if the server serves nothing of the model, so that nothing
+	// idle is true if the server gets no requests for the model, so that nothing
 	// has to be kept from it.
-	empty bool
+	idle bool
 	// begin is when the order is to be given.
 	begin time.Duration
 	// quiet is how long before that the server gets no new requests.
@@ -239,7 +252,7 @@
 	if err := l.stage(ctx, l.manifest); err != nil {
 		return err
 	}
-	if !l.empty {
+	if !l.idle {
 		sleep(ctx, l.begin-l.quiet-boottime.Now())
 		s.setSwitching(true)
 		sleep(ctx, l.quiet)
@@ -247,7 +260,7 @@
 	if err := s.engine.Load(ctx, l.named.Model, l.named.Version); err != nil {
 		return err
 	}
-	s.log.Info("load ordered", zap.String("Model", l.named.Model), zap.Uint64("Version", l.named.Version), zap.Bool("Empty", l.empty))
+	s.log.Info("load ordered", zap.String("Model", l.named.Model), zap.Uint64("Version", l.named.Version), zap.Bool("Idle", l.idle))
 	return l.await(ctx)
 }
 
@@ -332,14 +345,9 @@
 // call after each piece.
 func (f *fetching) progress(manifest *relay.Manifest) func() {
 	s, m := f.agent, f.weights
-	missing := 0
-	for _, digest := range manifest.Digests {
-		if _, ok := s.piece(digest); !ok {
-			missing++
-		}
-	}
 	began, done := boottime.Now(), 0
 	s.mu.Lock()
+	missing := s.missing(manifest)
 	m.left, m.pace = missing, firstPace
 	s.mu.Unlock()
 	return func() {
@@ -422,7 +430,7 @@
 	f.agent.mu.Lock()
 	answers := f.agent.hasReport
 	f.agent.mu.Unlock()
-	if !f.empty || !answers {
+	if !f.idle || !answers {
 		return
 	}
 	if err := f.agent.engine.Stage(ctx, f.named.Model, piece, data); err != nil {
--- a/internal/transport/sidecar/load_test.go
+++ b/internal/transport/sidecar/load_test.go
@@ -140,7 +140,7 @@
 	server := &engine{staged: map[int][]byte{0: entry.pieces[0], 1: []byte("spoilt"), 2: entry.pieces[2]}}
 	s := newAgent(entry, server, Config{})
 	s.hasReport, s.reportedOnce = true, true
-	f := &fetching{agent: s, weights: &weights{whole: map[uint64]*relay.Manifest{}}, named: catalog.NamedVersion{Model: "drafter", Version: 1}, lanes: 1}
+	f := &fetching{agent: s, weights: newWeights(), named: catalog.NamedVersion{Model: "drafter", Version: 1}, lanes: 1}
 	s.models["drafter"] = f.weights
 	f.run(context.Background())
 	c.Assert(f.weights.whole[1], qt.IsNotNil)
@@ -162,7 +162,7 @@
 		server := &engine{staged: map[int][]byte{}}
 		s := newAgent(entry, server, Config{})
 		s.hasReport, s.reportedOnce = true, true
-		f := &fetching{agent: s, weights: &weights{whole: map[uint64]*relay.Manifest{}}, named: catalog.NamedVersion{Model: "drafter", Version: 2}, lanes: 1, empty: empty}
+		f := &fetching{agent: s, weights: newWeights(), named: catalog.NamedVersion{Model: "drafter", Version: 2}, lanes: 1, idle: empty}
 		f.run(context.Background())
 		c.Assert(len(server.staged) == 3, qt.Equals, empty)
 	}
--- a/internal/transport/sidecar/sidecar.go
+++ b/internal/transport/sidecar/sidecar.go
@@ -22,6 +22,7 @@
 	"github.com/filbertlever/filbertlever/internal/coordination/fleet"
 	"github.com/filbertlever/filbertlever/internal/transport/boottime"
 	"github.com/filbertlever/filbertlever/internal/transport/gateway"
+	"github.com/filbertlever/filbertlever/internal/transport/relay"
 )
 
 // Report is a model server's own report.
@@ -434,3 +435,14 @@
 	defer s.mu.Unlock()
 	s.pieces[digest] = data
 }
+
+// missing is how many pieces of a version are not here; the caller holds the lock.
+func (s *Sidecar) missing(manifest *relay.Manifest) int {
+	missing := 0
+	for _, digest := range manifest.Digests {
+		if _, ok := s.pieces[digest]; !ok {
+			missing++
+		}
+	}
+	return missing
+}
