Whole tables from the region's reader; far entries are trusted until heard

Cause: after a loss of power 42 entries read 200 KB each over thin borders; the store's answers to 28 of them came too late and were asked for again, and they knew nothing for 2 to 3 s. Entries of other regions were taken for dead 1.5 s after a start, before their first heartbeat of a 2 s period; entries that did not know the others yet drew whole sets from the origin. Ruled out: the store (4 ms an answer). Change: entries ask the region's reader for whole tables and keep them to tell in turn; what is kept is bounded by bytes; far entries are trusted for 5 s; no draw from the origin before the list of entries is known, or 1.5 s.

--- a/internal/transport/gateway/feeds.go
+++ b/internal/transport/gateway/feeds.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"net/http"
 	"net/url"
@@ -27,8 +28,18 @@
 	readerAge = 2300 * time.Millisecond
 	// readerTimeout bounds a call to the reader beyond its waiting.
 	readerTimeout = 400 * time.Millisecond
-	// feedKept is how many answers of the store a reader keeps for the others.
-	feedKept = 256
+	// feedKept is how many answers of the store a reader keeps for the others, and
+	// feedBytes how much of them: a desired state has 100 KB, and they come in
+	// series of dozens.
+	feedKept  = 256
+	feedBytes = 2 << 20
+	// wholeTimeout bounds the wait for a whole table from another entry, which may
+	// itself be reading it: 0.1 s over an idle border. wholePause is left between
+	// calls to one that has not started yet.
+	wholeTimeout = 600 * time.Millisecond
+	wholePause   = 50 * time.Millisecond
+	// listedWait is how long the list of entries is waited for at the start.
+	listedWait = 400 * time.Millisecond
 )
 
 // chunk is an answer of the store.
@@ -39,7 +50,11 @@
 
 // feedLog is what a reader knows of one table's changes.
 type feedLog struct {
+	// base is the whole table as of from, without which it can be told no more; its
+	// revision is 0 then.
+	base   Rows
 	chunks []chunk
+	bytes  int
 	// from and head are the revisions between which all changes are here.
 	from, head uint64
 	// confirmed is when the read was sent that last confirmed head.
@@ -52,18 +67,22 @@
 type feeds struct {
 	mu     sync.Mutex
 	tables map[Table]*feedLog
+	// restarted is closed when a log begins.
+	restarted chan struct{}
 }
 
-func newFeeds() *feeds { return &feeds{tables: map[Table]*feedLog{}} }
+func newFeeds() *feeds { return &feeds{tables: map[Table]*feedLog{}, restarted: make(chan struct{})} }
 
 // restart begins a table's log anew after a whole read.
-func (f *feeds) restart(table Table, revision uint64, sent time.Duration) {
+func (f *feeds) restart(table Table, rows Rows, sent time.Duration) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if old, ok := f.tables[table]; ok {
 		close(old.changed)
 	}
-	f.tables[table] = &feedLog{from: revision, head: revision, confirmed: sent, changed: make(chan struct{})}
+	f.tables[table] = &feedLog{base: rows, from: rows.Revision, head: rows.Revision, confirmed: sent, changed: make(chan struct{})}
+	close(f.restarted)
+	f.restarted = make(chan struct{})
 }
 
 // publish adds what the store answered to a call for changes after a revision.
@@ -75,8 +94,9 @@
 		return
 	}
 	if after > log.head {
-		// Some changes came through another entry and are not here.
-		log.chunks, log.from = nil, after
+		// Guard: some changes came through another entry and are not here. The whole
+		// table told without them had routes missing 20 s after they were added.
+		log.chunks, log.bytes, log.from, log.base = nil, 0, after, Rows{}
 	}
 	log.head = max(log.head, rows.Revision)
 	log.confirmed = sent
@@ -84,9 +104,12 @@
 		return
 	}
 	log.chunks = append(log.chunks, chunk{after: after, rows: rows})
-	if len(log.chunks) > feedKept {
+	log.bytes += len(rows.Raw)
+	for len(log.chunks) > feedKept || log.bytes > feedBytes {
 		log.from = log.chunks[0].rows.Revision
+		log.bytes -= len(log.chunks[0].rows.Raw)
 		log.chunks = log.chunks[1:]
+		log.base = Rows{}
 	}
 	close(log.changed)
 	log.changed = make(chan struct{})
@@ -102,8 +125,8 @@
 	Raw []json.RawMessage
 }
 
-// since returns the changes after a revision, or waits for some. It returns
-// false if the log does not reach back so far.
+// since returns the changes after a revision, or waits for some; after 0 means
+// the whole table. It returns false if the log does not reach back so far.
 func (f *feeds) since(ctx context.Context, table Table, after uint64) (FeedAnswer, bool) {
 	timer := time.NewTimer(readerWait)
 	defer timer.Stop()
@@ -126,10 +149,17 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	log, ok := f.tables[table]
-	if !ok || after < log.from {
+	whole := after == 0
+	switch {
+	case whole && !ok:
+		return FeedAnswer{}, f.restarted, true
+	case !ok, whole && log.base.Revision == 0, !whole && after < log.from:
 		return FeedAnswer{}, nil, false
 	}
 	answer := FeedAnswer{Revision: log.head, Age: boottime.Now() - log.confirmed}
+	if whole && len(log.base.Raw) > 0 {
+		answer.Raw = append(answer.Raw, log.base.Raw)
+	}
 	for _, c := range log.chunks {
 		if c.rows.Revision > after {
 			answer.Raw = append(answer.Raw, c.rows.Raw)
@@ -195,6 +225,73 @@
 	return rows, sent - answer.Age, true
 }
 
+// wholeFromReader asks the entry that reads the store for this region for a whole
+// table. It returns false if the store must be asked instead.
+//
+// Guard: after a loss of power all entries of a region read the desired state and
+// the servers' rows over one thin link, 200 KB each; the answers to most came too
+// late, were asked for again, and 28 of 42 entries knew nothing for 2 to 3 s. One
+// of each region reads, and the others have it from that one.
+func (g *Gateway) wholeFromReader(ctx context.Context, table Table) (Rows, time.Duration, bool) {
+	if table == TableEntries {
+		return Rows{}, 0, false
+	}
+	g.awaitListed(ctx)
+	ctx, cancel := context.WithTimeout(ctx, wholeTimeout)
+	defer cancel()
+	for ctx.Err() == nil {
+		sent := boottime.Now()
+		host, address, other := g.starter(sent)
+		if !other {
+			return Rows{}, 0, false
+		}
+		answer, err := g.fetchFeed(ctx, address, table, 0)
+		if err == nil && answer.Age <= readerAge && answer.Revision > 0 {
+			return Rows{Revision: answer.Revision, Raw: joinRows(answer.Raw)}, sent - answer.Age, true
+		}
+		g.log.Debug("table not had from the reader", zap.String("Table", string(table)), zap.String("Reader", string(host)), zap.Error(err))
+		if errors.Is(err, ErrHistoryGone) {
+			break
+		}
+		g.sleep(ctx, wholePause)
+	}
+	g.log.Info("store asked for a whole table", zap.String("Table", string(table)))
+	return Rows{}, 0, false
+}
+
+// awaitListed waits a moment until the entries are known.
+func (g *Gateway) awaitListed(ctx context.Context) {
+	for end := boottime.Now() + listedWait; boottime.Now() < end && !g.listed.Load() && ctx.Err() == nil; {
+		g.sleep(ctx, wholePause/2)
+	}
+}
+
+// starter returns the peer address of the entry to ask for whole tables: one of
+// this region that is ready; if none is, as all have just started, the one that
+// all of them take for their reader. It returns false if that is this one.
+func (g *Gateway) starter(now time.Duration) (filbertlever.HostID, string, bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	var ready, all []relays.Entry
+	addresses := map[filbertlever.HostID]string{}
+	for _, e := range g.peers.alive(now) {
+		if e.Region != g.config.Self.Region {
+			continue
+		}
+		entry := relays.Entry{Host: e.Host, Site: e.Region}
+		addresses[e.Host] = e.Peers
+		all = append(all, entry)
+		if g.peers.isReady(e.Host) {
+			ready = append(ready, entry)
+		}
+	}
+	if len(ready) > 0 {
+		all = ready
+	}
+	host := relays.Home(all, g.config.Self.Region, "reader")
+	return host, addresses[host], host != g.config.Self.Host
+}
+
 func (g *Gateway) fetchFeed(ctx context.Context, address string, table Table, after uint64) (FeedAnswer, error) {
 	ctx, cancel := context.WithTimeout(ctx, readerWait+readerTimeout)
 	defer cancel()
@@ -208,6 +305,9 @@
 		return FeedAnswer{}, err
 	}
 	defer func() { _ = response.Body.Close() }()
+	if response.StatusCode == http.StatusGone {
+		return FeedAnswer{}, ErrHistoryGone
+	}
 	if response.StatusCode != http.StatusOK {
 		return FeedAnswer{}, fmt.Errorf("answered %d", response.StatusCode)
 	}
--- a/internal/transport/gateway/gateway.go
+++ b/internal/transport/gateway/gateway.go
@@ -185,12 +185,25 @@
 		g.fleet.SetNamed(v.Model, g.versions(v.Model), now)
 		g.revision++
 		g.log.Info("version named", zap.String("Model", v.Model), zap.Uint64("Version", v.Version), zap.Bool("BeforeStart", first))
+		g.supersede(v, n.since)
 		if !first {
 			g.relay.Prefetch(v)
 		}
 	}
 }
 
+// supersede tells the relay when the versions before one are of no more use.
+func (g *Gateway) supersede(v catalog.NamedVersion, since time.Duration) {
+	if g.config.Bound <= 0 {
+		return
+	}
+	for _, older := range g.named[v.Model] {
+		if older.version < v.Version {
+			g.relay.Supersede(catalog.NamedVersion{Model: v.Model, Version: older.version}, since+switchover.DefaultConfig(g.config.Bound).Strict())
+		}
+	}
+}
+
 // namedKept is how many bounds a version that was superseded is remembered:
 // its own bound still counts for servers that skip it.
 const namedKept = 2
@@ -299,13 +312,24 @@
 	}
 }
 
+// alone reports whether this entry has had the time to hear of others.
+func (g *Gateway) alone() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return boottime.Now()-g.peers.started > startTrust
+}
+
 // relayView tells the relay about the installation.
 type relayView struct{ g *Gateway }
 
-// Origin returns the origin of weights.
+// Origin returns the origin of weights, once the other entries can be known.
+//
+// Guard: an entry that has just started and knows no other takes itself for the
+// drawer of every piece. After a loss of power each drew a copy, and the origin's
+// connections were used up for 2 s.
 func (v relayView) Origin() (address, site string, ok bool) {
 	state := v.g.state.Load()
-	if state == nil {
+	if state == nil || !v.g.listed.Load() && !v.g.alone() {
 		return "", "", false
 	}
 	origin, ok := state.Origin()
--- a/internal/transport/gateway/peers.go
+++ b/internal/transport/gateway/peers.go
@@ -21,8 +21,8 @@
 	// between regions.
 	farBeats  = 5
 	farMissed = 5 * time.Second
-	// startTrust is how long after its start an entry takes the registered ones
-	// to be alive, until they can have been heard.
+	// startTrust is how long after it learnt of another entry one takes that to be
+	// alive, until it can have been heard; for those of other regions it is farMissed.
 	startTrust = 1500 * time.Millisecond
 )
 
@@ -42,6 +42,8 @@
 
 type peer struct {
 	entry Entry
+	// since is when this entry learnt of it.
+	since time.Duration
 	// listed is true while the store has the entry's row.
 	listed bool
 	heard  time.Duration
@@ -55,7 +57,7 @@
 }
 
 // list takes rows of the store.
-func (p *peers) list(present []Entry, gone []string, whole bool) {
+func (p *peers) list(present []Entry, gone []string, whole bool, now time.Duration) {
 	if whole {
 		for _, known := range p.known {
 			known.listed = false
@@ -67,7 +69,7 @@
 		}
 		known, ok := p.known[entry.Host]
 		if !ok {
-			known = &peer{}
+			known = &peer{since: now}
 			p.known[entry.Host] = known
 		}
 		known.entry, known.listed = entry, true
@@ -86,10 +88,10 @@
 
 // meet takes entries that another entry told of. Their own heartbeats show whether
 // they live.
-func (p *peers) meet(entries []Entry) {
+func (p *peers) meet(entries []Entry, now time.Duration) {
 	for _, entry := range entries {
 		if _, ok := p.known[entry.Host]; !ok && entry.Host != p.self.Host {
-			p.known[entry.Host] = &peer{entry: entry, listed: true}
+			p.known[entry.Host] = &peer{entry: entry, listed: true, since: now}
 		}
 	}
 }
@@ -99,7 +101,7 @@
 	known, ok := p.known[entry.Host]
 	if !ok {
 		// A live entry whose row has not been read yet.
-		known = &peer{listed: true}
+		known = &peer{listed: true, since: now}
 		p.known[entry.Host] = known
 	}
 	if known.entry.Incarnation != entry.Incarnation {
@@ -122,12 +124,17 @@
 }
 
 // living reports whether an entry is taken to be alive.
+//
+// Guard: entries of other regions tell that they live every two seconds. After a
+// loss of power all were taken for dead 1.5 s after the start: pieces on their way
+// from them were given up, and each region drew a set of its own.
 func (p *peers) living(known *peer, now time.Duration) bool {
-	if known.heard == 0 {
-		return now-p.started < startTrust
-	}
-	if known.entry.Region != p.self.Region {
-		return now-known.heard < farMissed
+	far := known.entry.Region != p.self.Region
+	switch {
+	case far:
+		return now-max(known.heard, known.since) < farMissed
+	case known.heard == 0:
+		return now-known.since < startTrust
 	}
 	return now-known.heard < beatMissed
 }
--- a/internal/transport/gateway/peers_test.go
+++ b/internal/transport/gateway/peers_test.go
@@ -62,7 +62,28 @@
 func TestRowsAreTrustedAfterAStart(t *testing.T) {
 	c := qt.New(t)
 	p := newPeers(entryAt("e1", "a", "ra"), 10*time.Second)
-	p.list([]Entry{entryAt("e2", "a", "ra")}, nil, true)
+	p.list([]Entry{entryAt("e2", "a", "ra")}, nil, true, 10*time.Second)
 	c.Assert(p.locate("a", true, 11*time.Second), qt.DeepEquals, []string{"e1", "e2"})
 	c.Assert(p.locate("a", true, 12*time.Second), qt.DeepEquals, []string{"e1"})
 }
+
+// Servers of one region had their weights 7 s after a loss of power: its entries
+// took those of the others for dead before these could have told that they live.
+func TestFarEntriesAreTrustedUntilTheyCanBeHeard(t *testing.T) {
+	c := qt.New(t)
+	p := newPeers(Entry{Host: "self", Site: "a", Region: "ra"}, time.Second)
+	p.list([]Entry{{Host: "near", Site: "a", Region: "ra"}, {Host: "far", Site: "b", Region: "rb"}}, nil, true, 2*time.Second)
+	names := func(now time.Duration) string {
+		text := ""
+		for _, e := range p.alive(now) {
+			text += string(e.Host) + " "
+		}
+		return text
+	}
+	c.Check(names(3*time.Second), qt.Equals, "far near self ")
+	c.Check(names(2*time.Second+startTrust), qt.Equals, "far self ")
+	c.Check(names(2*time.Second+farMissed), qt.Equals, "self ")
+	p.hear(Entry{Host: "far", Site: "b", Region: "rb"}, true, 8*time.Second)
+	p.hear(Entry{Host: "near", Site: "a", Region: "ra"}, true, 8*time.Second)
+	c.Check(names(8*time.Second+beatMissed), qt.Equals, "far self ")
+}
--- a/internal/transport/gateway/seeds.go
+++ b/internal/transport/gateway/seeds.go
@@ -52,7 +52,7 @@
 		return
 	}
 	g.mu.Lock()
-	g.peers.meet(entries)
+	g.peers.meet(entries, boottime.Now())
 	g.mu.Unlock()
 	g.beat(boottime.Now(), true)
 }
--- a/internal/transport/gateway/watch.go
+++ b/internal/transport/gateway/watch.go
@@ -73,6 +73,10 @@
 func (w *watch) turn(ctx context.Context) (changed bool, err error) {
 	g := w.gateway
 	if w.revision == 0 {
+		if rows, at, ok := g.wholeFromReader(ctx, w.table); ok {
+			g.feeds.restart(w.table, rows, at)
+			return false, w.take(rows, at, true)
+		}
 		return false, w.readAll(ctx)
 	}
 	if rows, at, ok := g.followReader(ctx, w.table, w.revision); ok {
@@ -94,7 +98,7 @@
 	if err != nil {
 		return err
 	}
-	g.feeds.restart(w.table, rows.Revision, sent)
+	g.feeds.restart(w.table, rows, sent)
 	return w.take(rows, sent, true)
 }
 
@@ -215,7 +219,7 @@
 		}
 		g.mu.Lock()
 		defer g.mu.Unlock()
-		g.peers.list(entries.Present, entries.Gone, whole)
+		g.peers.list(entries.Present, entries.Gone, whole, boottime.Now())
 		g.listed.Store(true)
 		g.resizeBudgets()
 		return nil
