Pieces by few drawers, the oldest version first, awaited in numbers

Cause: (1) an agent waited for one piece at a time, so that all that was drawn meanwhile waited behind it: sets that the origin's link allows in 2.9 s took 4.3 to 5.2 s. (2) An entry that said that its own source had failed was taken for failed, and the next was asked, until all entries of the origin's site drew each piece. (3) Fourteen drawers shared the link between two versions. (4) Pieces of a version that would answer for 0.6 s put off the next by 1.2 s. Change: four drawers at the origin's site, asked as such; places for draws go to the oldest version; sources that answer are asked again; agents wait for 16 pieces and move one; a version that is hardly of use is neither drawn nor fetched; a lock for the one place beside the server.

--- a/internal/coordination/relays/relays.go
+++ b/internal/coordination/relays/relays.go
@@ -1,12 +1,13 @@
 // Package relays decides from where an entry draws a piece of a set of weights.
-// Each piece has a home among the entries of every site; the home at the
-// origin's site draws it from the origin, the homes of other sites draw it from
-// that one, and all others from the home of their own site. So a piece leaves
-// the origin once and crosses each border once.
+// Each piece has a home among the entries of every site, and a drawer among a few
+// at the origin's site. The drawer has it from the origin, homes from the drawer,
+// and all others from the home of their own site. So a piece leaves the origin
+// once and crosses each border once.
 package relays
 
 import (
 	"cmp"
+	"slices"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -29,21 +30,120 @@
 		if entry.Site != site {
 			continue
 		}
-		score := xxhash.Sum64String(piece + "\x00" + string(entry.Host))
-		if best == "" || cmp.Or(cmp.Compare(score, bestScore), cmp.Compare(entry.Host, best)) > 0 {
-			best, bestScore = entry.Host, score
+		own := score(entry, piece)
+		if best == "" || cmp.Or(cmp.Compare(own, bestScore), cmp.Compare(entry.Host, best)) > 0 {
+			best, bestScore = entry.Host, own
 		}
 	}
 	return best
 }
 
-// Source returns from which entry self draws a piece; empty means the origin.
-func Source(self Entry, entries []Entry, originSite, piece string) filbertlever.HostID {
-	if home := Home(entries, self.Site, piece); home != self.Host && home != "" {
-		return home
+// Ways are the entries that an agent of a site asks for a piece, one after the
+// other: the piece's home, the next ones of its site, and a few elsewhere. Whoever
+// lives among them leads to the same drawer.
+func Ways(entries []Entry, site, piece string) []filbertlever.HostID {
+	var near, far []Entry
+	for _, entry := range entries {
+		if entry.Site == site {
+			near = append(near, entry)
+		} else {
+			far = append(far, entry)
+		}
+	}
+	ways := rank(near, piece)
+	ways = ways[:min(len(ways), waysNear)]
+	others := rank(far, piece)
+	return append(ways, others[:min(len(others), waysFar)]...)
+}
+
+// waysNear and waysFar bound an agent's ways: hosts of one site fail together, and
+// bytes between sites are scarce.
+const (
+	waysNear = 3
+	waysFar  = 2
+)
+
+// rank orders entries for a piece, the home first.
+func rank(entries []Entry, piece string) []filbertlever.HostID {
+	scores := make(map[filbertlever.HostID]uint64, len(entries))
+	hosts := make([]filbertlever.HostID, 0, len(entries))
+	for _, entry := range entries {
+		scores[entry.Host] = score(entry, piece)
+		hosts = append(hosts, entry.Host)
+	}
+	slices.SortFunc(hosts, func(a, b filbertlever.HostID) int {
+		return cmp.Or(cmp.Compare(scores[b], scores[a]), cmp.Compare(b, a))
+	})
+	return hosts
+}
+
+func score(entry Entry, piece string) uint64 {
+	return xxhash.Sum64String(piece + "\x00" + string(entry.Host))
+}
+
+// Role is what an entry is asked as for a piece.
+type Role int
+
+// The roles. Whoever asks an entry says what it takes it for.
+const (
+	// RoleAny means that an agent asks: any entry will do.
+	RoleAny Role = iota
+	// RoleHome is that of the entry of a site that a piece belongs to.
+	RoleHome
+	// RoleDrawer is that of the entry that draws a piece from the origin.
+	RoleDrawer
+)
+
+// drawersMost is how many entries draw from the origin. More of them, each with
+// a part of the pieces, share the origin's thin link: while some still draw one
+// version, others have begun the next, and the first pieces come later.
+const drawersMost = 4
+
+// Drawer returns the entry that draws a piece from the origin, one of a few at
+// the origin's site. It is empty if there is none.
+func Drawer(entries []Entry, originSite, piece string) filbertlever.HostID {
+	var ranked []Entry
+	for _, entry := range entries {
+		if entry.Site == originSite {
+			ranked = append(ranked, entry)
+		}
+	}
+	slices.SortFunc(ranked, func(a, b Entry) int {
+		return cmp.Or(cmp.Compare(xxhash.Sum64String(string(a.Host)), xxhash.Sum64String(string(b.Host))), cmp.Compare(a.Host, b.Host))
+	})
+	return Home(ranked[:min(len(ranked), drawersMost)], originSite, piece)
+}
+
+// RoleOf returns the role that an entry has for a piece whoever asks.
+func RoleOf(self Entry, entries []Entry, originSite, piece string) Role {
+	switch {
+	case self.Site == originSite && Drawer(entries, originSite, piece) == self.Host:
+		return RoleDrawer
+	case Home(entries, self.Site, piece) == self.Host:
+		return RoleHome
+	}
+	return RoleAny
+}
+
+// Source returns from which entry self draws a piece when asked in a role, and
+// what it asks that entry as; an empty one means the origin.
+//
+// Guard: two entries whose views of the living ones differ may each take the other
+// for a piece's home, and wait for each other; the role grows with each step, so
+// that every way ends at the origin.
+func Source(self Entry, entries []Entry, originSite, piece string, asked Role) (filbertlever.HostID, Role) {
+	role := max(asked, RoleOf(self, entries, originSite, piece))
+	if role == RoleAny {
+		if home := Home(entries, self.Site, piece); home != "" {
+			return home, RoleHome
+		}
+	}
+	if role == RoleDrawer {
+		return "", RoleDrawer
 	}
-	if self.Site == originSite {
-		return ""
+	drawer := Drawer(entries, originSite, piece)
+	if drawer == self.Host {
+		return "", RoleDrawer
 	}
-	return Home(entries, originSite, piece)
+	return drawer, RoleDrawer
 }
--- a/internal/coordination/switchover/switchover.go
+++ b/internal/coordination/switchover/switchover.go
@@ -118,7 +118,7 @@
 		return 0, false
 	}
 	inTime := now+c.Ready <= oldest.Since+(c.Ready+c.last())/2
-	missed := now+c.Ready > oldest.Since+c.Bound
+	missed := c.missed(oldest, now)
 	if missed && c.sooner(oldest, newest, now) {
 		return oldest.Version, true
 	}
@@ -128,16 +128,50 @@
 	return oldest.Version, true
 }
 
-// sooner reports whether the older of two versions, whose bound is missed, is so
-// nearly here that it can serve while the newer one is fetched: at most half as
-// many pieces are missing, and the newer one is not yet the only one to answer.
+// pieceTime is what one piece takes from an origin that others draw from too:
+// twice 44 ms, the time over the thinnest link that was met, 5.94 Mbit/s.
+const pieceTime = 88 * time.Millisecond
+
+// sooner reports whether the older of two versions, whose bound is missed, can
+// serve for longer, until only the newer one may answer, than fetching it first
+// puts off the newer one.
 func (c Config) sooner(oldest, newest *Named, now time.Duration) bool {
-	if !oldest.Known || oldest.Whole || oldest == newest || newest.Known && 2*oldest.Left > newest.Left {
+	if !oldest.Known || oldest.Whole || oldest == newest || newest.Known && oldest.Left >= newest.Left {
 		return false
 	}
-	return now+c.Load+c.Reserve < newest.Since+c.Strict()
+	return Worth(oldest.Left, now, newest.Since+c.Strict())
+}
+
+// Worth reports whether a version of which so many pieces are missing serves for
+// longer than fetching them takes, until another one alone may answer.
+func Worth(left int, now, until time.Duration) bool {
+	takes := time.Duration(left) * pieceTime
+	return until-(now+takes+changeTime) > takes
 }
 
+// changeTime is what a server without requests takes to lay and load a version.
+const changeTime = 500 * time.Millisecond
+
+// Abandons reports whether the fetching of a version is to be given up for the
+// newest one: its bound is missed, and it could hardly serve before only the newest
+// may answer.
+func (c Config) Abandons(version uint64, named []Named, now time.Duration) bool {
+	if len(named) == 0 {
+		return false
+	}
+	newest := &named[len(named)-1]
+	for i := range named {
+		n := &named[i]
+		if n.Version == version && n != newest {
+			return c.missed(n, now) && !c.sooner(n, newest, now)
+		}
+	}
+	return false
+}
+
+// missed reports whether a version that is fetched from now on misses its bound.
+func (c Config) missed(n *Named, now time.Duration) bool { return now+c.Ready > n.Since+c.Bound }
+
 // Idle reports whether a server gets no requests: it holds nothing, or a version
 // that it lacks is the only one to answer by now. Nothing has to be kept from it
 // before its change.
--- a/internal/coordination/switchover/switchover_test.go
+++ b/internal/coordination/switchover/switchover_test.go
@@ -126,6 +126,7 @@
 	}{
 		{"an eighth is missing", Named{Left: 8, Known: true}, Named{Since: 4 * time.Second, Left: 64, Known: true}, 2},
 		{"the newer set is not known", Named{Left: 8, Known: true}, Named{Since: 4 * time.Second}, 2},
+		{"it would serve for less than it takes", Named{Left: 28, Known: true}, Named{Since: 3 * time.Second, Left: 64, Known: true}, 3},
 		{"most is missing", Named{Left: 48, Known: true}, Named{Since: 4 * time.Second, Left: 64, Known: true}, 3},
 		{"the newer one is nearer", Named{Left: 8, Known: true}, Named{Since: 4 * time.Second, Left: 4, Known: true}, 3},
 		{"the newer one is the only one to answer soon", Named{Left: 8, Known: true}, Named{Since: time.Second, Left: 64, Known: true}, 3},
@@ -136,6 +137,10 @@
 		version, ok := config.Fetches(1, []Named{test.left, test.newer}, now)
 		c.Check(ok, qt.IsTrue)
 		c.Check(version, qt.Equals, test.want, qt.Commentf(test.name))
+		// What is being fetched is given up only for a better reason than time.
+		c.Check(config.Abandons(2, []Named{test.left, test.newer}, now), qt.Equals, test.want == 3, qt.Commentf(test.name))
+		c.Check(config.Abandons(3, []Named{test.left, test.newer}, now), qt.IsFalse)
+		c.Check(config.Abandons(2, []Named{test.left, test.newer}, 0), qt.IsFalse)
 	}
 }
 
--- a/internal/transport/relay/ahead.go
+++ b/internal/transport/relay/ahead.go
@@ -2,6 +2,10 @@
 
 import (
 	"context"
+	"errors"
+	"maps"
+	"math"
+	"slices"
 	"sync"
 	"time"
 
@@ -9,6 +13,7 @@
 
 	"github.com/filbertlever/filbertlever/internal/coordination/catalog"
 	"github.com/filbertlever/filbertlever/internal/coordination/relays"
+	"github.com/filbertlever/filbertlever/internal/coordination/switchover"
 	"github.com/filbertlever/filbertlever/internal/transport/boottime"
 )
 
@@ -19,10 +24,16 @@
 	// aheadMost is how long drawing ahead goes on: longer than outages of the
 	// origin that were met, 6 s, by ten times.
 	aheadMost = time.Minute
+	// aheadBeside is how many pieces of a newer version are drawn while one of the
+	// oldest cannot be had, before that is tried again.
+	aheadBeside = originParallel
 )
 
-// Prefetch draws the pieces whose home is this entry, so that they are there
-// when agents ask; a second call does nothing. It returns at once.
+// ErrGone means that the origin no longer has a version.
+var ErrGone = errors.New("the version is gone")
+
+// Prefetch draws the pieces whose drawer, or home at another site, is this entry,
+// so that they are there when agents ask; a second call does nothing. It returns at once.
 //
 // It is called for a version when it is named and when the first of its pieces is
 // asked for, not for its manifest: after a loss of power most servers still have
@@ -57,16 +68,19 @@
 		if len(versions) == 0 {
 			return
 		}
-		failed := false
-		for _, named := range versions {
-			if r.drawAhead(named) {
+		for n, named := range versions {
+			most := aheadBeside
+			if n == 0 {
+				most = math.MaxInt
+			}
+			err := r.drawAhead(named, most)
+			if err == nil {
+				// The oldest that is left comes first again.
+				break
+			}
+			if errors.Is(err, ErrGone) {
 				r.endAhead(named)
-				r.log.Info("weights prefetched", zap.String("Model", named.Model), zap.Uint64("Version", named.Version))
-			} else {
-				failed = true
 			}
-		}
-		if failed {
 			time.Sleep(aheadPause)
 		}
 	}
@@ -75,21 +89,70 @@
 // wantedAhead returns the versions to draw ahead, the oldest first. If there are
 // none, drawing ahead ends.
 func (r *Relay) wantedAhead() []catalog.NamedVersion {
+	now := boottime.Now()
+	var wanted []catalog.NamedVersion
+	for _, v := range r.versionsAhead(now) {
+		if r.worth(&v, now) {
+			wanted = append(wanted, v.named)
+		} else {
+			r.endAhead(v.named)
+			r.log.Info("weights not worth drawing", zap.String("Model", v.named.Model), zap.Uint64("Version", v.named.Version))
+		}
+	}
+	if len(wanted) == 0 && r.restAhead() {
+		return r.wantedAhead()
+	}
+	return wanted
+}
+
+// restAhead ends drawing ahead unless a version was named meanwhile; it reports
+// whether one was.
+func (r *Relay) restAhead() bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	var wanted []catalog.NamedVersion
-	now := boottime.Now()
+	r.drawingAhead = slices.ContainsFunc(r.versions, func(v *version) bool { return v.ahead })
+	return r.drawingAhead
+}
+
+// versionsAhead returns copies of the versions that are drawn ahead.
+func (r *Relay) versionsAhead(now time.Duration) []version {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var ahead []version
 	for _, v := range r.versions {
 		if v.ahead && now >= v.aheadUntil {
 			v.ahead, v.asked = false, false
 			r.log.Warn("weights not prefetched in time", zap.String("Model", v.named.Model), zap.Uint64("Version", v.named.Version))
 		}
 		if v.ahead {
-			wanted = append(wanted, v.named)
+			ahead = append(ahead, version{named: v.named, uselessAt: v.uselessAt, manifests: maps.Clone(v.manifests)})
 		}
 	}
-	r.drawingAhead = len(wanted) > 0
-	return wanted
+	return ahead
+}
+
+// Supersede says when a version will no longer answer, since another one will be
+// the only one to.
+func (r *Relay) Supersede(named catalog.NamedVersion, uselessAt time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.version(named).uselessAt = uselessAt
+}
+
+// worth reports whether a version can still serve for longer than fetching what
+// is missing takes. All entries miss about the same share of it.
+func (r *Relay) worth(v *version, now time.Duration) bool {
+	if v.uselessAt == 0 {
+		return true
+	}
+	left := 0
+	for _, f := range v.manifests {
+		if f.ended() && f.err == nil {
+			own := len(r.ownPieces(v.named, &f.value))
+			left = len(r.piecesAhead(v.named, &f.value)) * len(f.value.Digests) / max(own, 1)
+		}
+	}
+	return switchover.Worth(left, now, v.uselessAt)
 }
 
 func (r *Relay) endAhead(named catalog.NamedVersion) {
@@ -98,35 +161,66 @@
 	r.version(named).ahead = false
 }
 
-// drawAhead draws the pieces whose home is this entry, and reports whether all
-// are here. It ends at the first that cannot be had.
-func (r *Relay) drawAhead(named catalog.NamedVersion) bool {
-	ctx, cancel := context.WithTimeout(context.Background(), 4*peerTimeout)
-	defer cancel()
+// drawAhead draws up to most of this entry's pieces that are not here, and ends
+// drawing ahead once all are. It ends at the first that cannot be had.
+func (r *Relay) drawAhead(named catalog.NamedVersion, most int) error {
+	ctx, cancel := context.WithCancelCause(context.Background())
+	defer cancel(nil)
 	// A failure was logged where it arose.
-	manifest, err := r.Manifest(ctx, named, false)
+	manifest, err := r.Manifest(ctx, named, relays.RoleAny)
 	if err != nil {
-		return false
+		return err
 	}
-	entries, _ := r.view.Relays()
+	pieces := r.piecesAhead(named, &manifest)
 	var group sync.WaitGroup
 	lanes := make(chan struct{}, originParallel)
-	for piece := range manifest.Digests {
-		if relays.Home(entries, r.self.Site, pieceKey(named, piece)) != r.self.Host {
-			continue
-		}
+	for _, piece := range pieces[:min(most, len(pieces))] {
 		lanes <- struct{}{}
 		if ctx.Err() != nil {
-			<-lanes
 			break
 		}
 		group.Go(func() {
 			defer func() { <-lanes }()
-			if _, err := r.Piece(ctx, named, piece, false); err != nil {
-				cancel()
+			if _, err := r.Piece(ctx, named, piece, relays.RoleAny); err != nil {
+				cancel(err)
 			}
 		})
 	}
 	group.Wait()
-	return ctx.Err() == nil
+	if err := context.Cause(ctx); err != nil {
+		return err
+	}
+	if len(pieces) <= most {
+		r.endAhead(named)
+		r.log.Info("weights prefetched", zap.String("Model", named.Model), zap.Uint64("Version", named.Version))
+	}
+	return nil
+}
+
+// piecesAhead returns the pieces of this entry that are not here.
+func (r *Relay) piecesAhead(named catalog.NamedVersion, manifest *Manifest) []int {
+	var missing []int
+	for _, piece := range r.ownPieces(named, manifest) {
+		if _, ok := r.held(manifest.Digests[piece]); !ok {
+			missing = append(missing, piece)
+		}
+	}
+	return missing
+}
+
+// ownPieces returns the pieces that this entry draws ahead.
+func (r *Relay) ownPieces(named catalog.NamedVersion, manifest *Manifest) []int {
+	_, originSite, _ := r.view.Origin()
+	least := relays.RoleHome
+	if r.self.Site == originSite {
+		// Homes here have the pieces from the drawers as fast as they are asked for.
+		least = relays.RoleDrawer
+	}
+	var pieces []int
+	for piece := range manifest.Digests {
+		if r.roleOf(named, piece) >= least {
+			pieces = append(pieces, piece)
+		}
+	}
+	return pieces
 }
--- /dev/null
+++ b/internal/transport/relay/failures.go
@@ -0,0 +1,65 @@
+package relay
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"time"
+
+	"github.com/filbertlever/filbertlever"
+	"github.com/filbertlever/filbertlever/internal/coordination/relays"
+)
+
+// errBehind means that an entry could not have a piece from where it has it.
+var errBehind = errors.New("its own source failed")
+
+// errNoSource means that an entry does not know where to have a piece from.
+var errNoSource = errors.New("no source is known")
+
+// errNoPiece means that a version has no such piece.
+var errNoPiece = errors.New("there is no such piece")
+
+// failures counts what went wrong with each entry in one fetch.
+//
+// Guard: while the origin was away every entry that was asked failed, and the next
+// one was asked in its place, until all drew from the origin at once when it came
+// back, each piece several times over its thin link. One that answers, but could
+// not have the piece itself, is asked again.
+type failures map[filbertlever.HostID]int
+
+func (f failures) note(source string, err error) {
+	if errors.Is(err, errBehind) {
+		f[filbertlever.HostID(source)]++
+		return
+	}
+	f[filbertlever.HostID(source)] = behindMost
+}
+
+var errDied = errors.New("the entry no longer lives")
+
+// whileLiving returns a context that ends when an entry is no longer alive.
+//
+// Guard: a host that stands still keeps its connections open; without this, those
+// who wait for a piece from it would wait as long as for one that is busy.
+func (r *Relay) whileLiving(host filbertlever.HostID) (context.Context, func()) {
+	ctx, cancel := context.WithCancelCause(context.Background())
+	go r.runLiving(ctx, host, cancel)
+	return ctx, func() { cancel(nil) }
+}
+
+func (r *Relay) runLiving(ctx context.Context, host filbertlever.HostID, cancel context.CancelCauseFunc) {
+	ticker := time.NewTicker(livingEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		entries, _ := r.view.Relays()
+		if !slices.ContainsFunc(entries, func(e relays.Entry) bool { return e.Host == host }) {
+			cancel(errDied)
+			return
+		}
+	}
+}
--- a/internal/transport/relay/fetch.go
+++ b/internal/transport/relay/fetch.go
@@ -8,23 +8,36 @@
 	"net/http"
 	"net/url"
 	"strconv"
+	"time"
 
 	"github.com/filbertlever/filbertlever/internal/coordination/catalog"
+	"github.com/filbertlever/filbertlever/internal/coordination/relays"
 )
 
 // FetchManifest asks an entry for a manifest, for an agent.
 func FetchManifest(ctx context.Context, client *http.Client, address string, named catalog.NamedVersion) (Manifest, error) {
-	return fetchManifest(ctx, client, address, named, false)
+	return fetchManifest(ctx, client, address, named, relays.RoleAny)
 }
 
 // FetchPiece asks an entry for a piece, for an agent; it is not yet verified.
 func FetchPiece(ctx context.Context, client *http.Client, address string, named catalog.NamedVersion, piece int) ([]byte, error) {
-	return fetchPiece(ctx, client, address, named, piece, false)
+	return fetchPiece(ctx, client, address, named, piece, relays.RoleAny)
 }
 
-func fetchManifest(ctx context.Context, client *http.Client, address string, named catalog.NamedVersion, home bool) (Manifest, error) {
+// AwaitPiece waits until an entry has a piece, for an agent that is not to move
+// several at once.
+func AwaitPiece(ctx context.Context, client *http.Client, address string, named catalog.NamedVersion, piece int) error {
+	values := pieceValues(named, &piece, relays.RoleAny)
+	values.Set("Await", "1")
+	if _, err := fetch(ctx, client, address, pathPiece, values, agentTimeout); err != nil {
+		return fmt.Errorf("await piece %d of %s version %d at %s: %w", piece, named.Model, named.Version, address, err)
+	}
+	return nil
+}
+
+func fetchManifest(ctx context.Context, client *http.Client, address string, named catalog.NamedVersion, ask relays.Role) (Manifest, error) {
 	var manifest Manifest
-	data, err := fetch(ctx, client, address, pathManifest, named, nil, home)
+	data, err := fetch(ctx, client, address, pathManifest, pieceValues(named, nil, ask), timeoutFor(ask))
 	if err == nil {
 		err = json.Unmarshal(data, &manifest)
 	}
@@ -34,24 +47,35 @@
 	return manifest, nil
 }
 
-func fetchPiece(ctx context.Context, client *http.Client, address string, named catalog.NamedVersion, piece int, home bool) ([]byte, error) {
-	data, err := fetch(ctx, client, address, pathPiece, named, &piece, home)
+func fetchPiece(ctx context.Context, client *http.Client, address string, named catalog.NamedVersion, piece int, ask relays.Role) ([]byte, error) {
+	data, err := fetch(ctx, client, address, pathPiece, pieceValues(named, &piece, ask), timeoutFor(ask))
 	if err != nil {
 		return nil, fmt.Errorf("piece %d of %s version %d from %s: %w", piece, named.Model, named.Version, address, err)
 	}
 	return data, nil
 }
 
-func fetch(ctx context.Context, client *http.Client, address, path string, named catalog.NamedVersion, piece *int, home bool) ([]byte, error) {
-	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
-	defer cancel()
+func timeoutFor(ask relays.Role) time.Duration {
+	if ask == relays.RoleAny {
+		return agentTimeout
+	}
+	return peerTimeout
+}
+
+func pieceValues(named catalog.NamedVersion, piece *int, ask relays.Role) url.Values {
 	values := url.Values{"Model": {named.Model}, "Version": {strconv.FormatUint(named.Version, 10)}}
 	if piece != nil {
 		values.Set("Piece", strconv.Itoa(*piece))
 	}
-	if home {
-		values.Set("Home", "1")
+	if ask != relays.RoleAny {
+		values.Set("As", strconv.Itoa(int(ask)))
 	}
+	return values
+}
+
+func fetch(ctx context.Context, client *http.Client, address, path string, values url.Values, timeout time.Duration) ([]byte, error) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+path+"?"+values.Encode(), nil)
 	if err != nil {
 		return nil, err
@@ -65,6 +89,12 @@
 	if err != nil {
 		return nil, err
 	}
+	switch response.StatusCode {
+	case http.StatusGone:
+		return nil, ErrGone
+	case http.StatusBadGateway:
+		return nil, fmt.Errorf("%w: %s", errBehind, data[:min(len(data), 200)])
+	}
 	if response.StatusCode != http.StatusOK {
 		return nil, fmt.Errorf("answered %d: %s", response.StatusCode, data[:min(len(data), 200)])
 	}
--- a/internal/transport/relay/serve.go
+++ b/internal/transport/relay/serve.go
@@ -1,12 +1,15 @@
 package relay
 
 import (
+	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"net/http"
 	"strconv"
 
 	"github.com/filbertlever/filbertlever/internal/coordination/catalog"
+	"github.com/filbertlever/filbertlever/internal/coordination/relays"
 )
 
 // Routes adds the calls that agents and other entries make.
@@ -30,8 +33,12 @@
 	return catalog.NamedVersion{Model: values.Get("Model"), Version: number}, piece, nil
 }
 
-// asHome reports whether another entry asks, which takes this one for the home.
-func asHome(req *http.Request) bool { return req.URL.Query().Get("Home") != "" }
+// askedAs is what the one who asks takes this entry for.
+func askedAs(req *http.Request) relays.Role {
+	// An agent does not say.
+	role, _ := strconv.Atoi(req.URL.Query().Get("As"))
+	return min(max(relays.Role(role), relays.RoleAny), relays.RoleDrawer)
+}
 
 func (r *Relay) serveManifest(w http.ResponseWriter, req *http.Request) {
 	named, _, err := query(req)
@@ -39,9 +46,9 @@
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
-	manifest, err := r.Manifest(req.Context(), named, asHome(req))
+	manifest, err := r.Manifest(req.Context(), named, askedAs(req))
 	if err != nil {
-		http.Error(w, err.Error(), http.StatusServiceUnavailable)
+		http.Error(w, err.Error(), statusOf(err))
 		return
 	}
 	w.Header().Set("Content-Type", "application/json")
@@ -55,11 +62,26 @@
 		return
 	}
 	r.Prefetch(named)
-	data, err := r.Piece(req.Context(), named, piece, asHome(req))
+	data, err := r.Piece(req.Context(), named, piece, askedAs(req))
 	if err != nil {
-		http.Error(w, err.Error(), http.StatusServiceUnavailable)
+		http.Error(w, err.Error(), statusOf(err))
 		return
 	}
+	if req.URL.Query().Get("Await") != "" {
+		// An agent that waited for several pieces now moves them one by one.
+		data = nil
+	}
 	w.Header().Set("Content-Length", strconv.Itoa(len(data)))
 	_, _ = w.Write(data)
 }
+
+// statusOf tells those who ask whether to ask again.
+func statusOf(err error) int {
+	switch {
+	case errors.Is(err, ErrGone):
+		return http.StatusGone
+	case errors.Is(err, errNoSource), errors.Is(err, errNoPiece), errors.Is(err, context.Canceled), errors.Is(err, context.DeadlineExceeded):
+		return http.StatusServiceUnavailable
+	}
+	return http.StatusBadGateway
+}
--- a/internal/transport/sidecar/load.go
+++ b/internal/transport/sidecar/load.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"sync"
 	"time"
 
 	"go.uber.org/zap"
 
+	"github.com/filbertlever/filbertlever"
 	"github.com/filbertlever/filbertlever/internal/coordination/catalog"
 	"github.com/filbertlever/filbertlever/internal/coordination/relays"
 	"github.com/filbertlever/filbertlever/internal/coordination/switchover"
@@ -32,12 +34,14 @@
 	retryPause = 200 * time.Millisecond
 )
 
-// How many pieces are fetched at once: for an empty server enough to keep the
-// host's link full; for one that serves a single one, since callers' events wait
-// behind what is queued on the link, 34 ms for each piece.
+// How many pieces are moved at once: for an idle server enough to keep the host's
+// link full; for one that serves a single one, since callers' events wait behind
+// what is queued on the link, 34 ms for each piece. More are waited for: drawers
+// are up to 20 pieces apart.
 const (
-	lanesEmpty   = 8
-	lanesServing = 1
+	lanesIdle     = 16
+	lanesServing  = 1
+	piecesAwaited = 16
 )
 
 // weights is what an agent holds of one model. The agent's lock guards it.
@@ -48,16 +52,24 @@
 	known    map[uint64]*relay.Manifest
 	fetching bool
 	loading  bool
+	// fetched is the version being fetched, and abandon gives it up.
+	fetched uint64
+	abandon context.CancelCauseFunc
+	// staging is held by whoever lays pieces beside the server: there is one place
+	// for all versions.
+	staging sync.Mutex
 	// left is how many pieces of the fetch under way are missing, and pace how
 	// long each took.
 	left int
 	pace time.Duration
+	// leavesAt is when the server will be changed; 0 if that is not due.
+	leavesAt time.Duration
 	// servedAt is when the load under way should be done; 0 if there is none.
 	servedAt time.Duration
 }
 
 func newWeights() *weights {
-	return &weights{whole: map[uint64]*relay.Manifest{}, known: map[uint64]*relay.Manifest{}}
+	return &weights{whole: map[uint64]*relay.Manifest{}, known: map[uint64]*relay.Manifest{}, abandon: func(error) {}}
 }
 
 // servedIn predicts when the server will hold what it is being brought; 0 if
@@ -111,18 +123,24 @@
 		}
 		has := held(s.report.Models, model)
 		idle := config.Idle(has, named, now)
+		if m.fetching && config.Abandons(m.fetched, named, now) {
+			m.abandon(errSuperseded)
+		}
 		if version, ok := config.Fetches(has, named, now); ok && !m.fetching {
-			m.fetching = true
+			m.fetching, m.fetched = true, version
 			f := &fetching{agent: s, weights: m, named: catalog.NamedVersion{Model: model, Version: version}, lanes: lanesServing}
 			if idle {
-				f.lanes, f.idle = lanesEmpty, true
+				f.lanes, f.idle = lanesIdle, true
 			}
-			go f.run(ctx)
+			fetch, abandon := context.WithCancelCause(ctx)
+			m.abandon = abandon
+			go f.run(fetch)
 		}
 		version, begin, ok := config.Next(has, named, s.viewed.Place, s.viewed.Count)
 		if idle {
 			begin = 0
 		}
+		s.noteLeaving(m, begin, ok && !idle)
 		if !ok || !s.hasReport || m.loading || s.report.Loading || now < begin-config.Quiet-stageTime {
 			continue
 		}
@@ -133,6 +151,19 @@
 	}
 }
 
+// noteLeaving notes when the server will break off what it does, so that entries
+// place answers that last longer elsewhere. The caller holds the lock.
+func (s *Sidecar) noteLeaving(m *weights, begin time.Duration, due bool) {
+	if m.loading {
+		return
+	}
+	if !due {
+		begin = 0
+	}
+	s.news = s.news || begin != m.leavesAt
+	m.leavesAt = begin
+}
+
 // named returns the versions wanted of each model, oldest first.
 func (s *Sidecar) named() map[string][]switchover.Named {
 	models := map[string][]switchover.Named{}
@@ -142,12 +173,17 @@
 	return models
 }
 
+// errSuperseded means that a version is no longer worth fetching.
+var errSuperseded = errors.New("a newer version will be the only one to answer")
+
 // fetching brings the pieces of one version to the host.
 type fetching struct {
 	agent   *Sidecar
 	weights *weights
 	named   catalog.NamedVersion
 	lanes   int
+	// moving has room for the pieces that may be moved at once.
+	moving chan struct{}
 	// idle is true if the server gets no requests for the model.
 	idle bool
 }
@@ -170,6 +206,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	f.weights.fetching = false
+	f.weights.abandon(nil)
 	if err != nil {
 		return
 	}
@@ -242,13 +279,15 @@
 	s.metrics.loads.WithLabelValues(result).Inc()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	l.weights.loading, s.switching = false, false
+	l.weights.loading, l.weights.leavesAt, s.switching = false, 0, false
 	s.prune(l.named.Model, l.weights)
 }
 
 // carry stages and checks the pieces, keeps requests away and gives the order.
 func (l *load) carry(ctx context.Context) error {
 	s := l.agent
+	l.weights.staging.Lock()
+	defer l.weights.staging.Unlock()
 	if err := l.stage(ctx, l.manifest); err != nil {
 		return err
 	}
@@ -264,31 +303,19 @@
 	return l.await(ctx)
 }
 
-// sources returns the entries to ask for a piece, in order: the piece's home at
-// the own site, then the others there, then all.
+// sources returns the entries to ask for a piece, one after the other.
 func (f *fetching) sources(piece int) []gateway.Entry {
-	near, all := f.agent.relays()
-	candidates := make([]relays.Entry, 0, len(near))
-	for _, entry := range near {
+	all := f.agent.entriesNow()
+	byHost := make(map[filbertlever.HostID]gateway.Entry, len(all))
+	candidates := make([]relays.Entry, 0, len(all))
+	for _, entry := range all {
+		byHost[entry.Host] = entry
 		candidates = append(candidates, relays.Entry{Host: entry.Host, Site: entry.Site})
 	}
 	key := fmt.Sprintf("%s/%d/%d", f.named.Model, f.named.Version, piece)
-	home := relays.Home(candidates, f.agent.config.Site, key)
 	var ordered []gateway.Entry
-	for _, entry := range near {
-		if entry.Host == home {
-			ordered = append(ordered, entry)
-		}
-	}
-	for _, entry := range near {
-		if entry.Host != home {
-			ordered = append(ordered, entry)
-		}
-	}
-	for _, entry := range all {
-		if entry.Site != f.agent.config.Site {
-			ordered = append(ordered, entry)
-		}
+	for _, host := range relays.Ways(candidates, f.agent.config.Site, key) {
+		ordered = append(ordered, byHost[host])
 	}
 	return ordered
 }
@@ -307,34 +334,51 @@
 	return relay.Manifest{}, last
 }
 
-// fetch draws every piece that is not held, some at once.
+// fetch draws every piece that is not held. Some are waited for at once, in the
+// order in which homes draw, and so many as there are lanes are moved at once.
+//
+// Guard: with one piece waited for at a time, all that others had drawn meanwhile
+// waited behind it: sets that the origin's link allows in 2.9 s took 4.3 to 5.2 s,
+// and when it came back after an outage, 28 of 64 pieces were still to come.
 func (f *fetching) fetch(ctx context.Context, manifest *relay.Manifest) error {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
+	f.moving = make(chan struct{}, f.lanes)
 	progress := f.progress(manifest)
-	lanes := make(chan struct{}, f.lanes)
+	waiting := make(chan struct{}, piecesAwaited)
+	failed := make(chan error, len(manifest.Digests))
 	var group sync.WaitGroup
-	// All agents ask in the same order, in which homes draw: what one waits for
-	// comes next. Beginning at different pieces put off each of them by 0.4 s.
 	for piece, digest := range manifest.Digests {
 		if _, ok := f.agent.piece(digest); ok {
 			continue
 		}
-		lanes <- struct{}{}
+		waiting <- struct{}{}
 		if ctx.Err() != nil {
 			break
 		}
 		group.Go(func() {
-			defer func() { <-lanes }()
-			if err := f.fetchPiece(ctx, manifest, piece); err != nil {
-				cancel(err)
+			defer func() { <-waiting }()
+			err := f.fetchPiece(ctx, manifest, piece)
+			if err == nil {
+				progress()
 				return
 			}
-			progress()
+			failed <- err
+			if errors.Is(err, relay.ErrGone) {
+				cancel(err)
+			}
 		})
 	}
 	group.Wait()
-	return context.Cause(ctx)
+	if err := context.Cause(ctx); err != nil {
+		return err
+	}
+	select {
+	case err := <-failed:
+		return err
+	default:
+		return nil
+	}
 }
 
 // firstPace is what a piece takes as far as is known before the first: 32 KiB
@@ -366,7 +410,7 @@
 	s := f.agent
 	var last error = errNoEntry
 	for _, entry := range f.sources(piece) {
-		data, err := relay.FetchPiece(ctx, s.client, entry.Peers, f.named, piece)
+		data, err := f.move(ctx, entry.Peers, piece)
 		if err != nil {
 			last = err
 			continue
@@ -385,6 +429,18 @@
 	return last
 }
 
+// move brings a piece from an entry once the entry has it.
+func (f *fetching) move(ctx context.Context, address string, piece int) ([]byte, error) {
+	if f.lanes < piecesAwaited {
+		if err := relay.AwaitPiece(ctx, f.agent.client, address, f.named, piece); err != nil {
+			return nil, err
+		}
+	}
+	f.moving <- struct{}{}
+	defer func() { <-f.moving }()
+	return relay.FetchPiece(ctx, f.agent.client, address, f.named, piece)
+}
+
 // takeStaged takes what already lies beside the server and is a piece of the
 // version: a server that crashed has lost its weights, but not what was staged,
 // and versions share pieces. A set over the host's link takes 2.3 s.
@@ -423,16 +479,21 @@
 		zap.Int("Staged", len(staged)), zap.Int("Taken", taken))
 }
 
-// stageEarly lays a piece beside an empty server while others are on their way,
+// stageEarly lays a piece beside an idle server while others are on their way,
 // which leaves only the reading back for after the last: 0.13 s became 0.05 s.
 // Beside a server that serves, it would overwrite what a restart loads again.
+//
+// Guard: another version may be about to be loaded. Pieces laid between its last
+// check and its order would be taken with it, and the server would answer with
+// weights of two versions; nothing is laid until that load has ended.
 func (f *fetching) stageEarly(ctx context.Context, piece int, data []byte) {
 	f.agent.mu.Lock()
 	answers := f.agent.hasReport
 	f.agent.mu.Unlock()
-	if !f.idle || !answers {
+	if !f.idle || !answers || !f.weights.staging.TryLock() {
 		return
 	}
+	defer f.weights.staging.Unlock()
 	if err := f.agent.engine.Stage(ctx, f.named.Model, piece, data); err != nil {
 		// All pieces are read back before the load, and laid again where they differ.
 		f.agent.log.Warn("piece not staged", zap.Int("Piece", piece), zap.Error(err))
--- a/internal/transport/sidecar/sidecar.go
+++ b/internal/transport/sidecar/sidecar.go
@@ -104,6 +104,8 @@
 	viewedAt time.Duration
 	hasView  bool
 	askedAt  time.Duration
+	// news is true if the next report should go to all entries at once.
+	news bool
 	// switching is true while entries should send nothing here.
 	switching bool
 	report    Report
@@ -173,9 +175,11 @@
 		s.mu.Lock()
 		s.report, s.hasReport = report, err == nil
 		s.reportedOnce = s.reportedOnce || err == nil
+		all := s.news || turn%farTurns == 0
+		s.news = false
 		s.mu.Unlock()
 		if err == nil {
-			s.tell(turn%farTurns == 0)
+			s.tell(all)
 		}
 		select {
 		case <-ctx.Done():
@@ -201,6 +205,9 @@
 		if in := m.servedIn(now); in > 0 && (load.LoadedIn == 0 || in < load.LoadedIn) {
 			load.LoadedIn = in
 		}
+		if in := m.leavesAt - now; in > 0 && (load.LeavesIn == 0 || in < load.LeavesIn) {
+			load.LeavesIn = in
+		}
 	}
 	for _, entry := range s.entries {
 		if !all && entry.Site != s.config.Site {
@@ -410,16 +417,11 @@
 	s.tell(true)
 }
 
-// relays returns the peer addresses of entries, those of the own site first.
-func (s *Sidecar) relays() (near, all []gateway.Entry) {
+// entriesNow returns the entries of the last view.
+func (s *Sidecar) entriesNow() []gateway.Entry {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for _, entry := range s.entries {
-		if entry.Site == s.config.Site {
-			near = append(near, entry)
-		}
-	}
-	return near, s.entries
+	return s.entries
 }
 
 // piece returns a piece fetched earlier.
