--- a/cmd/filbertlever-soak/main.go
+++ b/cmd/filbertlever-soak/main.go
@@ -26,6 +26,7 @@
 	Agents  int           `default:"12" help:"Agents, each beside a model server."`
 	Plain   int           `default:"3" help:"Plain servers."`
 	Callers int           `default:"24" help:"Callers."`
+	Known   string        `type:"existingfile" help:"File of seeds to run instead."`
 	Logs    string        `default:"soak-logs" help:"Where the logs of failed seeds are kept."`
 }
 
@@ -37,29 +38,47 @@
 	if err != nil {
 		return err
 	}
-	if c.Seed == 0 {
-		c.Seed = uint64(time.Now().UnixNano()) % 1_000_000
+	seeds, err := c.list()
+	if err != nil {
+		return err
 	}
-	failed := 0
-	for n := range uint64(c.Seeds) {
+	passed, failed := 0, 0
+	for _, seed := range seeds {
 		if ctx.Err() != nil {
 			break
 		}
-		ok, err := c.one(ctx, binary, c.Seed+n)
+		ok, err := c.one(ctx, binary, seed)
 		if err != nil {
 			return err
 		}
-		if !ok {
+		if ok {
+			passed++
+		} else {
 			failed++
 		}
 	}
-	fmt.Printf("%d passed, %d failed\n", c.Seeds-failed, failed)
+	fmt.Printf("%d passed, %d failed\n", passed, failed)
 	if failed > 0 {
 		return errBroken
 	}
 	return nil
 }
 
+// list returns the seeds to run.
+func (c *command) list() ([]uint64, error) {
+	if c.Known != "" {
+		return soak.KnownSeeds(c.Known)
+	}
+	if c.Seed == 0 {
+		c.Seed = uint64(time.Now().UnixNano()) % 1_000_000
+	}
+	var seeds []uint64
+	for n := range uint64(c.Seeds) {
+		seeds = append(seeds, c.Seed+n)
+	}
+	return seeds, nil
+}
+
 func (c *command) one(ctx context.Context, binary string, seed uint64) (bool, error) {
 	logs := filepath.Join(c.Logs, fmt.Sprint(seed))
 	if err := os.MkdirAll(logs, 0o755); err != nil {
