--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 STATICCHECK := honnef.co/go/tools/cmd/staticcheck@v0.8.2
 BIN := bin
 
-.PHONY: help build demo platform-demo check fmt vet lint test layers docs docs-check generate guards matrix fuzz bench-weights bench-requests bench-control soak soak-known
+.PHONY: help build demo platform-demo check fmt vet lint test layers docs docs-check generate guards matrix fuzz bench-weights bench-requests bench-control soak soak-known soak-guards
 
 help: ## list the jobs
 	@awk -F': .*## ' '/^[a-z-]+:.*## / {printf "%-14s %s\n", $$1, $$2}' $(MAKEFILE_LIST)
@@ -76,3 +76,7 @@
 soak-known: ## run the seeds that once failed
 	go build -o $(BIN)/ ./cmd/filbertlever ./cmd/filbertlever-soak
 	$(BIN)/filbertlever-soak --binary $(BIN)/filbertlever --known platform/soak/seeds.yaml $(SOAK)
+
+soak-guards: ## take parts out of the product and see the soak notice
+	go build -o $(BIN)/ ./cmd/filbertlever-soak
+	go run ./cmd/filbertlever-proof soak
--- a/cmd/filbertlever-proof/main.go
+++ b/cmd/filbertlever-proof/main.go
@@ -8,6 +8,7 @@
 	"os"
 	"os/signal"
 	"syscall"
+	"time"
 
 	"github.com/alecthomas/kong"
 
@@ -16,6 +17,7 @@
 
 type arguments struct {
 	Guards guardsCommand `cmd:"" help:"Remove each guard in turn and see its test fail."`
+	Soak   soakCommand   `cmd:"" help:"Take parts out in turn and see the soak notice."`
 	Matrix matrixCommand `cmd:"" help:"Run the tests of the fault matrix and print it."`
 	Page   pageCommand   `cmd:"" help:"Print the page of the fault matrix, without running tests."`
 }
@@ -51,6 +53,39 @@
 	return nil
 }
 
+type soakCommand struct {
+	List     string        `default:"proof/soak.yaml" help:"List of what is taken out."`
+	Program  string        `default:"bin/filbertlever-soak" help:"The soak's program."`
+	First    uint64        `default:"1" help:"First seed."`
+	Seeds    int           `default:"6" help:"Seeds to run at most for each."`
+	Length   time.Duration `default:"36s" help:"Time of each run."`
+	Parallel int           `default:"3" help:"How many run at once."`
+}
+
+// Run prints a line for each part.
+func (c *soakCommand) Run(ctx context.Context) error {
+	removals, err := proof.LoadRemovals(c.List)
+	if err != nil {
+		return err
+	}
+	caught, missed := 0, 0
+	soak := proof.Soak{Program: c.Program, First: c.First, Seeds: c.Seeds, Length: c.Length, Parallel: c.Parallel}
+	soak.Run(ctx, removals, func(r proof.RemovalResult) {
+		if r.Promise == "" {
+			missed++
+			fmt.Printf("%-45s MISSED after %d seeds %s\n", r.Removal.Name, r.Runs, r.Problem)
+			return
+		}
+		caught++
+		fmt.Printf("%-45s caught: %s, seed %d\n", r.Removal.Name, r.Promise, r.Seed)
+	})
+	fmt.Printf("soak: caught=%d missed=%d\n", caught, missed)
+	if missed > 0 {
+		return errors.New("losses were missed")
+	}
+	return nil
+}
+
 type matrixCommand struct {
 	Data string `default:"proof/matrix.yaml" help:"The matrix."`
 }
--- a/internal/coordination/catalog/catalog.go
+++ b/internal/coordination/catalog/catalog.go
@@ -98,10 +98,15 @@
 	OriginSite string
 }
 
-// Limits bounds what a caller may send.
+// Limits bounds what a caller may send. Zero means no limit.
 type Limits struct {
+	// Header and Body are in bytes.
 	Header int
 	Body   int64
+	// HeaderTime is how long a head may take to arrive, and IdleTime how long a
+	// channel may be unused.
+	HeaderTime time.Duration
+	IdleTime   time.Duration
 }
 
 // Organisation is a holder of keys.
--- a/internal/transport/gateway/gateway.go
+++ b/internal/transport/gateway/gateway.go
@@ -146,6 +146,15 @@
 	return !leaving && g.state.Load() != nil && g.fresh(boottime.Now())
 }
 
+// Limits returns what the desired state allows callers; zeros while none is known.
+func (g *Gateway) Limits() catalog.Limits {
+	state := g.state.Load()
+	if state == nil {
+		return catalog.Limits{}
+	}
+	return state.Limits
+}
+
 // Locate returns where callers should connect, and for how long to keep that.
 func (g *Gateway) Locate(_, site string) ([]string, time.Duration) {
 	ready := g.Ready()
--- a/internal/transport/gateway/peers_test.go
+++ b/internal/transport/gateway/peers_test.go
@@ -6,6 +6,9 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"github.com/filbertlever/filbertlever/internal/coordination/catalog"
+	"github.com/filbertlever/filbertlever/internal/transport/boottime"
+
 	"github.com/filbertlever/filbertlever"
 )
 
@@ -87,3 +90,22 @@
 	p.hear(Entry{Host: "near", Site: "a", Region: "ra"}, true, 8*time.Second)
 	c.Check(names(8*time.Second+beatMissed), qt.Equals, "far self ")
 }
+
+// After a loss of power each entry drew a set of weights of its own from the
+// origin, since it had not heard of the others yet.
+func TestNothingIsDrawnBeforeOthersCanBeKnown(t *testing.T) {
+	c := qt.New(t)
+	state := catalog.New(1, nil, []catalog.Service{{Name: "origin", Origin: "127.0.0.1:1", OriginSite: "a"}}, nil, catalog.Limits{})
+	g := &Gateway{peers: newPeers(Entry{Host: "self", Site: "a", Region: "ra"}, boottime.Now())}
+	g.state.Store(state)
+	drawn := func() bool {
+		_, _, ok := relayView{g}.Origin()
+		return ok
+	}
+	c.Check(drawn(), qt.IsFalse)
+	g.listed.Store(true)
+	c.Check(drawn(), qt.IsTrue)
+	g.listed.Store(false)
+	g.peers.started -= startTrust + time.Millisecond
+	c.Check(drawn(), qt.IsTrue)
+}
--- a/internal/transport/installation/installation.go
+++ b/internal/transport/installation/installation.go
@@ -21,17 +21,13 @@
 	"go.uber.org/zap/zapcore"
 
 	"github.com/filbertlever/filbertlever"
+	"github.com/filbertlever/filbertlever/internal/coordination/catalog"
 	"github.com/filbertlever/filbertlever/internal/settings"
 	"github.com/filbertlever/filbertlever/internal/transport/logsink"
 )
 
 // Times and sizes of listeners.
 const (
-	// headerTime bounds the arrival of a request's head.
-	headerTime = 3 * time.Second
-	// idleTime is how long a caller's channel may be unused. Callers use one
-	// again after up to four fifths of the operators' limit, usually 15 s.
-	idleTime    = 75 * time.Second
 	headerBytes = 64 << 10
 	// memoryShare is the part of a host's memory that the collector aims for.
 	memoryShare = 0.6
@@ -96,14 +92,21 @@
 	}
 }
 
+// listen serves on an address with fixed limits on channels.
 func (p *process) listen(address string, handler http.Handler) error {
+	return p.listenWith(address, handler, func() catalog.Limits { return catalog.Limits{} })
+}
+
+// listenWith serves on an address with limits that may change.
+func (p *process) listenWith(address string, handler http.Handler, limits func() catalog.Limits) error {
 	listener, err := net.Listen("tcp4", address)
 	if err != nil {
 		return fmt.Errorf("listen on %s: %w", address, err)
 	}
 	server := &http.Server{
-		Handler: handler, ReadHeaderTimeout: headerTime, IdleTimeout: idleTime, MaxHeaderBytes: headerBytes,
-		ErrorLog: zap.NewStdLog(p.log.WithOptions(zap.IncreaseLevel(zap.ErrorLevel))),
+		Handler: handler, ReadHeaderTimeout: headerMost, IdleTimeout: idleMost, MaxHeaderBytes: headerBytes,
+		ConnState: newChannelLimits(limits).note,
+		ErrorLog:  zap.NewStdLog(p.log.WithOptions(zap.IncreaseLevel(zap.ErrorLevel))),
 	}
 	p.servers = append(p.servers, server)
 	go (&serving{server: server, listener: listener, failed: p.failed}).run()
--- a/internal/transport/installation/roles.go
+++ b/internal/transport/installation/roles.go
@@ -96,7 +96,7 @@
 	ports.Routes(platform, g)
 	peers := http.NewServeMux()
 	g.PeerRoutes(peers)
-	if err := p.listen(s.Listen.Callers, g); err != nil {
+	if err := p.listenWith(s.Listen.Callers, g, g.Limits); err != nil {
 		return err
 	}
 	if err := p.listen(s.Listen.Peers, peers); err != nil {
--- a/internal/transport/relay/ahead_test.go
+++ b/internal/transport/relay/ahead_test.go
@@ -7,7 +7,9 @@
 	"fmt"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -188,3 +190,41 @@
 	}
 	c.Assert(origin.draws(), qt.DeepEquals, []uint64{6, 6, 6, 6, 6, 6})
 }
+
+// dying is a view in which the other site's entry dies after a while.
+type dying struct {
+	view
+	dead *atomic.Bool
+}
+
+func (d dying) Relays() ([]relays.Entry, map[filbertlever.HostID]string) {
+	entries, addresses := d.view.Relays()
+	if d.dead.Load() {
+		entries = slices.DeleteFunc(entries, func(e relays.Entry) bool { return e.Host == "a1" })
+	}
+	return entries, addresses
+}
+
+// A host stands still with a piece on its way; its connections stay open, and
+// agents waited for as long as for one that is busy. Once it is known to be dead,
+// another entry is asked.
+func TestAPieceIsGivenUpWhenItsEntryDies(t *testing.T) {
+	c := qt.New(t)
+	still := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() }))
+	defer still.Close()
+	near := New(relays.Entry{Host: "a2", Site: "a"}, view{}, &sets{}, &http.Client{}, zap.NewNop(), prometheus.NewRegistry())
+	mux := http.NewServeMux()
+	near.Routes(mux)
+	alive := httptest.NewServer(mux)
+	defer alive.Close()
+	var dead atomic.Bool
+	v := dying{view{addresses: map[filbertlever.HostID]string{"a1": still.Listener.Addr().String(), "a2": alive.Listener.Addr().String()}}, &dead}
+	far := New(relays.Entry{Host: "b1", Site: "b"}, v, &sets{}, &http.Client{}, zap.NewNop(), prometheus.NewRegistry())
+	time.AfterFunc(300*time.Millisecond, func() { dead.Store(true) })
+	began := time.Now()
+	for piece := range setPieces {
+		_, err := far.Piece(context.Background(), catalog.NamedVersion{Model: "drafter", Version: 1}, piece, relays.RoleAny)
+		c.Assert(err, qt.IsNil)
+	}
+	c.Assert(time.Since(began) < 3*time.Second, qt.IsTrue)
+}
