Requests are not given up while first prompts are read, nor without another place

Cause: after a kill of all processes 34 entries sent a thousand requests within half a second. Each engine got a whole batch and sent nothing for more than 0.6 s while it read the prompts; 388 requests were given up in that second, and 325 found no other place and ended as unknown. Ruled out: dead servers (their reports were 28 ms old). Change: an engine that has sent nothing of the present batch may read its prompts first; an attempt is given up only if another server has a place.

--- a/internal/coordination/fleet/choose.go
+++ b/internal/coordination/fleet/choose.go
@@ -78,7 +78,7 @@
 		return Placement{Reason: choice.Reason, Weighed: choice.Weighed, ReadyIn: f.readyIn(request, now)}
 	}
 	if s.own == 0 {
-		s.progressAt = now
+		s.progressAt, s.batchAt = now, now
 	}
 	s.own++
 	age := time.Duration(-1)
@@ -129,6 +129,17 @@
 	return choice
 }
 
+// Elsewhere reports whether a server other than those that a request has been to
+// could take it now, with at most so many waiting there.
+func (f *Fleet) Elsewhere(request Request, waiting int, now time.Duration) bool {
+	placement := f.Choose(request, now)
+	if !placement.Found {
+		return false
+	}
+	f.Ended(placement.Backend.ID)
+	return placement.Ahead <= waiting
+}
+
 // Ended notes that a request sent to a server has ended there, or was not sent.
 func (f *Fleet) Ended(id string) {
 	if s, ok := f.servers[id]; ok {
--- a/internal/coordination/fleet/fleet.go
+++ b/internal/coordination/fleet/fleet.go
@@ -84,7 +84,9 @@
 	// present requests was sent; heardAt only the former.
 	progressAt time.Duration
 	heardAt    time.Duration
-	others     map[filbertlever.HostID]int
+	// batchAt is when the first of the present requests was sent.
+	batchAt time.Duration
+	others  map[filbertlever.HostID]int
 	// load is what the server itself reported last.
 	load Load
 	// reported are the models by the server's own report, at reportedAt.
--- a/internal/coordination/fleet/fleet_test.go
+++ b/internal/coordination/fleet/fleet_test.go
@@ -346,3 +346,40 @@
 	wanted.Avoid = nil
 	c.Assert(f.Choose(wanted, time.Second).Backend.ID, qt.Equals, "m1", qt.Commentf("others' word on a server of the own region was taken"))
 }
+
+// All entries come back at once after a loss of power, and each engine gets a whole
+// batch of prompts within half a second. Callers were told that their requests may
+// have run, which were given up while the engine read them.
+func TestAnEngineThatReadsItsFirstBatchIsNotSilent(t *testing.T) {
+	c := qt.New(t)
+	f := newFleet()
+	f.SetState(state(), 0)
+	f.Apply([]catalog.Backend{listed("m1", modelService, "10.0.0.1:1", 1)}, nil, true, 0)
+	now := time.Second
+	wanted := Request{Service: modelService, Model: model}
+	for range 4 {
+		c.Assert(f.Choose(wanted, now).Found, qt.IsTrue)
+	}
+	f.SetCounts("entry-2", map[string]int{"m1": 12}, now)
+	// Sixteen prompts of 900 tokens take 0.46 s to read.
+	c.Assert(f.Stalled("m1", now+time.Second), qt.IsFalse)
+	c.Assert(f.Stalled("m1", now+1100*time.Millisecond), qt.IsTrue)
+	f.Progress("m1", now+time.Second)
+	c.Assert(f.Stalled("m1", now+1500*time.Millisecond), qt.IsFalse)
+	c.Assert(f.Stalled("m1", now+1700*time.Millisecond), qt.IsTrue)
+}
+
+// A request may only be given up for another place if there is one.
+func TestElsewhereCountsNothing(t *testing.T) {
+	c := qt.New(t)
+	f := newFleet()
+	f.SetState(state(), 0)
+	f.Apply([]catalog.Backend{listed("m1", modelService, "10.0.0.1:1", 1), listed("m2", modelService, "10.0.0.2:1", 1)}, nil, true, 0)
+	wanted := Request{Service: modelService, Model: model, Avoid: []filbertlever.HostID{"m1"}}
+	c.Assert(f.Elsewhere(wanted, 1, time.Second), qt.IsTrue)
+	f.SetCounts("entry-2", map[string]int{"m2": 17}, time.Second)
+	c.Assert(f.Elsewhere(wanted, 1, time.Second), qt.IsFalse)
+	wanted.Avoid = append(wanted.Avoid, "m2")
+	c.Assert(f.Elsewhere(wanted, 1, time.Second), qt.IsFalse)
+	c.Assert(f.Counts(), qt.HasLen, 0)
+}
--- a/internal/coordination/fleet/health.go
+++ b/internal/coordination/fleet/health.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/filbertlever/filbertlever"
+	"github.com/filbertlever/filbertlever/internal/coordination/catalog"
 )
 
 // usable reports whether new requests may go to a server.
@@ -24,18 +25,39 @@
 //
 // Guard: a host that stands still refuses nothing and breaks nothing off; until
 // the first of its requests is given up it looks idle, and more are sent to it.
-// A sound engine sends a part of some answer every tenth of a second.
+// A sound engine sends a part of some answer every tenth of a second, once it has
+// read the prompts that came with the first.
 func (f *Fleet) stalled(s *server, now time.Duration) bool {
 	if s.own == 0 {
 		return false
 	}
 	limit := f.config.PlainStall
-	if f.state != nil && f.state.Services[s.backend.Service].Engine != nil {
-		limit = f.config.EngineStall
+	if f.state != nil {
+		if engine := f.state.Services[s.backend.Service].Engine; engine != nil {
+			limit = f.config.EngineStall + f.firstReading(s, engine)
+		}
 	}
 	return now-s.progressAt > limit
 }
 
+// firstReading is how long an engine that has sent nothing yet of the requests that
+// it has now may read their prompts before it sends anything.
+//
+// Guard: after a loss of power 34 entries send a thousand requests within half a
+// second, and each engine gets a whole batch at once. It sends nothing for longer
+// than any engine at work does; 325 requests were given up at engines that were
+// reading them, and found no other place.
+func (f *Fleet) firstReading(s *server, engine *catalog.Engine) time.Duration {
+	if s.heardAt >= s.batchAt {
+		return 0
+	}
+	requests := s.own
+	for _, n := range s.others {
+		requests += n
+	}
+	return time.Duration(min(requests, engine.Slots)*engine.UsualPrompt) * engine.PromptToken
+}
+
 // Stalled reports whether a server is silent; its requests are better elsewhere.
 func (f *Fleet) Stalled(id string, now time.Duration) bool {
 	s, ok := f.servers[id]
--- a/internal/transport/gateway/headwatch.go
+++ b/internal/transport/gateway/headwatch.go
@@ -1,8 +1,10 @@
 package gateway
 
 import (
+	"slices"
 	"time"
 
+	"github.com/filbertlever/filbertlever/internal/coordination/fleet"
 	"github.com/filbertlever/filbertlever/internal/transport/boottime"
 )
 
@@ -22,10 +24,13 @@
 
 // headWatch waits for the head of an answer.
 type headWatch struct {
-	attempts *attempts
-	backend  string
-	cancel   func()
-	done     chan struct{}
+	gateway *Gateway
+	goal    time.Duration
+	backend string
+	// wanted is what another server would have to take.
+	wanted fleet.Request
+	cancel func()
+	done   chan struct{}
 }
 
 // watchHead ends the attempt if its server does not begin to answer in time,
@@ -34,7 +39,11 @@
 	if !a.Class.Repeatable || a.Sent()+1 >= a.Class.Servers || a.route.Goal <= 0 {
 		return nil
 	}
-	w := &headWatch{attempts: a, backend: backend, cancel: cancel, done: make(chan struct{})}
+	a.gateway.mu.Lock()
+	wanted := a.wanted(boottime.Now())
+	a.gateway.mu.Unlock()
+	wanted.Avoid = slices.Clone(wanted.Avoid)
+	w := &headWatch{gateway: a.gateway, goal: a.route.Goal, backend: backend, wanted: wanted, cancel: cancel, done: make(chan struct{})}
 	go w.run()
 	return w
 }
@@ -42,9 +51,8 @@
 // run looks first after the time in which most answers begin, then often: a
 // server that sends nothing to anybody is given up sooner than one that is busy.
 func (w *headWatch) run() {
-	a := w.attempts
 	began := time.Now()
-	timer := time.NewTimer(max(time.Duration(stalledGoals*float64(a.route.Goal)), headLeast))
+	timer := time.NewTimer(max(time.Duration(stalledGoals*float64(w.goal)), headLeast))
 	defer timer.Stop()
 	for {
 		select {
@@ -52,11 +60,7 @@
 			return
 		case <-timer.C:
 		}
-		g := a.gateway
-		g.mu.Lock()
-		stalled := g.fleet.Stalled(w.backend, boottime.Now())
-		g.mu.Unlock()
-		if stalled || time.Since(began) >= max(headGoals*a.route.Goal, headLeast) {
+		if w.late(time.Since(began)) {
 			w.cancel()
 			return
 		}
@@ -64,6 +68,20 @@
 	}
 }
 
+// late reports whether the attempt is better made elsewhere.
+//
+// Guard: a request that is given up where no other server has a place is lost,
+// though its own may only be slow; it waits on.
+func (w *headWatch) late(waited time.Duration) bool {
+	g, now := w.gateway, boottime.Now()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if waited < max(headGoals*w.goal, headLeast) && !g.fleet.Stalled(w.backend, now) {
+		return false
+	}
+	return g.fleet.Elsewhere(w.wanted, g.gate.Waiting, now)
+}
+
 // end stops the watch; nil watches nothing.
 func (w *headWatch) end() {
 	if w != nil {
