--- a/internal/transport/sidecar/load.go
+++ b/internal/transport/sidecar/load.go
@@ -54,7 +54,13 @@
 	if !l.idle {
 		sleep(ctx, l.begin-l.quiet-boottime.Now())
 		s.setSwitching(true)
-		sleep(ctx, l.quiet)
+		sleep(ctx, l.quiet-checkTime)
+		// Guard: pieces may turn bad while the server is kept free of requests; an
+		// order 1.1 s after the last look loaded one that had.
+		if err := l.stage(ctx, l.manifest); err != nil {
+			return err
+		}
+		sleep(ctx, l.begin-boottime.Now())
 	}
 	if err := s.engine.Load(ctx, l.named.Model, l.named.Version); err != nil {
 		return err
@@ -66,6 +72,10 @@
 // stageTries bounds the rounds of staging and checking.
 const stageTries = 3
 
+// checkTime is kept before an order to read the staged pieces back: 64 of them take
+// some 50 ms on half a core.
+const checkTime = 80 * time.Millisecond
+
 // stage lays the pieces beside the server and reads each back.
 //
 // Guard: what is staged is not checked by the server and may rot before the
--- a/internal/transport/sidecar/load_test.go
+++ b/internal/transport/sidecar/load_test.go
@@ -22,6 +22,7 @@
 	"go.uber.org/zap"
 
 	"github.com/filbertlever/filbertlever/internal/coordination/catalog"
+	"github.com/filbertlever/filbertlever/internal/transport/boottime"
 	"github.com/filbertlever/filbertlever/internal/transport/gateway"
 	"github.com/filbertlever/filbertlever/internal/transport/relay"
 )
@@ -286,3 +287,31 @@
 	c.Assert(<-done, qt.IsNil)
 	c.Assert(most.Load(), qt.Equals, int32(1))
 }
+
+// A server answered with a piece that had turned bad: it was read back before the
+// server was kept free of requests, and the order came 1.1 s later.
+func TestPiecesAreCheckedRightBeforeTheOrder(t *testing.T) {
+	c := qt.New(t)
+	entry := newWeightsEntry(t, 2, 3)
+	server := &engine{staged: map[int][]byte{}}
+	s := newAgent(entry, server, Config{})
+	s.hasReport, s.reportedOnce = true, true
+	for piece, digest := range entry.manifest.Digests {
+		s.keep(digest, entry.pieces[piece])
+	}
+	m := newWeights()
+	m.known[2], m.whole[2] = &entry.manifest, &entry.manifest
+	s.models["drafter"] = m
+	const quiet = 400 * time.Millisecond
+	time.AfterFunc(quiet/2, func() { _ = server.Stage(context.Background(), "drafter", 1, []byte("bad")) })
+	l := &load{agent: s, weights: m, named: catalog.NamedVersion{Model: "drafter", Version: 2}, manifest: &entry.manifest,
+		begin: boottime.Now() + quiet, quiet: quiet}
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	// The server never tells that it has loaded; what it took is what matters.
+	_ = l.carry(ctx)
+	c.Assert(server.loaded, qt.HasLen, 3)
+	for piece, data := range server.loaded {
+		c.Check(string(data), qt.Equals, string(entry.pieces[piece]))
+	}
+}
