--- a/internal/transport/relay/ahead_test.go
+++ b/internal/transport/relay/ahead_test.go
@@ -137,7 +137,7 @@
 // asked. The one that draws the piece is asked again, and draws it once.
 func TestAnEntryWhoseSourceFailedIsAskedAgain(t *testing.T) {
 	c := qt.New(t)
-	origin := &sets{down: true}
+	origin := &sets{}
 	addresses := map[filbertlever.HostID]string{}
 	ring := []*Relay{}
 	for _, host := range []filbertlever.HostID{"a1", "a2"} {
@@ -150,8 +150,11 @@
 		ring = append(ring, r)
 	}
 	far := New(relays.Entry{Host: "b1", Site: "b"}, view{addresses: addresses}, origin, &http.Client{}, zap.NewNop(), prometheus.NewRegistry())
-	time.AfterFunc(700*time.Millisecond, func() { origin.setDown(false) })
 	named := catalog.NamedVersion{Model: "drafter", Version: 1}
+	_, err := far.Manifest(context.Background(), named, relays.RoleAny)
+	c.Assert(err, qt.IsNil)
+	origin.setDown(true)
+	time.AfterFunc(time.Second, func() { origin.setDown(false) })
 	for piece := range setPieces {
 		data, err := far.Piece(context.Background(), named, piece, relays.RoleAny)
 		c.Assert(err, qt.IsNil)
