--- a/internal/transport/sidecar/load_test.go
+++ b/internal/transport/sidecar/load_test.go
@@ -218,7 +218,9 @@
 		s.hasView, s.viewed = true, gateway.View{Named: []gateway.NamedAge{{Model: "drafter", Version: 1}}}
 		ctx, cancel := context.WithCancel(context.Background())
 		s.step(ctx, time.Second)
-		c.Assert(s.models["drafter"] != nil && s.models["drafter"].fetching, qt.Equals, test.want)
+		s.mu.Lock()
+		c.Check(s.models["drafter"] != nil && s.models["drafter"].fetching, qt.Equals, test.want)
+		s.mu.Unlock()
 		cancel()
 	}
 }
