--- a/internal/coordination/switchover/switchover.go
+++ b/internal/coordination/switchover/switchover.go
@@ -33,14 +33,16 @@
 // that the entries had not yet heard of: 0.77 s, and as much again for safety.
 const queueMost = 1500 * time.Millisecond
 
+// layTime is what it takes to lay a set beside its server and check it.
+const layTime = 200 * time.Millisecond
+
 // DefaultConfig returns the times for a bound. A set of 2 MB takes 2.6 s on a
 // server's link of 7.6 Mbit/s beside the server's own answers, 0.1 s to lay down
 // and check, and 0.3 s to load.
 func DefaultConfig(bound time.Duration) Config {
-	const fetch, lay = 2700 * time.Millisecond, 200 * time.Millisecond
-	const quiet = 500 * time.Millisecond
-	ready := max(fetch+lay+quiet, time.Duration(readyShare*float64(bound)))
-	return Config{Bound: bound, Ready: ready, Quiet: quiet, Load: 400 * time.Millisecond, Reserve: 600 * time.Millisecond, Queue: queueMost}
+	const fetch, quiet = 2700 * time.Millisecond, 500 * time.Millisecond
+	ready := max(fetch+layTime+quiet, time.Duration(readyShare*float64(bound)))
+	return Config{Bound: bound, Ready: ready, Quiet: quiet, Load: 400 * time.Millisecond, Reserve: 200 * time.Millisecond, Queue: queueMost}
 }
 
 // Named is a version that operators have named.
@@ -48,8 +50,9 @@
 	Version uint64
 	// Since is when it was named, on the clock of the other times.
 	Since time.Duration
-	// Whole is true if all its pieces are on the host and verified.
-	Whole bool
+	// Whole is true if all its pieces are on the host and verified, since WholeAt.
+	Whole   bool
+	WholeAt time.Duration
 	// Left is how many pieces are missing, if Known.
 	Left  int
 	Known bool
@@ -112,24 +115,47 @@
 // change serves several versions. An empty server serves nothing that could
 // suffer and changes at once.
 func (c Config) Next(held uint64, named []Named, place, count int) (version uint64, begin time.Duration, ok bool) {
-	oldest := true
-	for _, n := range named {
+	var oldest *Named
+	wholeAt := time.Duration(0)
+	for i := range named {
+		n := &named[i]
 		if n.Version <= held {
 			continue
 		}
-		if oldest {
-			begin, oldest = n.Since+c.Turn(place, count), false
+		if oldest == nil {
+			oldest = n
 		}
 		if n.Whole {
+			if !ok {
+				wholeAt = n.WholeAt
+			}
 			version, ok = n.Version, true
 		}
 	}
-	if held == 0 {
-		begin = 0
+	if held != 0 && oldest != nil {
+		begin = c.begin(oldest.Since, wholeAt, place, count)
 	}
 	return version, begin, ok
 }
 
+// begin returns when a server begins its change to a version named at since that
+// has been whole on the hosts since wholeAt: its turn in the time that is left, as all
+// hosts have the weights at about the same time.
+//
+// Guard: where the weights came late, as after an outage of the origin, turns that
+// counted from the naming had passed, and all servers changed in the same moment: 19
+// within 60 ms, with every answer broken off and none to go on at.
+func (c Config) begin(since, wholeAt time.Duration, place, count int) time.Duration {
+	if wholeAt == 0 {
+		return since + c.Turn(place, count)
+	}
+	first, last := wholeAt+layTime+c.Quiet, since+c.last()
+	if first >= last || count <= 1 {
+		return min(first, max(wholeAt, last))
+	}
+	return first + (last-first)*time.Duration(place)/time.Duration(count-1)
+}
+
 // Fetches returns the version to fetch next. If versions follow each other
 // quickly, the newest alone will do as long as it can be there in time for the
 // bound of the oldest, or if that bound cannot be met any more; else the oldest
--- a/internal/coordination/switchover/switchover_test.go
+++ b/internal/coordination/switchover/switchover_test.go
@@ -204,3 +204,31 @@
 	c.Assert(config.Abandons(2, named, back+time.Second, pace.Each()), qt.IsTrue)
 	c.Assert(Worth(4, pace.Each(), back, config.BeginBy(named[1].Since)-startLate), qt.IsTrue)
 }
+
+// The origin was away while a version was named, and all servers had it at the same
+// late moment, when the turns of most had passed. All changed at once, and every
+// answer broke off with no server to go on at. Their turns must be spread over what
+// is left of the bound.
+func TestTurnsThatHavePassedAreSpreadAnew(t *testing.T) {
+	c := qt.New(t)
+	config := DefaultConfig(bound)
+	const count, wholeAt = 19, 5500 * time.Millisecond
+	named := []Named{{Version: 2, Whole: true, WholeAt: wholeAt}}
+	var begins []time.Duration
+	for place := range count {
+		_, begin, _ := config.Next(1, named, place, count)
+		c.Assert(begin >= wholeAt && begin <= config.last(), qt.IsTrue)
+		begins = append(begins, begin)
+	}
+	away := 0
+	for _, begin := range begins {
+		if begin < wholeAt+config.Load {
+			away++
+		}
+	}
+	c.Assert(away <= count/3, qt.IsTrue, qt.Commentf("%d of %d servers are away at once", away, count))
+	// Too late for turns: a server that waits answers nobody.
+	named[0].WholeAt = bound
+	_, begin, _ := config.Next(1, named, count-1, count)
+	c.Assert(begin, qt.Equals, bound)
+}
--- a/internal/transport/sidecar/fetch.go
+++ b/internal/transport/sidecar/fetch.go
@@ -70,7 +70,7 @@
 	took := boottime.Now() - began
 	s.metrics.seconds.Observe(took.Seconds())
 	s.log.Info("weights fetched", zap.String("Model", f.named.Model), zap.Uint64("Version", f.named.Version), zap.Duration("Took", took))
-	f.weights.whole[f.named.Version] = &manifest
+	f.weights.whole[f.named.Version], f.weights.wholeAt[f.named.Version] = &manifest, boottime.Now()
 	s.prune(f.named.Model, f.weights)
 }
 
--- a/internal/transport/sidecar/weights.go
+++ b/internal/transport/sidecar/weights.go
@@ -29,10 +29,11 @@
 
 // weights is what an agent holds of one model. The agent's lock guards it.
 type weights struct {
-	// whole has the manifests of versions whose pieces are all here, and known
-	// those of versions that were begun.
+	// whole has the manifests of versions whose pieces are all here, since wholeAt,
+	// and known those of versions that were begun.
 	whole    map[uint64]*relay.Manifest
 	known    map[uint64]*relay.Manifest
+	wholeAt  map[uint64]time.Duration
 	fetching bool
 	loading  bool
 	// fetched is the version being fetched, and abandon gives it up.
@@ -52,7 +53,7 @@
 }
 
 func newWeights() *weights {
-	return &weights{whole: map[uint64]*relay.Manifest{}, known: map[uint64]*relay.Manifest{}, abandon: func(error) {}}
+	return &weights{whole: map[uint64]*relay.Manifest{}, known: map[uint64]*relay.Manifest{}, wholeAt: map[uint64]time.Duration{}, abandon: func(error) {}}
 }
 
 // servedIn predicts when the server will hold what it is being brought; 0 if
@@ -97,6 +98,7 @@
 		p.idle = config.Idle(p.held, named, now)
 		for i := range named {
 			named[i].Whole = p.weights.whole[named[i].Version] != nil
+			named[i].WholeAt = p.weights.wholeAt[named[i].Version]
 			if manifest := p.weights.known[named[i].Version]; manifest != nil {
 				named[i].Left, named[i].Known = s.missing(manifest), true
 			}
@@ -193,6 +195,7 @@
 		if version < has {
 			delete(m.known, version)
 			delete(m.whole, version)
+			delete(m.wholeAt, version)
 		}
 	}
 	wanted := map[string]bool{}
