Servers that hold a version give out its pieces

Hypothesis: 28 added servers waited 9 s for an origin that was away though 40 servers held the version, staged and loaded; and each set that is drawn anew crosses two thin borders.

Change: agents give out pieces that they hold or that lie beside their server, one at a time; the entry of a site that a piece belongs to asks two of them before anyone else, checks the digest, and else goes on as before. Manifests (7 KB) are drawn when a version is first listed, by one entry a site.

Ruled out: drawing the version in force ahead from the origin, which costs a copy and two borders on each start.

--- a/internal/coordination/fleet/counts.go
+++ b/internal/coordination/fleet/counts.go
@@ -11,6 +11,8 @@
 type Load struct {
 	// Address is where the server serves.
 	Address string
+	// Agent is where the report came from, and the agent gives out pieces.
+	Agent string `json:"-"`
 	// Sequence grows with each report, also across restarts of the agent.
 	Sequence uint64
 	Running  int
--- a/internal/transport/gateway/datagrams.go
+++ b/internal/transport/gateway/datagrams.go
@@ -118,6 +118,7 @@
 		g.takeCounts(d.Counts, now)
 	}
 	if d.Load != nil {
+		d.Load.Load.Agent = from.String()
 		g.fleet.Report(d.Load.Load, now)
 		if d.Load.View != g.revision {
 			g.send(Datagram{Changed: g.revision}, from)
--- a/internal/transport/gateway/gateway.go
+++ b/internal/transport/gateway/gateway.go
@@ -372,6 +372,13 @@
 	return origin.Origin, origin.OriginSite, ok
 }
 
+// Holders returns the hosts of this site whose servers hold a version.
+func (v relayView) Holders(named catalog.NamedVersion) []relays.Holder {
+	v.g.mu.Lock()
+	defer v.g.mu.Unlock()
+	return v.g.fleet.Holders(named.Model, named.Version, boottime.Now())
+}
+
 // Relays returns the entries that are alive.
 func (v relayView) Relays() ([]relays.Entry, map[filbertlever.HostID]string) {
 	v.g.mu.Lock()
--- a/internal/transport/gateway/watch.go
+++ b/internal/transport/gateway/watch.go
@@ -7,6 +7,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/filbertlever/filbertlever/internal/coordination/catalog"
 	"github.com/filbertlever/filbertlever/internal/transport/boottime"
 )
 
@@ -189,6 +190,7 @@
 		if whole || len(rows.Raw) > 0 {
 			g.fleet.Apply(backends.Present, backends.Gone, whole, now)
 			g.logBackends(backends)
+			go g.runLearn(backends.Present)
 		}
 		return nil
 	}
@@ -196,6 +198,16 @@
 	w.run(ctx)
 }
 
+// runLearn has the manifests of what servers hold, which are small, drawn before they
+// are needed.
+func (g *Gateway) runLearn(present []catalog.Backend) {
+	for _, b := range present {
+		for _, m := range b.Models {
+			g.relay.Learn(catalog.NamedVersion{Model: m.Name, Version: m.Version})
+		}
+	}
+}
+
 // absence is the time without an answer after which the store counts as having
 // been away: longer than two calls in a row take.
 const absence = 3 * time.Second
--- a/internal/transport/installation/roles.go
+++ b/internal/transport/installation/roles.go
@@ -145,10 +145,16 @@
 	}
 	work, endWork := context.WithCancel(context.Background())
 	defer endWork()
-	sidecar.New(work, sidecar.Config{
+	agent := sidecar.New(work, sidecar.Config{
 		Site: s.Site, Service: s.ModelServer.Service, Address: s.ModelServer.Address, Seeds: s.Seeds,
 		Bound: time.Duration(s.Bounds.Version), FirstStart: s.FirstStart,
 	}, ports.Engine, ports.Entries, newClient(), socket, p.log, p.registry)
+	pieces := http.NewServeMux()
+	agent.Routes(pieces)
+	// Entries ask for pieces where the reports come from.
+	if err := p.listen(s.Listen.Datagrams, pieces); err != nil {
+		return err
+	}
 	r := &reloading{path: file.Path, use: settings.UseAgent, process: p, reload: file.Reload, apply: func(*settings.Installation) {}}
 	go r.run(work)
 	p.log.Info("started", zap.String("ModelServer", s.ModelServer.Address), zap.String("Service", s.ModelServer.Service))
--- a/internal/transport/relay/ahead_test.go
+++ b/internal/transport/relay/ahead_test.go
@@ -168,6 +168,47 @@
 	c.Assert(origin.draws(), qt.HasLen, setPieces)
 }
 
+// The origin was away for seconds. Entries that wait for pieces from the one that draws
+// them were told after half a second that it could not have them, and after three such
+// answers drew themselves; when the origin was back each piece left it several times
+// over its thin link. The one that draws tries on, and draws each once.
+func TestALongOutageMakesNoOtherEntryDraw(t *testing.T) {
+	c := qt.New(t)
+	origin := &sets{}
+	addresses := map[filbertlever.HostID]string{}
+	var ring []*Relay
+	for _, host := range []filbertlever.HostID{"a1", "a2"} {
+		r := New(relays.Entry{Host: host, Site: "a"}, view{addresses: addresses}, origin, &http.Client{}, zap.NewNop(), prometheus.NewRegistry())
+		mux := http.NewServeMux()
+		r.Routes(mux)
+		server := httptest.NewServer(mux)
+		defer server.Close()
+		addresses[host] = server.Listener.Addr().String()
+		ring = append(ring, r)
+	}
+	named := catalog.NamedVersion{Model: "drafter", Version: 1}
+	for _, r := range ring {
+		_, err := r.Manifest(context.Background(), named, relays.RoleAny)
+		c.Assert(err, qt.IsNil)
+	}
+	origin.setDown(true)
+	time.AfterFunc(2500*time.Millisecond, func() { origin.setDown(false) })
+	var group sync.WaitGroup
+	for _, r := range ring {
+		for piece := range setPieces {
+			group.Go(func() {
+				for end := time.Now().Add(8 * time.Second); time.Now().Before(end); {
+					if _, err := r.Piece(context.Background(), named, piece, relays.RoleAny); err == nil {
+						return
+					}
+				}
+			})
+		}
+	}
+	group.Wait()
+	c.Assert(origin.draws(), qt.HasLen, setPieces)
+}
+
 func (r *Relay) ahead() bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/internal/transport/relay/fetch.go
+++ b/internal/transport/relay/fetch.go
@@ -29,7 +29,7 @@
 func AwaitPiece(ctx context.Context, client *http.Client, address string, named catalog.NamedVersion, piece int) error {
 	values := pieceValues(named, &piece, relays.RoleAny)
 	values.Set("Await", "1")
-	if _, err := fetch(ctx, client, address, pathPiece, values, agentTimeout); err != nil {
+	if _, err := fetch(ctx, client, address, PathPiece, values, agentTimeout); err != nil {
 		return fmt.Errorf("await piece %d of %s version %d at %s: %w", piece, named.Model, named.Version, address, err)
 	}
 	return nil
@@ -48,7 +48,7 @@
 }
 
 func fetchPiece(ctx context.Context, client *http.Client, address string, named catalog.NamedVersion, piece int, ask relays.Role) ([]byte, error) {
-	data, err := fetch(ctx, client, address, pathPiece, pieceValues(named, &piece, ask), timeoutFor(ask))
+	data, err := fetch(ctx, client, address, PathPiece, pieceValues(named, &piece, ask), timeoutFor(ask))
 	if err != nil {
 		return nil, fmt.Errorf("piece %d of %s version %d from %s: %w", piece, named.Model, named.Version, address, err)
 	}
--- a/internal/transport/relay/relay.go
+++ b/internal/transport/relay/relay.go
@@ -49,6 +49,8 @@
 	Origin() (address, site string, ok bool)
 	// Relays returns the entries that are alive, with the peer address of each.
 	Relays() ([]relays.Entry, map[filbertlever.HostID]string)
+	// Holders returns the hosts of this site whose servers hold a version.
+	Holders(named catalog.NamedVersion) []relays.Holder
 }
 
 // Bounds of a relay.
@@ -96,6 +98,9 @@
 	drawing sync.Mutex
 	draws   *relays.Slots
 
+	// holding has room for the pieces that holders may be asked for at once.
+	holding chan struct{}
+
 	mu       sync.Mutex
 	versions []*version
 	// drawingAhead is true while pieces are drawn ahead.
@@ -117,6 +122,8 @@
 	ahead      bool
 	asked      bool
 	aheadUntil time.Duration
+	// learnt is true once the manifest was wanted ahead.
+	learnt bool
 	// uselessAt is when another version will be the only one to answer; 0 if none.
 	uselessAt time.Duration
 }
@@ -153,13 +160,14 @@
 	}
 	registry.MustRegister(m.bytes, m.corrupt)
 	return &Relay{self: self, view: view, origin: origin, client: client, log: log, metrics: m,
-		draws: relays.NewSlots(originParallel), byDigest: map[string][]byte{}}
+		draws: relays.NewSlots(originParallel), holding: make(chan struct{}, holderLanes), byDigest: map[string][]byte{}}
 }
 
 // Paths of the calls between entries and agents.
 const (
 	pathManifest = "/weights/manifest"
-	pathPiece    = "/weights/piece"
+	// PathPiece is where a piece is asked for, at an entry or at an agent.
+	PathPiece = "/weights/piece"
 )
 
 // Manifest returns the manifest of a version. Asked is what the one who asks
@@ -250,6 +258,13 @@
 			f.value, f.err = data, nil
 			return
 		}
+		if w.role >= relays.RoleHome && try%holderTurn == 0 {
+			if data, ok := r.fromHolders(named, piece, manifest); ok {
+				r.keep(manifest.Digests[piece], data)
+				f.value, f.err = data, nil
+				return
+			}
+		}
 		source, address, ask := r.source(named, piece, w.role, failed)
 		data, err := r.draw(named, piece, source, address, ask)
 		if err == nil && !manifest.Verify(piece, data) {
--- a/internal/transport/relay/relay_test.go
+++ b/internal/transport/relay/relay_test.go
@@ -56,6 +56,8 @@
 
 func (alone) Origin() (address, site string, ok bool) { return "origin", "a", true }
 
+func (alone) Holders(catalog.NamedVersion) []relays.Holder { return nil }
+
 func (alone) Relays() ([]relays.Entry, map[filbertlever.HostID]string) {
 	return []relays.Entry{{Host: "e1", Site: "a"}}, map[filbertlever.HostID]string{"e1": "127.0.0.1:1"}
 }
@@ -120,7 +122,7 @@
 		"?Model=drafter&Version=1&Piece=x": http.StatusBadRequest,
 	} {
 		w := httptest.NewRecorder()
-		mux.ServeHTTP(w, httptest.NewRequest(http.MethodGet, pathPiece+query, nil))
+		mux.ServeHTTP(w, httptest.NewRequest(http.MethodGet, PathPiece+query, nil))
 		c.Check(w.Code, qt.Equals, want, qt.Commentf(query))
 	}
 }
@@ -149,6 +151,8 @@
 
 func (view) Origin() (address, site string, ok bool) { return "origin", "a", true }
 
+func (view) Holders(catalog.NamedVersion) []relays.Holder { return nil }
+
 func (v view) Relays() ([]relays.Entry, map[filbertlever.HostID]string) {
 	return []relays.Entry{{Host: "a1", Site: "a"}, {Host: "a2", Site: "a"}, {Host: "b1", Site: "b"}}, v.addresses
 }
@@ -206,6 +210,8 @@
 
 func (onlyOther) Origin() (address, site string, ok bool) { return "origin", "a", true }
 
+func (onlyOther) Holders(catalog.NamedVersion) []relays.Holder { return nil }
+
 func (v onlyOther) Relays() ([]relays.Entry, map[filbertlever.HostID]string) {
 	return []relays.Entry{{Host: v.other, Site: "a"}}, v.addresses
 }
--- a/internal/transport/relay/serve.go
+++ b/internal/transport/relay/serve.go
@@ -15,10 +15,11 @@
 // Routes adds the calls that agents and other entries make.
 func (r *Relay) Routes(mux *http.ServeMux) {
 	mux.HandleFunc("GET "+pathManifest, r.serveManifest)
-	mux.HandleFunc("GET "+pathPiece, r.servePiece)
+	mux.HandleFunc("GET "+PathPiece, r.servePiece)
 }
 
-func query(req *http.Request) (catalog.NamedVersion, int, error) {
+// Query decodes which piece of which version is asked for.
+func Query(req *http.Request) (catalog.NamedVersion, int, error) {
 	values := req.URL.Query()
 	number, err := strconv.ParseUint(values.Get("Version"), 10, 64)
 	if err != nil {
@@ -41,7 +42,7 @@
 }
 
 func (r *Relay) serveManifest(w http.ResponseWriter, req *http.Request) {
-	named, _, err := query(req)
+	named, _, err := Query(req)
 	if err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
@@ -56,7 +57,7 @@
 }
 
 func (r *Relay) servePiece(w http.ResponseWriter, req *http.Request) {
-	named, piece, err := query(req)
+	named, piece, err := Query(req)
 	if err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
--- a/internal/transport/sidecar/load_test.go
+++ b/internal/transport/sidecar/load_test.go
@@ -317,3 +317,27 @@
 		c.Check(string(data), qt.Equals, string(entry.pieces[piece]))
 	}
 }
+
+// An entry asks for pieces of the version that the server holds: those in memory come
+// from there, others from what lies beside the server.
+func TestAnAgentGivesOutPieces(t *testing.T) {
+	c := qt.New(t)
+	sum := sha256.Sum256([]byte("in memory"))
+	digest := hex.EncodeToString(sum[:])
+	s := &Sidecar{engine: &engine{staged: map[int][]byte{0: []byte("staged"), 1: []byte("staged too")}}, log: zap.NewNop(),
+		pieces: map[string][]byte{digest: []byte("in memory")}, giving: make(chan struct{}, giving),
+		models: map[string]*weights{"drafter": {known: map[uint64]*relay.Manifest{1: {Digests: []string{digest, "other"}}}}}}
+	mux := http.NewServeMux()
+	s.Routes(mux)
+	for query, want := range map[string]string{
+		"?Model=drafter&Version=1&Piece=0": "in memory",
+		"?Model=drafter&Version=1&Piece=1": "staged too",
+		"?Model=drafter&Version=2&Piece=0": "staged",
+		"?Model=drafter&Version=1&Piece=7": "404 page not found\n",
+		"?Model=drafter&Version=x&Piece=0": "version \"x\": expected a number\n",
+	} {
+		w := httptest.NewRecorder()
+		mux.ServeHTTP(w, httptest.NewRequest(http.MethodGet, relay.PathPiece+query, nil))
+		c.Check(w.Body.String(), qt.Equals, want, qt.Commentf(query))
+	}
+}
--- a/internal/transport/sidecar/sidecar.go
+++ b/internal/transport/sidecar/sidecar.go
@@ -116,6 +116,8 @@
 	models       map[string]*weights
 	// pieces holds what was fetched, by digest, so that versions share pieces.
 	pieces map[string][]byte
+	// giving has room for the pieces that may be given out at once.
+	giving chan struct{}
 	// pace is what pieces from entries have taken.
 	pace switchover.Pace
 }
@@ -154,6 +156,7 @@
 	s := &Sidecar{
 		config: config, engine: engine, lister: lister, client: client, socket: socket, log: log, metrics: m,
 		wake: make(chan struct{}, 1), views: map[string]uint64{}, models: map[string]*weights{}, pieces: map[string][]byte{},
+		giving: make(chan struct{}, giving),
 	}
 	go s.runReports(ctx)
 	go s.runDatagrams(ctx)
