Callers outlast an outage, and return as they were refused

Hypothesis: callers who were refused for want of any server were told to come back in 1 to 1.7 s when nothing told when one would be ready, and most came too early for good; agents told a wrong time while the origin was away.

Change: the latest time that a caller waits (a third of its time) where nothing is known; where it is, a return over as long a time as the outage took. An agent that has seen no piece for half a second does not say when it will be ready. The old test of the spread is replaced by one that plays the load and one on the same bounds with the new inputs.

--- a/internal/coordination/admission/entry.go
+++ b/internal/coordination/admission/entry.go
@@ -64,19 +64,52 @@
 
 // Times to come back when no server can take a request.
 const (
-	// readyUnknown is used when nothing tells when one will: a server's row is
-	// 1.2 s behind at most, and its agent tells within a second.
+	// readyUnknown is the least of them when nothing tells when one will: a server's
+	// row is 1.2 s behind at most, and its agent tells within a second.
 	readyUnknown = time.Second
-	// readySpread is the time over which callers return once servers are ready:
-	// a service that starts anew takes in about half a second what waits for it.
-	readySpread = 700 * time.Millisecond
+	// readySpread is the least time over which callers return once servers are ready.
+	readySpread = 200 * time.Millisecond
+	// honoured is the part of the time that a caller has left which it waits at most
+	// before it comes back, and unknownShare the part of that from which on it is told
+	// to if nothing tells when a server will be ready.
+	honoured     = 1.0 / 3
+	unknownShare = 0.75
+	// outageGap is the time without such a refusal after which the next one belongs to
+	// another outage.
+	outageGap = time.Second
 )
 
-// ReturnWhenReady returns when a caller should come back that was refused
-// because no server holds what it needs; ready is when one will, 0 if unknown.
-func ReturnWhenReady(ready time.Duration, rng *rand.Rand) time.Duration {
+// Outage is a time in which no server of a service can take a request. The zero value
+// is none.
+type Outage struct {
+	began, last time.Duration
+}
+
+// Refused notes that a request was refused for want of a server, and returns how long
+// that has gone on.
+func (o *Outage) Refused(now time.Duration) time.Duration {
+	if o.last == 0 || now-o.last > outageGap {
+		o.began = now
+	}
+	o.last = now
+	return now - o.began
+}
+
+// ReturnWhenReady returns when a caller should come back that was refused because no
+// server holds what it needs. Ready is when one will, 0 if unknown; left is what is left
+// of the caller's time, and away how long servers have been away.
+//
+// A caller comes back once or twice. Where nothing tells when a server will be ready,
+// it is told the latest time that it waits for: at 1 s to 1.7 s most came back too early
+// for good, 110 of 300 in an outage of 2.3 s. Where it is known, those who were refused
+// in the time that servers were away return over as long a time, so that no more come at
+// once than then.
+func ReturnWhenReady(ready, left, away time.Duration, rng *rand.Rand) time.Duration {
+	latest := time.Duration(honoured * float64(left))
+	spread := min(away, latest-ready)
 	if ready <= 0 {
-		ready = readyUnknown
+		ready = max(readyUnknown, time.Duration(unknownShare*float64(latest)))
+		spread = latest - ready
 	}
-	return ready + time.Duration(rng.Float64()*float64(readySpread))
+	return ready + time.Duration(rng.Float64()*float64(max(spread, readySpread)))
 }
--- a/internal/coordination/admission/entry_test.go
+++ b/internal/coordination/admission/entry_test.go
@@ -51,10 +51,44 @@
 	c := qt.New(t)
 	rng := newRng()
 	for range 50 {
-		retry := ReturnWhenReady(1800*time.Millisecond, rng)
+		retry := ReturnWhenReady(1800*time.Millisecond, 6*time.Second, 3*time.Second, rng)
 		c.Assert(retry >= 1800*time.Millisecond && retry <= 1800*time.Millisecond+readySpread, qt.IsTrue)
 	}
-	c.Assert(ReturnWhenReady(0, rng) >= readyUnknown, qt.IsTrue)
+	c.Assert(ReturnWhenReady(0, 6*time.Second, 0, rng) >= readyUnknown, qt.IsTrue)
+}
+
+// No server has had weights for a while, and all are ready at the same moment. Callers
+// come back once, after a third of their time at most. Told to come back after a second
+// and a bit, those who were refused early in the outage were refused for good; told to
+// come back within 0.7 s of its end, all came at once, and engines that read 20 prompts
+// a second each were full.
+func TestCallersOutlastAnOutage(t *testing.T) {
+	c := qt.New(t)
+	rng := newRng()
+	const perSecond, outage, left = 145, 2300 * time.Millisecond, 6 * time.Second
+	// The last half second of it the load is under way, and its end known.
+	const known = outage - 500*time.Millisecond
+	var o Outage
+	early, busiest := 0, 0
+	returns := map[time.Duration]int{}
+	const slice = 100 * time.Millisecond
+	for i := range int(outage.Seconds() * perSecond) {
+		now := time.Second + time.Duration(i)*time.Second/perSecond
+		ready := time.Duration(0)
+		if now-time.Second >= known {
+			ready = time.Second + outage - now
+		}
+		back := now + ReturnWhenReady(ready, left, o.Refused(now), rng)
+		if back < time.Second+outage {
+			early++
+		}
+		c.Assert(back-now <= left/3+readySpread, qt.IsTrue)
+		returns[back/slice]++
+		busiest = max(busiest, returns[back/slice])
+	}
+	// Only those that cannot wait so long are too early.
+	c.Assert(early < int(perSecond*(outage-left/3+500*time.Millisecond).Seconds()), qt.IsTrue, qt.Commentf("%d came too early", early))
+	c.Assert(busiest <= 2*perSecond*int(slice)/int(time.Second)+8, qt.IsTrue, qt.Commentf("%d came within %v", busiest, slice))
 }
 
 // The load of a day on which 270 streams a second meet 16 engines that can run
--- a/internal/transport/gateway/attempts.go
+++ b/internal/transport/gateway/attempts.go
@@ -12,7 +12,6 @@
 	"go.uber.org/zap"
 
 	"github.com/filbertlever/filbertlever"
-	"github.com/filbertlever/filbertlever/internal/coordination/admission"
 	"github.com/filbertlever/filbertlever/internal/coordination/fleet"
 	"github.com/filbertlever/filbertlever/internal/coordination/forward"
 	"github.com/filbertlever/filbertlever/internal/transport/boottime"
@@ -80,7 +79,7 @@
 		zap.Int("Weighed", placement.Weighed), zap.Duration("ReportAge", placement.ReportAge), zap.String("Why", string(placement.Reason)), zap.Bool("Cut", placement.Cut), zap.Duration("Reading", placement.Reading)}
 	if !placement.Found {
 		g.log.Info("no server", fields...)
-		return placement, busy(reasonNoServer, admission.ReturnWhenReady(placement.ReadyIn, g.rng))
+		return placement, busy(reasonNoServer, g.returnWhenReady(a.service, placement.ReadyIn, a.remaining(), now))
 	}
 	admitted, retry := g.gate.Admit(placement.Ahead, placement.Reading, placement.Predicted, a.remaining(), g.rng)
 	if a.stream != nil || g.plain(a.service) {
@@ -331,7 +330,7 @@
 	a.finishFailure(failure)
 	p := a.problem(step)
 	if step == forward.StepNotRun && end == forward.EndMoved {
-		p.retry = g.returnWhenReady(a.service)
+		p.retry = a.returnWhenReady()
 	}
 	a.giveUp(p)
 	return false
--- a/internal/transport/gateway/gateway.go
+++ b/internal/transport/gateway/gateway.go
@@ -87,6 +87,8 @@
 	fleet   *fleet.Fleet
 	gate    admission.EntryGate
 	budgets map[string]*retry.Window
+	// outages are of services.
+	outages map[string]*admission.Outage
 	peers   *peers
 	// named are the versions of each model that operators want, oldest first.
 	named map[string][]named
@@ -104,7 +106,7 @@
 	g := &Gateway{
 		config: config, store: store, codec: codec, sender: sender, log: log, socket: socket, client: client, feeds: newFeeds(),
 		metrics: newMetrics(registry), rng: rng, fleet: fleet.New(fleetConfig, rng), gate: admission.DefaultEntryGate(),
-		budgets: map[string]*retry.Window{}, peers: newPeers(config.Self, boottime.Now()), named: map[string][]named{},
+		budgets: map[string]*retry.Window{}, outages: map[string]*admission.Outage{}, peers: newPeers(config.Self, boottime.Now()), named: map[string][]named{},
 		stop: drain.New(drain.Config{Grace: config.Grace, Move: config.Leave}),
 	}
 	g.revoke.Store(int64(config.Revoke))
--- a/internal/transport/gateway/serve.go
+++ b/internal/transport/gateway/serve.go
@@ -295,9 +295,20 @@
 	return admission.ReturnTime(0, g.rng)
 }
 
-// returnWhenReady is when to come back to a service whose servers hold nothing.
-func (g *Gateway) returnWhenReady(service string) time.Duration {
+// returnWhenReady is when to come back to a service whose servers hold nothing, one
+// of which will be ready then; the caller holds the lock.
+func (g *Gateway) returnWhenReady(service string, ready, left, now time.Duration) time.Duration {
+	outage, ok := g.outages[service]
+	if !ok {
+		outage = &admission.Outage{}
+		g.outages[service] = outage
+	}
+	return admission.ReturnWhenReady(ready, left, outage.Refused(now), g.rng)
+}
+
+func (a *attempts) returnWhenReady() time.Duration {
+	g, now := a.gateway, boottime.Now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return admission.ReturnWhenReady(g.fleet.ReadyIn(service, boottime.Now()), g.rng)
+	return g.returnWhenReady(a.service, g.fleet.ReadyIn(a.service, now), a.remaining(), now)
 }
--- a/internal/transport/sidecar/fetch.go
+++ b/internal/transport/sidecar/fetch.go
@@ -163,14 +163,15 @@
 	began, done := boottime.Now(), 0
 	s.mu.Lock()
 	missing := s.missing(manifest)
-	m.left, m.pace = missing, firstPace
+	m.left, m.pace, m.pieceAt = missing, firstPace, began
 	s.mu.Unlock()
 	return func() {
 		s.mu.Lock()
 		defer s.mu.Unlock()
 		done++
-		s.pace.Came(boottime.Now())
-		m.left, m.pace = missing-done, (boottime.Now()-began)/time.Duration(done)
+		now := boottime.Now()
+		s.pace.Came(now)
+		m.left, m.pace, m.pieceAt = missing-done, (now-began)/time.Duration(done), now
 	}
 }
 
--- a/internal/transport/sidecar/weights.go
+++ b/internal/transport/sidecar/weights.go
@@ -23,6 +23,10 @@
 	loadTime = 400 * time.Millisecond
 	// awaitPause is how often a load under way is looked at.
 	awaitPause = 50 * time.Millisecond
+	// piecesStalled is the time without a piece after which nothing tells when the
+	// rest will come. While the origin was away for 6 s callers were told to come back
+	// within the second, and were refused again.
+	piecesStalled = 500 * time.Millisecond
 	// retryPause is the pause after a failed step.
 	retryPause = 200 * time.Millisecond
 )
@@ -46,6 +50,8 @@
 	// long each took.
 	left int
 	pace time.Duration
+	// pieceAt is when the last piece came.
+	pieceAt time.Duration
 	// leavesAt is when the server will be changed; 0 if that is not due.
 	leavesAt time.Duration
 	// servedAt is when the load under way should be done; 0 if there is none.
@@ -62,7 +68,7 @@
 	if w.loading {
 		return max(w.servedAt-now, awaitPause)
 	}
-	if w.fetching && w.left > 0 {
+	if w.fetching && w.left > 0 && now-w.pieceAt < piecesStalled {
 		return time.Duration(w.left)*w.pace + stageTime + loadTime
 	}
 	return 0
