Late callers, and answers under way, wait for free places

Hypothesis: after an outage hundreds come back who are late already, with no further try; places are free a second or two later. And an answer that breaks off while all servers change finds no place for a moment and is lost.

Change: an entry lets such requests wait up to 1.2 s for a place at a server with three free, little to read, and a first event predicted within half of the goal, so that fresh requests are not put off. The room shrinks when waiting is in vain.

--- a/internal/transport/gateway/attempts.go
+++ b/internal/transport/gateway/attempts.go
@@ -48,6 +48,9 @@
 		Class: forward.Class{Repeatable: x.route.Repeatable(), Servers: x.route.Attempts}}}
 	for first := true; ; first = false {
 		placement, p := a.place(first)
+		if p != nil {
+			placement, p = a.placeLater(placement, p)
+		}
 		if p != nil {
 			a.giveUp(p)
 			return
--- a/internal/transport/gateway/gateway.go
+++ b/internal/transport/gateway/gateway.go
@@ -87,6 +87,7 @@
 	fleet   *fleet.Fleet
 	gate    admission.EntryGate
 	budgets map[string]*retry.Window
+	room    *room
 	// outages are of services.
 	outages map[string]*admission.Outage
 	peers   *peers
@@ -106,7 +107,7 @@
 	g := &Gateway{
 		config: config, store: store, codec: codec, sender: sender, log: log, socket: socket, client: client, feeds: newFeeds(),
 		metrics: newMetrics(registry), rng: rng, fleet: fleet.New(fleetConfig, rng), gate: admission.DefaultEntryGate(),
-		budgets: map[string]*retry.Window{}, outages: map[string]*admission.Outage{}, peers: newPeers(config.Self, boottime.Now()), named: map[string][]named{},
+		budgets: map[string]*retry.Window{}, outages: map[string]*admission.Outage{}, room: newRoom(), peers: newPeers(config.Self, boottime.Now()), named: map[string][]named{},
 		stop: drain.New(drain.Config{Grace: config.Grace, Move: config.Leave}),
 	}
 	g.revoke.Store(int64(config.Revoke))
