A test of long outages that fails without its guards

The test now notes which entry asks the origin for which piece, over an outage of 3.3 s; both guards removed in turn make it fail. The earlier test stays as it is.

--- a/internal/transport/relay/ahead_test.go
+++ b/internal/transport/relay/ahead_test.go
@@ -168,23 +168,40 @@
 	c.Assert(origin.draws(), qt.HasLen, setPieces)
 }
 
+// asked is an origin that notes which pieces were asked of it.
+type asked struct {
+	*sets
+	mu     sync.Mutex
+	pieces map[int]bool
+}
+
+func (a *asked) Piece(ctx context.Context, address string, named catalog.NamedVersion, piece int) ([]byte, error) {
+	a.mu.Lock()
+	a.pieces[piece] = true
+	a.mu.Unlock()
+	return a.sets.Piece(ctx, address, named, piece)
+}
+
 // The origin was away for seconds. Entries that wait for pieces from the one that draws
 // them were told after half a second that it could not have them, and after three such
 // answers drew themselves; when the origin was back each piece left it several times
-// over its thin link. The one that draws tries on, and draws each once.
+// over its thin link. The one that draws tries on, is asked again, and alone draws.
 func TestALongOutageMakesNoOtherEntryDraw(t *testing.T) {
 	c := qt.New(t)
 	origin := &sets{}
 	addresses := map[filbertlever.HostID]string{}
-	var ring []*Relay
+	ring, origins := map[filbertlever.HostID]*Relay{}, map[filbertlever.HostID]*asked{}
+	var entries []relays.Entry
 	for _, host := range []filbertlever.HostID{"a1", "a2"} {
-		r := New(relays.Entry{Host: host, Site: "a"}, view{addresses: addresses}, origin, &http.Client{}, zap.NewNop(), prometheus.NewRegistry())
+		entries = append(entries, relays.Entry{Host: host, Site: "a"})
+		origins[host] = &asked{sets: origin, pieces: map[int]bool{}}
+		r := New(entries[len(entries)-1], view{addresses: addresses}, origins[host], &http.Client{}, zap.NewNop(), prometheus.NewRegistry())
 		mux := http.NewServeMux()
 		r.Routes(mux)
 		server := httptest.NewServer(mux)
 		defer server.Close()
 		addresses[host] = server.Listener.Addr().String()
-		ring = append(ring, r)
+		ring[host] = r
 	}
 	named := catalog.NamedVersion{Model: "drafter", Version: 1}
 	for _, r := range ring {
@@ -192,7 +209,7 @@
 		c.Assert(err, qt.IsNil)
 	}
 	origin.setDown(true)
-	time.AfterFunc(2500*time.Millisecond, func() { origin.setDown(false) })
+	time.AfterFunc(3300*time.Millisecond, func() { origin.setDown(false) })
 	var group sync.WaitGroup
 	for _, r := range ring {
 		for piece := range setPieces {
@@ -207,6 +224,12 @@
 	}
 	group.Wait()
 	c.Assert(origin.draws(), qt.HasLen, setPieces)
+	for piece := range setPieces {
+		drawer := relays.Drawer(entries, "a", pieceKey(named, piece))
+		for host, o := range origins {
+			c.Check(o.pieces[piece], qt.Equals, host == drawer, qt.Commentf("piece %d, which %s draws, at %s", piece, drawer, host))
+		}
+	}
 }
 
 func (r *Relay) ahead() bool {
