A start waits neither for an entry that is away nor on a list that is wrong

Change: a manifest is waited for at another entry for 0.15 s, then the next source is asked; after two servers in a row that lack what the list says, the list is doubted for all of the service that no agent has told of; an agent that reads what lies staged says when it will be ready.

Ruled out: keeping manifests beside the servers, which has no place for them.

--- a/internal/coordination/fleet/fleet.go
+++ b/internal/coordination/fleet/fleet.go
@@ -122,6 +122,8 @@
 	revision  uint64
 	// named are the versions of each model that operators have named.
 	named map[string][]uint64
+	// lacking is how many servers of a service in a row lacked what they should hold.
+	lacking map[string]int
 	// wobbly are servers whose fitness changes with time alone.
 	wobbly map[string]bool
 	// sweptAt is when all servers were last looked at for silence.
@@ -141,6 +143,7 @@
 		servers:   map[string]*server{},
 		byAddress: map[string]string{},
 		named:     map[string][]uint64{},
+		lacking:   map[string]int{},
 		wobbly:    map[string]bool{},
 		epoch:     time.Unix(0, 0),
 		returned:  -config.LapseGrace,
--- a/internal/coordination/fleet/fleet_test.go
+++ b/internal/coordination/fleet/fleet_test.go
@@ -179,6 +179,32 @@
 	c.Assert(f.Choose(Request{Service: modelService, Model: model}, 2*time.Second).Found, qt.IsTrue)
 }
 
+// After a loss of power every server has lost its weights, and the list still says what
+// they held. A request went to seven of them one after the other, and was refused though
+// one would be ready in half a second. After two, the list is doubted for all of the
+// service that no agent has told of; one answer is enough to trust it.
+func TestAListThatIsWrongTwiceIsDoubted(t *testing.T) {
+	c := qt.New(t)
+	f := newFleet()
+	f.SetState(state(), 0)
+	var present []catalog.Backend
+	for _, id := range []string{"m1", "m2", "m3", "m4"} {
+		present = append(present, listed(id, modelService, id, 1))
+	}
+	f.Apply(present, nil, true, 0)
+	f.Lacks("m1", 0)
+	f.Answered("m2", 0)
+	f.Lacks("m2", 0)
+	wanted := Request{Service: modelService, Model: model}
+	c.Assert(f.Choose(wanted, 0).Found, qt.IsTrue)
+	f.Lacks("m3", 0)
+	c.Assert(f.Choose(wanted, 0).Found, qt.IsFalse)
+	f.Report(Load{Address: "m4", Sequence: 1, LoadedIn: 500 * time.Millisecond}, 0)
+	c.Assert(f.Choose(wanted, 0).ReadyIn, qt.Equals, 500*time.Millisecond)
+	f.Apply([]catalog.Backend{listed("m1", modelService, "m1", 1)}, nil, false, time.Second)
+	c.Assert(f.Choose(wanted, time.Second).Backend.ID, qt.Equals, "m1")
+}
+
 // Placement is on the path of every request: it must not allocate much and
 // stay cheap with the number of servers.
 func BenchmarkChoose(b *testing.B) {
--- a/internal/coordination/fleet/health.go
+++ b/internal/coordination/fleet/health.go
@@ -122,6 +122,9 @@
 
 // Answered notes that a server answered a request soundly.
 func (f *Fleet) Answered(id string, now time.Duration) {
+	if s, ok := f.servers[id]; ok {
+		f.lacking[s.backend.Service] = 0
+	}
 	f.table.Answered(filbertlever.HostID(id), f.at(now))
 }
 
@@ -157,6 +160,29 @@
 	s.backend.Models = nil
 	s.reported = nil
 	f.place(id, now)
+	f.lacking[s.backend.Service]++
+	if f.lacking[s.backend.Service] >= lackingMost {
+		f.doubtList(s.backend.Service, now)
+	}
+}
+
+// lackingMost is how many servers in a row must lack what the list says before the list
+// is doubted for all.
+const lackingMost = 2
+
+// doubtList takes servers of a service to hold nothing that no agent has told of.
+//
+// Guard: after a loss of power each request went to one server after the other, up to
+// seven, that had held the model before; that used up the budget of retries, and 60
+// callers were refused who could have waited for the first server that was ready.
+func (f *Fleet) doubtList(service string, now time.Duration) {
+	for id, s := range f.servers {
+		if s.backend.Service != service || s.hasReport && now-s.reportedAt < f.config.ReportFresh {
+			continue
+		}
+		s.backend.Models = nil
+		f.place(id, now)
+	}
 }
 
 // sweepEvery is how often all servers are looked at for silence.
--- a/internal/transport/relay/failures.go
+++ b/internal/transport/relay/failures.go
@@ -14,6 +14,9 @@
 // errBehind means that an entry could not have a piece from where it has it.
 var errBehind = errors.New("its own source failed")
 
+// errSlow means that a source did not answer in the time that it should take.
+var errSlow = errors.New("no answer in time")
+
 // errNoSource means that an entry does not know where to have a piece from.
 var errNoSource = errors.New("no source is known")
 
--- a/internal/transport/relay/holders_test.go
+++ b/internal/transport/relay/holders_test.go
@@ -6,11 +6,13 @@
 	"net/http/httptest"
 	"strings"
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 	"github.com/prometheus/client_golang/prometheus"
 	"go.uber.org/zap"
 
+	"github.com/filbertlever/filbertlever"
 	"github.com/filbertlever/filbertlever/internal/coordination/catalog"
 	"github.com/filbertlever/filbertlever/internal/coordination/relays"
 )
@@ -74,3 +76,32 @@
 	c.Assert(err, qt.IsNil)
 	c.Assert(origin.drawn.Load(), qt.Equals, int32(0))
 }
+
+// drawerDead is a view of two entries of the origin's site, of which the one that draws
+// stands still.
+type drawerDead struct {
+	view
+	self, dead filbertlever.HostID
+}
+
+func (d drawerDead) Relays() ([]relays.Entry, map[filbertlever.HostID]string) {
+	return []relays.Entry{{Host: d.self, Site: "b"}, {Host: d.dead, Site: "a"}}, d.addresses
+}
+
+// All have lost power, and the pieces of the version lie beside every server. Agents need
+// only the list of pieces; the entry that should have it has not started again and does
+// not even refuse a connection. The origin is asked for it a moment later.
+func TestAManifestDoesNotWaitForAnEntryThatIsAway(t *testing.T) {
+	c := qt.New(t)
+	still := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() }))
+	defer still.Close()
+	defer still.CloseClientConnections()
+	address := strings.TrimPrefix(still.URL, "http://")
+	v := drawerDead{view{addresses: map[filbertlever.HostID]string{"a1": address}}, "b1", "a1"}
+	r := New(relays.Entry{Host: "b1", Site: "b"}, v, &source{data: []byte("weights")}, &http.Client{}, zap.NewNop(), prometheus.NewRegistry())
+	began := time.Now()
+	manifest, err := r.Manifest(context.Background(), drafter, relays.RoleAny)
+	c.Assert(err, qt.IsNil)
+	c.Assert(manifest.Digests, qt.HasLen, 1)
+	c.Assert(time.Since(began) < 3*manifestWait, qt.IsTrue, qt.Commentf("%v", time.Since(began)))
+}
--- a/internal/transport/relay/relay.go
+++ b/internal/transport/relay/relay.go
@@ -6,6 +6,7 @@
 	"context"
 	"crypto/sha256"
 	"encoding/hex"
+	"errors"
 	"fmt"
 	"net/http"
 	"slices"
@@ -74,6 +75,9 @@
 	// wait for its turn: two sets take 5.6 s on the thinnest link. Those who gave up
 	// sooner asked other entries, and the origin sent three copies.
 	peerTimeout = 12 * time.Second
+	// manifestWait is how long a manifest is waited for at another entry: 30 ms are usual
+	// over a border that is not busy.
+	manifestWait = 150 * time.Millisecond
 	// livingEvery is how often it is looked whether that entry still lives.
 	livingEvery = 200 * time.Millisecond
 	// agentTimeout bounds a fetch by an agent, which then asks another entry, whose
@@ -198,25 +202,74 @@
 	began := boottime.Now()
 	for try := 0; again(try, failed, began); try++ {
 		source, address, ask := r.source(named, -1, role, failed)
-		if address == "" {
-			f.err = fmt.Errorf("manifest of %s version %d: %w", named.Model, named.Version, errNoSource)
-		} else if source == originName {
-			f.value, f.err = r.origin.Manifest(context.Background(), address, named)
-		} else {
-			ctx, cancel := r.whileLiving(filbertlever.HostID(source))
-			f.value, f.err = fetchManifest(ctx, r.client, address, named, ask)
-			cancel()
-		}
+		draw := &manifestDraw{relay: r, named: named, source: source, address: address, ask: ask, drawn: make(chan manifestDrawn, 1)}
+		go draw.run()
+		f.value, f.err = draw.wait()
 		if f.err == nil {
 			return
 		}
 		r.log.Warn("manifest not drawn", zap.String("Model", named.Model), zap.Uint64("Version", named.Version),
 			zap.String("Source", source), zap.Error(f.err))
 		failed.note(source, f.err)
+		if errors.Is(f.err, errSlow) {
+			continue
+		}
 		time.Sleep(min(fetchPause<<try, fetchPauseMost))
 	}
 }
 
+// manifestDraw draws a manifest from one source.
+type manifestDraw struct {
+	relay   *Relay
+	named   catalog.NamedVersion
+	source  string
+	address string
+	ask     relays.Role
+	drawn   chan manifestDrawn
+}
+
+type manifestDrawn struct {
+	manifest Manifest
+	err      error
+}
+
+func (d *manifestDraw) run() {
+	manifest, err := d.draw()
+	d.drawn <- manifestDrawn{manifest: manifest, err: err}
+}
+
+func (d *manifestDraw) draw() (Manifest, error) {
+	switch {
+	case d.address == "":
+		return Manifest{}, fmt.Errorf("manifest of %s version %d: %w", d.named.Model, d.named.Version, errNoSource)
+	case d.source == originName:
+		return d.relay.origin.Manifest(context.Background(), d.address, d.named)
+	}
+	ctx, cancel := d.relay.whileLiving(filbertlever.HostID(d.source))
+	defer cancel()
+	return fetchManifest(ctx, d.relay.client, d.address, d.named, d.ask)
+}
+
+// wait waits for the manifest, from another entry only for a moment.
+//
+// Guard: after a loss of power the entry that should have it may not have started again,
+// and does not even refuse a connection: agents waited 0.7 s for a list of 7 KB, with
+// all the pieces of it beside their servers. The next source is asked.
+func (d *manifestDraw) wait() (Manifest, error) {
+	patience := manifestWait
+	if d.source == originName {
+		patience = peerTimeout
+	}
+	timer := time.NewTimer(patience)
+	defer timer.Stop()
+	select {
+	case drawn := <-d.drawn:
+		return drawn.manifest, drawn.err
+	case <-timer.C:
+		return Manifest{}, fmt.Errorf("manifest of %s version %d from %s: %w", d.named.Model, d.named.Version, d.source, errSlow)
+	}
+}
+
 // Piece returns a piece of a version, verified. Asked is as in Manifest.
 func (r *Relay) Piece(ctx context.Context, named catalog.NamedVersion, piece int, asked relays.Role) ([]byte, error) {
 	manifest, err := r.Manifest(ctx, named, asked)
--- a/internal/transport/sidecar/fetch.go
+++ b/internal/transport/sidecar/fetch.go
@@ -45,6 +45,9 @@
 func (f *fetching) run(ctx context.Context) {
 	s := f.agent
 	began := boottime.Now()
+	s.mu.Lock()
+	f.weights.left, f.weights.pieceAt = 0, began
+	s.mu.Unlock()
 	manifest, err := f.manifest(ctx)
 	if err == nil {
 		s.mu.Lock()
--- a/internal/transport/sidecar/weights.go
+++ b/internal/transport/sidecar/weights.go
@@ -68,6 +68,10 @@
 	if w.loading {
 		return max(w.servedAt-now, awaitPause)
 	}
+	if w.fetching && w.left == 0 && now-w.pieceAt < piecesStalled {
+		// What lies staged is being read; as a rule that is all.
+		return stageTime + loadTime
+	}
 	if w.fetching && w.left > 0 && now-w.pieceAt < piecesStalled {
 		return time.Duration(w.left)*w.pace + stageTime + loadTime
 	}
