A reader that loses the store says so; a start asks who is heard

Change: a failed or overdue call wakes those who wait, who ask the store; heartbeats say who has lost it, and another one reads. The list of entries is followed for as long as its reader waits: at 2.3 s of 6 s everyone read it anew. A process that starts hears who lives by an answer to its first heartbeat and asks only those for the tables; requests wait up to 0.4 s for the desired state of a process that has just started.

Ruled out: a shorter age of views, which costs calls and still leaves a wait.

The tests were seen to fail without the change.

--- a/internal/transport/gateway/datagrams.go
+++ b/internal/transport/gateway/datagrams.go
@@ -33,6 +33,8 @@
 type Beat struct {
 	Entry Entry
 	Ready bool
+	// Lost is true while the store does not answer the entry.
+	Lost  bool `json:",omitempty"`
 	Named []NamedAge
 }
 
@@ -107,7 +109,10 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if d.Beat != nil && d.Beat.Entry.Host != g.config.Self.Host {
-		g.peers.hear(d.Beat.Entry, d.Beat.Ready, now)
+		if g.peers.hear(d.Beat.Entry, d.Beat.Ready, d.Beat.Lost, now) {
+			// Who has just started soon knows who else lives.
+			g.send(Datagram{Beat: g.ownBeat(now)}, from)
+		}
 		for _, n := range d.Beat.Named {
 			if n.Known {
 				g.heardNamed(n.Model, n.Version, n.Age, now)
@@ -159,17 +164,21 @@
 
 // beat tells the other entries of the region, or all, that this one lives.
 func (g *Gateway) beat(now time.Duration, all bool) {
-	ready := g.Ready()
 	g.mu.Lock()
 	for _, host := range g.peers.silent(now) {
 		g.fleet.SetCounts(host, nil, now)
 	}
 	addresses := g.peers.addresses(!all)
-	beat := &Beat{Entry: g.config.Self, Ready: ready, Named: g.namedAges(now)}
+	beat := g.ownBeat(now)
 	g.mu.Unlock()
 	g.sendAll(Datagram{Beat: beat}, addresses)
 }
 
+// ownBeat is this entry's heartbeat; the caller holds the lock.
+func (g *Gateway) ownBeat(now time.Duration) *Beat {
+	return &Beat{Entry: g.config.Self, Ready: g.readyLocked(now), Lost: g.lost(now), Named: g.namedAges(now)}
+}
+
 func (g *Gateway) sendAll(d Datagram, addresses []string) {
 	for _, address := range addresses {
 		to, err := net.ResolveUDPAddr("udp4", address)
--- a/internal/transport/gateway/feeds.go
+++ b/internal/transport/gateway/feeds.go
@@ -26,6 +26,9 @@
 	// readerAge is the age of a reader's view up to which it is used. A reader's
 	// own is below 2.1 s; one that has lost the store passes this soon after.
 	readerAge = 2300 * time.Millisecond
+	// entriesAge is the same for the list of entries, which hear each other directly.
+	// At 2.3 s, less than its reader waits for a change, everyone read it anew.
+	entriesAge = 2 * entriesWait
 	// readerTimeout bounds a call to the reader beyond its waiting.
 	readerTimeout = 400 * time.Millisecond
 	// feedKept is how many answers of the store a reader keeps for the others, and
@@ -38,6 +41,10 @@
 	// calls to one that has not started yet.
 	wholeTimeout = 600 * time.Millisecond
 	wholePause   = 50 * time.Millisecond
+	// hearWait is how long the heartbeats are waited for of entries that live, which
+	// answer the first one of a process: 6 ms to other regions and back, and as much
+	// again for busy hosts.
+	hearWait = 20 * time.Millisecond
 	// listedWait is how long the list of entries is waited for at the start.
 	listedWait = 400 * time.Millisecond
 )
@@ -59,8 +66,10 @@
 	from, head uint64
 	// confirmed is when the read was sent that last confirmed head.
 	confirmed time.Duration
-	// changed is closed when a chunk is added.
+	// changed is closed when a chunk is added, or the reader has lost the store.
 	changed chan struct{}
+	// lost is true while the store does not answer the reader.
+	lost bool
 }
 
 // feeds keeps the logs of all tables.
@@ -99,7 +108,7 @@
 		log.chunks, log.bytes, log.from, log.base = nil, 0, after, Rows{}
 	}
 	log.head = max(log.head, rows.Revision)
-	log.confirmed = sent
+	log.confirmed, log.lost = sent, false
 	if len(rows.Raw) == 0 {
 		return
 	}
@@ -115,6 +124,24 @@
 	log.changed = make(chan struct{})
 }
 
+// lose notes that the store does not answer, and wakes those who wait.
+//
+// Guard: the store turned a region's reader away. Those who follow it were left to wait
+// until its view was 2.3 s old, and 0.7 s more for a call under way: a server that was
+// leaving got requests 2.04 s after the store had said so, where 2 s are allowed, and a
+// route was unknown 3.6 s after it was added. They are told at once, and ask the store.
+func (f *feeds) lose(table Table) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	log, ok := f.tables[table]
+	if !ok || log.lost {
+		return
+	}
+	log.lost = true
+	close(log.changed)
+	log.changed = make(chan struct{})
+}
+
 // FeedAnswer is what a reader tells of a table.
 type FeedAnswer struct {
 	// Revision is up to where the reader's view is current.
@@ -153,7 +180,7 @@
 	switch {
 	case whole && !ok:
 		return FeedAnswer{}, f.restarted, true
-	case !ok, whole && log.base.Revision == 0, !whole && after < log.from:
+	case !ok, log.lost, whole && log.base.Revision == 0, !whole && after < log.from:
 		return FeedAnswer{}, nil, false
 	}
 	answer := FeedAnswer{Revision: log.head, Age: boottime.Now() - log.confirmed}
@@ -194,13 +221,31 @@
 	var entries []relays.Entry
 	addresses := map[filbertlever.HostID]string{}
 	for _, e := range g.peers.alive(now) {
-		if e.Region == g.config.Self.Region && (e.Host == g.config.Self.Host || g.peers.isReady(e.Host)) {
+		if e.Region == g.config.Self.Region && (e.Host == g.config.Self.Host && !g.lost(now) || g.peers.isReader(e.Host)) {
 			entries = append(entries, relays.Entry{Host: e.Host, Site: e.Region})
 			addresses[e.Host] = e.Peers
 		}
 	}
 	host := relays.Home(entries, g.config.Self.Region, "reader")
-	return host, addresses[host], host != g.config.Self.Host
+	return host, addresses[host], host != "" && host != g.config.Self.Host
+}
+
+// lost reports whether the store has lately not answered this entry, so that another
+// one should read for the region; the caller holds the lock.
+func (g *Gateway) lost(now time.Duration) bool { return now < time.Duration(g.lostUntil.Load()) }
+
+// lostFor is how long an entry that the store did not answer leaves the reading to
+// others before it tries again: outages that were met last 2 to 12 s.
+const lostFor = 3 * time.Second
+
+// loseStore notes that the store does not answer this entry, and tells the others.
+func (g *Gateway) loseStore(table Table) {
+	now := boottime.Now()
+	told := now < time.Duration(g.lostUntil.Swap(int64(now+lostFor)))
+	g.feeds.lose(table)
+	if !told {
+		g.beat(now, false)
+	}
 }
 
 // followReader asks the region's reader for changes after a revision. It returns
@@ -214,7 +259,7 @@
 		return Rows{}, 0, false
 	}
 	answer, err := g.fetchFeed(ctx, address, table, after)
-	if err == nil && answer.Age > readerAge {
+	if err == nil && answer.Age > ageMost(table) {
 		err = fmt.Errorf("its view is %v old", answer.Age)
 	}
 	if err != nil {
@@ -225,6 +270,14 @@
 	return rows, sent - answer.Age, true
 }
 
+// ageMost is the age of a reader's view of a table up to which it is used.
+func ageMost(table Table) time.Duration {
+	if table == TableEntries {
+		return entriesAge
+	}
+	return readerAge
+}
+
 // wholeFromReader asks the entry that reads the store for this region for a whole
 // table. It returns false if the store must be asked instead.
 //
@@ -237,6 +290,7 @@
 		return Rows{}, 0, false
 	}
 	g.awaitListed(ctx)
+	g.sleep(ctx, hearWait)
 	ctx, cancel := context.WithTimeout(ctx, wholeTimeout)
 	defer cancel()
 	for ctx.Err() == nil {
@@ -269,13 +323,17 @@
 // starter returns the peer address of the entry to ask for whole tables: one of
 // this region that is ready; if none is, as all have just started, the one that
 // all of them take for their reader. It returns false if that is this one.
+//
+// Guard: after a loss of power the list names entries that have not started again yet.
+// Two of a region asked such a one for 0.6 s, and refused 50 callers meanwhile; only
+// those that have been heard are asked.
 func (g *Gateway) starter(now time.Duration) (filbertlever.HostID, string, bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	var ready, all []relays.Entry
 	addresses := map[filbertlever.HostID]string{}
 	for _, e := range g.peers.alive(now) {
-		if e.Region != g.config.Self.Region {
+		if e.Region != g.config.Self.Region || e.Host != g.config.Self.Host && !g.peers.isHeard(e.Host) {
 			continue
 		}
 		entry := relays.Entry{Host: e.Host, Site: e.Region}
--- a/internal/transport/gateway/feeds_test.go
+++ b/internal/transport/gateway/feeds_test.go
@@ -80,3 +80,20 @@
 	c.Assert(ok, qt.IsTrue)
 	c.Assert(answer.Revision, qt.Equals, uint64(12))
 }
+
+// An entry waits for a change at its region's reader, which the store turns away. It is
+// told so at once, until the reader hears from the store again.
+func TestThoseWhoFollowAreToldThatTheStoreIsLost(t *testing.T) {
+	c := qt.New(t)
+	f := newFeeds()
+	f.restart(TableBackends, rows(3, `[{"a":1}]`), time.Second)
+	began := time.Now()
+	time.AfterFunc(20*time.Millisecond, func() { f.lose(TableBackends) })
+	_, ok := f.since(context.Background(), TableBackends, 3)
+	c.Assert(ok, qt.IsFalse)
+	c.Assert(time.Since(began) < readerWait/2, qt.IsTrue)
+	f.publish(TableBackends, 3, rows(4, `[{"b":1}]`), 2*time.Second)
+	answer, ok := f.since(context.Background(), TableBackends, 3)
+	c.Assert(ok, qt.IsTrue)
+	c.Assert(answer.Revision, qt.Equals, uint64(4))
+}
--- a/internal/transport/gateway/gateway.go
+++ b/internal/transport/gateway/gateway.go
@@ -77,8 +77,14 @@
 	// none has.
 	confirmed atomic.Int64
 	running   atomic.Int64
+	// lostUntil is until when another entry should read the store for the region.
+	lostUntil atomic.Int64
 	// listed is true once the store's list of entries has been read.
 	listed atomic.Bool
+	// stated is closed once a desired state is known, and started is when this process
+	// began.
+	stated  chan struct{}
+	started time.Duration
 	// revoke is Config.Revoke, which may change.
 	revoke atomic.Int64
 
@@ -105,6 +111,7 @@
 	fleetConfig := fleet.DefaultConfig()
 	fleetConfig.Site, fleetConfig.Region, fleetConfig.Regions = config.Self.Site, config.Self.Region, config.Regions
 	g := &Gateway{
+		stated: make(chan struct{}), started: boottime.Now(),
 		config: config, store: store, codec: codec, sender: sender, log: log, socket: socket, client: client, feeds: newFeeds(),
 		metrics: newMetrics(registry), rng: rng, fleet: fleet.New(fleetConfig, rng), gate: admission.DefaultEntryGate(),
 		budgets: map[string]*retry.Window{}, outages: map[string]*admission.Outage{}, room: newRoom(), peers: newPeers(config.Self, boottime.Now()), named: map[string][]named{},
@@ -144,9 +151,12 @@
 // Ready reports whether new callers should come here.
 func (g *Gateway) Ready() bool {
 	g.mu.Lock()
-	leaving := g.stop.Leaving()
-	g.mu.Unlock()
-	return !leaving && g.state.Load() != nil && g.fresh(boottime.Now())
+	defer g.mu.Unlock()
+	return g.readyLocked(boottime.Now())
+}
+
+func (g *Gateway) readyLocked(now time.Duration) bool {
+	return !g.stop.Leaving() && g.state.Load() != nil && g.fresh(now)
 }
 
 // Limits returns what the desired state allows callers; zeros while none is known.
--- a/internal/transport/gateway/peers.go
+++ b/internal/transport/gateway/peers.go
@@ -48,6 +48,8 @@
 	listed bool
 	heard  time.Duration
 	ready  bool
+	// lost is true while the store does not answer it.
+	lost bool
 	// sequence is that of the last counts taken.
 	sequence int64
 }
@@ -96,18 +98,20 @@
 	}
 }
 
-// hear takes a heartbeat.
-func (p *peers) hear(entry Entry, ready bool, now time.Duration) {
+// hear takes a heartbeat, and reports whether it is the first of that process.
+func (p *peers) hear(entry Entry, ready, lost bool, now time.Duration) (first bool) {
 	known, ok := p.known[entry.Host]
 	if !ok {
 		// A live entry whose row has not been read yet.
 		known = &peer{listed: true, since: now}
 		p.known[entry.Host] = known
 	}
+	first = known.heard == 0 || known.entry.Incarnation != entry.Incarnation
 	if known.entry.Incarnation != entry.Incarnation {
 		known.sequence = 0
 	}
-	known.entry, known.heard, known.ready = entry, now, ready
+	known.entry, known.heard, known.ready, known.lost = entry, now, ready, lost
+	return first
 }
 
 // newer reports whether counts of an entry are newer than the last taken.
@@ -145,6 +149,18 @@
 	return ok && known.ready
 }
 
+// isReader reports whether an entry may read the store for its region.
+func (p *peers) isReader(host filbertlever.HostID) bool {
+	known, ok := p.known[host]
+	return ok && known.ready && !known.lost
+}
+
+// isHeard reports whether an entry has been heard, and is not only listed.
+func (p *peers) isHeard(host filbertlever.HostID) bool {
+	known, ok := p.known[host]
+	return ok && known.heard != 0
+}
+
 // registered returns how many entries there are by the store's rows.
 func (p *peers) registered() int { return len(p.known) + 1 }
 
--- a/internal/transport/gateway/peers_test.go
+++ b/internal/transport/gateway/peers_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"testing"
 	"time"
 
@@ -22,12 +23,12 @@
 	c := qt.New(t)
 	p := newPeers(entryAt("e1", "a", "ra"), 0)
 	other := entryAt("e2", "a", "ra")
-	p.hear(other, true, time.Second)
+	p.hear(other, true, false, time.Second)
 	c.Assert(p.newer("e2", 5), qt.IsTrue)
 	c.Assert(p.newer("e2", 4), qt.IsFalse)
 	c.Assert(p.newer("e2", 6), qt.IsTrue)
 	other.Incarnation = "2"
-	p.hear(other, true, time.Second)
+	p.hear(other, true, false, time.Second)
 	c.Assert(p.newer("e2", 1), qt.IsTrue)
 	c.Assert(p.newer("unknown", 1), qt.IsFalse)
 }
@@ -36,7 +37,7 @@
 func TestLocate(t *testing.T) {
 	const now = 10 * time.Second
 	heard := func(p *peers, host, site string, ready bool, at time.Duration) {
-		p.hear(entryAt(host, site, "r"+site), ready, at)
+		p.hear(entryAt(host, site, "r"+site), ready, false, at)
 	}
 	tests := []struct {
 		name      string
@@ -86,8 +87,8 @@
 	c.Check(names(3*time.Second), qt.Equals, "far near self ")
 	c.Check(names(2*time.Second+startTrust), qt.Equals, "far self ")
 	c.Check(names(2*time.Second+farMissed), qt.Equals, "self ")
-	p.hear(Entry{Host: "far", Site: "b", Region: "rb"}, true, 8*time.Second)
-	p.hear(Entry{Host: "near", Site: "a", Region: "ra"}, true, 8*time.Second)
+	p.hear(Entry{Host: "far", Site: "b", Region: "rb"}, true, false, 8*time.Second)
+	p.hear(Entry{Host: "near", Site: "a", Region: "ra"}, true, false, 8*time.Second)
 	c.Check(names(8*time.Second+beatMissed), qt.Equals, "far self ")
 }
 
@@ -109,3 +110,70 @@
 	g.peers.started -= startTrust + time.Millisecond
 	c.Check(drawn(), qt.IsTrue)
 }
+
+// All entries have lost power. One that has started again asked another of its region
+// for the desired state that had not, and refused its callers for 0.6 s; it reads the
+// store itself, or asks one that it has heard.
+func TestOnlyEntriesThatAreHeardAreAskedAtTheStart(t *testing.T) {
+	c := qt.New(t)
+	self := entryAt("e1", "a", "ra")
+	g := &Gateway{config: Config{Self: self}, peers: newPeers(self, 0)}
+	const now = time.Second
+	var listed []Entry
+	for _, host := range []string{"e2", "e3", "e4", "e5"} {
+		listed = append(listed, entryAt(host, "a", "ra"))
+	}
+	g.peers.list(listed, nil, true, now)
+	_, _, other := g.starter(now)
+	c.Assert(other, qt.IsFalse)
+	c.Assert(g.peers.hear(listed[2], true, false, now), qt.IsTrue)
+	c.Assert(g.peers.hear(listed[2], true, false, now), qt.IsFalse)
+	host, _, other := g.starter(now)
+	c.Assert(other, qt.IsTrue)
+	c.Assert(host, qt.Equals, listed[2].Host)
+}
+
+// Two entries follow a third, which the store turns away. They ask another one that it
+// answers, and not each its own calls.
+func TestAnEntryThatLostTheStoreIsNoReader(t *testing.T) {
+	c := qt.New(t)
+	self := entryAt("e1", "a", "ra")
+	g := &Gateway{config: Config{Self: self}, peers: newPeers(self, 0)}
+	now := boottime.Now()
+	for _, host := range []string{"e2", "e3"} {
+		g.peers.hear(entryAt(host, "a", "ra"), true, false, now)
+	}
+	readers := map[filbertlever.HostID]bool{}
+	for range 3 {
+		host, _, other := g.reader(now)
+		if !other {
+			g.lostUntil.Store(int64(now + lostFor))
+			host = "e1"
+		} else {
+			g.peers.hear(entryAt(string(host), "a", "ra"), true, true, now)
+		}
+		readers[host] = true
+	}
+	c.Assert(readers, qt.HasLen, 3)
+	// None is left: each asks the store itself.
+	_, _, other := g.reader(now)
+	c.Assert(other, qt.IsFalse)
+}
+
+// A process has just started and knows the desired state a moment later. A request that
+// came before was told to come back, and had no further try.
+func TestARequestWaitsAMomentForTheDesiredState(t *testing.T) {
+	c := qt.New(t)
+	g := &Gateway{stated: make(chan struct{}), started: boottime.Now()}
+	state := catalog.New(1, nil, nil, nil, catalog.Limits{})
+	time.AfterFunc(20*time.Millisecond, func() {
+		g.state.Store(state)
+		close(g.stated)
+	})
+	c.Assert(g.awaitState(context.Background()), qt.Equals, state)
+	// The store is away, and nothing tells for how long.
+	old := &Gateway{stated: make(chan struct{}), started: boottime.Now() - stateExpected - 1}
+	began := time.Now()
+	c.Assert(old.awaitState(context.Background()), qt.IsNil)
+	c.Assert(time.Since(began) < stateWait/2, qt.IsTrue)
+}
--- a/internal/transport/gateway/serve.go
+++ b/internal/transport/gateway/serve.go
@@ -104,7 +104,7 @@
 		return &problem{status: http.StatusBadRequest, reason: err.Error(), closes: true}
 	}
 	x.call = call
-	x.state = g.state.Load()
+	x.state = g.awaitState(x.request.Context())
 	if x.state == nil {
 		return &problem{status: http.StatusServiceUnavailable, reason: reasonNoState, retry: comeBackState}
 	}
@@ -124,6 +124,32 @@
 	return x.readBody()
 }
 
+// Times of an entry that has just started.
+const (
+	// stateWait is how long a request waits for the desired state, which is known 0.05
+	// to 0.3 s after the start. Told to come back, its caller has lost a try.
+	stateWait = 400 * time.Millisecond
+	// stateExpected is the time since the start in which it is expected to be known
+	// soon; after that the store is away, and nothing tells for how long.
+	stateExpected = 1500 * time.Millisecond
+)
+
+// awaitState returns the desired state, for which requests wait a moment while this
+// process has just started; nil if none is known.
+func (g *Gateway) awaitState(ctx context.Context) *catalog.State {
+	if state := g.state.Load(); state != nil || boottime.Now()-g.started > stateExpected {
+		return state
+	}
+	timer := time.NewTimer(stateWait)
+	defer timer.Stop()
+	select {
+	case <-g.stated:
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	return g.state.Load()
+}
+
 // accepted reports whether new requests are taken, and asks callers of a
 // leaving entry to end their channel.
 func (x *exchange) accepted() bool {
--- a/internal/transport/gateway/watch.go
+++ b/internal/transport/gateway/watch.go
@@ -24,6 +24,9 @@
 	// they come in series and each answer is a call. All bounds of what is heard
 	// here are 2 s and more.
 	gather = 250 * time.Millisecond
+	// overdueAfter is how long after its wait a call that the store has not answered
+	// counts as lost: 10 ms are usual to other regions, and links lose packets.
+	overdueAfter = 250 * time.Millisecond
 	// retryFirst and retryMost are the pauses after failed calls.
 	retryFirst = 100 * time.Millisecond
 	retryMost  = 800 * time.Millisecond
@@ -84,8 +87,13 @@
 		return len(rows.Raw) > 0, w.take(rows, at, false)
 	}
 	sent := boottime.Now()
+	overdue := time.AfterFunc(w.wait+overdueAfter, func() { g.loseStore(w.table) })
 	rows, err := g.store.Follow(ctx, w.table, w.revision, w.wait)
+	overdue.Stop()
 	if err != nil {
+		if ctx.Err() == nil && !errors.Is(err, ErrHistoryGone) {
+			g.loseStore(w.table)
+		}
 		return false, err
 	}
 	g.feeds.publish(w.table, w.revision, rows, sent)
@@ -167,6 +175,9 @@
 	if desired.State != nil && (old == nil || desired.State.Version > old.Version) {
 		g.fleet.SetState(desired.State, now)
 		g.state.Store(desired.State)
+		if old == nil {
+			close(g.stated)
+		}
 		g.log.Info("desired state in force", zap.Uint64("Version", desired.State.Version), zap.Uint64("Revision", rows.Revision))
 	}
 	g.setNamed(desired.Named, first, now)
@@ -230,10 +241,12 @@
 			return err
 		}
 		g.mu.Lock()
-		defer g.mu.Unlock()
 		g.peers.list(entries.Present, entries.Gone, whole, boottime.Now())
-		g.listed.Store(true)
 		g.resizeBudgets()
+		g.mu.Unlock()
+		if !g.listed.Swap(true) {
+			g.beat(boottime.Now(), true)
+		}
 		return nil
 	}
 	w := &watch{gateway: g, table: TableEntries, wait: entriesWait, apply: apply}
