--- a/internal/coordination/fleet/fleet_test.go
+++ b/internal/coordination/fleet/fleet_test.go
@@ -179,6 +179,19 @@
 	c.Assert(f.Choose(Request{Service: modelService, Model: model}, 2*time.Second).Found, qt.IsTrue)
 }
 
+// One server has lost its weights, which the list does not show for a second. It says so
+// to one request, and gets no more; others still do.
+func TestAServerThatLacksItsWeightsGetsNoMore(t *testing.T) {
+	c := qt.New(t)
+	f := newFleet()
+	f.SetState(state(), 0)
+	f.Apply([]catalog.Backend{listed("m1", modelService, "m1", 1), listed("m2", modelService, "m2", 1)}, nil, true, 0)
+	f.Lacks("m1", 0)
+	for range 40 {
+		c.Assert(f.Choose(Request{Service: modelService, Model: model}, 0).Backend.ID, qt.Equals, "m2")
+	}
+}
+
 // After a loss of power every server has lost its weights, and the list still says what
 // they held. A request went to seven of them one after the other, and was refused though
 // one would be ready in half a second. After two, the list is doubted for all of the
