Only a store that turns a process away counts as lost

A call that is late over a busy border counted as lost, and the next reader drew the same 0.4 MB over that border.

--- a/internal/transport/gateway/watch.go
+++ b/internal/transport/gateway/watch.go
@@ -86,7 +86,9 @@
 	sent := boottime.Now()
 	rows, err := g.store.Follow(ctx, w.table, w.revision, w.wait)
 	if err != nil {
-		if ctx.Err() == nil && !errors.Is(err, ErrHistoryGone) {
+		// An answer that is merely late may be a large change on a busy border, which the
+		// next reader would draw once more.
+		if errors.Is(err, ErrTurnedAway) {
 			g.loseStore(w.table)
 		}
 		return false, err
