A backend server's boot has a type of its own

Servers may start again under the id that they had. Nothing reads the boot yet; what decodes it and what follows from it are separate changes that begin from here.

--- a/internal/coordination/catalog/catalog.go
+++ b/internal/coordination/catalog/catalog.go
@@ -210,10 +210,16 @@
 	Version uint64
 }
 
+// Boot is when a process started, by its own clock, in milliseconds of Unix time; 0
+// if it is not known. Two starts of a server under one ID differ in it.
+type Boot int64
+
 // Backend is a backend server as the platform's list tells of it.
 type Backend struct {
-	// ID names one life of the server; another start has another ID.
+	// ID names the server; one that starts again may keep it.
 	ID string
+	// Boot tells one start of the server from another.
+	Boot Boot
 	// Revision grows with each change of any server's row; 0 if it is not known.
 	Revision uint64
 	Service  string
