An attempt that is taken back leaves a line; how late answers begin is counted

A placement now says which version its server holds and for how long it may wait there; an attempt that is taken back says so, with what was predicted and how long it waited; a histogram has the time between prediction and first event, a counter the attempts taken back.

Decoded beside it, and read by nothing yet: how much of prompts an engine reads in a step.

Logic is unchanged.

--- a/internal/coordination/catalog/catalog.go
+++ b/internal/coordination/catalog/catalog.go
@@ -73,6 +73,12 @@
 	Stride int
 	// PromptToken is the time to read one token of a prompt.
 	PromptToken time.Duration
+	// Chunk is how many tokens of prompts are read within one step at most; 0 if that
+	// is not known.
+	Chunk int
+	// MillionPairs is what a million pairs of a prompt's token and an earlier one add to
+	// the reading.
+	MillionPairs time.Duration
 	// UsualPrompt and UsualAnswer are mean sizes in tokens.
 	UsualPrompt int
 	UsualAnswer int
--- a/internal/transport/gateway/attempts.go
+++ b/internal/transport/gateway/attempts.go
@@ -80,6 +80,7 @@
 	fields := []zap.Field{zap.String("Request", a.call.ID), zap.String("Service", a.service),
 		zap.String("Backend", placement.Backend.ID), zap.Duration("Predicted", placement.Predicted), zap.Int("Ahead", placement.Ahead),
 		zap.Int("Weighed", placement.Weighed), zap.Duration("ReportAge", placement.ReportAge), zap.String("Why", string(placement.Reason)), zap.Bool("Cut", placement.Cut), zap.Duration("Reading", placement.Reading)}
+	fields = append(fields, a.bounds(placement, now)...)
 	if !placement.Found {
 		g.log.Info("no server", fields...)
 		return placement, busy(reasonNoServer, g.returnWhenReady(a.service, placement.ReadyIn, a.remaining(), now))
@@ -99,6 +100,16 @@
 	return placement, nil
 }
 
+// bounds tells of a placement which version the server is taken to hold, and for how
+// long the attempt may wait there until it has begun.
+func (a *attempts) bounds(placement fleet.Placement, now time.Duration) []zap.Field {
+	fields := []zap.Field{zap.Uint64("Holds", placement.Holds)}
+	if a.beginBy != 0 {
+		fields = append(fields, zap.Duration("BeginIn", a.beginBy-now))
+	}
+	return fields
+}
+
 // choose picks a server; the caller holds the lock.
 //
 // An answer that has begun is finished by the same weights if a server that has
@@ -219,10 +230,22 @@
 	if errors.As(err, &failed) && !failed.Sent {
 		end = forward.EndUnsent
 	}
-	if !a.callerLeft() && !a.takenBack.Load() && a.remaining() > 0 {
+	a.noteLost(id, end, err)
+	return end
+}
+
+// noteLost notes an attempt that got no answer, or half of one: one that was taken
+// back, or whose caller left, is not its server's fault.
+func (a *attempts) noteLost(id string, end forward.End, err error) {
+	switch {
+	case a.callerLeft():
+	case a.takenBack.Load():
+		a.gateway.metrics.takenBack.WithLabelValues(a.service).Inc()
+		a.gateway.log.Info("attempt taken back", zap.String("Request", a.call.ID), zap.String("Backend", id),
+			zap.Uint64("Holds", a.last.Holds), zap.Duration("Predicted", a.last.Predicted), zap.Duration("Waited", boottime.Now()-a.placedAt))
+	case a.remaining() > 0:
 		a.blame(id, end, err)
 	}
-	return end
 }
 
 // watchBegin takes the attempt back if it has not begun in time, and returns what
--- a/internal/transport/gateway/metrics.go
+++ b/internal/transport/gateway/metrics.go
@@ -12,6 +12,8 @@
 	outcomes     *prometheus.CounterVec
 	retries      *prometheus.CounterVec
 	first        *prometheus.HistogramVec
+	beginLate    *prometheus.HistogramVec
+	takenBack    *prometheus.CounterVec
 	badDatagrams prometheus.Counter
 }
 
@@ -30,12 +32,21 @@
 			Help:    "Time from a request's head to the first byte of its answer.",
 			Buckets: []float64{.01, .02, .05, .1, .15, .2, .3, .4, .6, 1, 2, 4},
 		}, []string{"Service"}),
+		beginLate: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Name:    "filbertlever_gateway_begin_late_seconds",
+			Help:    "Time by which an answer's first event came later than predicted; below 0: sooner.",
+			Buckets: []float64{-.1, 0, .05, .1, .2, .3, .5, .7, 1, 1.5, 2, 3},
+		}, []string{"Service"}),
+		takenBack: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "filbertlever_gateway_taken_back_total",
+			Help: "Attempts that were ended because they had not begun in time for the bound of a version.",
+		}, []string{"Service"}),
 		badDatagrams: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "filbertlever_gateway_bad_datagrams_total",
 			Help: "Datagrams that could not be read.",
 		}),
 	}
-	registry.MustRegister(m.outcomes, m.retries, m.first, m.badDatagrams)
+	registry.MustRegister(m.outcomes, m.retries, m.first, m.beginLate, m.takenBack, m.badDatagrams)
 	return m
 }
 
--- a/internal/transport/gateway/room.go
+++ b/internal/transport/gateway/room.go
@@ -88,8 +88,13 @@
 	case <-a.ctx.Done():
 		placement, ok = g.leaveRoom(id, o)
 	}
-	g.log.Info("waited for a place", zap.String("Request", a.call.ID), zap.Bool("Placed", ok),
-		zap.Duration("Waited", boottime.Now()-began), zap.String("Backend", placement.Backend.ID))
+	now := boottime.Now()
+	fields := []zap.Field{zap.String("Request", a.call.ID), zap.Bool("Placed", ok),
+		zap.Duration("Waited", now-began), zap.String("Backend", placement.Backend.ID)}
+	if ok {
+		fields = append(fields, a.bounds(placement, now)...)
+	}
+	g.log.Info("waited for a place", fields...)
 	return placement, ok
 }
 
--- a/internal/transport/gateway/stream.go
+++ b/internal/transport/gateway/stream.go
@@ -62,9 +62,7 @@
 		}
 		if err != nil {
 			reply.Finish(false)
-			if !a.callerLeft() && !a.takenBack.Load() && a.remaining() > 0 {
-				a.blame(id, forward.EndLost, err)
-			}
+			a.noteLost(id, forward.EndLost, err)
 			return forward.EndLost
 		}
 	}
@@ -78,6 +76,8 @@
 	defer g.mu.Unlock()
 	g.fleet.Progress(id, now)
 	if first {
+		late := now - a.placedAt - a.last.Predicted
+		g.metrics.beginLate.WithLabelValues(a.service).Observe(late.Seconds())
 		g.fleet.Observe(id, a.last.Predicted, now-a.placedAt, now)
 	}
 }
