--- a/internal/transport/sidecar/load_test.go
+++ b/internal/transport/sidecar/load_test.go
@@ -299,29 +299,44 @@
 	c := qt.New(t)
 	entry := newWeightsEntry(t, 3, 40)
 	server := &engine{staged: map[int][]byte{}}
-	var moving, most atomic.Int32
+	var begun, narrow, moving, most atomic.Int32
 	var s *Sidecar
 	m := newWeights()
 	m.idle = true
-	entry.sending = func() {
-		now := moving.Add(1)
-		if entry.sent.Load() > lanesIdle+2 {
-			most.Store(max(most.Load(), now))
+	var awaited sync.Map
+	answers := make(chan struct{})
+	way := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		piece := r.URL.Query().Get("Piece")
+		if r.URL.Query().Has("Await") {
+			awaited.Store(piece, true)
+			return
 		}
-		if entry.sent.Load() == 2 {
+		if begun.Add(1) == 2 {
 			s.mu.Lock()
 			m.idle = false
 			s.mu.Unlock()
+			close(answers)
+		}
+		// None ends before the server answers.
+		<-answers
+		if _, ok := awaited.Load(piece); ok {
+			narrow.Add(1)
+			most.Store(max(most.Load(), moving.Add(1)))
+			defer moving.Add(-1)
 		}
 		time.Sleep(2 * time.Millisecond)
-		moving.Add(-1)
-	}
+		entry.ServeHTTP(w, r)
+	}))
+	defer way.Close()
+	entry.Peers = strings.TrimPrefix(way.URL, "http://")
 	s = newAgent(entry, server, Config{})
 	s.hasReport, s.reportedOnce = true, true
 	s.models["drafter"] = m
 	f := &fetching{agent: s, weights: m, named: catalog.NamedVersion{Model: "drafter", Version: 3}}
 	c.Assert(f.fetch(context.Background(), &entry.manifest), qt.IsNil)
 	c.Assert(entry.sent.Load(), qt.Equals, int32(40))
+	// Those that had been decided on before the server answered were moved at once.
+	c.Check(narrow.Load() >= 40-lanesIdle, qt.IsTrue, qt.Commentf("%d moved one at a time", narrow.Load()))
 	c.Check(most.Load(), qt.Equals, int32(1))
 	c.Check(server.count() <= lanesIdle, qt.IsTrue, qt.Commentf("%d pieces laid beside a server that answers", server.count()))
 }
