--- a/internal/coordination/relays/slots.go
+++ b/internal/coordination/relays/slots.go
@@ -32,6 +32,11 @@
 	return w
 }
 
+// OlderWaits reports whether a version older than one waits for a place.
+func (s *Slots) OlderWaits(version uint64) bool {
+	return slices.ContainsFunc(s.waiting, func(w Waiter) bool { return w.Version < version })
+}
+
 // Give gives a place back.
 func (s *Slots) Give() {
 	s.free++
--- a/internal/transport/relay/relay.go
+++ b/internal/transport/relay/relay.go
@@ -98,9 +98,10 @@
 	log     *zap.Logger
 	metrics *metrics
 
-	// draws has places for the draws from the origin that may be under way.
-	drawing sync.Mutex
-	draws   *relays.Slots
+	// draws has places for the draws from the origin that may be under way, and newer for
+	// those of a version that come after an older one; drawing guards both.
+	drawing      sync.Mutex
+	draws, newer *relays.Slots
 
 	// holding has room for the pieces that holders may be asked for at once.
 	holding chan struct{}
@@ -164,7 +165,7 @@
 	}
 	registry.MustRegister(m.bytes, m.corrupt)
 	return &Relay{self: self, view: view, origin: origin, client: client, log: log, metrics: m,
-		draws: relays.NewSlots(originParallel), holding: make(chan struct{}, holderLanes), byDigest: map[string][]byte{}}
+		draws: relays.NewSlots(originParallel), newer: relays.NewSlots(newerParallel), holding: make(chan struct{}, holderLanes), byDigest: map[string][]byte{}}
 }
 
 // Paths of the calls between entries and agents.
@@ -306,6 +307,8 @@
 	piece := w.piece
 	failed := failures{}
 	began := boottime.Now()
+	place := &drawPlace{relay: r, named: named}
+	defer place.leave()
 	for try := 0; again(try, failed, began); try++ {
 		if data, ok := r.held(manifest.Digests[piece]); ok {
 			f.value, f.err = data, nil
@@ -319,7 +322,7 @@
 			}
 		}
 		source, address, ask := r.source(named, piece, w.role, failed)
-		data, err := r.draw(named, piece, source, address, ask)
+		data, err := r.draw(named, piece, source, address, ask, place)
 		if err == nil && !manifest.Verify(piece, data) {
 			r.metrics.corrupt.Inc()
 			err = fmt.Errorf("piece %d of %s version %d from %s: digest differs", piece, named.Model, named.Version, source)
@@ -345,31 +348,22 @@
 	return "Entry"
 }
 
-func (r *Relay) draw(named catalog.NamedVersion, piece int, source, address string, ask relays.Role) ([]byte, error) {
+func (r *Relay) draw(named catalog.NamedVersion, piece int, source, address string, ask relays.Role, place *drawPlace) ([]byte, error) {
 	if address == "" {
 		return nil, fmt.Errorf("piece %d of %s: %w", piece, named.Model, errNoSource)
 	}
 	if source != originName {
+		place.leave()
 		ctx, cancel := r.whileLiving(filbertlever.HostID(source))
 		defer cancel()
 		return fetchPiece(ctx, r.client, address, named, piece, ask)
 	}
-	defer r.takeDraw(named)()
-	return r.origin.Piece(context.Background(), address, named, piece)
-}
-
-// takeDraw waits until this entry may draw one more piece from the origin, and
-// returns what ends that.
-func (r *Relay) takeDraw(named catalog.NamedVersion) func() {
-	r.drawing.Lock()
-	waiter := r.draws.Take(named.Version)
-	r.drawing.Unlock()
-	<-waiter.Granted
-	return func() {
-		r.drawing.Lock()
-		defer r.drawing.Unlock()
-		r.draws.Give()
+	place.take(boottime.Now())
+	data, err := r.origin.Piece(context.Background(), address, named, piece)
+	if err != nil {
+		place.yield()
 	}
+	return data, err
 }
 
 // originName is how the origin is called in logs.
