Stand-ins start again under their id, and rows come from other writers

A server of the users' platform may start again under its id: it holds nothing, counts anew, tells when it was born, its channels are reset, and what was staged beside it survives. Another writer may put anything into the servers' table. The stand-ins knew neither; worse, a load that was under way at a restart gave its weights to the next life.

Ruled out: taking the request and noting its run under two locks, as before: a restart between the two made the next life answer for weights it does not hold.

--- a/cmd/filbertlever-standin/installation.go
+++ b/cmd/filbertlever-standin/installation.go
@@ -18,7 +18,7 @@
 	Models []string `required:"" help:"IP:port of each model server."`
 	Plain  []string `required:"" help:"IP:port of each plain server."`
 	// Control sits beside the store, so that a person can play the operator.
-	Control string `required:"" help:"IP:port to name versions on: POST /version?model=drafter&version=2."`
+	Control string `required:"" help:"IP:port for POST /version?model=drafter&version=2, /restart?server=model-1 and /row?key=x."`
 }
 
 // What the stand-in's desired state holds.
@@ -37,19 +37,22 @@
 	}
 	servers := []*http.Server{
 		{Addr: c.Store, Handler: store}, {Addr: c.Origin, Handler: origin},
-		{Addr: c.Control, Handler: standin.OperatorHandler(store)},
 	}
+	var backends []*standin.Server
 	for i, address := range c.Models {
 		server := standin.NewServer(fmt.Sprintf("model-%d", i+1))
 		server.Events, server.Pause = 20, 40*time.Millisecond
-		servers = append(servers, &http.Server{Addr: address, Handler: server})
+		servers = append(servers, &http.Server{Addr: address, Handler: server, ConnState: server.Channel})
+		backends = append(backends, server)
 		go (&standin.Heartbeat{Store: store, Server: server, Service: "models", Address: address}).Run(ctx)
 	}
 	for i, address := range c.Plain {
 		server := standin.NewServer(fmt.Sprintf("plain-%d", i+1))
-		servers = append(servers, &http.Server{Addr: address, Handler: server})
+		servers = append(servers, &http.Server{Addr: address, Handler: server, ConnState: server.Channel})
+		backends = append(backends, server)
 		go (&standin.Heartbeat{Store: store, Server: server, Service: "orders", Address: address}).Run(ctx)
 	}
+	servers = append(servers, &http.Server{Addr: c.Control, Handler: standin.OperatorHandler(store, backends...)})
 	failed := make(chan error, len(servers))
 	for _, server := range servers {
 		go (&serving{server: server, failed: failed}).run()
