A bad row of the store costs no other

Cause: each table was decoded as a whole. One row of another program whose value is not base64 failed all rows of the answer, and of every later one that held it; a row that could be parsed but lacked fields named a server with an empty address.

Change: rows are decoded one by one, and their fields too. What names nothing is returned as a value (table, key, revision, cause). A bad row over a server's good one counts as that row removed, until the next good one; of the operators' rows the newest good one of each key counts. Rows of another part of a table no longer speak for a server.

Ruled out: keeping a server whose row was written over in use on old news. An order might begin at a server that has left or started again; its next heartbeat lists it.

--- a/internal/transport/gateway/ports.go
+++ b/internal/transport/gateway/ports.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"time"
@@ -115,17 +116,60 @@
 	Raw []byte
 }
 
+// Cause says why a row names nothing.
+type Cause string
+
+// The causes.
+const (
+	// CauseEnvelope: it is no row of its table, or its key, revision or value cannot
+	// be had.
+	CauseEnvelope Cause = "Envelope"
+	// CauseBytes: its value is not an object of readable fields.
+	CauseBytes Cause = "Bytes"
+	// CauseSize: it is larger than any row of its table.
+	CauseSize Cause = "Size"
+	// CauseMissing and CauseType: a field is not there, or of another type.
+	CauseMissing Cause = "Missing"
+	CauseType    Cause = "Type"
+	// CauseRange: a field is of its type, and says what cannot be.
+	CauseRange Cause = "Range"
+	// CauseState and CauseService: a state that has no name here, and a service that
+	// the desired state in force does not name.
+	CauseState   Cause = "State"
+	CauseService Cause = "Service"
+)
+
+// BadRow is a row that names nothing: another program may have written it.
+type BadRow struct {
+	Table Table
+	// Key and Revision are empty and 0 if they cannot be read.
+	Key      string
+	Revision uint64
+	Cause    Cause
+	// Err says which field, and what was expected.
+	Err error
+}
+
+func (b BadRow) Error() string {
+	return fmt.Sprintf("decode row %.200q of table %s, revision %d: %s: %v", b.Key, b.Table, b.Revision, b.Cause, b.Err)
+}
+
+func (b BadRow) Unwrap() error { return b.Err }
+
 // Desired is the desired state, or what has changed of it.
 type Desired struct {
 	// State is nil if it has not changed.
 	State *catalog.State
 	Named []catalog.NamedVersion
+	Bad   []BadRow
 }
 
 // Backends is the list of backend servers, or what has changed of it.
 type Backends struct {
 	Present []catalog.Backend
-	Gone    []string
+	// Gone are also those whose row is bad now.
+	Gone []string
+	Bad  []BadRow
 }
 
 // Entry is how an entry registers.
@@ -145,12 +189,15 @@
 // Entries is the list of entries, or what has changed of it.
 type Entries struct {
 	Present []Entry
-	Gone    []string
+	// Gone are also those whose row is bad now.
+	Gone []string
+	Bad  []BadRow
 }
 
 // Store is what an entry needs of the platform's store. Follow returns after
 // wait at the latest, also if nothing has changed. Desired, Backends and Entries
-// decode rows that are newer than a revision.
+// decode rows that are newer than a revision, each by itself: they fail only if
+// there are no rows to be told apart.
 type Store interface {
 	Read(ctx context.Context, table Table) (Rows, error)
 	Follow(ctx context.Context, table Table, after uint64, wait time.Duration) (Rows, error)
