Bad rows are counted and logged once; datagrams and feeds are checked

Cause: what is wrong with a row was one error for the whole table, logged as a lost store. And a row that is whole but names a service that no desired state names was taken for a server: at a live server's address it was the later start there, and put the live one out of use until that one's row changed.

Change: `row names nothing` and filbertlever_bad_rows_total{Table,Cause}, once for each change of a row, with bounded memory. Servers of services that the desired state does not name are withheld from the fleet until one does. Datagrams without addresses or with figures that cannot be are left out and counted; a feed's revision, an entry's list of entries and an agent's view are bounded; lists of rows that are none are passed over, where one of a single byte ended the process.

The list of guards is now also checked for platform/.

--- a/Makefile
+++ b/Makefile
@@ -57,6 +57,16 @@
 	go test -run '^$$' -fuzz '^FuzzDecodeManifest$$' -fuzztime 10s ./pkg/bundle
 	go test -run '^$$' -fuzz '^FuzzParse$$' -fuzztime 10s ./internal/settings
 	go test -run '^$$' -fuzz '^FuzzAnyOrderOfEvents$$' -fuzztime 10s ./internal/coordination/order
+	go test -run '^$$' -fuzz '^FuzzRows$$' -fuzztime 10s ./platform
+	go test -run '^$$' -fuzz '^FuzzServer$$' -fuzztime 10s ./platform
+	go test -run '^$$' -fuzz '^FuzzConfig$$' -fuzztime 10s ./platform
+	go test -run '^$$' -fuzz '^FuzzNamed$$' -fuzztime 10s ./platform
+	go test -run '^$$' -fuzz '^FuzzEntry$$' -fuzztime 10s ./platform
+	go test -run '^$$' -fuzz '^FuzzReport$$' -fuzztime 10s ./platform
+	go test -run '^$$' -fuzz '^FuzzManifest$$' -fuzztime 10s ./platform
+	go test -run '^$$' -fuzz '^FuzzStaged$$' -fuzztime 10s ./platform
+	go test -run '^$$' -fuzz '^FuzzDatagram$$' -fuzztime 10s ./internal/transport/gateway
+	go test -run '^$$' -fuzz '^FuzzFeed$$' -fuzztime 10s ./internal/transport/gateway
 
 bench-weights: build ## measure bursts, live requests under them, and rolls (about 75 s)
 	@$(BIN)/filbertlever-bench weights --plot docs/measurements/weights.png
--- a/internal/proof/guards.go
+++ b/internal/proof/guards.go
@@ -56,17 +56,20 @@
 		listed[guard.File]++
 	}
 	var problems []error
-	err := filepath.WalkDir("internal", func(path string, _ os.DirEntry, err error) error {
-		if err != nil || !strings.HasSuffix(path, ".go") || strings.HasSuffix(path, "_test.go") || strings.HasPrefix(path, "internal/proof") {
+	for _, root := range []string{"internal", "platform"} {
+		err := filepath.WalkDir(root, func(path string, _ os.DirEntry, err error) error {
+			if err != nil || !strings.HasSuffix(path, ".go") || strings.HasSuffix(path, "_test.go") || strings.HasPrefix(path, "internal/proof") {
+				return err
+			}
+			data, err := os.ReadFile(path)
+			if named := len(guardComment.FindAll(data, -1)); named > listed[path] {
+				problems = append(problems, fmt.Errorf("%s names %d guards, the list has %d", path, named, listed[path]))
+			}
 			return err
-		}
-		data, err := os.ReadFile(path)
-		if named := len(guardComment.FindAll(data, -1)); named > listed[path] {
-			problems = append(problems, fmt.Errorf("%s names %d guards, the list has %d", path, named, listed[path]))
-		}
-		return err
-	})
-	return errors.Join(append(problems, err)...)
+		})
+		problems = append(problems, err)
+	}
+	return errors.Join(problems...)
 }
 
 // parallelTests bounds how many mutated tests run at once.
--- /dev/null
+++ b/internal/transport/gateway/badrows_test.go
@@ -0,0 +1,170 @@
+package gateway
+
+import (
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/prometheus/client_golang/prometheus"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
+
+	"github.com/filbertlever/filbertlever/internal/coordination/catalog"
+	"github.com/filbertlever/filbertlever/internal/coordination/fleet"
+)
+
+// believer is a gateway with beliefs only, what it logs and what it counts.
+func believer() (*Gateway, *observer.ObservedLogs, *prometheus.Registry) {
+	core, logs := observer.New(zap.InfoLevel)
+	registry := prometheus.NewRegistry()
+	return &Gateway{log: zap.New(core), metrics: newMetrics(registry),
+		fleet: fleet.New(fleet.DefaultConfig(), rand.New(rand.NewPCG(1, 2)))}, logs, registry
+}
+
+// counted returns the count of bad rows of a cause.
+func counted(t testing.TB, registry *prometheus.Registry, cause Cause) float64 {
+	families, err := registry.Gather()
+	qt.Assert(t, err, qt.IsNil)
+	for _, family := range families {
+		for _, metric := range family.GetMetric() {
+			labels := metric.GetLabel()
+			if family.GetName() == "filbertlever_bad_rows_total" && labels[0].GetValue() == string(cause) {
+				return metric.GetCounter().GetValue()
+			}
+		}
+	}
+	return 0
+}
+
+func stateOf(services ...string) *catalog.State {
+	var list []catalog.Service
+	for _, name := range services {
+		list = append(list, catalog.Service{Name: name})
+	}
+	return catalog.New(1, nil, list, nil, catalog.Limits{})
+}
+
+// The log of an entry is one line, repeated: a bad row lies in the store, and comes
+// again with each read and from each entry that tells of it.
+func TestABadRowIsToldOnceAChange(t *testing.T) {
+	c := qt.New(t)
+	g, logs, registry := believer()
+	bad := BadRow{Table: TableBackends, Key: "x", Revision: 7, Cause: CauseRange, Err: errName}
+	for range 5 {
+		g.noteBad([]BadRow{bad, {Table: TableBackends, Cause: CauseEnvelope, Err: errName}})
+	}
+	c.Assert(logs.FilterMessage("row names nothing").Len(), qt.Equals, 2)
+	c.Assert(counted(t, registry, CauseRange), qt.Equals, 1.0)
+	bad.Revision = 9
+	g.noteBad([]BadRow{bad})
+	bad.Revision = 7
+	g.noteBad([]BadRow{bad})
+	c.Assert(logs.FilterMessage("row names nothing").Len(), qt.Equals, 3)
+	c.Assert(counted(t, registry, CauseRange), qt.Equals, 2.0)
+	for n := range 3 * badKept {
+		g.noteBad([]BadRow{{Table: TableBackends, Key: fmt.Sprint(n), Revision: 10, Cause: CauseRange, Err: errName}})
+	}
+	c.Assert(len(g.bad.seen) <= badKept, qt.IsTrue)
+}
+
+// A server that lives gets no more requests, for minutes: another program wrote a row
+// of a service that there is not, at that server's address, and it was taken for the
+// server's next start.
+func TestAServerOfNoServicePutsNoneOutOfUse(t *testing.T) {
+	c := qt.New(t)
+	g, logs, _ := believer()
+	live := catalog.Backend{ID: "i-1", Revision: 5, Service: "orders", Address: "10.0.0.1:1"}
+	other := catalog.Backend{ID: "x", Revision: 9, Service: "odd", Address: live.Address}
+	apply := func(b Backends, whole bool) {
+		present, gone := g.withhold(b, whole)
+		g.fleet.Apply(present, gone, whole, time.Second)
+	}
+	// The list may be read before any desired state is known.
+	apply(Backends{Present: []catalog.Backend{live, other}}, true)
+	c.Assert(logs.Len(), qt.Equals, 0)
+	state := stateOf("orders")
+	g.fleet.SetState(state, time.Second)
+	g.state.Store(state)
+	g.release(state, time.Second)
+	for range 2 {
+		c.Assert(g.fleet.Backends("orders"), qt.DeepEquals, []catalog.Backend{live})
+		c.Assert(logs.FilterMessage("row names nothing").Len(), qt.Equals, 1)
+		apply(Backends{Present: []catalog.Backend{other}}, false)
+	}
+	// A desired state names the service: its server is there without a word of its own.
+	added := catalog.Backend{ID: "i-2", Revision: 10, Service: "added", Address: "10.0.0.2:1"}
+	apply(Backends{Present: []catalog.Backend{added}}, false)
+	c.Assert(g.fleet.Known("i-2"), qt.IsFalse)
+	state = stateOf("orders", "added")
+	g.fleet.SetState(state, time.Second)
+	g.state.Store(state)
+	g.release(state, time.Second)
+	c.Assert(g.fleet.Backends("added"), qt.DeepEquals, []catalog.Backend{added})
+	// One that was used and now names another service is not used.
+	live.Service = "odd"
+	apply(Backends{Present: []catalog.Backend{live}}, false)
+	c.Assert(g.fleet.Backends("orders"), qt.HasLen, 0)
+	// One that was withheld and removed does not come back.
+	apply(Backends{Gone: []string{"x"}}, false)
+	g.release(stateOf("odd"), time.Second)
+	c.Assert(g.fleet.Known("x"), qt.IsFalse)
+}
+
+// An entry that reads rows from its region's reader ends: the list was no list. Or it
+// reads none, as an empty list between two left a comma alone.
+func TestListsOfRowsAreJoinedWhateverTheyAre(t *testing.T) {
+	c := qt.New(t)
+	for want, lists := range map[string][]string{
+		"":              {},
+		"[1]":           {"null", "[1]", "{}", "7"},
+		"[1,2]":         {"[]", "[1]", "[ ]", " [2] ", "[]"},
+		`[{"a":[]},{}]`: {`[{"a":[]}]`, `[{}]`},
+	} {
+		var raw []json.RawMessage
+		for _, list := range lists {
+			raw = append(raw, json.RawMessage(list))
+		}
+		c.Check(string(joinRows(raw)), qt.Equals, want)
+	}
+}
+
+const soundEntry = `"Entry":{"Host":"e","Site":"a","Region":"ra","Callers":"10.0.0.1:1","Peers":"10.0.0.1:2","Datagrams":"10.0.0.1:3","Incarnation":"x"}`
+
+// A server is out of use for good, or callers are sent to nowhere: something that was
+// no entry and no agent sent figures that cannot be to an entry's socket.
+func TestDatagramsThatCannotBeAreLeftOut(t *testing.T) {
+	c := qt.New(t)
+	for _, sound := range []string{`{}`, `{"Changed":7}`, `{"Beat":{` + soundEntry + `,"Named":[{"Model":"d","Version":2,"Age":5,"Known":true}]}}`,
+		`{"Counts":{"From":"e","Sequence":-4,"Requests":{"i-1":3}}}`, `{"Load":{"Address":"10.0.0.1:1","Running":3,"Models":[{"Name":"d","Version":2}],"LeavesIn":-5}}`} {
+		_, err := decodeDatagram([]byte(sound))
+		c.Check(err, qt.IsNil, qt.Commentf(sound))
+	}
+	for _, bad := range []string{``, `7`, `{"Beat":{}}`, `{"Beat":7}`, `{"Beat":{` + strings.Replace(soundEntry, "10.0.0.1:3", "", 1) + `}}`,
+		`{"Beat":{` + strings.Replace(soundEntry, `"Host":"e"`, `"Host":""`, 1) + `}}`,
+		`{"Beat":{` + soundEntry + `,"Named":[{"Age":-5}]}}`, `{"Beat":{` + soundEntry + `,"Named":[{"Version":18446744073709551615}]}}`,
+		`{"Counts":{}}`, `{"Counts":{"From":"e","Requests":{"i-1":-3}}}`, `{"Counts":{"From":"e","Requests":{"i-1":1e400}}}`,
+		`{"Load":{"Running":-1}}`, `{"Load":{"Queued":9000000000}}`, `{"Load":{"LoadedIn":9000000000000000000}}`, `{"Load":{"Models":[{"Version":2}]}}`} {
+		_, err := decodeDatagram([]byte(bad))
+		c.Check(err, qt.ErrorMatches, "(?s)decode datagram: .*", qt.Commentf(bad))
+	}
+}
+
+// An entry hears of no change ever again, as it was told a revision that the store will
+// not reach; or it ends, as the answer has no end.
+func TestAnswersOfEntriesAreBounded(t *testing.T) {
+	c := qt.New(t)
+	answer, err := decodeFeed(strings.NewReader(`{"Revision":7,"Age":5,"Raw":[[]]}`))
+	c.Assert(err, qt.IsNil)
+	c.Assert(answer.Revision, qt.Equals, uint64(7))
+	for _, bad := range []string{"", "7", `{"Revision":18446744073709551615}`, `{"Revision":7,"Age":-5}`, `{"Raw":7}`, strings.Repeat(" ", peerBytes+1)} {
+		_, err := decodeFeed(strings.NewReader(bad))
+		c.Check(err, qt.ErrorMatches, "decode feed: .*")
+	}
+	entries, err := decodeEntries(strings.NewReader(`[7,{"Host":"x"},` + strings.TrimPrefix(soundEntry, `"Entry":`) + `]`))
+	c.Assert(err, qt.IsNil)
+	c.Assert(entries, qt.HasLen, 1)
+}
--- a/internal/transport/gateway/datagrams.go
+++ b/internal/transport/gateway/datagrams.go
@@ -90,12 +90,12 @@
 			}
 			return
 		}
-		var d Datagram
-		if err := json.Unmarshal(buffer[:n], &d); err != nil {
+		d, err := decodeDatagram(buffer[:n])
+		if err != nil {
 			g.metrics.badDatagrams.Inc()
 			continue
 		}
-		g.take(&d, from)
+		g.take(d, from)
 	}
 }
 
--- /dev/null
+++ b/internal/transport/gateway/decode.go
@@ -0,0 +1,186 @@
+package gateway
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"strconv"
+	"time"
+
+	"github.com/filbertlever/filbertlever/internal/coordination/catalog"
+)
+
+// Bounds of what other processes say.
+const (
+	// peerBytes bounds an answer of another entry: whole tables of hundreds of servers
+	// and of a desired state have 2 MB, and a reader keeps as much again of changes.
+	peerBytes = 32 << 20
+	// nameMost bounds names, as the store does its keys.
+	nameMost = 200
+	// requestsMost bounds the requests that one process has at one server.
+	requestsMost = 1 << 20
+	modelsMost   = 256
+	// aheadMost bounds how far ahead a report tells: a change of weights takes seconds.
+	aheadMost = time.Hour
+	// revisionMost is the largest revision that all readers of JSON agree on.
+	revisionMost = 1 << 53
+)
+
+// What was expected of other processes.
+var (
+	errAddress  = errors.New("expected HOST:PORT")
+	errName     = fmt.Errorf("expected a name of 1 to %d bytes", nameMost)
+	errRequests = fmt.Errorf("expected 0 to %d requests", requestsMost)
+	errAge      = errors.New("expected a time that can be")
+	errRevision = fmt.Errorf("expected a revision of up to %d", uint64(revisionMost))
+	errTooLarge = errors.New("the answer is too large")
+)
+
+// decodePeer decodes what another process answered, up to a bound.
+func decodePeer(body io.Reader, out any) error {
+	data, err := io.ReadAll(io.LimitReader(body, peerBytes+1))
+	switch {
+	case err != nil:
+		return err
+	case len(data) > peerBytes:
+		return errTooLarge
+	}
+	return json.Unmarshal(data, out)
+}
+
+// decodeFeed decodes a reader's answer.
+//
+// Guard: a view goes on from the revision that an answer names. One that no store
+// reaches would leave out all that is ever written afterwards.
+func decodeFeed(body io.Reader) (FeedAnswer, error) {
+	var answer FeedAnswer
+	if err := decodePeer(body, &answer); err != nil {
+		return FeedAnswer{}, fmt.Errorf("decode feed: %w", err)
+	}
+	if answer.Revision > revisionMost {
+		return FeedAnswer{}, fmt.Errorf("decode feed: Revision: %w", errRevision)
+	}
+	if answer.Age < 0 {
+		return FeedAnswer{}, fmt.Errorf("decode feed: Age: %w", errAge)
+	}
+	return answer, nil
+}
+
+// decodeEntries decodes the entries that another one knows, those that can be called.
+func decodeEntries(body io.Reader) ([]Entry, error) {
+	var list []json.RawMessage
+	if err := decodePeer(body, &list); err != nil {
+		return nil, fmt.Errorf("decode entries: %w", err)
+	}
+	var entries []Entry
+	for _, raw := range list {
+		var entry Entry
+		if json.Unmarshal(raw, &entry) == nil && entry.check() == nil {
+			entries = append(entries, entry)
+		}
+	}
+	return entries, nil
+}
+
+// decodeDatagram decodes a message between processes.
+//
+// Guard: anything may arrive at the socket. A heartbeat without addresses was called
+// back nowhere, and figures that cannot be would keep a server out of use for ever.
+func decodeDatagram(data []byte) (*Datagram, error) {
+	var d Datagram
+	if err := json.Unmarshal(data, &d); err != nil {
+		return nil, fmt.Errorf("decode datagram: %w", err)
+	}
+	if err := errors.Join(d.Beat.check(), d.Counts.check(), d.Load.check()); err != nil {
+		return nil, fmt.Errorf("decode datagram: %w", err)
+	}
+	return &d, nil
+}
+
+func (e *Entry) check() error {
+	if e.Host == "" || len(e.Host) > nameMost {
+		return fmt.Errorf("Host: %w", errName)
+	}
+	return errors.Join(checkAddress("Callers", e.Callers), checkAddress("Peers", e.Peers), checkAddress("Datagrams", e.Datagrams))
+}
+
+func checkAddress(field, address string) error {
+	host, port, err := net.SplitHostPort(address)
+	if n, portErr := strconv.ParseUint(port, 10, 16); err != nil || portErr != nil || n == 0 || host == "" {
+		return fmt.Errorf("%s: %w", field, errAddress)
+	}
+	return nil
+}
+
+func (b *Beat) check() error {
+	if b == nil {
+		return nil
+	}
+	for _, n := range b.Named {
+		if n.Age < 0 || n.Version > revisionMost {
+			return fmt.Errorf("Named: %w", errAge)
+		}
+	}
+	return b.Entry.check()
+}
+
+func (c *Counts) check() error {
+	if c == nil {
+		return nil
+	}
+	if c.From == "" || len(c.From) > nameMost {
+		return fmt.Errorf("From: %w", errName)
+	}
+	for _, n := range c.Requests {
+		if n < 0 || n > requestsMost {
+			return fmt.Errorf("Requests: %w", errRequests)
+		}
+	}
+	return nil
+}
+
+func (l *LoadReport) check() error {
+	if l == nil {
+		return nil
+	}
+	if l.Running < 0 || l.Running > requestsMost || l.Queued < 0 || l.Queued > requestsMost {
+		return fmt.Errorf("Load: %w", errRequests)
+	}
+	if l.LeavesIn > aheadMost || l.LoadedIn > aheadMost {
+		return fmt.Errorf("Load: %w", errAge)
+	}
+	return checkModels(l.Models)
+}
+
+func checkModels(models []catalog.Model) error {
+	for _, m := range models {
+		if m.Name == "" || len(m.Name) > nameMost || m.Version > revisionMost || len(models) > modelsMost {
+			return fmt.Errorf("Models: %w", errName)
+		}
+	}
+	return nil
+}
+
+// joinRows makes one list of several; what is no list has no rows.
+func joinRows(lists []json.RawMessage) []byte {
+	var joined []byte
+	for _, list := range lists {
+		list = bytes.TrimSpace(list)
+		if len(list) < 2 || list[0] != '[' {
+			continue
+		}
+		rows := bytes.TrimSpace(list[1 : len(list)-1])
+		if len(rows) == 0 {
+			continue
+		}
+		joined = append(append(joined, ','), rows...)
+	}
+	if len(joined) == 0 {
+		return nil
+	}
+	joined[0] = '['
+	return append(joined, ']')
+}
--- a/internal/transport/gateway/feeds.go
+++ b/internal/transport/gateway/feeds.go
@@ -420,22 +420,5 @@
 	if response.StatusCode != http.StatusOK {
 		return FeedAnswer{}, fmt.Errorf("answered %d", response.StatusCode)
 	}
-	var answer FeedAnswer
-	err = json.NewDecoder(response.Body).Decode(&answer)
-	return answer, err
-}
-
-// joinRows makes one list of several.
-func joinRows(lists []json.RawMessage) []byte {
-	if len(lists) == 0 {
-		return nil
-	}
-	joined := []byte{'['}
-	for i, list := range lists {
-		if i > 0 {
-			joined = append(joined, ',')
-		}
-		joined = append(joined, list[1:len(list)-1]...)
-	}
-	return append(joined, ']')
+	return decodeFeed(response.Body)
 }
--- a/internal/transport/gateway/gateway.go
+++ b/internal/transport/gateway/gateway.go
@@ -99,6 +99,7 @@
 	peers   *peers
 	// named are the versions of each model that operators want, oldest first.
 	named map[string][]named
+	bad   badRows
 	// revision grows with each change that agents must hear of.
 	revision uint64
 	stop     *drain.Stop
--- a/internal/transport/gateway/metrics.go
+++ b/internal/transport/gateway/metrics.go
@@ -13,6 +13,7 @@
 	retries      *prometheus.CounterVec
 	first        *prometheus.HistogramVec
 	badDatagrams prometheus.Counter
+	badRows      *prometheus.CounterVec
 }
 
 func newMetrics(registry prometheus.Registerer) *metrics {
@@ -34,8 +35,12 @@
 			Name: "filbertlever_gateway_bad_datagrams_total",
 			Help: "Datagrams that could not be read.",
 		}),
+		badRows: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "filbertlever_bad_rows_total",
+			Help: "Rows of the store that name nothing, by table and cause, once for each change of a row.",
+		}, []string{"Table", "Cause"}),
 	}
-	registry.MustRegister(m.outcomes, m.retries, m.first, m.badDatagrams)
+	registry.MustRegister(m.outcomes, m.retries, m.first, m.badDatagrams, m.badRows)
 	return m
 }
 
--- a/internal/transport/gateway/seeds.go
+++ b/internal/transport/gateway/seeds.go
@@ -72,8 +72,8 @@
 	if response.StatusCode != http.StatusOK {
 		return nil, fmt.Errorf("entries from %s: answered %d", address, response.StatusCode)
 	}
-	var entries []Entry
-	if err := json.NewDecoder(response.Body).Decode(&entries); err != nil {
+	entries, err := decodeEntries(response.Body)
+	if err != nil {
 		return nil, fmt.Errorf("entries from %s: %w", address, err)
 	}
 	return entries, nil
--- a/internal/transport/gateway/watch.go
+++ b/internal/transport/gateway/watch.go
@@ -172,12 +172,14 @@
 	if desired.State != nil && (old == nil || desired.State.Version > old.Version) {
 		g.fleet.SetState(desired.State, now)
 		g.state.Store(desired.State)
+		g.release(desired.State, now)
 		if old == nil {
 			close(g.stated)
 		}
 		g.log.Info("desired state in force", zap.Uint64("Version", desired.State.Version), zap.Uint64("Revision", rows.Revision))
 	}
 	g.setNamed(desired.Named, first, now)
+	g.noteBad(desired.Bad)
 	return nil
 }
 
@@ -196,10 +198,12 @@
 		}
 		last = now
 		if whole || len(rows.Raw) > 0 {
-			g.fleet.Apply(backends.Present, backends.Gone, whole, now)
-			g.logBackends(backends)
-			go g.runLearn(backends.Present)
+			present, gone := g.withhold(backends, whole)
+			g.fleet.Apply(present, gone, whole, now)
+			g.logBackends(Backends{Present: present, Gone: gone})
+			go g.runLearn(present)
 		}
+		g.noteBad(backends.Bad)
 		return nil
 	}
 	w := &watch{gateway: g, table: TableBackends, wait: followWait, apply: apply}
@@ -240,6 +244,7 @@
 		g.mu.Lock()
 		g.peers.list(entries.Present, entries.Gone, whole, boottime.Now())
 		g.resizeBudgets()
+		g.noteBad(entries.Bad)
 		g.mu.Unlock()
 		if !g.listed.Swap(true) {
 			g.beat(boottime.Now(), true)
--- a/internal/transport/sidecar/sidecar.go
+++ b/internal/transport/sidecar/sidecar.go
@@ -384,6 +384,9 @@
 	return addresses
 }
 
+// viewBytes bounds an entry's view: 460 entries are 0.1 MB of it.
+const viewBytes = 4 << 20
+
 func (s *Sidecar) fetchView(ctx context.Context, address string) (gateway.View, error) {
 	values := url.Values{"Service": {s.config.Service}, "Address": {s.config.Address}}
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+gateway.PathView+"?"+values.Encode(), nil)
@@ -400,7 +403,7 @@
 		return gateway.View{}, fmt.Errorf("view from %s: answered %d", address, response.StatusCode)
 	}
 	var view gateway.View
-	if err := json.NewDecoder(response.Body).Decode(&view); err != nil {
+	if err := json.NewDecoder(io.LimitReader(response.Body, viewBytes)).Decode(&view); err != nil {
 		return gateway.View{}, fmt.Errorf("view from %s: %w", address, err)
 	}
 	return view, nil
