--- a/internal/transport/gateway/decode.go
+++ b/internal/transport/gateway/decode.go
@@ -102,7 +102,7 @@
 
 func (e *Entry) check() error {
 	if e.Host == "" || len(e.Host) > nameMost {
-		return fmt.Errorf("Host: %w", errName)
+		return fmt.Errorf("host: %w", errName)
 	}
 	return errors.Join(checkAddress("Callers", e.Callers), checkAddress("Peers", e.Peers), checkAddress("Datagrams", e.Datagrams))
 }
@@ -121,7 +121,7 @@
 	}
 	for _, n := range b.Named {
 		if n.Age < 0 || n.Version > revisionMost {
-			return fmt.Errorf("Named: %w", errAge)
+			return fmt.Errorf("named: %w", errAge)
 		}
 	}
 	return b.Entry.check()
@@ -132,11 +132,11 @@
 		return nil
 	}
 	if c.From == "" || len(c.From) > nameMost {
-		return fmt.Errorf("From: %w", errName)
+		return fmt.Errorf("from: %w", errName)
 	}
 	for _, n := range c.Requests {
 		if n < 0 || n > requestsMost {
-			return fmt.Errorf("Requests: %w", errRequests)
+			return fmt.Errorf("requests: %w", errRequests)
 		}
 	}
 	return nil
@@ -147,10 +147,10 @@
 		return nil
 	}
 	if l.Running < 0 || l.Running > requestsMost || l.Queued < 0 || l.Queued > requestsMost {
-		return fmt.Errorf("Load: %w", errRequests)
+		return fmt.Errorf("load: %w", errRequests)
 	}
 	if l.LeavesIn > aheadMost || l.LoadedIn > aheadMost {
-		return fmt.Errorf("Load: %w", errAge)
+		return fmt.Errorf("load: %w", errAge)
 	}
 	return checkModels(l.Models)
 }
@@ -158,7 +158,7 @@
 func checkModels(models []catalog.Model) error {
 	for _, m := range models {
 		if m.Name == "" || len(m.Name) > nameMost || m.Version > revisionMost || len(models) > modelsMost {
-			return fmt.Errorf("Models: %w", errName)
+			return fmt.Errorf("models: %w", errName)
 		}
 	}
 	return nil
