--- a/internal/transport/gateway/metrics.go
+++ b/internal/transport/gateway/metrics.go
@@ -15,6 +15,7 @@
 	beginLate    *prometheus.HistogramVec
 	takenBack    *prometheus.CounterVec
 	badDatagrams prometheus.Counter
+	badRows      *prometheus.CounterVec
 }
 
 func newMetrics(registry prometheus.Registerer) *metrics {
@@ -45,8 +46,12 @@
 			Name: "filbertlever_gateway_bad_datagrams_total",
 			Help: "Datagrams that could not be read.",
 		}),
+		badRows: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "filbertlever_bad_rows_total",
+			Help: "Rows of the store that name nothing, by table and cause, once for each change of a row.",
+		}, []string{"Table", "Cause"}),
 	}
-	registry.MustRegister(m.outcomes, m.retries, m.first, m.beginLate, m.takenBack, m.badDatagrams)
+	registry.MustRegister(m.outcomes, m.retries, m.first, m.beginLate, m.takenBack, m.badDatagrams, m.badRows)
 	return m
 }
 
