The boot of a server's own report reaches the entries

Cause: an agent's report does not say which start of the server it is about. Change: the report's start is decoded, and passed on with the load. Missing is 0, which entries take as of the boot that they believe in. Nothing follows from it yet.

--- a/internal/coordination/fleet/counts.go
+++ b/internal/coordination/fleet/counts.go
@@ -11,9 +11,14 @@
 type Load struct {
 	// Address is where the server serves.
 	Address string
+	// Boot is the server's start; 0 if the agent does not tell it.
+	Boot catalog.Boot `json:",omitempty"`
+	// Before are the boots that the agent saw end, the latest last.
+	Before []catalog.Boot `json:",omitempty"`
 	// Agent is where the report came from, and the agent gives out pieces.
 	Agent string `json:"-"`
-	// Sequence grows with each report, also across restarts of the agent.
+	// Sequence grows with each report, also across restarts of the agent, but for
+	// steps of the host's clock.
 	Sequence uint64
 	Running  int
 	Queued   int
--- a/internal/transport/sidecar/sidecar.go
+++ b/internal/transport/sidecar/sidecar.go
@@ -28,6 +28,8 @@
 
 // Report is a model server's own report.
 type Report struct {
+	// Boot is the server's start.
+	Boot   catalog.Boot
 	Models []catalog.Model
 	// Loading is true while an order is under way.
 	Loading bool
@@ -203,7 +205,7 @@
 		return
 	}
 	load := fleet.Load{
-		Address: s.config.Address, Sequence: uint64(time.Now().UnixNano()),
+		Address: s.config.Address, Boot: s.report.Boot, Sequence: uint64(time.Now().UnixNano()),
 		Running: s.report.Running, Queued: s.report.Queued, Switching: s.switching, Models: s.report.Models,
 	}
 	now := boottime.Now()
