Another boot of a known server is another process

Cause: a server that starts again under its ID was taken for the process before: its weights by the last report or row, its counts, suspicion of up to 10 s, change due, drain and prefix hints passed on. Ruled out: later boots alone (a clock that steps back), the agent's sequence (the same clock), rows alone (a heartbeat late). Change: fleet takes a row or report with another boot for another process and drops what it held; late news of a process that has ended is ignored; requests end at the process that they were placed at, and Ended lowers only what was counted; the router and the membership table forget a host whose process is gone, also when its row went away (what was sent there was counted for ever). Touched beside the part: Ended in choose.go (one condition).

--- /dev/null
+++ b/internal/coordination/fleet/boots.go
@@ -0,0 +1,187 @@
+package fleet
+
+import (
+	"slices"
+	"time"
+
+	"github.com/filbertlever/filbertlever"
+	"github.com/filbertlever/filbertlever/internal/coordination/catalog"
+)
+
+// Source is what news came by.
+type Source string
+
+// The sources.
+const (
+	SourceRow    Source = "Row"
+	SourceReport Source = "Report"
+)
+
+// Restart is a server that was seen to have started again.
+type Restart struct {
+	Backend string
+	// Source is what showed it.
+	Source        Source
+	Before, After catalog.Boot
+	// Held is what the process before was taken to hold, and Holds what this one is.
+	Held, Holds []catalog.Model
+	// UnderWay is how many requests of this entry the process before had; whether they
+	// have run is not known.
+	UnderWay int
+}
+
+// life is one process of a server.
+type life struct {
+	id   string
+	boot catalog.Boot
+}
+
+// rowOf is what the last row of a server said of its process.
+type rowOf struct {
+	boot     catalog.Boot
+	revision uint64
+}
+
+// endedKept is how long a process that has ended is remembered. Late news of it come
+// within seconds: a row over a region's reader, or the last write of a process that the
+// store performed late.
+const endedKept = time.Minute
+
+// show takes one server as it is listed now.
+func (f *Fleet) show(backend catalog.Backend, now time.Duration) {
+	s, ok := f.servers[backend.ID]
+	if !ok {
+		s = &server{backend: catalog.Backend{ID: backend.ID}}
+		f.servers[backend.ID] = s
+	}
+	s.missingSince = 0
+	if !f.takesRow(s, &backend, now) {
+		return
+	}
+	if old := s.backend.Address; old != backend.Address && f.byAddress[old] == backend.ID {
+		delete(f.byAddress, old)
+	}
+	s.backend = backend
+	f.byAddress[backend.Address] = backend.ID
+}
+
+// takesRow reports whether a row tells of the process that is believed in, or of one
+// that has followed it, which then is believed in.
+//
+// Guard: rows arrive on several ways, and a process's last write may be performed after
+// the report of the next. A row of a process that is gone would bring back what it held:
+// requests go where nothing is held, and the counts of two processes mix.
+func (f *Fleet) takesRow(s *server, row *catalog.Backend, now time.Duration) bool {
+	if row.Revision < s.row.revision {
+		return false
+	}
+	s.row = rowOf{boot: row.Boot, revision: row.Revision}
+	believed := s.backend.Boot
+	switch {
+	case row.Boot == 0:
+		row.Boot = believed
+		return true
+	case row.Boot == believed || believed == 0:
+		return true
+	case row.Boot < believed && (f.speaks(s, now) || f.hasEnded(life{row.ID, row.Boot}, now)):
+		return false
+	}
+	f.restart(s, SourceRow, row.Boot, row.Models, now)
+	return true
+}
+
+// takesReport does the same for a server's own report.
+func (f *Fleet) takesReport(s *server, load *Load, now time.Duration) bool {
+	believed := s.backend.Boot
+	switch {
+	case load.Boot == 0 || load.Boot == believed:
+		return true
+	case believed == 0:
+		s.backend.Boot = load.Boot
+		return true
+	case slices.Contains(load.Before, believed):
+		// The agent has seen this one follow.
+	case load.Boot == s.row.boot && !f.speaks(s, now):
+		// A late datagram was believed, and its process tells nothing more.
+	case load.Boot < believed || f.hasEnded(life{s.backend.ID, load.Boot}, now):
+		return false
+	}
+	for _, boot := range load.Before {
+		f.noteEnded(life{s.backend.ID, boot}, now)
+	}
+	f.restart(s, SourceReport, load.Boot, load.Models, now)
+	return true
+}
+
+// speaks reports whether the process that is believed in has told of itself lately.
+func (f *Fleet) speaks(s *server, now time.Duration) bool {
+	return s.hasReport && now-s.reportedAt < f.config.ReportFresh
+}
+
+// restart drops all that is held of the process before.
+//
+// Guard: a server that starts again under its ID holds and knows nothing of before. Its
+// weights, counts, change due, drain and suspicion were those of another process:
+// callers are sent where nothing is held, or kept from a sound server for ten seconds.
+func (f *Fleet) restart(s *server, source Source, boot catalog.Boot, holds []catalog.Model, now time.Duration) {
+	before := s.backend
+	f.restarts = append(f.restarts, Restart{Backend: before.ID, Source: source, Before: before.Boot, After: boot,
+		Held: f.models(s, now), Holds: holds, UnderWay: s.own})
+	f.noteEnded(life{before.ID, before.Boot}, now)
+	delete(f.ended, life{before.ID, boot})
+	backend := before
+	backend.Boot, backend.Models, backend.Leaving = boot, nil, false
+	*s = server{backend: backend, row: s.row, missingSince: s.missingSince}
+	f.forget(backend)
+	if source == SourceReport {
+		// Rows are followed by the list anyway.
+		f.list(now)
+	}
+}
+
+// forget drops what router and membership hold of a process that is gone.
+func (f *Fleet) forget(b catalog.Backend) {
+	id := filbertlever.HostID(b.ID)
+	if router := f.router(b.Service); router != nil {
+		router.Forget(id)
+	}
+	f.table.Restarted(id)
+}
+
+func (f *Fleet) noteEnded(l life, now time.Duration) {
+	for other, at := range f.ended {
+		if now-at >= endedKept {
+			delete(f.ended, other)
+		}
+	}
+	f.ended[l] = now
+}
+
+func (f *Fleet) hasEnded(l life, now time.Duration) bool {
+	at, ok := f.ended[l]
+	return ok && now-at < endedKept
+}
+
+// Restarts returns the restarts seen since the last call.
+func (f *Fleet) Restarts() []Restart {
+	restarts := f.restarts
+	f.restarts = nil
+	return restarts
+}
+
+// Current reports whether a server is still the process that a request was placed at.
+// What a request tells of one that is gone counts for nobody.
+func (f *Fleet) Current(b catalog.Backend) bool {
+	s, ok := f.servers[b.ID]
+	return ok && s.backend.Boot == b.Boot
+}
+
+// EndedAt notes that a request has ended at the process that it was placed at.
+//
+// Guard: requests to a process that is gone end late, behind a cut seconds after the new
+// one has its own. Taken from the count of the new one, it would look idle while full.
+func (f *Fleet) EndedAt(b catalog.Backend) {
+	if f.Current(b) {
+		f.Ended(b.ID)
+	}
+}
--- a/internal/coordination/fleet/choose.go
+++ b/internal/coordination/fleet/choose.go
@@ -147,8 +147,8 @@
 
 // Ended notes that a request sent to a server has ended there, or was not sent.
 func (f *Fleet) Ended(id string) {
-	if s, ok := f.servers[id]; ok {
-		s.own = max(s.own-1, 0)
+	if s, ok := f.servers[id]; ok && s.own > 0 {
+		s.own--
 		if router := f.router(s.backend.Service); router != nil {
 			router.Ended(filbertlever.HostID(id))
 		}
--- a/internal/coordination/fleet/counts.go
+++ b/internal/coordination/fleet/counts.go
@@ -36,7 +36,7 @@
 // Report takes a server's own report.
 func (f *Fleet) Report(load Load, now time.Duration) {
 	s, ok := f.servers[f.byAddress[load.Address]]
-	if !ok {
+	if !ok || !f.takesReport(s, &load, now) {
 		return
 	}
 	s.hasReport = true
--- a/internal/coordination/fleet/fleet.go
+++ b/internal/coordination/fleet/fleet.go
@@ -76,7 +76,9 @@
 
 // server is what is known of one life of a backend server.
 type server struct {
+	// backend is by the row, but for the boot, which may be known by a report first.
 	backend catalog.Backend
+	row     rowOf
 	// own is how many requests of this entry the server has now, and others how
 	// many each other entry says that it has there.
 	own int
@@ -126,6 +128,9 @@
 	lacking map[string]int
 	// wobbly are servers whose fitness changes with time alone.
 	wobbly map[string]bool
+	// ended are processes that have ended, and restarts those that were told of none yet.
+	ended    map[life]time.Duration
+	restarts []Restart
 	// sweptAt is when all servers were last looked at for silence.
 	sweptAt time.Duration
 	// returned is when the store was last reached again after an absence.
@@ -145,6 +150,7 @@
 		named:     map[string][]uint64{},
 		lacking:   map[string]int{},
 		wobbly:    map[string]bool{},
+		ended:     map[life]time.Duration{},
 		epoch:     time.Unix(0, 0),
 		returned:  -config.LapseGrace,
 	}
@@ -192,7 +198,7 @@
 	listed := map[string]bool{}
 	for _, backend := range present {
 		listed[backend.ID] = true
-		f.show(backend)
+		f.show(backend, now)
 	}
 	f.dropReplaced(present)
 	if whole {
@@ -217,18 +223,6 @@
 	f.refresh(now)
 }
 
-// show takes one server as it is listed now.
-func (f *Fleet) show(backend catalog.Backend) {
-	s, ok := f.servers[backend.ID]
-	if !ok {
-		s = &server{}
-		f.servers[backend.ID] = s
-	}
-	s.backend = backend
-	s.missingSince = 0
-	f.byAddress[backend.Address] = backend.ID
-}
-
 // dropReplaced drops servers whose address has been taken by another one since.
 //
 // Guard: after a loss of power every server is a new one at its old address, and the row
--- a/internal/coordination/fleet/health.go
+++ b/internal/coordination/fleet/health.go
@@ -231,6 +231,7 @@
 		router.SetHost(f.host(s.backend), false)
 		router.SetLoaded(filbertlever.HostID(id), nil)
 	}
+	f.forget(s.backend)
 	delete(f.servers, id)
 	delete(f.wobbly, id)
 	if f.byAddress[s.backend.Address] == id {
--- a/internal/coordination/membership/membership.go
+++ b/internal/coordination/membership/membership.go
@@ -120,6 +120,15 @@
 	}
 }
 
+// Restarted notes that another process runs at the host: what the one before failed at
+// tells nothing of it.
+func (t *Table) Restarted(id filbertlever.HostID) {
+	if m, ok := t.members[id]; ok {
+		m.failures = 0
+		m.suspectUntil = time.Time{}
+	}
+}
+
 // Left notes that an incarnation of the host announced its stop.
 func (t *Table) Left(id filbertlever.HostID, incarnation filbertlever.Incarnation) {
 	m := t.member(id)
--- a/internal/coordination/routing/reports.go
+++ b/internal/coordination/routing/reports.go
@@ -1,6 +1,10 @@
 package routing
 
-import "time"
+import (
+	"time"
+
+	"github.com/filbertlever/filbertlever"
+)
 
 // Bounds of reports between agents and entries.
 const (
@@ -22,3 +26,19 @@
 	to = min(max(to, leastEntries), entries)
 	return to, period * time.Duration(max(to, cheapEntries)) / cheapEntries
 }
+
+// Forget drops what was sent to a host and learnt from its answers, as when another
+// process runs there now.
+func (r *Router) Forget(id filbertlever.HostID) {
+	i, ok := r.index[id]
+	if !ok {
+		return
+	}
+	old := r.hosts[i]
+	r.hosts[i] = host{id: old.id, site: old.site, region: old.region, usable: old.usable, loaded: old.loaded}
+	for slot := range r.prefixes {
+		if r.prefixes[slot].host == i {
+			r.prefixes[slot] = prefixHint{}
+		}
+	}
+}
