Nothing of a request to the process before reaches the one that follows

Cause: kept connections were by the server's ID, so a request went out on one of a process that is gone where a cut hides its end: an order then has no answer and may have run. And what a request to the process before told at its end counted for the new one: it was suspected for failing at what it never had. Change: connections are by ID, boot and address; one of another process is closed. In the gateway EndedAt and Followed keep late ends, failures, refusals, first events from the new process; a request that waits for the head of a process that is gone may be given up as at a silent one. What had begun stays 'may have run' (502), never sent again if an order. Ruled out: treating a server that is only missing from the list so, since it serves on. The tests of 421 at a server that holds nothing and of a stream that goes on elsewhere were green before: they stay as proof. Touched beside the part: attempts.go (try, blame, judge, moved), stream.go (observe).

--- a/internal/coordination/fleet/boots.go
+++ b/internal/coordination/fleet/boots.go
@@ -169,11 +169,12 @@
 	return restarts
 }
 
-// Current reports whether a server is still the process that a request was placed at.
-// What a request tells of one that is gone counts for nobody.
-func (f *Fleet) Current(b catalog.Backend) bool {
+// Followed reports whether another process of the server has followed the one that a
+// request was placed at. What the request tells then counts for neither. A server that
+// is only missing from the list may go on.
+func (f *Fleet) Followed(b catalog.Backend) bool {
 	s, ok := f.servers[b.ID]
-	return ok && s.backend.Boot == b.Boot
+	return ok && s.backend.Boot != b.Boot
 }
 
 // EndedAt notes that a request has ended at the process that it was placed at.
@@ -181,7 +182,7 @@
 // Guard: requests to a process that is gone end late, behind a cut seconds after the new
 // one has its own. Taken from the count of the new one, it would look idle while full.
 func (f *Fleet) EndedAt(b catalog.Backend) {
-	if f.Current(b) {
+	if !f.Followed(b) {
 		f.Ended(b.ID)
 	}
 }
--- a/internal/coordination/fleet/boots_rapid_test.go
+++ b/internal/coordination/fleet/boots_rapid_test.go
@@ -86,7 +86,7 @@
 	}
 	here := 0
 	for _, backend := range w.sent {
-		if w.fleet.Current(backend) {
+		if !w.fleet.Followed(backend) {
 			here++
 		}
 	}
--- a/internal/coordination/fleet/boots_test.go
+++ b/internal/coordination/fleet/boots_test.go
@@ -108,8 +108,8 @@
 	f := newBooted(modelService, 1)
 	switching := told(1000, 1)
 	switching.Switching, switching.LeavesIn, switching.LoadedIn = true, time.Second, 2*time.Second
-	f.Report(switching, time.Second)
 	placed := f.Choose(wanted, time.Second)
+	f.Report(switching, time.Second)
 	for range 5 {
 		f.Failed("m1", time.Second)
 		f.Observe("m1", 0, 2*time.Second, time.Second)
@@ -119,8 +119,8 @@
 	c.Assert(placement.Found, qt.IsTrue)
 	c.Assert(placement.Cut, qt.IsFalse)
 	c.Assert(placement.Predicted < 200*time.Millisecond, qt.IsTrue, qt.Commentf("%v", placement.Predicted))
-	c.Assert(f.Current(placed.Backend), qt.IsFalse)
-	c.Assert(f.Current(placement.Backend), qt.IsTrue)
+	c.Assert(f.Followed(placed.Backend), qt.IsTrue)
+	c.Assert(f.Followed(placement.Backend), qt.IsFalse)
 }
 
 // A server gets fewer requests than it can take, or more. Requests that were under way
--- a/internal/transport/channel/channel.go
+++ b/internal/transport/channel/channel.go
@@ -79,6 +79,14 @@
 // errStray is returned when a connection delivers answers to other requests.
 var errStray = errors.New("answer to another request")
 
+// Server is one process that requests are sent to.
+type Server struct {
+	// ID names the server, which may start again under it, and Boot its process.
+	ID      string
+	Boot    int64
+	Address string
+}
+
 // Pool keeps connections by server. It is safe for concurrent use.
 type Pool struct {
 	dialer net.Dialer
@@ -101,7 +109,7 @@
 type conn struct {
 	net.Conn
 	reader *bufio.Reader
-	key    string
+	server Server
 	// until is when the connection must not be used any more.
 	until time.Time
 	used  bool
@@ -119,16 +127,15 @@
 	stray bool
 }
 
-// Do sends a request to the server with the given key at an address and reads
-// the head of its answer. ours tells whether an answer belongs to the request.
+// Do sends a request to a server and reads the head of its answer. ours tells whether an answer belongs to the request.
 //
 // Guard: a server may send a second answer late, where the next one is
 // expected; it would be taken for the answer to this request. Answers that are
 // not ours are skipped, and the connection is not kept.
-func (p *Pool) Do(ctx context.Context, key, address string, request *Request, ours func(*http.Response) bool) (*Answer, error) {
-	c, err := p.get(ctx, key, address)
+func (p *Pool) Do(ctx context.Context, server Server, request *Request, ours func(*http.Response) bool) (*Answer, error) {
+	c, err := p.get(ctx, server)
 	if err != nil {
-		return nil, &SendError{Address: address, Err: err}
+		return nil, &SendError{Address: server.Address, Err: err}
 	}
 	stop := context.AfterFunc(ctx, c.abort)
 	fail := func(err error) (*Answer, error) {
@@ -137,7 +144,7 @@
 		if cause := ctx.Err(); cause != nil {
 			err = cause
 		}
-		return nil, &SendError{Address: address, Sent: true, Err: err}
+		return nil, &SendError{Address: server.Address, Sent: true, Err: err}
 	}
 	if err := c.write(request); err != nil {
 		return fail(fmt.Errorf("write: %w", err))
@@ -253,26 +260,30 @@
 }
 
 // get returns a kept connection that is still sound, or a new one.
-func (p *Pool) get(ctx context.Context, key, address string) (*conn, error) {
+//
+// Guard: a server may start again under its ID, and a cut may keep the end of its
+// connections from being seen. An order written to one of them has no answer, may have
+// run as far as anybody can tell, and is not sent again.
+func (p *Pool) get(ctx context.Context, server Server) (*conn, error) {
 	now := time.Now()
 	for {
-		c := p.take(key)
+		c := p.take(server.ID)
 		if c == nil {
 			break
 		}
-		if now.Before(c.until) && c.quiet() {
+		if c.server == server && now.Before(c.until) && c.quiet() {
 			return c, nil
 		}
 		_ = c.Close()
 	}
-	raw, err := p.dialer.DialContext(ctx, "tcp", address)
+	raw, err := p.dialer.DialContext(ctx, "tcp", server.Address)
 	if err != nil {
 		return nil, err
 	}
 	p.mu.Lock()
 	p.opened++
 	p.mu.Unlock()
-	return &conn{Conn: raw, reader: bufio.NewReaderSize(raw, readBuffer), key: key}, nil
+	return &conn{Conn: raw, reader: bufio.NewReaderSize(raw, readBuffer), server: server}, nil
 }
 
 // quiet reports whether nothing has arrived on an idle connection.
@@ -313,7 +324,7 @@
 func (p *Pool) put(c *conn) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.idle[c.key] = append(p.idle[c.key], c)
+	p.idle[c.server.ID] = append(p.idle[c.server.ID], c)
 }
 
 // Opened returns how many connections were opened.
--- a/internal/transport/channel/channel_test.go
+++ b/internal/transport/channel/channel_test.go
@@ -86,7 +86,7 @@
 func do(pool *Pool, s *script, id string, request *Request) (string, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
 	defer cancel()
-	answer, err := pool.Do(ctx, "server", s.address(), request, func(r *http.Response) bool { return r.Header.Get("Id") == id })
+	answer, err := pool.Do(ctx, Server{ID: "server", Boot: 1, Address: s.address()}, request, func(r *http.Response) bool { return r.Header.Get("Id") == id })
 	if err != nil {
 		return "", err
 	}
@@ -242,7 +242,7 @@
 	defer closePool()
 	ctx, cancel := context.WithCancel(context.Background())
 	time.AfterFunc(50*time.Millisecond, cancel)
-	_, err := pool.Do(ctx, "server", s.address(), &Request{Method: http.MethodGet, Target: "/x", Host: "h", Header: http.Header{}}, nil)
+	_, err := pool.Do(ctx, Server{ID: "server", Boot: 1, Address: s.address()}, &Request{Method: http.MethodGet, Target: "/x", Host: "h", Header: http.Header{}}, nil)
 	c.Assert(errors.Is(err, context.Canceled), qt.IsTrue)
 	c.Assert(errors.Is(<-ended, syscall.ECONNRESET), qt.IsTrue)
 }
--- a/internal/transport/gateway/attempts.go
+++ b/internal/transport/gateway/attempts.go
@@ -172,12 +172,12 @@
 	id := placement.Backend.ID
 	defer func() {
 		g.mu.Lock()
-		g.fleet.Ended(id)
+		g.fleet.EndedAt(placement.Backend)
 		g.mu.Unlock()
 	}()
 	ctx, cancel := context.WithCancel(a.ctx)
 	defer cancel()
-	watch := a.watchHead(id, cancel)
+	watch := a.watchHead(placement.Backend, cancel)
 	defer a.watchBegin(cancel)()
 	reply, err := g.sender.Send(ctx, a.dispatch(placement))
 	watch.end()
@@ -252,13 +252,18 @@
 }
 
 // blame logs an attempt that its server spoilt, and keeps others from it.
+//
+// Guard: a request that was under way as its server started again breaks off when the
+// new process is known already. That one would get no request, for what it never had.
 func (a *attempts) blame(id string, end forward.End, err error) {
 	g := a.gateway
 	g.log.Warn("attempt failed", zap.String("Request", a.call.ID), zap.String("Backend", id),
 		zap.Stringer("End", end), zap.Error(err))
 	g.mu.Lock()
-	g.fleet.Failed(id, boottime.Now())
-	g.mu.Unlock()
+	defer g.mu.Unlock()
+	if !g.fleet.Followed(a.last.Backend) {
+		g.fleet.Failed(id, boottime.Now())
+	}
 }
 
 // judge sorts the head of an answer; 0 means that it can be sent on.
@@ -277,10 +282,11 @@
 	}
 	g := a.gateway
 	g.mu.Lock()
-	now := boottime.Now()
-	g.fleet.Answered(id, now)
-	g.fleet.Progress(id, now)
-	g.mu.Unlock()
+	defer g.mu.Unlock()
+	if now := boottime.Now(); !g.fleet.Followed(a.last.Backend) {
+		g.fleet.Answered(id, now)
+		g.fleet.Progress(id, now)
+	}
 	return 0
 }
 
@@ -290,6 +296,9 @@
 	g.log.Info("server moved", zap.String("Request", a.call.ID), zap.String("Backend", id), zap.String("Found", reply.Life))
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	if g.fleet.Followed(a.last.Backend) {
+		return
+	}
 	if reply.Life != "" {
 		g.fleet.Replaced(id, boottime.Now())
 		return
--- a/internal/transport/gateway/headwatch.go
+++ b/internal/transport/gateway/headwatch.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"github.com/filbertlever/filbertlever/internal/coordination/catalog"
 	"github.com/filbertlever/filbertlever/internal/coordination/fleet"
 	"github.com/filbertlever/filbertlever/internal/transport/boottime"
 )
@@ -26,7 +27,7 @@
 type headWatch struct {
 	gateway *Gateway
 	goal    time.Duration
-	backend string
+	backend catalog.Backend
 	// wanted is what another server would have to take.
 	wanted fleet.Request
 	cancel func()
@@ -35,7 +36,7 @@
 
 // watchHead ends the attempt if its server does not begin to answer in time,
 // for requests that another server may still run.
-func (a *attempts) watchHead(backend string, cancel func()) *headWatch {
+func (a *attempts) watchHead(backend catalog.Backend, cancel func()) *headWatch {
 	if !a.Class.Repeatable || a.Sent()+1 >= a.Class.Servers || a.route.Goal <= 0 {
 		return nil
 	}
@@ -70,13 +71,16 @@
 
 // late reports whether the attempt is better made elsewhere.
 //
+// A server whose process is gone sends nothing any more, though a cut may hide its end.
+//
 // Guard: a request that is given up where no other server has a place is lost,
 // though its own may only be slow; it waits on.
 func (w *headWatch) late(waited time.Duration) bool {
 	g, now := w.gateway, boottime.Now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if waited < max(headGoals*w.goal, headLeast) && !g.fleet.Stalled(w.backend, now) {
+	silent := g.fleet.Followed(w.backend) || g.fleet.Stalled(w.backend.ID, now)
+	if waited < max(headGoals*w.goal, headLeast) && !silent {
 		return false
 	}
 	return g.fleet.Elsewhere(w.wanted, g.gate.Waiting, now)
--- a/internal/transport/gateway/stream.go
+++ b/internal/transport/gateway/stream.go
@@ -76,6 +76,9 @@
 	now := boottime.Now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	if g.fleet.Followed(a.last.Backend) {
+		return
+	}
 	g.fleet.Progress(id, now)
 	if first {
 		g.fleet.Observe(id, a.last.Predicted, now-a.placedAt, now)
