An agent plans anew for a server that started again

Cause: an agent took a server that started again for the process before: it waited for that one's turn, fetched one piece at a time beside answers that had ended, told entries of a change that nobody makes, and took an answer of the process before that came late. Change: a report with another boot drops what was planned, gives up the load under way and a fetch made beside a server at work, and is told to all entries at once with the boots that ended before it. Pieces and manifests in memory stay; what lies beside the server is read back before the order, as before. That a server may hold weights before it answers counts until its first answer only, as before.

--- a/internal/transport/sidecar/load.go
+++ b/internal/transport/sidecar/load.go
@@ -18,6 +18,8 @@
 	weights  *weights
 	named    catalog.NamedVersion
 	manifest *relay.Manifest
+	// boot is the process that is to load it; 0 if that is not known.
+	boot catalog.Boot
 	// idle is true if the server gets no requests for the model, so that nothing
 	// has to be kept from it.
 	idle bool
@@ -40,6 +42,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	l.weights.loading, l.weights.leavesAt, s.switching = false, 0, false
+	l.weights.giveUp(nil)
 	s.prune(l.named.Model, l.weights)
 }
 
@@ -53,6 +56,9 @@
 	}
 	if !l.idle {
 		sleep(ctx, l.begin-l.quiet-boottime.Now())
+		if err := context.Cause(ctx); err != nil {
+			return err
+		}
 		s.setSwitching(true)
 		sleep(ctx, l.quiet-checkTime)
 		// Guard: pieces may turn bad while the server is kept free of requests; an
@@ -62,6 +68,9 @@
 		}
 		sleep(ctx, l.begin-boottime.Now())
 	}
+	if err := context.Cause(ctx); err != nil {
+		return err
+	}
 	if err := s.engine.Load(ctx, l.named.Model, l.named.Version); err != nil {
 		return err
 	}
@@ -114,13 +123,19 @@
 	s := l.agent
 	for end := boottime.Now() + loadMost; boottime.Now() < end; {
 		sleep(ctx, awaitPause)
+		asked := boottime.Now()
 		report, err := s.engine.Report(ctx)
 		if err != nil {
 			return err
 		}
+		if l.boot != 0 && report.Boot != l.boot {
+			s.takeReport(report, asked)
+			return errRestarted
+		}
 		if held(report.Models, l.named.Model) >= l.named.Version {
+			s.takeReport(report, asked)
 			s.mu.Lock()
-			s.report, s.hasReport, s.switching = report, true, false
+			s.switching = false
 			s.mu.Unlock()
 			s.tell(true)
 			s.log.Info("version served", zap.String("Model", l.named.Model), zap.Uint64("Version", l.named.Version))
--- a/internal/transport/sidecar/load_test.go
+++ b/internal/transport/sidecar/load_test.go
@@ -71,9 +71,15 @@
 	// loading runs before a load takes what is staged, which then is loaded.
 	loading func()
 	loaded  map[int][]byte
+	// report is what the server tells of itself.
+	report Report
 }
 
-func (e *engine) Report(context.Context) (Report, error) { return Report{}, nil }
+func (e *engine) Report(context.Context) (Report, error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.report, nil
+}
 
 func (e *engine) Load(context.Context, string, uint64) error {
 	if e.loading != nil {
--- a/internal/transport/sidecar/sidecar.go
+++ b/internal/transport/sidecar/sidecar.go
@@ -113,6 +113,12 @@
 	switching bool
 	report    Report
 	hasReport bool
+	// reportAsked is when report was asked for.
+	reportAsked time.Duration
+	// boot is the server's process, 0 if it does not tell, and before are those that
+	// were seen to end, the latest last.
+	boot   catalog.Boot
+	before []catalog.Boot
 	// reportedOnce is true once the server has answered.
 	reportedOnce bool
 	models       map[string]*weights
@@ -172,6 +178,7 @@
 	defer ticker.Stop()
 	lost := false
 	for turn := 0; ; turn++ {
+		asked := boottime.Now()
 		report, err := s.engine.Report(ctx)
 		if err != nil && !lost && ctx.Err() == nil {
 			s.log.Warn("model server lost", zap.Error(err))
@@ -180,9 +187,13 @@
 			s.log.Info("model server regained", zap.Int("Models", len(report.Models)))
 		}
 		lost = err != nil
+		if err == nil {
+			s.takeReport(report, asked)
+		}
 		s.mu.Lock()
-		s.report, s.hasReport = report, err == nil
-		s.reportedOnce = s.reportedOnce || err == nil
+		if err != nil {
+			s.report, s.hasReport = Report{}, false
+		}
 		all := s.news || turn%farTurns == 0
 		s.news = false
 		s.mu.Unlock()
@@ -205,7 +216,7 @@
 		return
 	}
 	load := fleet.Load{
-		Address: s.config.Address, Boot: s.report.Boot, Sequence: uint64(time.Now().UnixNano()),
+		Address: s.config.Address, Boot: s.report.Boot, Before: s.before, Sequence: uint64(time.Now().UnixNano()),
 		Running: s.report.Running, Queued: s.report.Queued, Switching: s.switching, Models: s.report.Models,
 	}
 	now := boottime.Now()
--- a/internal/transport/sidecar/weights.go
+++ b/internal/transport/sidecar/weights.go
@@ -40,9 +40,13 @@
 	wholeAt  map[uint64]time.Duration
 	fetching bool
 	loading  bool
-	// fetched is the version being fetched, and abandon gives it up.
+	// fetched is the version being fetched, and abandon gives it up. It is beside a
+	// server at work if the server had requests for the model.
 	fetched uint64
+	beside  bool
 	abandon context.CancelCauseFunc
+	// giveUp gives up the load under way.
+	giveUp context.CancelCauseFunc
 	// staging is held by whoever lays pieces beside the server: there is one place
 	// for all versions.
 	staging sync.Mutex
@@ -59,7 +63,7 @@
 }
 
 func newWeights() *weights {
-	return &weights{whole: map[uint64]*relay.Manifest{}, known: map[uint64]*relay.Manifest{}, wholeAt: map[uint64]time.Duration{}, abandon: func(error) {}}
+	return &weights{whole: map[uint64]*relay.Manifest{}, known: map[uint64]*relay.Manifest{}, wholeAt: map[uint64]time.Duration{}, abandon: func(error) {}, giveUp: func(error) {}}
 }
 
 // servedIn predicts when the server will hold what it is being brought; 0 if
@@ -149,7 +153,7 @@
 	if !ok || m.fetching {
 		return
 	}
-	m.fetching, m.fetched = true, version
+	m.fetching, m.fetched, m.beside = true, version, !p.idle
 	f := &fetching{agent: s, weights: m, named: catalog.NamedVersion{Model: p.model, Version: version}, lanes: lanesServing, idle: p.idle}
 	if p.idle {
 		f.lanes = lanesIdle
@@ -170,8 +174,9 @@
 		return
 	}
 	m.loading = true
+	ctx, m.giveUp = context.WithCancelCause(ctx)
 	m.servedAt = max(p.now+stageTime, begin) + loadTime
-	l := &load{agent: s, weights: m, named: catalog.NamedVersion{Model: p.model, Version: version}, idle: p.idle, begin: begin, quiet: p.Quiet, manifest: m.whole[version]}
+	l := &load{agent: s, weights: m, named: catalog.NamedVersion{Model: p.model, Version: version}, idle: p.idle, begin: begin, quiet: p.Quiet, manifest: m.whole[version], boot: s.boot}
 	go l.run(ctx)
 }
 
