Entries tell of which process they count, and log each restart

Cause: what entries tell each other of a server (requests, silence) is by its ID. An entry that has not heard of a restart tells of requests at the process before, which counted at the new one for as long as they last. Ruled out: the boot of every server in every count (twice the bytes of what entries tell each other most); it is named for 10 s after a restart, and a count without it is left out for 5 s, in which all have heard. Change: Counts.Boots; a line 'backend server started again' with what was believed before and after, the source, and the requests of this entry under way.

--- a/internal/coordination/fleet/boots.go
+++ b/internal/coordination/fleet/boots.go
@@ -131,7 +131,7 @@
 	delete(f.ended, life{before.ID, boot})
 	backend := before
 	backend.Boot, backend.Models, backend.Leaving = boot, nil, false
-	*s = server{backend: backend, row: s.row, missingSince: s.missingSince}
+	*s = server{backend: backend, row: s.row, missingSince: s.missingSince, bootedAt: max(now, 1)}
 	f.forget(backend)
 	if source == SourceReport {
 		// Rows are followed by the list anyway.
@@ -177,6 +177,42 @@
 	return ok && s.backend.Boot != b.Boot
 }
 
+// bootHeard is how long after a restart was heard of here all entries have heard of it:
+// by the agent's report, which goes to all at once, or by the row, within 2 s and a
+// heartbeat.
+const bootHeard = 5 * time.Second
+
+// Told reports whether another entry's word on a server is of the process believed in.
+// The boot that it names is 0 if it knows of no restart.
+//
+// Guard: entries hear of a restart up to seconds apart, and what they tell each other is
+// by the server's ID. Requests at the process before were counted at the new one, which
+// looked full, or silent, and got none.
+func (f *Fleet) Told(id string, boot catalog.Boot, now time.Duration) bool {
+	s, ok := f.servers[id]
+	if !ok || s.bootedAt == 0 {
+		return true
+	}
+	return boot == s.backend.Boot || boot == 0 && now-s.bootedAt >= bootHeard
+}
+
+// Boots returns which process this entry's word on servers is of, for those that started
+// again lately.
+func (f *Fleet) Boots(ids []string, now time.Duration) map[string]catalog.Boot {
+	var boots map[string]catalog.Boot
+	for _, id := range ids {
+		s, ok := f.servers[id]
+		if !ok || s.bootedAt == 0 || now-s.bootedAt >= 2*bootHeard {
+			continue
+		}
+		if boots == nil {
+			boots = map[string]catalog.Boot{}
+		}
+		boots[id] = s.backend.Boot
+	}
+	return boots
+}
+
 // EndedAt notes that a request has ended at the process that it was placed at.
 //
 // Guard: requests to a process that is gone end late, behind a cut seconds after the new
--- a/internal/coordination/fleet/boots_test.go
+++ b/internal/coordination/fleet/boots_test.go
@@ -252,3 +252,24 @@
 	f.Apply([]catalog.Backend{booted("m1", modelService, 3000, 4, 2)}, nil, true, 2*time.Second)
 	c.Assert(f.Restarts(), qt.HasLen, 0)
 }
+
+// A server is taken to be full, or silent, for as long as other entries have not heard
+// that it started again: what they have at the process before is told by its ID.
+func TestWordOfTheProcessBeforeIsLeftOut(t *testing.T) {
+	c := qt.New(t)
+	f := newBooted(plainService, 0)
+	now := time.Second
+	c.Assert(f.Told("m1", 0, now), qt.IsTrue)
+	c.Assert(f.Boots([]string{"m1"}, now), qt.HasLen, 0, qt.Commentf("bytes for nothing"))
+	f.Apply([]catalog.Backend{booted("m1", plainService, 2000, 2, 0)}, nil, false, now)
+	c.Assert(f.Told("m1", 0, now), qt.IsFalse)
+	c.Assert(f.Told("m1", 1000, now), qt.IsFalse)
+	c.Assert(f.Told("m1", 2000, now), qt.IsTrue)
+	c.Assert(f.Told("m2", 0, now), qt.IsTrue)
+	c.Assert(f.Boots([]string{"m1", "m2"}, now), qt.DeepEquals, map[string]catalog.Boot{"m1": 2000})
+	// All have heard by then, and one that started since has no boot to name.
+	c.Assert(f.Told("m1", 0, now+bootHeard), qt.IsTrue)
+	c.Assert(f.Told("m1", 1000, now+bootHeard), qt.IsFalse)
+	c.Assert(f.Boots([]string{"m1"}, now+bootHeard), qt.HasLen, 1)
+	c.Assert(f.Boots([]string{"m1"}, now+2*bootHeard), qt.HasLen, 0)
+}
--- a/internal/coordination/fleet/fleet.go
+++ b/internal/coordination/fleet/fleet.go
@@ -107,6 +107,8 @@
 	// silentUntil is until when entries of the server's own region say that it is
 	// silent; this entry, of another region, cannot see it.
 	silentUntil time.Duration
+	// bootedAt is when this process was first heard of, if it followed another; else 0.
+	bootedAt time.Duration
 	// missingSince is when the list first lacked the server; 0 if it is listed.
 	missingSince time.Duration
 }
--- a/internal/transport/gateway/datagrams.go
+++ b/internal/transport/gateway/datagrams.go
@@ -46,6 +46,9 @@
 	Requests map[string]int
 	// Silent are servers of the entry's region that have fallen silent.
 	Silent []string `json:",omitempty"`
+	// Boots are the processes that the counts are of, for servers that started again
+	// lately.
+	Boots map[string]catalog.Boot `json:",omitempty"`
 }
 
 // NamedAge is a named version and how long ago it was named.
@@ -125,6 +128,7 @@
 	if d.Load != nil {
 		d.Load.Load.Agent = from.String()
 		g.fleet.Report(d.Load.Load, now)
+		g.logRestarts()
 		if d.Load.View != g.revision {
 			g.send(Datagram{Changed: g.revision}, from)
 		}
@@ -134,6 +138,9 @@
 // takeCounts takes another entry's requests; the caller holds the lock.
 func (g *Gateway) takeCounts(counts *Counts, now time.Duration) {
 	if g.peers.newer(counts.From, counts.Sequence) {
+		told := func(id string) bool { return g.fleet.Told(id, counts.Boots[id], now) }
+		maps.DeleteFunc(counts.Requests, func(id string, _ int) bool { return !told(id) })
+		counts.Silent = slices.DeleteFunc(counts.Silent, func(id string) bool { return !told(id) })
 		g.fleet.SetCounts(counts.From, counts.Requests, now)
 		g.fleet.SetSilent(counts.Silent, now)
 	}
@@ -191,7 +198,9 @@
 }
 
 func (g *Gateway) counts(now time.Duration) Counts {
-	return Counts{From: g.config.Self.Host, Sequence: int64(now), Requests: g.fleet.Counts(), Silent: g.fleet.Silent(now)}
+	counts := Counts{From: g.config.Self.Host, Sequence: int64(now), Requests: g.fleet.Counts(), Silent: g.fleet.Silent(now)}
+	counts.Boots = g.fleet.Boots(slices.Concat(slices.Collect(maps.Keys(counts.Requests)), counts.Silent), now)
+	return counts
 }
 
 // How often an entry tells the others what it has at each server, if that has
@@ -238,7 +247,7 @@
 // same reports whether counts tell nothing new. What they say of silent servers
 // holds for a moment only and is always told.
 func same(a, b *Counts) bool {
-	return len(b.Silent) == 0 && len(a.Silent) == 0 && maps.Equal(a.Requests, b.Requests)
+	return len(b.Silent) == 0 && len(a.Silent) == 0 && maps.Equal(a.Requests, b.Requests) && maps.Equal(a.Boots, b.Boots)
 }
 
 // sendCounts sends counts to the entries of the region, or to those elsewhere.
--- a/internal/transport/gateway/watch.go
+++ b/internal/transport/gateway/watch.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"strconv"
 	"time"
 
 	"go.uber.org/zap"
@@ -196,8 +197,7 @@
 		}
 		last = now
 		if whole || len(rows.Raw) > 0 {
-			g.fleet.Apply(backends.Present, backends.Gone, whole, now)
-			g.logBackends(backends)
+			g.takeBackends(backends, whole, now)
 			go g.runLearn(backends.Present)
 		}
 		return nil
@@ -206,6 +206,13 @@
 	w.run(ctx)
 }
 
+// takeBackends takes rows of backend servers; the caller holds the lock.
+func (g *Gateway) takeBackends(backends Backends, whole bool, now time.Duration) {
+	g.fleet.Apply(backends.Present, backends.Gone, whole, now)
+	g.logBackends(backends)
+	g.logRestarts()
+}
+
 // runLearn has the manifests of what servers hold, which are small, drawn before they
 // are needed.
 func (g *Gateway) runLearn(present []catalog.Backend) {
@@ -230,6 +237,24 @@
 	}
 }
 
+// logRestarts writes what was believed of servers that started again, and what is now;
+// the caller holds the lock.
+func (g *Gateway) logRestarts() {
+	for _, r := range g.fleet.Restarts() {
+		g.log.Info("backend server started again", zap.String("Backend", r.Backend), zap.String("Source", string(r.Source)),
+			zap.Int64("Before", int64(r.Before)), zap.Int64("After", int64(r.After)),
+			zap.Strings("Held", modelNames(r.Held)), zap.Strings("Holds", modelNames(r.Holds)), zap.Int("UnderWay", r.UnderWay))
+	}
+}
+
+func modelNames(models []catalog.Model) []string {
+	names := make([]string, 0, len(models))
+	for _, m := range models {
+		names = append(names, m.Name+"@"+strconv.FormatUint(m.Version, 10))
+	}
+	return names
+}
+
 func (g *Gateway) runEntries(ctx context.Context) {
 	go g.runRegister(ctx)
 	apply := func(rows Rows, after uint64, whole, _ bool) error {
