--- a/internal/coordination/fleet/boots.go
+++ b/internal/coordination/fleet/boots.go
@@ -170,11 +170,11 @@
 }
 
 // Followed reports whether another process of the server has followed the one that a
-// request was placed at. What the request tells then counts for neither. A server that
+// request was placed at; false if that one's boot is not known. What the request tells then counts for neither. A server that
 // is only missing from the list may go on.
 func (f *Fleet) Followed(b catalog.Backend) bool {
 	s, ok := f.servers[b.ID]
-	return ok && s.backend.Boot != b.Boot
+	return ok && b.Boot != 0 && s.backend.Boot != b.Boot
 }
 
 // bootHeard is how long after a restart was heard of here all entries have heard of it:
--- a/internal/coordination/fleet/boots_test.go
+++ b/internal/coordination/fleet/boots_test.go
@@ -145,6 +145,22 @@
 	c.Assert(f.Choose(request, 1300*time.Millisecond).Ahead, qt.Equals, 1-16)
 }
 
+// The boot of a server is not known at first, as from an agent of the version before.
+// Requests that were placed then end at the process that tells its boot later.
+func TestRequestsOfAnUnknownBootEnd(t *testing.T) {
+	c := qt.New(t)
+	f := newFleet()
+	f.SetState(state(), 0)
+	f.Apply([]catalog.Backend{booted("m1", modelService, 0, 1, 1)}, nil, true, 0)
+	placed := f.Choose(wanted, time.Second)
+	f.Report(told(1000, 1), time.Second)
+	f.EndedAt(placed.Backend)
+	c.Assert(f.Counts(), qt.HasLen, 0)
+	c.Assert(f.Restarts(), qt.HasLen, 0)
+	f.Report(told(0, 1), time.Second)
+	c.Assert(f.Choose(wanted, time.Second).Backend.Boot, qt.Equals, catalog.Boot(1000))
+}
+
 // The same where the row went away between the two starts.
 func TestAServerThatComesBackIsCountedAnew(t *testing.T) {
 	c := qt.New(t)
