--- a/internal/coordination/fleet/boots_test.go
+++ b/internal/coordination/fleet/boots_test.go
@@ -106,6 +106,8 @@
 func TestANewProcessIsNotUnderSuspicion(t *testing.T) {
 	c := qt.New(t)
 	f := newBooted(modelService, 1)
+	f.Apply([]catalog.Backend{listed("m2", modelService, "10.0.0.2:1", 1)}, nil, false, 0)
+	f.SetCounts("entry-2", map[string]int{"m2": 15}, 0)
 	switching := told(1000, 1)
 	switching.Switching, switching.LeavesIn, switching.LoadedIn = true, time.Second, 2*time.Second
 	placed := f.Choose(wanted, time.Second)
@@ -116,7 +118,7 @@
 	}
 	f.Report(told(2000, 1), 1200*time.Millisecond)
 	placement := f.Choose(wanted, 1200*time.Millisecond)
-	c.Assert(placement.Found, qt.IsTrue)
+	c.Assert(placement.Backend.ID, qt.Equals, "m1")
 	c.Assert(placement.Cut, qt.IsFalse)
 	c.Assert(placement.Predicted < 200*time.Millisecond, qt.IsTrue, qt.Commentf("%v", placement.Predicted))
 	c.Assert(f.Followed(placed.Backend), qt.IsTrue)
@@ -313,7 +315,9 @@
 func TestARestartWhileTheStoreIsAway(t *testing.T) {
 	for name, back := range map[string]func(f *Fleet, now time.Duration){
 		"its row has lapsed": func(f *Fleet, now time.Duration) { f.Apply(nil, nil, true, now) },
-		"its row is old":     func(f *Fleet, now time.Duration) { f.Apply([]catalog.Backend{booted("m1", modelService, 1000, 1, 1)}, nil, true, now) },
+		"its row is old": func(f *Fleet, now time.Duration) {
+			f.Apply([]catalog.Backend{booted("m1", modelService, 1000, 1, 1)}, nil, true, now)
+		},
 	} {
 		t.Run(name, func(t *testing.T) {
 			c := qt.New(t)
--- a/internal/coordination/routing/routing_test.go
+++ b/internal/coordination/routing/routing_test.go
@@ -244,3 +244,33 @@
 	choice = r.Choose(&routing.Request{Target: "m", PromptTokens: 900, Now: now + time.Second, Avoid: []filbertlever.HostID{"free"}})
 	c.Assert(choice.Reading, qt.Equals, time.Duration(0))
 }
+
+// A prompt is sent where it was read last, to a process that has read nothing: the one
+// before is gone, with its caches, its counts and its lateness.
+func TestAHostWhoseProcessIsGoneIsForgotten(t *testing.T) {
+	c := qt.New(t)
+	r := newRouter(1, 4)
+	request := &routing.Request{Target: drafter, Prefix: 7, PromptTokens: 1000, Now: time.Second}
+	owners := r.Choose(request).Candidates
+	request.Avoid = []filbertlever.HostID{owners[0].Host, owners[1].Host}
+	first := r.Choose(request)
+	r.SetLeaves(first.Host, time.Minute)
+	r.Observe(first.Host, 0, time.Second, time.Second)
+	other := owners[0].Host
+	for i := range 4 {
+		if id(i) != first.Host {
+			request.Avoid = append(request.Avoid, id(i))
+			other = id(i)
+		}
+	}
+	r.Forget(other)
+	c.Assert(r.Choose(request).Predicted > first.Predicted, qt.IsTrue)
+	r.Forget(first.Host)
+	request.Lasts = time.Hour
+	again := r.Choose(request)
+	c.Assert(again.Host, qt.Equals, first.Host, qt.Commentf("what it serves is told beside"))
+	c.Assert(again.Predicted, qt.Equals, first.Predicted)
+	c.Assert(again.Cut, qt.IsFalse)
+	c.Assert(again.Reading, qt.Equals, time.Duration(0))
+	c.Assert(again.Reason, qt.Equals, routing.ReasonLeast)
+}
--- a/internal/transport/gateway/boots_test.go
+++ b/internal/transport/gateway/boots_test.go
@@ -11,8 +11,10 @@
 	"go.uber.org/zap"
 	"go.uber.org/zap/zaptest/observer"
 
+	"github.com/filbertlever/filbertlever"
 	"github.com/filbertlever/filbertlever/internal/coordination/catalog"
 	"github.com/filbertlever/filbertlever/internal/coordination/fleet"
+	"github.com/filbertlever/filbertlever/internal/coordination/forward"
 	"github.com/filbertlever/filbertlever/internal/transport/boottime"
 )
 
@@ -42,6 +44,7 @@
 	g, logs := newBooted(t)
 	c.Assert(g.fleet.Choose(fleet.Request{Service: "orders"}, boottime.Now()).Found, qt.IsTrue)
 	g.takeBackends(Backends{Present: []catalog.Backend{row(2000, 2)}}, false, boottime.Now())
+	c.Assert(logs.FilterMessage("backend server started again").Len(), qt.Equals, 1)
 	g.take(&Datagram{Load: &LoadReport{Load: fleet.Load{Address: "10.0.0.1:1", Boot: 3000}}}, g.socket.LocalAddr())
 	lines := logs.FilterMessage("backend server started again").All()
 	c.Assert(lines, qt.HasLen, 2)
@@ -76,3 +79,63 @@
 	g.takeCounts(&Counts{From: "e3", Sequence: 1, Requests: map[string]int{"i-1": 3}, Boots: told.Boots}, now+time.Millisecond)
 	c.Assert(ahead(), qt.Equals, 5-4)
 }
+
+// An order has no server to go to. A request that was placed at a process that is gone
+// is told, late, that another server answers at its address, or that it holds nothing;
+// that is no news of the process that followed at another address.
+func TestLateWordOfTheProcessBeforeChangesNothing(t *testing.T) {
+	c := qt.New(t)
+	g, _ := newBooted(t)
+	now := boottime.Now()
+	a := &attempts{exchange: &exchange{gateway: g, call: &Call{ID: "o1"}}}
+	a.last = g.fleet.Choose(fleet.Request{Service: "orders"}, now)
+	moved := row(2000, 2)
+	moved.Address = "10.0.0.2:1"
+	g.takeBackends(Backends{Present: []catalog.Backend{moved}}, false, now)
+	a.moved("i-1", &Reply{Life: "i-9"})
+	c.Assert(g.fleet.Known("i-1"), qt.IsTrue)
+	a.last = g.fleet.Choose(fleet.Request{Service: "orders"}, now)
+	a.moved("i-1", &Reply{Life: "i-9"})
+	c.Assert(g.fleet.Known("i-1"), qt.IsFalse)
+}
+
+// A server stands still, and its late answers come from the connections of the process
+// before, which a stalled link still delivers. It would not be seen to be silent.
+func TestLateAnswersOfTheProcessBeforeAreNoProgress(t *testing.T) {
+	c := qt.New(t)
+	g, _ := newBooted(t)
+	a := &attempts{exchange: &exchange{gateway: g, call: &Call{ID: "o1"}}}
+	for range 2 {
+		// Sent to an idle server, the first request begins its silence.
+		a.last = g.fleet.Choose(fleet.Request{Service: "orders"}, boottime.Now()-time.Second)
+	}
+	before := a.last
+	g.takeBackends(Backends{Present: []catalog.Backend{row(2000, 2)}}, false, boottime.Now()-time.Second)
+	after := g.fleet.Choose(fleet.Request{Service: "orders"}, boottime.Now()-time.Second)
+	c.Assert(after.Found, qt.IsTrue)
+	c.Assert(g.fleet.Stalled("i-1", boottime.Now()), qt.IsTrue)
+	a.last = before
+	c.Assert(a.judge("i-1", &Reply{Sound: true, Status: 200}), qt.Equals, forward.End(0))
+	a.observe("i-1", true)
+	c.Assert(g.fleet.Stalled("i-1", boottime.Now()), qt.IsTrue)
+	a.last = after
+	a.observe("i-1", true)
+	c.Assert(g.fleet.Stalled("i-1", boottime.Now()), qt.IsFalse)
+}
+
+// A lookup waits to its end at a process that is gone, whose end a cut hides, though
+// another server is free.
+func TestARequestIsNotLeftAtAProcessThatIsGone(t *testing.T) {
+	c := qt.New(t)
+	g, _ := newBooted(t)
+	now := boottime.Now()
+	wanted := fleet.Request{Service: "orders"}
+	w := &headWatch{gateway: g, goal: time.Second, backend: g.fleet.Choose(wanted, now).Backend, wanted: wanted}
+	w.wanted.Avoid = []filbertlever.HostID{"i-1"}
+	other := row(1000, 2)
+	other.ID, other.Address = "i-2", "10.0.0.2:1"
+	g.takeBackends(Backends{Present: []catalog.Backend{other}}, false, now)
+	c.Assert(w.late(500*time.Millisecond), qt.IsFalse)
+	g.takeBackends(Backends{Present: []catalog.Backend{row(2000, 3)}}, false, now)
+	c.Assert(w.late(500*time.Millisecond), qt.IsTrue)
+}
