--- /dev/null
+++ b/internal/transport/gateway/boots_test.go
@@ -0,0 +1,141 @@
+package gateway
+
+import (
+	"math/rand/v2"
+	"net"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/prometheus/client_golang/prometheus"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
+
+	"github.com/filbertlever/filbertlever"
+	"github.com/filbertlever/filbertlever/internal/coordination/catalog"
+	"github.com/filbertlever/filbertlever/internal/coordination/fleet"
+	"github.com/filbertlever/filbertlever/internal/coordination/forward"
+	"github.com/filbertlever/filbertlever/internal/transport/boottime"
+)
+
+// newBooted is an entry that knows one plain server, at its first boot.
+func newBooted(t *testing.T) (*Gateway, *observer.ObservedLogs) {
+	core, logs := observer.New(zap.InfoLevel)
+	socket, err := net.ListenPacket("udp4", "127.0.0.1:0")
+	qt.Assert(t, err, qt.IsNil)
+	t.Cleanup(func() { _ = socket.Close() })
+	g := &Gateway{log: zap.New(core), socket: socket, metrics: newMetrics(prometheus.NewRegistry()),
+		fleet: fleet.New(fleet.DefaultConfig(), rand.New(rand.NewPCG(1, 2))), peers: newPeers(Entry{Host: "e1"}, 0)}
+	state := catalog.New(1, nil, []catalog.Service{{Name: "orders"}}, nil, catalog.Limits{})
+	g.fleet.SetState(state, boottime.Now())
+	g.takeBackends(Backends{Present: []catalog.Backend{row(1000, 1)}}, true, boottime.Now())
+	return g, logs
+}
+
+func row(boot catalog.Boot, revision uint64) catalog.Backend {
+	return catalog.Backend{ID: "i-1", Service: "orders", Address: "10.0.0.1:1", Slots: 4, Boot: boot, Revision: revision,
+		Models: []catalog.Model{{Name: "drafter", Version: revision}}}
+}
+
+// On call: a server started again. One line says what was believed before and after, by
+// which news, and how many requests of this entry were under way.
+func TestARestartIsLogged(t *testing.T) {
+	c := qt.New(t)
+	g, logs := newBooted(t)
+	c.Assert(g.fleet.Choose(fleet.Request{Service: "orders"}, boottime.Now()).Found, qt.IsTrue)
+	g.takeBackends(Backends{Present: []catalog.Backend{row(2000, 2)}}, false, boottime.Now())
+	c.Assert(logs.FilterMessage("backend server started again").Len(), qt.Equals, 1)
+	g.take(&Datagram{Load: &LoadReport{Load: fleet.Load{Address: "10.0.0.1:1", Boot: 3000}}}, g.socket.LocalAddr())
+	lines := logs.FilterMessage("backend server started again").All()
+	c.Assert(lines, qt.HasLen, 2)
+	c.Assert(lines[0].ContextMap(), qt.DeepEquals, map[string]any{"Backend": "i-1", "Source": "Row", "Before": int64(1000), "After": int64(2000),
+		"Held": []any{"drafter@1"}, "Holds": []any{"drafter@2"}, "UnderWay": int64(1)})
+	c.Assert(lines[1].ContextMap(), qt.DeepEquals, map[string]any{"Backend": "i-1", "Source": "Report", "Before": int64(2000), "After": int64(3000),
+		"Held": []any{"drafter@2"}, "Holds": []any{}, "UnderWay": int64(0)})
+}
+
+// An order finds all servers full that are idle: other entries told of requests at the
+// process before, which the new one never had.
+func TestCountsOfTheProcessBeforeAreLeftOut(t *testing.T) {
+	c := qt.New(t)
+	g, _ := newBooted(t)
+	now := boottime.Now()
+	for _, entry := range []Entry{{Host: "e2"}, {Host: "e3"}} {
+		g.peers.hear(entry, true, false, now)
+	}
+	g.takeBackends(Backends{Present: []catalog.Backend{row(2000, 2)}}, false, now)
+	ahead := func() int {
+		placement := g.fleet.Choose(fleet.Request{Service: "orders"}, now)
+		g.fleet.EndedAt(placement.Backend)
+		return placement.Ahead
+	}
+	g.takeCounts(&Counts{From: "e2", Sequence: 1, Requests: map[string]int{"i-1": 20}, Silent: []string{"i-1"}}, now)
+	c.Assert(ahead(), qt.Equals, 1-4)
+	told := g.counts(now)
+	c.Assert(told.Boots, qt.HasLen, 0)
+	g.fleet.Choose(fleet.Request{Service: "orders"}, now)
+	told = g.counts(now)
+	c.Assert(told.Boots, qt.DeepEquals, map[string]catalog.Boot{"i-1": 2000})
+	g.takeCounts(&Counts{From: "e3", Sequence: 1, Requests: map[string]int{"i-1": 3}, Boots: told.Boots}, now+time.Millisecond)
+	c.Assert(ahead(), qt.Equals, 5-4)
+}
+
+// An order has no server to go to. A request that was placed at a process that is gone
+// is told, late, that another server answers at its address, or that it holds nothing;
+// that is no news of the process that followed at another address.
+func TestLateWordOfTheProcessBeforeChangesNothing(t *testing.T) {
+	c := qt.New(t)
+	g, _ := newBooted(t)
+	now := boottime.Now()
+	a := &attempts{exchange: &exchange{gateway: g, call: &Call{ID: "o1"}}}
+	a.last = g.fleet.Choose(fleet.Request{Service: "orders"}, now)
+	moved := row(2000, 2)
+	moved.Address = "10.0.0.2:1"
+	g.takeBackends(Backends{Present: []catalog.Backend{moved}}, false, now)
+	a.moved("i-1", &Reply{Life: "i-9"})
+	c.Assert(g.fleet.Known("i-1"), qt.IsTrue)
+	a.last = g.fleet.Choose(fleet.Request{Service: "orders"}, now)
+	a.moved("i-1", &Reply{Life: "i-9"})
+	c.Assert(g.fleet.Known("i-1"), qt.IsFalse)
+}
+
+// A server stands still, and its late answers come from the connections of the process
+// before, which a stalled link still delivers. It would not be seen to be silent.
+func TestLateAnswersOfTheProcessBeforeAreNoProgress(t *testing.T) {
+	c := qt.New(t)
+	g, _ := newBooted(t)
+	a := &attempts{exchange: &exchange{gateway: g, call: &Call{ID: "o1"}}}
+	for range 2 {
+		// Sent to an idle server, the first request begins its silence.
+		a.last = g.fleet.Choose(fleet.Request{Service: "orders"}, boottime.Now()-time.Second)
+	}
+	before := a.last
+	g.takeBackends(Backends{Present: []catalog.Backend{row(2000, 2)}}, false, boottime.Now()-time.Second)
+	after := g.fleet.Choose(fleet.Request{Service: "orders"}, boottime.Now()-time.Second)
+	c.Assert(after.Found, qt.IsTrue)
+	c.Assert(g.fleet.Stalled("i-1", boottime.Now()), qt.IsTrue)
+	a.last = before
+	c.Assert(a.judge("i-1", &Reply{Sound: true, Status: 200}), qt.Equals, forward.End(0))
+	a.observe("i-1", true)
+	c.Assert(g.fleet.Stalled("i-1", boottime.Now()), qt.IsTrue)
+	a.last = after
+	a.observe("i-1", true)
+	c.Assert(g.fleet.Stalled("i-1", boottime.Now()), qt.IsFalse)
+}
+
+// A lookup waits to its end at a process that is gone, whose end a cut hides, though
+// another server is free.
+func TestARequestIsNotLeftAtAProcessThatIsGone(t *testing.T) {
+	c := qt.New(t)
+	g, _ := newBooted(t)
+	now := boottime.Now()
+	wanted := fleet.Request{Service: "orders"}
+	w := &headWatch{gateway: g, goal: time.Second, backend: g.fleet.Choose(wanted, now).Backend, wanted: wanted}
+	w.wanted.Avoid = []filbertlever.HostID{"i-1"}
+	other := row(1000, 2)
+	other.ID, other.Address = "i-2", "10.0.0.2:1"
+	g.takeBackends(Backends{Present: []catalog.Backend{other}}, false, now)
+	c.Assert(w.late(500*time.Millisecond), qt.IsFalse)
+	g.takeBackends(Backends{Present: []catalog.Backend{row(2000, 3)}}, false, now)
+	c.Assert(w.late(500*time.Millisecond), qt.IsTrue)
+}
--- a/internal/transport/gateway/watch.go
+++ b/internal/transport/gateway/watch.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"strconv"
 	"time"
 
 	"go.uber.org/zap"
@@ -198,10 +199,7 @@
 		}
 		last = now
 		if whole || len(rows.Raw) > 0 {
-			present, gone := g.withhold(backends, whole)
-			g.fleet.Apply(present, gone, whole, now)
-			g.logBackends(Backends{Present: present, Gone: gone})
-			go g.runLearn(present)
+			go g.runLearn(g.takeBackends(backends, whole, now))
 		}
 		g.noteBad(backends.Bad)
 		return nil
@@ -210,6 +208,16 @@
 	w.run(ctx)
 }
 
+// takeBackends takes rows of backend servers, and returns those of them that may be used;
+// the caller holds the lock.
+func (g *Gateway) takeBackends(backends Backends, whole bool, now time.Duration) []catalog.Backend {
+	present, gone := g.withhold(backends, whole)
+	g.fleet.Apply(present, gone, whole, now)
+	g.logBackends(Backends{Present: present, Gone: gone})
+	g.logRestarts()
+	return present
+}
+
 // runLearn has the manifests of what servers hold, which are small, drawn before they
 // are needed.
 func (g *Gateway) runLearn(present []catalog.Backend) {
@@ -234,6 +242,24 @@
 	}
 }
 
+// logRestarts writes what was believed of servers that started again, and what is now;
+// the caller holds the lock.
+func (g *Gateway) logRestarts() {
+	for _, r := range g.fleet.Restarts() {
+		g.log.Info("backend server started again", zap.String("Backend", r.Backend), zap.String("Source", string(r.Source)),
+			zap.Int64("Before", int64(r.Before)), zap.Int64("After", int64(r.After)),
+			zap.Strings("Held", modelNames(r.Held)), zap.Strings("Holds", modelNames(r.Holds)), zap.Int("UnderWay", r.UnderWay))
+	}
+}
+
+func modelNames(models []catalog.Model) []string {
+	names := make([]string, 0, len(models))
+	for _, m := range models {
+		names = append(names, m.Name+"@"+strconv.FormatUint(m.Version, 10))
+	}
+	return names
+}
+
 func (g *Gateway) runEntries(ctx context.Context) {
 	go g.runRegister(ctx)
 	apply := func(rows Rows, after uint64, whole, _ bool) error {
