--- a/internal/transport/gateway/boots_test.go
+++ b/internal/transport/gateway/boots_test.go
@@ -27,6 +27,7 @@
 	g := &Gateway{log: zap.New(core), socket: socket, metrics: newMetrics(prometheus.NewRegistry()),
 		fleet: fleet.New(fleet.DefaultConfig(), rand.New(rand.NewPCG(1, 2))), peers: newPeers(Entry{Host: "e1"}, 0)}
 	state := catalog.New(1, nil, []catalog.Service{{Name: "orders"}}, nil, catalog.Limits{})
+	g.state.Store(state)
 	g.fleet.SetState(state, boottime.Now())
 	g.takeBackends(Backends{Present: []catalog.Backend{row(1000, 1)}}, true, boottime.Now())
 	return g, logs
