--- a/internal/transport/gateway/feeds_test.go
+++ b/internal/transport/gateway/feeds_test.go
@@ -2,11 +2,20 @@
 
 import (
 	"context"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"net/http/httptest"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"go.uber.org/zap"
+
+	"github.com/filbertlever/filbertlever/internal/transport/boottime"
 )
 
 func rows(revision uint64, raw string) Rows { return Rows{Revision: revision, Raw: []byte(raw)} }
@@ -97,3 +106,86 @@
 	c.Assert(ok, qt.IsTrue)
 	c.Assert(answer.Revision, qt.Equals, uint64(4))
 }
+
+// stateRows are rows as the store sends them: one desired state of many routes.
+func stateRows(routes int) []byte {
+	rng := rand.New(rand.NewPCG(1, 2))
+	var list []map[string]any
+	for range routes {
+		list = append(list, map[string]any{
+			"name": fmt.Sprintf("r-%07x", rng.Uint32()), "host": fmt.Sprintf("h%03x.example", rng.IntN(64)), "prefix": fmt.Sprintf("/%05x/%04x/", rng.Uint32(), rng.IntN(1<<16)),
+			"kind": "streaming", "timeoutMs": 6000, "goalMs": 500, "priority": 1, "service": "models", "maxAttempts": 2,
+			"anonymous": false, "sessionAffinity": true, "streamResume": true, "gapGoalMs": 400,
+		})
+	}
+	state, _ := json.Marshal(map[string]any{"version": 7, "routes": list})
+	raw, _ := json.Marshal([]map[string]any{{"table": "op", "key": "config", "value": state, "rowVersion": 6}})
+	return raw
+}
+
+// A desired state of 1,400 routes was written. The reader of a region told it to 14
+// others over its link of 40 Mbit/s, which took 1.3 s; they gave up and drew it each over
+// the border: they knew the new routes 2.2 s after the reader did, and callers got 404.
+func TestALargeStateIsToldToARegionInTime(t *testing.T) {
+	c := qt.New(t)
+	const link, others = 40e6, 14
+	large := stateRows(1400)
+	reader := &Gateway{feeds: newFeeds()}
+	reader.feeds.restart(TableDesired, rows(5, `[{"a":1}]`), boottime.Now())
+	reader.feeds.publish(TableDesired, 5, Rows{Revision: 6, Raw: large}, boottime.Now())
+	var sent atomic.Int64
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		reader.serveFeed(counter{w, &sent}, r)
+	}))
+	t.Cleanup(server.Close)
+	g := &Gateway{client: server.Client()}
+	answer, err := g.fetchFeed(context.Background(), server.Listener.Addr().String(), TableDesired, 5)
+	c.Assert(err, qt.IsNil)
+	c.Assert(answer.Revision, qt.Equals, uint64(6))
+	c.Assert(string(joinRows(answer.Raw)), qt.Equals, string(large))
+	took := time.Duration(float64(sent.Load()) * 8 * others / link * float64(time.Second))
+	c.Assert(took < readerTimeout, qt.IsTrue, qt.Commentf("%d bytes to each of %d others take %v", sent.Load(), others, took))
+}
+
+// counter counts the bytes of an answer.
+type counter struct {
+	http.ResponseWriter
+	sent *atomic.Int64
+}
+
+func (c counter) Write(data []byte) (int, error) {
+	c.sent.Add(int64(len(data)))
+	return c.ResponseWriter.Write(data)
+}
+
+// Entries disagree for a while on which one reads the store. Some ask one that follows
+// another itself, and which knew of nothing since it last read: its view was 41 s old, and
+// each of them drew the whole desired state from the store.
+func TestAnEntryThatFollowsTellsWhatItHears(t *testing.T) {
+	c := qt.New(t)
+	now := boottime.Now()
+	reader := &Gateway{feeds: newFeeds()}
+	reader.feeds.restart(TableDesired, rows(5, `[{"a":1}]`), now)
+	reader.feeds.publish(TableDesired, 5, rows(6, `[{"b":2}]`), now)
+	server := httptest.NewServer(http.HandlerFunc(reader.serveFeed))
+	t.Cleanup(server.Close)
+
+	self := entryAt("e1", "a", "ra")
+	g := &Gateway{config: Config{Self: self}, peers: newPeers(self, now), feeds: newFeeds(), client: server.Client(), log: zap.NewNop()}
+	g.lostUntil.Store(int64(now + time.Minute))
+	other := entryAt("e2", "a", "ra")
+	other.Peers = server.Listener.Addr().String()
+	g.peers.hear(other, true, false, now)
+	g.feeds.restart(TableDesired, rows(5, `[{"a":1}]`), now-time.Minute)
+	w := &watch{gateway: g, table: TableDesired, revision: 5, apply: func(Rows, uint64, bool, bool) error { return nil }}
+	changed, err := w.turn(context.Background())
+	c.Assert(err, qt.IsNil)
+	c.Assert(changed, qt.IsTrue)
+	answer, ok := g.feeds.since(context.Background(), TableDesired, 5)
+	c.Assert(ok, qt.IsTrue)
+	c.Assert(answer.Revision, qt.Equals, uint64(6))
+	c.Assert(answer.Age < readerAge, qt.IsTrue, qt.Commentf("age %v", answer.Age))
+	whole, ok := g.feeds.since(context.Background(), TableDesired, 0)
+	c.Assert(ok, qt.IsTrue)
+	c.Assert(whole.Revision, qt.Equals, uint64(6))
+}
