Tests: a silent store, and history that is gone, keep a region's states late

Three fail: a reader loops for a second and more where it should read the store; those who wait at a reader are not told of a silent store; who takes over waits 1 s for its first answer. The sample state lost names that belong in platform/.

--- a/internal/transport/gateway/feeds_test.go
+++ b/internal/transport/gateway/feeds_test.go
@@ -118,13 +118,13 @@
 	var list []map[string]any
 	for range routes {
 		list = append(list, map[string]any{
-			"name": fmt.Sprintf("r-%07x", rng.Uint32()), "host": fmt.Sprintf("h%03x.example", rng.IntN(64)), "prefix": fmt.Sprintf("/%05x/%04x/", rng.Uint32(), rng.IntN(1<<16)),
-			"kind": "streaming", "timeoutMs": 6000, "goalMs": 500, "priority": 1, "service": "models", "maxAttempts": 2,
-			"anonymous": false, "sessionAffinity": true, "streamResume": true, "gapGoalMs": 400,
+			"Name": fmt.Sprintf("r-%07x", rng.Uint32()), "Host": fmt.Sprintf("h%03x.example", rng.IntN(64)), "Prefix": fmt.Sprintf("/%05x/%04x/", rng.Uint32(), rng.IntN(1<<16)),
+			"Kind": "Streaming", "Timeout": 6000, "Objective": 500, "Priority": 1, "Service": "models", "Attempts": 2,
+			"WithoutKey": false, "StaysWithServer": true, "CanBeResumed": true, "LongestPause": 400,
 		})
 	}
-	state, _ := json.Marshal(map[string]any{"version": 7, "routes": list})
-	raw, _ := json.Marshal([]map[string]any{{"table": "op", "key": "config", "value": state, "rowVersion": 6}})
+	state, _ := json.Marshal(map[string]any{"Version": 7, "Routes": list})
+	raw, _ := json.Marshal([]map[string]any{{"Key": "state", "Value": state, "Revision": 6}})
 	return raw
 }
 
@@ -223,6 +223,109 @@
 	c.Assert(err, qt.IsNotNil)
 }
 
+// scripted is a store that answers as a test says.
+type scripted struct {
+	Store
+	follow func(ctx context.Context, after uint64, wait time.Duration) (Rows, error)
+	read   func() Rows
+}
+
+func (s scripted) Follow(ctx context.Context, _ Table, after uint64, wait time.Duration) (Rows, error) {
+	return s.follow(ctx, after, wait)
+}
+
+func (s scripted) Read(context.Context, Table) (Rows, error) { return s.read(), nil }
+
+// The store has dropped its history. The reader had the whole table from another entry,
+// which follows the reader and knew no more than it: at that revision the store could not
+// go on, and so on for 1.9 s; a desired state was in force there 2.9 s after it was written.
+func TestAReaderWhoseHistoryIsGoneReadsTheStore(t *testing.T) {
+	c := qt.New(t)
+	now := boottime.Now()
+	follower := &Gateway{feeds: newFeeds()}
+	follower.feeds.restart(TableDesired, rows(5, `[{"a":1}]`), now)
+	server := httptest.NewServer(http.HandlerFunc(follower.serveFeed))
+	t.Cleanup(server.Close)
+	store := scripted{
+		follow: func(ctx context.Context, after uint64, _ time.Duration) (Rows, error) {
+			if after < 6 {
+				return Rows{}, ErrHistoryGone
+			}
+			<-ctx.Done()
+			return Rows{}, ctx.Err()
+		},
+		read: func() Rows { return rows(6, `[{"b":2}]`) },
+	}
+	self := entryAt("e1", "a", "ra")
+	g := &Gateway{config: Config{Self: self}, store: store, peers: newPeers(self, now), feeds: newFeeds(), client: server.Client(), log: zap.NewNop(),
+		rng: rand.New(rand.NewPCG(1, 2))}
+	g.listed.Store(true)
+	// The other one has lost the store, so that this one reads.
+	other := entryAt("e2", "a", "ra")
+	other.Peers = server.Listener.Addr().String()
+	g.peers.hear(other, true, true, now)
+	g.feeds.restart(TableDesired, rows(5, `[{"a":1}]`), now)
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	began := time.Now()
+	w := &watch{gateway: g, table: TableDesired, wait: followWait, revision: 5, apply: func(rows Rows, _ uint64, _, _ bool) error {
+		if rows.Revision >= 6 {
+			cancel()
+		}
+		return nil
+	}}
+	w.run(ctx)
+	c.Assert(w.revision, qt.Equals, uint64(6))
+	c.Assert(time.Since(began) < time.Second/2, qt.IsTrue)
+}
+
+// The store leaves the calls of a region's reader unanswered. Those who follow it asked it
+// again and again, 0.7 s each time, and then drew each desired state themselves over the
+// border: it was in force there 2.3 s after it was elsewhere, where 2 s are allowed.
+func TestThoseWhoFollowAreToldThatTheStoreIsSilent(t *testing.T) {
+	c := qt.New(t)
+	now := boottime.Now()
+	self := entryAt("e1", "a", "ra")
+	store := scripted{follow: func(ctx context.Context, _ uint64, _ time.Duration) (Rows, error) {
+		<-ctx.Done()
+		return Rows{}, ctx.Err()
+	}}
+	g := &Gateway{config: Config{Self: self}, store: store, peers: newPeers(self, now), feeds: newFeeds(), log: zap.NewNop()}
+	g.feeds.restart(TableDesired, rows(5, `[{"a":1}]`), now)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	w := &watch{gateway: g, table: TableDesired, wait: 10 * time.Millisecond, revision: 5}
+	go func() { _, _ = w.turn(ctx) }()
+	began := time.Now()
+	_, ok := g.feeds.since(ctx, TableDesired, 5)
+	c.Assert(ok, qt.IsFalse)
+	c.Assert(g.feeds.lost(TableDesired), qt.IsTrue)
+	c.Assert(time.Since(began) < readerWait, qt.IsTrue)
+}
+
+// An entry reads in place of one that the store leaves waiting. Its view is as old as that
+// one's, and those who follow it would leave it too, before its first call returns.
+func TestWhoTakesOverConfirmsItsViewAtOnce(t *testing.T) {
+	c := qt.New(t)
+	now := boottime.Now()
+	self := entryAt("e1", "a", "ra")
+	var waits []time.Duration
+	store := scripted{follow: func(_ context.Context, after uint64, wait time.Duration) (Rows, error) {
+		waits = append(waits, wait)
+		return rows(after, ""), nil
+	}}
+	g := &Gateway{config: Config{Self: self}, store: store, peers: newPeers(self, now), feeds: newFeeds(), log: zap.NewNop()}
+	g.feeds.restart(TableDesired, rows(5, `[{"a":1}]`), now-readerAge)
+	w := &watch{gateway: g, table: TableDesired, wait: followWait, revision: 5, apply: func(Rows, uint64, bool, bool) error { return nil }}
+	for range 2 {
+		_, err := w.turn(context.Background())
+		c.Assert(err, qt.IsNil)
+	}
+	c.Assert(waits, qt.HasLen, 2)
+	c.Assert(waits[0] < followWait/10, qt.IsTrue)
+	c.Assert(waits[1], qt.Equals, followWait)
+}
+
 // What a reader does once for a desired state of 1,400 routes.
 func BenchmarkPackALargeState(b *testing.B) {
 	large := stateRows(1400)
