A region learns at once that the store is silent to its reader, or has no history

Cause: a call of the reader that the store leaves unanswered ends after 1.8 s and tells nobody; its view counted for 2.3 s and more, each of the others asked it for 0.7 s a turn, and then each drew every state itself over the border. And a reader whose history was gone had the table from one that follows it, at the revision from where it could not go on.

Ruled out: counting such calls as a loss in heartbeats, for 3 s, as for a store that turns the reader away: an answer may be late, and then it reads on.

Change: 0.4 s beyond its waiting a call counts as lost for those who wait at this entry, until it is answered; they ask the next one, which confirms its view at once with a call that waits for nothing, and tells all. A reader whose history is gone reads the store, and others take whole tables only from beyond that revision.

--- a/internal/transport/gateway/feeds.go
+++ b/internal/transport/gateway/feeds.go
@@ -160,6 +160,17 @@
 	return ok && log.lost
 }
 
+// age returns how old the view of a table is.
+func (f *feeds) age(table Table, now time.Duration) time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	log, ok := f.tables[table]
+	if !ok {
+		return 0
+	}
+	return now - log.confirmed
+}
+
 // since returns the changes after a revision, or waits for some; after 0 means
 // the whole table. It returns false if the log does not reach back so far.
 func (f *feeds) since(ctx context.Context, table Table, after uint64) (FeedAnswer, bool) {
@@ -230,6 +241,12 @@
 	return host, addresses[host], host != g.config.Self.Host
 }
 
+// reads reports whether this entry reads the store for its region.
+func (g *Gateway) reads(now time.Duration) bool {
+	_, _, other := g.reader(now)
+	return !other
+}
+
 // lost reports whether the store has lately not answered this entry, so that another
 // one should read for the region; the caller holds the lock.
 func (g *Gateway) lost(now time.Duration) bool { return now < time.Duration(g.lostUntil.Load()) }
@@ -305,14 +322,19 @@
 }
 
 // wholeFromReader asks the entry that reads the store for this region for a whole
-// table. It returns false if the store must be asked instead.
+// table, newer than a revision from where the store cannot go on, or 0. It returns false
+// if the store must be asked instead.
 //
 // Guard: after a loss of power all entries of a region read the desired state and
 // the servers' rows over one thin link, 200 KB each; the answers to most came too
 // late, were asked for again, and 28 of 42 entries knew nothing for 2 to 3 s. One
 // of each region reads, and the others have it from that one.
-func (g *Gateway) wholeFromReader(ctx context.Context, table Table) (Rows, time.Duration, bool) {
-	if table == TableEntries {
+//
+// Guard: after the store had dropped its history a reader had the table from one that
+// follows it and knew no more, and so on for 1.9 s; a desired state was in force there
+// 2.9 s after it was written. The reader reads the store, and the others wait for that.
+func (g *Gateway) wholeFromReader(ctx context.Context, table Table, gone uint64) (Rows, time.Duration, bool) {
+	if table == TableEntries || gone > 0 && g.reads(boottime.Now()) {
 		return Rows{}, 0, false
 	}
 	g.awaitListed(ctx)
@@ -326,7 +348,7 @@
 			return Rows{}, 0, false
 		}
 		answer, err := g.fetchFeed(ctx, address, table, 0)
-		if err == nil && answer.Age <= readerAge && answer.Revision > 0 {
+		if err == nil && answer.Age <= readerAge && answer.Revision > gone {
 			return Rows{Revision: answer.Revision, Raw: joinRows(answer.Raw), packed: answer.Packed}, sent - answer.Age, true
 		}
 		g.log.Debug("table not had from the reader", zap.String("Table", string(table)), zap.String("Reader", string(host)), zap.Error(err))
--- a/internal/transport/gateway/watch.go
+++ b/internal/transport/gateway/watch.go
@@ -27,6 +27,13 @@
 	// retryFirst and retryMost are the pauses after failed calls.
 	retryFirst = 100 * time.Millisecond
 	retryMost  = 800 * time.Millisecond
+	// lateAfter is how long beyond its waiting a call may take before those who follow
+	// this entry are told that the store is lost. A slow store takes 0.24 s, a desired
+	// state of 0.5 MB 0.2 s over an idle border; with a call's 1 s and the next reader's
+	// 0.3 s it stays below the 2 s in which a change must be in force.
+	lateAfter = 400 * time.Millisecond
+	// confirmWait is how long a call waits for changes whose answer is wanted at once.
+	confirmWait = time.Millisecond
 )
 
 // watch keeps one table's view current.
@@ -42,8 +49,10 @@
 
 	// revision is up to where the view is current; 0 if it must be read.
 	revision uint64
-	first    bool
-	lost     bool
+	// gone is the newest revision from where the store could not go on.
+	gone  uint64
+	first bool
+	lost  bool
 }
 
 // run reads the table and follows it until ctx ends.
@@ -55,7 +64,7 @@
 		switch {
 		case errors.Is(err, ErrHistoryGone):
 			w.gateway.log.Warn("store dropped its history", zap.String("Table", string(w.table)), zap.Uint64("Revision", w.revision))
-			w.revision = 0
+			w.revision, w.gone = 0, w.revision
 		case err != nil:
 			w.noteLost(ctx, err)
 			w.gateway.sleep(ctx, pause)
@@ -74,7 +83,7 @@
 func (w *watch) turn(ctx context.Context) (changed bool, err error) {
 	g := w.gateway
 	if w.revision == 0 {
-		if rows, at, ok := g.wholeFromReader(ctx, w.table); ok {
+		if rows, at, ok := g.wholeFromReader(ctx, w.table, w.gone); ok {
 			g.feeds.restart(w.table, rows, at)
 			return false, w.take(rows, at, true)
 		}
@@ -88,8 +97,7 @@
 		g.feeds.publish(w.table, w.revision, rows, at)
 		return len(rows.Raw) > 0, w.take(rows, at, false)
 	}
-	sent := boottime.Now()
-	rows, err := g.store.Follow(ctx, w.table, w.revision, w.wait)
+	rows, sent, err := w.follow(ctx)
 	if err != nil {
 		// An answer that is merely late may be a large change on a busy border, which the
 		// next reader would draw once more.
@@ -102,6 +110,27 @@
 	return len(rows.Raw) > 0, w.take(rows, sent, false)
 }
 
+// follow asks the store for changes; it also returns when that was.
+//
+// Guard: the store left the calls of a region's reader unanswered. The others asked it
+// again and again, and then drew each desired state themselves, at once, over the border:
+// it was in force there 2.3 s after it was elsewhere. They are told soon, and one of them
+// reads for all.
+//
+// Guard: the view of the one that takes over is as old as the reader's. While its first
+// call waited for a change, the others left it as well, and all asked the store. It asks
+// for what there is now.
+func (w *watch) follow(ctx context.Context) (Rows, time.Duration, error) {
+	sent, wait := boottime.Now(), w.wait
+	if w.gateway.feeds.age(w.table, sent) > w.wait+lateAfter {
+		wait = confirmWait
+	}
+	late := time.AfterFunc(wait+lateAfter, func() { w.gateway.feeds.lose(w.table) })
+	defer late.Stop()
+	rows, err := w.gateway.store.Follow(ctx, w.table, w.revision, wait)
+	return rows, sent, err
+}
+
 func (w *watch) readAll(ctx context.Context) error {
 	g := w.gateway
 	sent := boottime.Now()
