--- a/internal/transport/gateway/feeds_test.go
+++ b/internal/transport/gateway/feeds_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"net/http"
@@ -303,6 +304,29 @@
 	c.Assert(time.Since(began) < readerWait, qt.IsTrue)
 }
 
+// The store refuses the connections of a region's reader. Its calls ended at once, without
+// a word to those who follow it: their views grew 2.8 s old, and then all of them drew a
+// desired state at the same time, in force 2.1 s after it was elsewhere.
+func TestThoseWhoFollowAreToldThatACallFailed(t *testing.T) {
+	c := qt.New(t)
+	now := boottime.Now()
+	failed := errors.New("connection refused")
+	store := scripted{follow: func(context.Context, uint64, time.Duration) (Rows, error) { return Rows{}, failed }}
+	self := entryAt("e1", "a", "ra")
+	g := &Gateway{config: Config{Self: self}, store: store, peers: newPeers(self, now), feeds: newFeeds(), log: zap.NewNop()}
+	w := &watch{gateway: g, table: TableDesired, wait: followWait, revision: 5}
+	g.feeds.restart(TableDesired, rows(5, `[{"a":1}]`), now)
+	_, err := w.turn(context.Background())
+	c.Assert(err, qt.ErrorIs, failed)
+	c.Assert(g.feeds.lost(TableDesired), qt.IsTrue)
+	// That its history is gone says nothing of the store.
+	g.feeds.restart(TableDesired, rows(5, `[{"a":1}]`), now)
+	failed = ErrHistoryGone
+	_, err = w.turn(context.Background())
+	c.Assert(err, qt.ErrorIs, failed)
+	c.Assert(g.feeds.lost(TableDesired), qt.IsFalse)
+}
+
 // An entry reads in place of one that the store leaves waiting. Its view is as old as that
 // one's, and those who follow it would leave it too, before its first call returns.
 func TestWhoTakesOverConfirmsItsViewAtOnce(t *testing.T) {
