A reader whose calls the store refuses says so, and steps aside

Cause: connections that the store refuses or resets ended a reader's calls at once, which counted neither as turned away nor as late; nobody was told until its view was 2.3 s old.

--- a/internal/transport/gateway/ports.go
+++ b/internal/transport/gateway/ports.go
@@ -94,7 +94,8 @@
 // ErrHistoryGone means that a feed can no longer go on from a revision.
 var ErrHistoryGone = errors.New("the history asked for is gone")
 
-// ErrTurnedAway means that the store answers this process, but does not serve it.
+// ErrTurnedAway means that the store answers this process, or refuses its connections, and
+// does not serve it.
 var ErrTurnedAway = errors.New("the store turns this process away")
 
 // Table names a table of the store by what it holds.
--- a/internal/transport/gateway/watch.go
+++ b/internal/transport/gateway/watch.go
@@ -128,6 +128,11 @@
 	late := time.AfterFunc(wait+lateAfter, func() { w.gateway.feeds.lose(w.table) })
 	defer late.Stop()
 	rows, err := w.gateway.store.Follow(ctx, w.table, w.revision, wait)
+	if err != nil && !errors.Is(err, ErrHistoryGone) {
+		// Guard: the store refused a reader's connections. Its calls ended at once, which
+		// told nobody; the others drew a desired state 2.1 s late and all at once.
+		w.gateway.feeds.lose(w.table)
+	}
 	return rows, sent, err
 }
 
