--- a/internal/transport/gateway/feeds_test.go
+++ b/internal/transport/gateway/feeds_test.go
@@ -327,6 +327,38 @@
 	c.Assert(g.feeds.lost(TableDesired), qt.IsFalse)
 }
 
+// The whole store is away for 4 s. All entries had lost it and said so; each asked three
+// others, and then the store itself, 2,400 calls where 1,850 did, and it was no sooner back
+// for that. One of them tries for all.
+func TestAStoreThatAllHaveLostIsAskedByOne(t *testing.T) {
+	c := qt.New(t)
+	now := boottime.Now()
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusServiceUnavailable) }))
+	t.Cleanup(server.Close)
+	names := []string{"e1", "e2", "e3", "e4", "e5"}
+	calls := 0
+	store := scripted{follow: func(context.Context, uint64, time.Duration) (Rows, error) {
+		calls++
+		return Rows{}, ErrTurnedAway
+	}}
+	for _, name := range names {
+		self := entryAt(name, "a", "ra")
+		g := &Gateway{config: Config{Self: self}, store: store, peers: newPeers(self, now), feeds: newFeeds(), client: server.Client(), log: zap.NewNop()}
+		g.lostUntil.Store(int64(now + time.Minute))
+		for _, host := range names {
+			if host != name {
+				other := entryAt(host, "a", "ra")
+				other.Peers = server.Listener.Addr().String()
+				g.peers.hear(other, true, true, now)
+			}
+		}
+		w := &watch{gateway: g, table: TableDesired, wait: followWait, revision: 5}
+		_, err := w.turn(context.Background())
+		c.Check(err, qt.IsNotNil)
+	}
+	c.Assert(calls, qt.Equals, 1)
+}
+
 // An entry reads in place of one that the store leaves waiting. Its view is as old as that
 // one's, and those who follow it would leave it too, before its first call returns.
 func TestWhoTakesOverConfirmsItsViewAtOnce(t *testing.T) {
