Where no server says when it started, rows without a boot are used

Change: a row without a boot is decoded with boot 0; an entry leaves it out once any server has told its own.

--- a/internal/transport/gateway/badrows.go
+++ b/internal/transport/gateway/badrows.go
@@ -20,8 +20,10 @@
 type badRows struct {
 	// seen are the revisions that were told of.
 	seen map[badKey]uint64
-	// withheld are servers whose service the desired state does not name, by ID.
+	// withheld are servers that are not used for now, by ID.
 	withheld map[string]catalog.Backend
+	// booted is true once a server has told when it started.
+	booted bool
 }
 
 type badKey struct {
@@ -60,11 +62,17 @@
 	}
 }
 
-var errService = errors.New("service: expected one of the desired state")
+// Why a server is not used.
+var (
+	errService = errors.New("service: expected one of the desired state")
+	errBoot    = errors.New("boot: expected one, as other servers tell theirs")
+)
 
 // withhold keeps back the servers whose service the desired state does not name, and
-// returns the others, and which of those that are known are there no longer;
-// the caller holds the lock.
+// those that do not say when they started while others do. It returns the others, and
+// which of those that are known are there no longer; the caller holds the lock.
+//
+// Where no server tells its start, each start of one has an ID of its own.
 //
 // Guard: a row of another program named a service that there is not, at the address of a
 // live server. Taken for the server's next start it put the live one out of use, until
@@ -74,6 +82,9 @@
 		g.bad.withheld = map[string]catalog.Backend{}
 	}
 	state := g.state.Load()
+	for _, backend := range b.Present {
+		g.bad.booted = g.bad.booted || backend.Boot != 0
+	}
 	for _, id := range b.Gone {
 		delete(g.bad.withheld, id)
 		if g.fleet.Known(id) {
@@ -81,7 +92,7 @@
 		}
 	}
 	for _, backend := range b.Present {
-		if serves(state, backend) {
+		if serves(state, backend) && g.bad.identified(backend) {
 			delete(g.bad.withheld, backend.ID)
 			present = append(present, backend)
 			continue
@@ -104,6 +115,13 @@
 	return ok
 }
 
+// identified reports whether it can be told which start of a server a row is of.
+//
+// Guard: a row of another program, or of a process before, that does not say when its
+// server started would be taken for the one that is known: what that one held would be
+// asked of the next.
+func (b *badRows) identified(backend catalog.Backend) bool { return backend.Boot != 0 || !b.booted }
+
 // noteWithheld tells of the servers that a state does not name; none is told of before
 // the first state is known.
 func (g *Gateway) noteWithheld(state *catalog.State) {
@@ -111,7 +129,11 @@
 		return
 	}
 	for id, backend := range g.bad.withheld {
-		g.noteBad([]BadRow{{Table: TableBackends, Key: id, Revision: backend.Revision, Cause: CauseService, Err: errService}})
+		bad := BadRow{Table: TableBackends, Key: id, Revision: backend.Revision, Cause: CauseService, Err: errService}
+		if serves(state, backend) {
+			bad.Cause, bad.Err = CauseMissing, errBoot
+		}
+		g.noteBad([]BadRow{bad})
 	}
 }
 
@@ -120,7 +142,7 @@
 func (g *Gateway) release(state *catalog.State, now time.Duration) {
 	var present []catalog.Backend
 	for id, backend := range g.bad.withheld {
-		if serves(state, backend) {
+		if serves(state, backend) && g.bad.identified(backend) {
 			present = append(present, backend)
 			delete(g.bad.withheld, id)
 		}
--- a/internal/transport/gateway/badrows_test.go
+++ b/internal/transport/gateway/badrows_test.go
@@ -116,6 +116,35 @@
 	c.Assert(g.fleet.Known("x"), qt.IsFalse)
 }
 
+// Every request was refused with "no server": on an installation whose servers do not say
+// when they started each row was taken for one of another program. There they are used;
+// where servers do say so, a row that does not names none, and the others hold.
+func TestARowWithoutABootIsUsedWhereNoneHasOne(t *testing.T) {
+	c := qt.New(t)
+	g, logs, _ := believer()
+	state := stateOf("orders")
+	g.state.Store(state)
+	g.fleet.SetState(state, time.Second)
+	apply := func(present ...catalog.Backend) {
+		present, gone := g.withhold(Backends{Present: present}, false)
+		g.fleet.Apply(present, gone, false, time.Second)
+	}
+	row := func(n int, revision uint64, boot catalog.Boot) catalog.Backend {
+		return catalog.Backend{ID: fmt.Sprint("i-", n), Revision: revision, Boot: boot, Service: "orders", Address: fmt.Sprintf("10.0.0.%d:1", n)}
+	}
+	apply(row(1, 1, 0), row(2, 2, 0))
+	c.Assert(g.fleet.Backends("orders"), qt.HasLen, 2)
+	c.Assert(logs.Len(), qt.Equals, 0)
+	apply(row(1, 3, 1000), row(3, 4, 0))
+	c.Assert(g.fleet.Known("i-1"), qt.IsTrue)
+	c.Assert(g.fleet.Known("i-3"), qt.IsFalse)
+	apply(row(1, 5, 0))
+	c.Assert(g.fleet.Backends("orders"), qt.DeepEquals, []catalog.Backend{row(2, 2, 0)})
+	c.Assert(logs.FilterMessage("row names nothing").Len(), qt.Equals, 2)
+	apply(row(1, 6, 2000))
+	c.Assert(g.fleet.Backends("orders"), qt.HasLen, 2)
+}
+
 // An entry that reads rows from its region's reader ends: the list was no list. Or it
 // reads none, as an empty list between two left a comma alone.
 func TestListsOfRowsAreJoinedWhateverTheyAre(t *testing.T) {
