--- /dev/null
+++ b/internal/transport/channel/cancelled_test.go
@@ -0,0 +1,34 @@
+package channel
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// A request that had been taken back, or whose caller had left, before anything of it was
+// sent went out all the same on a kept connection, and its caller was told that it may
+// have run.
+func TestARequestThatIsTakenBackIsNotSent(t *testing.T) {
+	c := qt.New(t)
+	s := newScript(t, func(_ int, r *http.Request, conn net.Conn) { respond(conn, r.Header.Get("Id"), "fine") })
+	pool, closePool := New()
+	defer closePool()
+	_, err := get(pool, s, "1")
+	c.Assert(err, qt.IsNil)
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	_, err = pool.Do(ctx, "server", s.address(), &Request{Method: http.MethodGet, Target: "/x", Host: "h", Header: http.Header{"Id": {"2"}}},
+		func(*http.Response) bool { return true })
+	var failed *SendError
+	c.Assert(errors.As(err, &failed), qt.IsTrue)
+	c.Check(failed.Sent, qt.IsFalse)
+	time.Sleep(100 * time.Millisecond)
+	requests, _ := s.counts()
+	c.Check(requests, qt.Equals, 1)
+}
