Bounds of versions hold for entries that start, forget, hear late, or send late

Beside it: where no engine is said to hold a model, the longest pass of any counts; what belongs to named versions has a file of its own.

Ruled out by the review: waiting room, resumed answers, retries, guessed ages, dials.

--- a/internal/coordination/catalog/catalog.go
+++ b/internal/coordination/catalog/catalog.go
@@ -226,8 +226,18 @@
 	return r.Shares[0].Service
 }
 
-// LongestPass returns the longest pass of any engine that may hold a model.
-func (s *State) LongestPass(model string) time.Duration { return s.passes[model] }
+// LongestPass returns the longest pass of any engine that may hold a model; that of any
+// engine if none is said to.
+func (s *State) LongestPass(model string) time.Duration {
+	if pass, ok := s.passes[model]; ok {
+		return pass
+	}
+	longest := time.Duration(0)
+	for _, pass := range s.passes {
+		longest = max(longest, pass)
+	}
+	return longest
+}
 
 // Origin returns the service that is the origin of weights.
 func (s *State) Origin() (Service, bool) {
--- a/internal/coordination/fleet/choose.go
+++ b/internal/coordination/fleet/choose.go
@@ -33,6 +33,8 @@
 	Found bool
 	// Version is the version that must answer, if Version or Least was wanted.
 	Version uint64
+	// Pace is how many times longer than it should the server takes; 0 if not known.
+	Pace float64
 	// Holds is the version that the server is taken to hold; 0 if none.
 	Holds     uint64
 	Predicted time.Duration
@@ -93,6 +95,9 @@
 	if f.config.Regions[s.backend.Site] != f.config.Region {
 		placement.Ahead += f.config.FarMargin
 	}
+	if s.hasReport {
+		placement.Pace = s.load.Pace
+	}
 	placement.Holds = f.version(s, request.Model, now)
 	if request.Version != 0 || request.Least != 0 {
 		placement.Version = placement.Holds
--- a/internal/coordination/fleet/counts.go
+++ b/internal/coordination/fleet/counts.go
@@ -22,6 +22,9 @@
 	Sequence uint64
 	Running  int
 	Queued   int
+	// Pace is above 1 if the server takes so many times longer than it should; 0 if
+	// that is not known.
+	Pace float64 `json:",omitempty"`
 	// Switching is true from shortly before a load order until it is done.
 	Switching bool
 	Models    []catalog.Model
--- a/internal/transport/channel/cancelled_test.go
+++ b/internal/transport/channel/cancelled_test.go
@@ -23,7 +23,7 @@
 	c.Assert(err, qt.IsNil)
 	ctx, cancel := context.WithCancel(context.Background())
 	cancel()
-	_, err = pool.Do(ctx, Server{ID: "server", Address: s.address()}, &Request{Method: http.MethodGet, Target: "/x", Host: "h", Header: http.Header{"Id": {"2"}}},
+	_, err = pool.Do(ctx, Server{ID: "server", Boot: 1, Address: s.address()}, &Request{Method: http.MethodGet, Target: "/x", Host: "h", Header: http.Header{"Id": {"2"}}},
 		func(*http.Response) bool { return true })
 	var failed *SendError
 	c.Assert(errors.As(err, &failed), qt.IsTrue)
--- a/internal/transport/channel/channel.go
+++ b/internal/transport/channel/channel.go
@@ -137,6 +137,12 @@
 	if err != nil {
 		return nil, &SendError{Address: server.Address, Err: err}
 	}
+	if err := ctx.Err(); err != nil {
+		// Guard: a request that had been taken back before anything of it was sent went
+		// out on a kept connection, and its caller was told that it may have run.
+		p.put(c)
+		return nil, &SendError{Address: server.Address, Err: err}
+	}
 	stop := context.AfterFunc(ctx, c.abort)
 	fail := func(err error) (*Answer, error) {
 		stop()
--- a/internal/transport/gateway/attempts.go
+++ b/internal/transport/gateway/attempts.go
@@ -39,8 +39,8 @@
 	// made by a version that soon may not answer any more; 0 if there is no such time.
 	beginBy    time.Duration
 	beginTimer *time.Timer
-	// takenBack is true once an attempt was ended for that.
-	takenBack atomic.Bool
+	// takenBack says whether the attempt under way was ended for that.
+	takenBack recall
 }
 
 // run sends the request until it has a final answer.
@@ -269,6 +269,23 @@
 	}
 }
 
+// recall is whether an attempt has begun or was taken back, whichever came first. It is
+// safe for concurrent use.
+type recall struct{ state atomic.Int32 }
+
+// States of a recall.
+const (
+	recallWaits int32 = iota
+	recallBegun
+	recallDone
+)
+
+// Load reports whether the attempt was taken back.
+func (r *recall) Load() bool { return r.state.Load() == recallDone }
+
+// take takes the attempt back unless it has begun.
+func (r *recall) take() bool { return r.state.CompareAndSwap(recallWaits, recallDone) }
+
 // watchBegin takes the attempt back if it has not begun in time, and returns what
 // ends that.
 //
@@ -276,19 +293,30 @@
 // version that may not answer any more; it would be seen as an answer by old weights
 // after their bound. Its channel is closed so long before that the server drops it.
 func (a *attempts) watchBegin(cancel func()) func() {
-	a.takenBack.Store(false)
+	a.takenBack.state.Store(recallWaits)
 	if a.beginBy == 0 {
 		return func() {}
 	}
-	a.beginTimer = time.AfterFunc(a.beginBy-boottime.Now(), func() {
-		a.takenBack.Store(true)
-		cancel()
-	})
+	end := func() {
+		if a.takenBack.take() {
+			cancel()
+		}
+	}
+	left := a.beginBy - boottime.Now()
+	if left <= 0 {
+		end()
+		return a.hasBegun
+	}
+	a.beginTimer = time.AfterFunc(left, end)
 	return a.hasBegun
 }
 
 // hasBegun notes that the attempt under way has begun, or ended.
+//
+// Guard: the timer may run while the first event is read. Whichever comes first holds: an
+// answer that has begun is not cut off.
 func (a *attempts) hasBegun() {
+	a.takenBack.state.CompareAndSwap(recallWaits, recallBegun)
 	if a.beginTimer != nil {
 		a.beginTimer.Stop()
 		a.beginTimer = nil
--- a/internal/transport/gateway/decode.go
+++ b/internal/transport/gateway/decode.go
@@ -23,6 +23,8 @@
 	// requestsMost bounds the requests that one process has at one server.
 	requestsMost = 1 << 20
 	modelsMost   = 256
+	// paceMost bounds how many times slower than it should be a server is.
+	paceMost = 1000
 	// aheadMost bounds how far ahead a report tells: a change of weights takes seconds.
 	aheadMost = time.Hour
 	// revisionMost is the largest revision that all readers of JSON agree on.
@@ -34,6 +36,7 @@
 	errAddress  = errors.New("expected HOST:PORT")
 	errName     = fmt.Errorf("expected a name of 1 to %d bytes", nameMost)
 	errRequests = fmt.Errorf("expected 0 to %d requests", requestsMost)
+	errPace     = fmt.Errorf("expected a pace of 0 to %d", paceMost)
 	errAge      = errors.New("expected a time that can be")
 	errRevision = fmt.Errorf("expected a revision of up to %d", uint64(revisionMost))
 	errTooLarge = errors.New("the answer is too large")
@@ -134,6 +137,9 @@
 	if l.LeavesIn > aheadMost || l.LoadedIn > aheadMost {
 		return fmt.Errorf("load: %w", errAge)
 	}
+	if l.Pace < 0 || l.Pace > paceMost {
+		return fmt.Errorf("load: %w", errPace)
+	}
 	return checkModels(l.Models)
 }
 
--- a/internal/transport/gateway/gateway.go
+++ b/internal/transport/gateway/gateway.go
@@ -19,7 +19,6 @@
 	"github.com/filbertlever/filbertlever/internal/coordination/fleet"
 	"github.com/filbertlever/filbertlever/internal/coordination/relays"
 	"github.com/filbertlever/filbertlever/internal/coordination/retry"
-	"github.com/filbertlever/filbertlever/internal/coordination/switchover"
 	"github.com/filbertlever/filbertlever/internal/transport/boottime"
 	"github.com/filbertlever/filbertlever/internal/transport/relay"
 )
@@ -50,15 +49,6 @@
 	Leave time.Duration
 }
 
-// named is the version of a model that operators want.
-type named struct {
-	version uint64
-	// since is when it was named, as far as known.
-	since time.Duration
-	// guessed is true while since is not known from a process that saw it named.
-	guessed bool
-}
-
 // Gateway is one entry.
 type Gateway struct {
 	config  Config
@@ -177,142 +167,6 @@
 	return g.peers.locate(site, ready, boottime.Now()), g.config.Keep
 }
 
-// least returns the oldest version of a model that may answer now; 0 means any.
-func (g *Gateway) least(model string, now time.Duration) uint64 {
-	if g.config.Bound <= 0 {
-		return 0
-	}
-	strict := g.switchover(model).Strict()
-	least := uint64(0)
-	for _, n := range g.named[model] {
-		if now-n.since >= strict {
-			least = max(least, n.version)
-		}
-	}
-	return least
-}
-
-// switchover returns the times of a model's changes of version.
-func (g *Gateway) switchover(model string) switchover.Config {
-	config := switchover.DefaultConfig(g.config.Bound)
-	if state := g.state.Load(); state != nil {
-		config = config.WithPass(state.LongestPass(model))
-	}
-	return config
-}
-
-// takeBackAt reports whether a request that is placed so begins in time at a server
-// whose version may soon be too old, and when it is taken back if it has not; 0 if its
-// version has no such bound.
-//
-// Guard: whatever goes to older weights has such a time, also what is sent long before
-// the bound and what goes on with an answer. The first server that had a version got 83
-// requests within 80 ms from 42 entries; they waited there for up to 1.75 s, and some
-// began on it after the next one's bound.
-func (g *Gateway) takeBackAt(model string, now time.Duration, p fleet.Placement) (time.Duration, bool) {
-	if g.config.Bound <= 0 {
-		return 0, true
-	}
-	config := g.switchover(model)
-	at := time.Duration(0)
-	for _, n := range g.named[model] {
-		if n.version <= p.Holds {
-			continue
-		}
-		if !config.MayBegin(n.since, now, p.Predicted) {
-			return 0, false
-		}
-		if by := config.TakeBackAt(n.since); at == 0 || by < at {
-			at = by
-		}
-	}
-	return at, true
-}
-
-// setNamed takes versions that operators have named.
-func (g *Gateway) setNamed(versions []catalog.NamedVersion, first bool, now time.Duration) {
-	for _, v := range versions {
-		if v.Version <= g.newest(v.Model) {
-			continue
-		}
-		n := named{version: v.Version, since: now}
-		if first {
-			// Named before this process started, it is not known when: the bound
-			// may have passed already.
-			n.since, n.guessed = now-g.config.Bound, true
-		}
-		g.named[v.Model] = append(g.current(v.Model, now), n)
-		g.fleet.SetNamed(v.Model, g.versions(v.Model), now)
-		g.revision++
-		g.log.Info("version named", zap.String("Model", v.Model), zap.Uint64("Version", v.Version), zap.Bool("BeforeStart", first))
-		g.supersede(v, n.since)
-		if !first {
-			g.relay.Prefetch(v)
-		}
-	}
-}
-
-// supersede tells the relay when the versions before one are of no more use.
-func (g *Gateway) supersede(v catalog.NamedVersion, since time.Duration) {
-	if g.config.Bound <= 0 {
-		return
-	}
-	for _, older := range g.named[v.Model] {
-		if older.version < v.Version {
-			g.relay.Supersede(catalog.NamedVersion{Model: v.Model, Version: older.version}, g.switchover(v.Model).AnswersUntil(since))
-		}
-	}
-}
-
-// namedKept is how many bounds a version that was superseded is remembered:
-// its own bound still counts for servers that skip it.
-const namedKept = 2
-
-// current returns the named versions of a model that still matter.
-func (g *Gateway) current(model string, now time.Duration) []named {
-	var kept []named
-	for _, n := range g.named[model] {
-		if now-n.since < namedKept*g.config.Bound {
-			kept = append(kept, n)
-		}
-	}
-	return kept
-}
-
-func (g *Gateway) newest(model string) uint64 {
-	list := g.named[model]
-	if len(list) == 0 {
-		return 0
-	}
-	return list[len(list)-1].version
-}
-
-func (g *Gateway) versions(model string) []uint64 {
-	var versions []uint64
-	for _, n := range g.named[model] {
-		versions = append(versions, n.version)
-	}
-	return versions
-}
-
-// heardNamed takes a peer's word on when a version was named.
-//
-// Guard: a host that was cut off hears of a version seconds after all others. It
-// would send requests to servers with the older one, and tell its agents to wait
-// with their change, seconds after the bound; the earliest word counts.
-func (g *Gateway) heardNamed(model string, version uint64, age, now time.Duration) {
-	for i, n := range g.named[model] {
-		if n.version == version && (n.guessed || now-age < n.since-heardSlack) {
-			g.named[model][i] = named{version: version, since: now - age}
-			g.revision++
-		}
-	}
-}
-
-// heardSlack is the difference between two entries' words that is only the time
-// on their way, and not worth telling all agents of.
-const heardSlack = 50 * time.Millisecond
-
 // budget returns the retry budget of a service; the caller holds the lock.
 func (g *Gateway) budget(service string) *retry.Window {
 	b, ok := g.budgets[service]
--- /dev/null
+++ b/internal/transport/gateway/named.go
@@ -0,0 +1,185 @@
+package gateway
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/filbertlever/filbertlever/internal/coordination/catalog"
+	"github.com/filbertlever/filbertlever/internal/coordination/fleet"
+	"github.com/filbertlever/filbertlever/internal/coordination/switchover"
+)
+
+// named is the version of a model that operators want.
+type named struct {
+	version uint64
+	// since is when it was named, as far as known.
+	since time.Duration
+	// guessed is true while since is not known from a process that saw it named.
+	guessed bool
+}
+
+// least returns the oldest version of a model that may answer now; 0 means any.
+func (g *Gateway) least(model string, now time.Duration) uint64 {
+	if g.config.Bound <= 0 {
+		return 0
+	}
+	strict := g.switchover(model).Strict()
+	least := uint64(0)
+	for _, n := range g.named[model] {
+		if now-n.since >= strict {
+			least = max(least, n.version)
+		}
+	}
+	return least
+}
+
+// switchover returns the times of a model's changes of version.
+func (g *Gateway) switchover(model string) switchover.Config {
+	config := switchover.DefaultConfig(g.config.Bound)
+	if state := g.state.Load(); state != nil {
+		config = config.WithPass(state.LongestPass(model))
+	}
+	return config
+}
+
+// takeBackAt reports whether a request that is placed so begins in time at a server
+// whose version may soon be too old, and when it is taken back if it has not; 0 if its
+// version has no such bound.
+//
+// Guard: whatever goes to older weights has such a time, also what is sent long before
+// the bound and what goes on with an answer. The first server that had a version got 83
+// requests within 80 ms from 42 entries; they waited there for up to 1.75 s, and some
+// began on it after the next one's bound.
+func (g *Gateway) takeBackAt(model string, now time.Duration, p fleet.Placement) (time.Duration, bool) {
+	if g.config.Bound <= 0 || g.plain(p.Backend.Service) {
+		return 0, true
+	}
+	config := g.switchover(model)
+	config.Pass = time.Duration(float64(config.Pass) * max(p.Pace, 1))
+	at := time.Duration(0)
+	for _, n := range g.named[model] {
+		if n.version <= p.Holds {
+			continue
+		}
+		if !config.MayBegin(n.since, now, p.Predicted) {
+			return 0, false
+		}
+		if by := config.TakeBackAt(n.since); at == 0 || by < at {
+			at = by
+		}
+	}
+	return at, true
+}
+
+// setNamed takes versions that operators have named.
+func (g *Gateway) setNamed(versions []catalog.NamedVersion, first bool, now time.Duration) {
+	for _, v := range versions {
+		if v.Version <= g.newest(v.Model) {
+			continue
+		}
+		n := named{version: v.Version, since: now}
+		if first {
+			// Named before this process started, it is not known when: the bound
+			// may have passed already.
+			n.since, n.guessed = now-g.config.Bound, true
+		}
+		g.addNamed(v.Model, n, now)
+		if !first {
+			g.relay.Prefetch(v)
+		}
+	}
+}
+
+// addNamed takes a version that is not known yet, in the order of versions.
+func (g *Gateway) addNamed(model string, n named, now time.Duration) {
+	list := append(slices.Clone(g.named[model]), n)
+	slices.SortFunc(list, func(a, b named) int { return cmp.Compare(a.version, b.version) })
+	g.named[model] = current(list, g.config.Bound, now)
+	g.fleet.SetNamed(model, g.versions(model), now)
+	g.revision++
+	g.log.Info("version named", zap.String("Model", model), zap.Uint64("Version", n.version), zap.Duration("Age", now-n.since), zap.Bool("BeforeStart", n.guessed))
+	for _, newer := range g.named[model] {
+		g.supersede(catalog.NamedVersion{Model: model, Version: newer.version}, newer.since)
+	}
+}
+
+// supersede tells the relay when the versions before one are of no more use.
+func (g *Gateway) supersede(v catalog.NamedVersion, since time.Duration) {
+	if g.config.Bound <= 0 {
+		return
+	}
+	for _, older := range g.named[v.Model] {
+		if older.version < v.Version {
+			g.relay.Supersede(catalog.NamedVersion{Model: v.Model, Version: older.version}, g.switchover(v.Model).AnswersUntil(since))
+		}
+	}
+}
+
+// current returns the named versions that still matter: all but those that a newer one,
+// which is the only one to answer by now, stands for.
+//
+// Guard: a version was forgotten two bounds after its naming when the next one was named,
+// and with it that its bound had passed; servers that had never taken it got requests again.
+func current(list []named, bound, now time.Duration) []named {
+	for i := len(list) - 1; i > 0; i-- {
+		if bound > 0 && !list[i].guessed && now-list[i].since >= bound {
+			return list[i:]
+		}
+	}
+	return list
+}
+
+func (g *Gateway) newest(model string) uint64 {
+	list := g.named[model]
+	if len(list) == 0 {
+		return 0
+	}
+	return list[len(list)-1].version
+}
+
+func (g *Gateway) versions(model string) []uint64 {
+	var versions []uint64
+	for _, n := range g.named[model] {
+		versions = append(versions, n.version)
+	}
+	return versions
+}
+
+// heardNamed takes a peer's word on when a version was named.
+//
+// Guard: a host that was cut off hears of a version seconds after all others. It
+// would send requests to servers with the older one, and tell its agents to wait
+// with their change, seconds after the bound; the earliest word counts.
+//
+// Guard: an entry that starts reads the newest version alone from the store. Of one that
+// was named shortly before it, whose bound comes first, only its peers can tell: requests
+// began on an older one 1.1 s after that bound.
+func (g *Gateway) heardNamed(model string, version uint64, age, now time.Duration) {
+	list := g.named[model]
+	i := slices.IndexFunc(list, func(n named) bool { return n.version == version })
+	switch {
+	case i < 0 && g.standsFor(list, version, now):
+	case i < 0:
+		g.addNamed(model, named{version: version, since: now - age}, now)
+	case list[i].guessed || now-age < list[i].since-heardSlack:
+		list[i] = named{version: version, since: now - age}
+		g.revision++
+	}
+}
+
+// standsFor reports whether a newer version than one is the only one to answer by now.
+func (g *Gateway) standsFor(list []named, version uint64, now time.Duration) bool {
+	for _, n := range list {
+		if n.version > version && !n.guessed && g.config.Bound > 0 && now-n.since >= g.config.Bound {
+			return true
+		}
+	}
+	return false
+}
+
+// heardSlack is the difference between two entries' words that is only the time
+// on their way, and not worth telling all agents of.
+const heardSlack = 50 * time.Millisecond
--- a/internal/transport/gateway/watch.go
+++ b/internal/transport/gateway/watch.go
@@ -25,6 +25,9 @@
 	// they come in series and each answer is a call. All bounds of what is heard
 	// here are 2 s and more.
 	gather = 250 * time.Millisecond
+	// gatherDesired is the same for desired states and versions: the bound of a version
+	// counts from when it is heard of, and 150 ms are kept for that.
+	gatherDesired = 60 * time.Millisecond
 	// retryFirst and retryMost are the pauses after failed calls.
 	retryFirst = 100 * time.Millisecond
 	retryMost  = 800 * time.Millisecond
@@ -80,12 +83,23 @@
 			w.noteRegained()
 			pause = retryFirst
 			if changed {
-				w.gateway.sleep(ctx, gather)
+				w.gateway.sleep(ctx, gatherFor(w.table))
 			}
 		}
 	}
 }
 
+// gatherFor is how long a table's changes are left to gather.
+//
+// Guard: a version that was named 20 ms after a desired state was heard of 168 to 306 ms
+// later, and its bound kept so much too late.
+func gatherFor(table Table) time.Duration {
+	if table == TableDesired {
+		return gatherDesired
+	}
+	return gather
+}
+
 // turn makes one call, to the store or to the region's reader.
 func (w *watch) turn(ctx context.Context) (changed bool, err error) {
 	g := w.gateway
--- a/internal/transport/sidecar/boots.go
+++ b/internal/transport/sidecar/boots.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"math"
 	"time"
 
 	"go.uber.org/zap"
@@ -12,6 +13,10 @@
 // errRestarted means that the process that something was begun for is gone.
 var errRestarted = errors.New("the model server started again")
 
+// paceNews is a change of the server's pace that entries of all sites are told at once:
+// how long before a bound requests are taken back follows it.
+const paceNews = 0.5
+
 // bootsTold is how many ended processes of its server an agent tells of. They are told
 // for entries that missed some, and one that starts again more often within the time in
 // which datagrams are late is not at work between.
@@ -34,6 +39,7 @@
 			s.restarted(before, &report)
 		}
 	}
+	s.news = s.news || math.Abs(report.Pace-s.report.Pace) > paceNews
 	s.report, s.hasReport, s.reportedOnce, s.reportAsked = report, true, true, asked
 }
 
