--- a/internal/transport/gateway/feeds.go
+++ b/internal/transport/gateway/feeds.go
@@ -264,12 +264,18 @@
 // store: 2,415 calls of it in a day in place of 1,846. It asks them again a little later;
 // one that the store answers, or the one that goes on trying, has it first.
 func (g *Gateway) followReader(ctx context.Context, table Table, after uint64) (Rows, time.Duration, bool, error) {
+	var asked filbertlever.HostID
 	for range readersAsked {
 		sent := boottime.Now()
 		host, address, other := g.reader(sent)
 		if !other {
 			return Rows{}, 0, false, nil
 		}
+		if host == asked {
+			// None is left but the one that goes on trying for all.
+			break
+		}
+		asked = host
 		answer, err := g.fetchFeed(ctx, address, table, after)
 		if !errors.Is(err, errReaderLost) {
 			rows, at, ok := g.followed(table, host, after, sent, answer, err)
