--- a/internal/transport/gateway/attempts.go
+++ b/internal/transport/gateway/attempts.go
@@ -6,7 +6,6 @@
 	"io"
 	"net/http"
 	"strconv"
-	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -14,7 +13,6 @@
 	"github.com/filbertlever/filbertlever/internal/coordination/catalog"
 	"github.com/filbertlever/filbertlever/internal/coordination/fleet"
 	"github.com/filbertlever/filbertlever/internal/coordination/forward"
-	"github.com/filbertlever/filbertlever/internal/coordination/routing"
 	"github.com/filbertlever/filbertlever/internal/transport/boottime"
 	"github.com/filbertlever/filbertlever/internal/transport/channel"
 )
@@ -68,135 +66,6 @@
 	}
 }
 
-// place picks a server, or says why the request cannot be served.
-func (a *attempts) place(first bool) (fleet.Placement, *problem) {
-	g := a.gateway
-	now := boottime.Now()
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	if first {
-		g.budget(a.service).Fresh(now)
-	}
-	placement := a.choose(now)
-	fields := []zap.Field{zap.String("Request", a.call.ID), zap.String("Service", a.service),
-		zap.String("Backend", placement.Backend.ID), zap.Duration("Predicted", placement.Predicted), zap.Int("Ahead", placement.Ahead),
-		zap.Int("Weighed", placement.Weighed), zap.Duration("ReportAge", placement.ReportAge), zap.String("Why", string(placement.Reason)), zap.Bool("Cut", placement.Cut), zap.Duration("Reading", placement.Reading)}
-	fields = append(fields, a.bounds(placement, now)...)
-	if !placement.Found {
-		g.log.Info("no server", fields...)
-		return placement, busy(reasonNoServer, g.returnWhenReady(a.service, placement.ReadyIn, a.remaining(), now))
-	}
-	admitted, retry := g.gate.Admit(placement.Ahead, placement.Reading, placement.Predicted, a.remaining(), g.rng)
-	if a.stream != nil || g.plain(a.service) {
-		// An answer that has begun goes on wherever it can, and a plain service
-		// has a queue of a few places of its own, which refuses.
-		admitted = true
-	}
-	if !admitted {
-		g.fleet.Ended(placement.Backend.ID)
-		g.log.Info("refused", fields...)
-		return placement, busy(reasonBusy, retry)
-	}
-	g.log.Info("placed", fields...)
-	return placement, nil
-}
-
-// bounds tells of a placement which version the server is taken to hold, and for how
-// long the attempt may wait there until it has begun.
-func (a *attempts) bounds(placement fleet.Placement, now time.Duration) []zap.Field {
-	fields := []zap.Field{zap.Uint64("Holds", placement.Holds)}
-	if a.beginBy != 0 {
-		fields = append(fields, zap.Duration("BeginIn", a.beginBy-now))
-	}
-	return fields
-}
-
-// choose picks a server, and notes when the attempt is taken back if it has not begun
-// there; the caller holds the lock.
-func (a *attempts) choose(now time.Duration) fleet.Placement {
-	g := a.gateway
-	placement := a.pick(now)
-	a.beginBy = 0
-	if !placement.Found {
-		return placement
-	}
-	at, ok := g.takeBackAt(a.call.Model, now, placement)
-	if !ok {
-		g.fleet.Ended(placement.Backend.ID)
-		return fleet.Placement{Reason: routing.ReasonNone, Weighed: placement.Weighed, ReadyIn: g.fleet.ReadyIn(a.service, now)}
-	}
-	a.beginBy = at
-	return placement
-}
-
-// pick picks a server; the caller holds the lock.
-//
-// An answer that has begun is finished by the same weights if a server that has
-// them can go on before the caller sees a pause. During a switch few servers
-// have them, which are about to change too; then newer weights finish it, since
-// an answer that breaks off is asked for again and made by those all the same.
-func (a *attempts) pick(now time.Duration) fleet.Placement {
-	g := a.gateway
-	wanted := a.wanted(now)
-	placement := g.fleet.Choose(wanted, now)
-	if wanted.Version == 0 {
-		return a.pickOlder(wanted, placement, now)
-	}
-	if placement.Found && placement.Predicted < a.route.Pause && !placement.Cut && a.beginsInTime(placement, now) {
-		return placement
-	}
-	if placement.Found {
-		g.fleet.Ended(placement.Backend.ID)
-	}
-	wanted.Version = 0
-	return g.fleet.Choose(wanted, now)
-}
-
-func (a *attempts) beginsInTime(placement fleet.Placement, now time.Duration) bool {
-	_, ok := a.gateway.takeBackAt(a.call.Model, now, placement)
-	return ok
-}
-
-// pickOlder picks a server with an older version for a request that finds no place
-// with the wanted one, if it surely begins there before the bound.
-func (a *attempts) pickOlder(wanted fleet.Request, found fleet.Placement, now time.Duration) fleet.Placement {
-	g := a.gateway
-	if wanted.Least == 0 || found.Found && found.Ahead <= g.gate.Waiting {
-		return found
-	}
-	wanted.Least = 0
-	older := g.fleet.Choose(wanted, now)
-	if !older.Found {
-		return found
-	}
-	if older.Ahead > 0 || !a.beginsInTime(older, now) {
-		g.fleet.Ended(older.Backend.ID)
-		return found
-	}
-	if found.Found {
-		g.fleet.Ended(found.Backend.ID)
-	}
-	return older
-}
-
-func (g *Gateway) plain(service string) bool {
-	state := g.state.Load()
-	return state != nil && state.Services[service].Engine == nil
-}
-
-// wanted describes the request for placement; the caller holds the lock.
-func (a *attempts) wanted(now time.Duration) fleet.Request {
-	request := fleet.Request{Service: a.service, Model: a.call.Model, PromptTokens: a.call.PromptTokens,
-		AnswerTokens: a.call.AnswerTokens, Final: a.Sent()+1 >= a.Class.Servers, Avoid: a.gateway.fleet.Avoid(a.tried)}
-	if a.call.Model != "" {
-		request.Least = a.gateway.least(a.call.Model, now)
-	}
-	if a.stream != nil && a.stream.version >= request.Least {
-		request.Version = a.stream.version
-	}
-	return request
-}
-
 // try sends the request to one server. It returns 0 if the caller has its final
 // answer, else how the attempt ended, and the server's failure if it gave one.
 func (a *attempts) try(placement fleet.Placement) (forward.End, *Reply) {
@@ -255,74 +124,6 @@
 	return end
 }
 
-// noteLost notes an attempt that got no answer, or half of one: one that was taken
-// back, or whose caller left, is not its server's fault.
-func (a *attempts) noteLost(id string, end forward.End, err error) {
-	switch {
-	case a.callerLeft():
-	case a.takenBack.Load():
-		a.gateway.metrics.takenBack.WithLabelValues(a.service).Inc()
-		a.gateway.log.Info("attempt taken back", zap.String("Request", a.call.ID), zap.String("Backend", id),
-			zap.Uint64("Holds", a.last.Holds), zap.Duration("Predicted", a.last.Predicted), zap.Duration("Waited", boottime.Now()-a.placedAt))
-	case a.remaining() > 0:
-		a.blame(id, end, err)
-	}
-}
-
-// recall is whether an attempt has begun or was taken back, whichever came first. It is
-// safe for concurrent use.
-type recall struct{ state atomic.Int32 }
-
-// States of a recall.
-const (
-	recallWaits int32 = iota
-	recallBegun
-	recallDone
-)
-
-// Load reports whether the attempt was taken back.
-func (r *recall) Load() bool { return r.state.Load() == recallDone }
-
-// take takes the attempt back unless it has begun.
-func (r *recall) take() bool { return r.state.CompareAndSwap(recallWaits, recallDone) }
-
-// watchBegin takes the attempt back if it has not begun in time, and returns what
-// ends that.
-//
-// Guard: a request that waits at its server longer than predicted would begin on a
-// version that may not answer any more; it would be seen as an answer by old weights
-// after their bound. Its channel is closed so long before that the server drops it.
-func (a *attempts) watchBegin(cancel func()) func() {
-	a.takenBack.state.Store(recallWaits)
-	if a.beginBy == 0 {
-		return func() {}
-	}
-	end := func() {
-		if a.takenBack.take() {
-			cancel()
-		}
-	}
-	left := a.beginBy - boottime.Now()
-	if left <= 0 {
-		end()
-		return a.hasBegun
-	}
-	a.beginTimer = time.AfterFunc(left, end)
-	return a.hasBegun
-}
-
-// hasBegun notes that the attempt under way has begun, or ended.
-//
-// Guard: the timer may run while the first event is read. Whichever comes first holds: an
-// answer that has begun is not cut off.
-func (a *attempts) hasBegun() {
-	a.takenBack.state.CompareAndSwap(recallWaits, recallBegun)
-	if a.beginTimer != nil {
-		a.beginTimer.Stop()
-		a.beginTimer = nil
-	}
-}
-
 // blame logs an attempt that its server spoilt, and keeps others from it.
 //
 // Guard: a request that was under way as its server started again breaks off when the
