Nothing is laid beside a server until an order without an answer is settled

Cause: an order whose answer does not come in time may be accepted later. The load took it for failed, released the place beside the server, and pieces of the next version were laid over it: the server, which loads what lies there as it accepts, answered with weights of two versions. Ruled out: sending the expected number of orders. It refuses a late order only once another one has begun, not while the next version is being laid, and reports are some hundred milliseconds old, so that a sound order after another one would be refused. Change: after an order without an answer the place is kept until reports asked for since show, for orderLies (1 s) after the server answers again, that it neither loads nor holds the version; if it does, the load goes on as ordered. Conclusion: holds while late orders come within a second after the server answers reports again. One that lies longer, and a piece put whose answer is late, are not covered.

--- a/internal/transport/sidecar/load.go
+++ b/internal/transport/sidecar/load.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"time"
 
@@ -71,13 +72,61 @@
 	if err := context.Cause(ctx); err != nil {
 		return err
 	}
-	if err := s.engine.Load(ctx, l.named.Model, l.named.Version); err != nil {
+	if err := l.order(ctx); err != nil {
 		return err
 	}
 	s.log.Info("load ordered", zap.String("Model", l.named.Model), zap.Uint64("Version", l.named.Version), zap.Bool("Idle", l.idle))
 	return l.await(ctx)
 }
 
+// order gives the order; without an error the server has taken it.
+//
+// Guard: a server that stood still accepts an order after its agent gave up waiting for
+// the answer. The agent laid the next version over it meanwhile, and the server answered
+// with weights of two versions; nothing is laid until its own reports show, for as long
+// as an order may lie there, that it has not taken it.
+func (l *load) order(ctx context.Context) error {
+	err := l.agent.engine.Load(ctx, l.named.Model, l.named.Version)
+	if err == nil || errors.Is(err, ErrNotTaken) {
+		return err
+	}
+	l.agent.log.Warn("order without an answer", zap.String("Model", l.named.Model), zap.Uint64("Version", l.named.Version), zap.Error(err))
+	if l.settle(ctx) {
+		return nil
+	}
+	return err
+}
+
+// orderLies is for how long a server that answers again may still accept an order that
+// has lain there: its reports are some hundred milliseconds old, and it reads what lies
+// on one connection as it reads another one.
+const orderLies = time.Second
+
+// settle waits until it is known what became of an order without an answer, and reports
+// whether the server has taken it. A server that stands still reports nothing, and its
+// next process knows no orders of this one.
+func (l *load) settle(ctx context.Context) bool {
+	calm := time.Duration(0)
+	for ; ctx.Err() == nil; sleep(ctx, awaitPause) {
+		asked := boottime.Now()
+		report, err := l.agent.engine.Report(ctx)
+		switch {
+		case err != nil:
+			calm = 0
+		case l.boot != 0 && report.Boot != l.boot:
+			l.agent.takeReport(report, asked)
+			return false
+		case report.Loading || held(report.Models, l.named.Model) >= l.named.Version:
+			return true
+		case calm == 0:
+			calm = asked
+		case asked-calm >= orderLies:
+			return false
+		}
+	}
+	return false
+}
+
 // stageTries bounds the rounds of staging and checking.
 const stageTries = 3
 
--- a/internal/transport/sidecar/sidecar.go
+++ b/internal/transport/sidecar/sidecar.go
@@ -47,9 +47,14 @@
 	Staged(ctx context.Context, model string, piece int) ([]byte, error)
 	// StagedPieces returns the numbers of the pieces that lie beside the server.
 	StagedPieces(ctx context.Context, model string) ([]int, error)
+	// Load orders the server to load what is staged. Unless its error is ErrNotTaken, the
+	// server may have taken the order, or take it yet.
 	Load(ctx context.Context, model string, version uint64) error
 }
 
+// ErrNotTaken means that a server did not take an order and will not.
+var ErrNotTaken = errors.New("the order is not taken")
+
 // EntryLister reads the entries from the store, for when no seed answers.
 type EntryLister interface {
 	ReadEntries(ctx context.Context) (gateway.Entries, error)
