A fetch turns wide only once nothing waits at its server

Cause: Idle tells that entries send a server no more requests; the fetch took it for a server without requests, and moved sixteen pieces at once from 0.1 s before entries close the connections of what waits there. The closes lay behind the pieces on the server's link, 0.55 s of it, and requests that were taken back began on old weights. Ruled out: making Idle later: loads may be ordered from then on, and would come later by the length of a pass. Trusting the server's report at once: it is some hundred milliseconds old and lacks what was sent last. Change: switchover.Still, pure: the server holds nothing, BeginBy of a version that it lacks is past, or a report asked for reportAge (0.5 s) after the last request could be sent shows none running and none queued. The agent's idle (lanes, early laying) needs both; when loads are ordered is as before. Conclusion: the width follows what waits or runs, the order what may be sent.

--- a/internal/coordination/switchover/switchover.go
+++ b/internal/coordination/switchover/switchover.go
@@ -288,3 +288,29 @@
 	}
 	return false
 }
+
+// reportAge is how much older than its asking a server's own report may be: some hundred
+// milliseconds, and the way of a request that was sent before.
+const reportAge = 500 * time.Millisecond
+
+// Still reports whether nothing waits or runs at a server that is idle: it holds nothing,
+// what was to be taken back has been, or its own report, the last of which without a
+// request was asked for at emptyAt (0 if it shows some), shows none since no more are sent.
+//
+// Guard: a server gets no new requests from a while before the connections of those that
+// wait there are closed. Its link was filled from then on, the closes lay for half a
+// second behind sixteen pieces, and requests that were taken back began on old weights.
+func (c Config) Still(held uint64, named []Named, now, emptyAt time.Duration) bool {
+	if held == 0 {
+		return true
+	}
+	for _, n := range named {
+		if n.Version <= held || c.Bound <= 0 {
+			continue
+		}
+		if now >= c.BeginBy(n.Since) || emptyAt >= c.AnswersUntil(n.Since)+reportAge {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/coordination/switchover/switchover_test.go
+++ b/internal/coordination/switchover/switchover_test.go
@@ -232,3 +232,32 @@
 	_, begin, _ := config.Next(1, named, count-1, count)
 	c.Assert(begin, qt.Equals, bound)
 }
+
+// Requests began on weights whose bound had passed: their connections were closed behind
+// what the server was being brought at the full rate of its link. It is still only once
+// all that was to be taken back has been, or once it says that it has none, in a report
+// that is young enough to count those that were sent last.
+func TestAServerThatGetsNoRequestsIsNotStillYet(t *testing.T) {
+	c := qt.New(t)
+	config := DefaultConfig(bound).WithPass(550 * time.Millisecond)
+	named := []Named{{Version: 2, Since: time.Minute}}
+	until, by := config.AnswersUntil(time.Minute), config.BeginBy(time.Minute)
+	tests := []struct {
+		held         uint64
+		now, emptyAt time.Duration
+		want         bool
+	}{
+		{held: 0, now: until, want: true},
+		{held: 1, now: until + 1},
+		{held: 1, now: by - 1},
+		{held: 1, now: by, want: true},
+		// This report may not show what was sent last.
+		{held: 1, now: by - 1, emptyAt: until + reportAge - 1},
+		{held: 1, now: by - 1, emptyAt: until + reportAge, want: true},
+		{held: 2, now: by + time.Hour, emptyAt: by + time.Hour},
+	}
+	for _, test := range tests {
+		c.Check(config.Still(test.held, named, test.now, test.emptyAt), qt.Equals, test.want, qt.Commentf("%+v", test))
+	}
+	c.Check(DefaultConfig(0).Still(1, named, time.Hour, time.Hour), qt.IsFalse)
+}
--- a/internal/transport/sidecar/fetch.go
+++ b/internal/transport/sidecar/fetch.go
@@ -40,7 +40,7 @@
 	wide, narrow chan struct{}
 }
 
-// idle reports whether the server gets no requests for the model.
+// idle reports whether the server has no requests for the model and gets none.
 //
 // Guard: a server may begin to answer while a set is fetched. What had been begun at the
 // full rate of its link went on so, and requests needed up to 0.49 s to reach it, where
--- a/internal/transport/sidecar/weights.go
+++ b/internal/transport/sidecar/weights.go
@@ -40,8 +40,8 @@
 	wholeAt  map[uint64]time.Duration
 	fetching bool
 	loading  bool
-	// idle is true while the server gets no requests for the model, nor will once what
-	// it loads is there.
+	// idle is true while the server has no requests for the model and gets none, nor will
+	// once what it loads is there.
 	idle bool
 	// loads is the version being loaded, while loading.
 	loads uint64
@@ -116,7 +116,7 @@
 	for model, named := range s.named() {
 		p := &plan{Config: config, model: model, weights: s.weightsOf(model), named: named, held: held(s.report.Models, model), now: now}
 		p.idle = config.Idle(p.held, named, now)
-		p.weights.idle = p.idle && !(p.weights.loading && !config.Idle(p.weights.loads, named, now))
+		p.weights.idle = p.idle && config.Still(p.held, named, now, s.emptyAt()) && !(p.weights.loading && !config.Idle(p.weights.loads, named, now))
 		for i := range named {
 			named[i].Whole = p.weights.whole[named[i].Version] != nil
 			named[i].WholeAt = p.weights.wholeAt[named[i].Version]
@@ -129,6 +129,15 @@
 	}
 }
 
+// emptyAt is when the last report was asked for if the server had no request then, else
+// 0; the caller holds the lock.
+func (s *Sidecar) emptyAt() time.Duration {
+	if !s.hasReport || s.report.Running > 0 || s.report.Queued > 0 {
+		return 0
+	}
+	return s.reportAsked
+}
+
 // plan is what is known of one model's versions at one step.
 type plan struct {
 	switchover.Config
