What the origin does not give out goes after all other versions

Cause: a try keeps its place at the origin for three seconds, also when the origin answers that the version is gone or fails for it alone, and gave it up only to an older version; whoever waited for the older one next went first. With the two places of an entry so taken, the first piece of the version in force did not come in 12 s. Numbers of versions were compared across models, and a place was kept while a holder was asked. Ruled out: giving a place up after each failure. Tries of the older version would lose it again as the origin comes back (TestATryOfTheOlderVersionKeepsItsPlace). Passing as soon as the origin answers for the newer one: it may do so some hundred milliseconds before the other. Change: a fetch ends at once on ErrGone; for goneKept (1 s) nobody asks for that version again. Slots take a rule for who goes last: versions that are gone, of no use any more, or for which tries have failed for passedMost (1 s) while the origin answered for a newer one; a piece that differs from its digest is such a failure. Slots compare versions within a model. fromHolders gives the place up. Conclusion: the older version goes first only if the origin gives it out.

--- a/internal/coordination/relays/slots.go
+++ b/internal/coordination/relays/slots.go
@@ -2,20 +2,23 @@
 
 import "slices"
 
-// Slots grants a few places to those who draw, the oldest version first. It is
-// not safe for concurrent use.
+// Slots grants a few places to those who draw, the oldest version of a model first,
+// models in the order of asking. It is not safe for concurrent use.
 //
 // Guard: while the origin was away a second version was named. Entries that had
 // the first one whole asked for the second, and their requests lay before those
 // for the last pieces of the first, 2.4 s of the origin's link.
 type Slots struct {
+	// Last reports whether a waiter goes after all others for now; nil if none does.
+	Last    func(Waiter) bool
 	free    int
 	waiting []Waiter
 }
 
 // Waiter is one who waits for a place.
 type Waiter struct {
-	// Version is that of the weights that it draws.
+	// Model and Version are those of the weights that it draws.
+	Model   string
 	Version uint64
 	// Granted is closed when it has a place.
 	Granted chan struct{}
@@ -25,16 +28,30 @@
 func NewSlots(places int) *Slots { return &Slots{free: places} }
 
 // Take takes a place for a version, or lets the waiter wait for one.
-func (s *Slots) Take(version uint64) Waiter {
-	w := Waiter{Version: version, Granted: make(chan struct{})}
+func (s *Slots) Take(model string, version uint64) Waiter {
+	w := Waiter{Model: model, Version: version, Granted: make(chan struct{})}
 	s.waiting = append(s.waiting, w)
 	s.grant()
 	return w
 }
 
-// OlderWaits reports whether a version older than one waits for a place.
-func (s *Slots) OlderWaits(version uint64) bool {
-	return slices.ContainsFunc(s.waiting, func(w Waiter) bool { return w.Version < version })
+// OtherFirst reports whether one who waits for a place goes before a version.
+func (s *Slots) OtherFirst(model string, version uint64) bool {
+	asked := Waiter{Model: model, Version: version}
+	return slices.ContainsFunc(s.waiting, func(w Waiter) bool { return s.before(w, asked) })
+}
+
+// before reports whether one goes before another who asked earlier.
+//
+// Guard: versions of two models are numbered each for itself, and the last pieces of one
+// waited behind the whole of another; only within a model is a lower number older.
+func (s *Slots) before(w, other Waiter) bool {
+	if s.Last != nil {
+		if last := s.Last(w); last != s.Last(other) {
+			return !last
+		}
+	}
+	return w.Model == other.Model && w.Version < other.Version
 }
 
 // Give gives a place back.
@@ -55,12 +72,12 @@
 	return false
 }
 
-// grant gives free places to the first waiters of the oldest versions.
+// grant gives free places to those who go first.
 func (s *Slots) grant() {
 	for s.free > 0 && len(s.waiting) > 0 {
 		first := 0
 		for i, w := range s.waiting {
-			if w.Version < s.waiting[first].Version {
+			if s.before(w, s.waiting[first]) {
 				first = i
 			}
 		}
--- a/internal/transport/relay/holders.go
+++ b/internal/transport/relay/holders.go
@@ -30,11 +30,15 @@
 //
 // Gain: a set that servers hold need not come from the origin, over its thin link and
 // the border. With the origin away as 28 servers were added, they waited 9 s for it.
-func (r *Relay) fromHolders(named catalog.NamedVersion, piece int, manifest *Manifest) ([]byte, bool) {
+//
+// Guard: a holder gives out one piece at a time, and a try that failed at the origin kept
+// its place there while it asked one; it is for others meanwhile.
+func (r *Relay) fromHolders(named catalog.NamedVersion, piece int, manifest *Manifest, place *drawPlace) ([]byte, bool) {
 	holders := relays.HoldersOf(r.view.Holders(named), pieceKey(named, piece))
 	if len(holders) == 0 {
 		return nil, false
 	}
+	place.leave()
 	r.holding <- struct{}{}
 	defer func() { <-r.holding }()
 	for _, holder := range holders {
--- a/internal/transport/relay/place.go
+++ b/internal/transport/relay/place.go
@@ -5,6 +5,7 @@
 
 	"github.com/filbertlever/filbertlever/internal/coordination/catalog"
 	"github.com/filbertlever/filbertlever/internal/coordination/relays"
+	"github.com/filbertlever/filbertlever/internal/transport/boottime"
 )
 
 // drawPlace is one of the few places for draws from the origin, held by a piece between
@@ -13,10 +14,14 @@
 // Guard: when the origin came back, pieces of a newer version were drawn between two
 // tries of the last pieces of an older one, and no server answered meanwhile: eight
 // pieces took 1.3 s, 0.35 s of the origin's link. A try that failed keeps its place, and
-// gives it up only to an older version.
+// gives it up only to one that goes before it.
 type drawPlace struct {
 	relay *Relay
 	named catalog.NamedVersion
+	// began is when the piece was first wanted.
+	began time.Duration
+	// triedAt is when the origin was last asked for it; 0 once the answer was noted.
+	triedAt time.Duration
 	// slots are those of which a place is held, in the order of taking.
 	slots []*relays.Slots
 }
@@ -27,30 +32,46 @@
 const newerParallel = 1
 
 // take waits until the piece may be drawn.
-func (p *drawPlace) take(now time.Duration) {
+func (p *drawPlace) take() {
 	if len(p.slots) > 0 {
 		return
 	}
-	if p.relay.behindOlder(p.named, now) {
-		p.wait(p.relay.newer)
+	if p.relay.behindOlder(p.named, boottime.Now()) {
+		p.waitBehind()
 	}
-	p.wait(p.relay.draws)
+	waiter := p.ask(p.relay.draws)
+	<-waiter.Granted
+	p.slots = append(p.slots, p.relay.draws)
 }
 
-func (p *drawPlace) wait(slots *relays.Slots) {
+func (p *drawPlace) ask(slots *relays.Slots) relays.Waiter {
 	p.relay.drawing.Lock()
-	waiter := slots.Take(p.named.Version)
-	p.relay.drawing.Unlock()
+	defer p.relay.drawing.Unlock()
+	return slots.Take(p.named.Model, p.named.Version)
+}
+
+// waitBehind waits for the place of a newer version.
+func (p *drawPlace) waitBehind() {
+	waiter := p.ask(p.relay.newer)
 	<-waiter.Granted
-	p.slots = append(p.slots, slots)
+	p.slots = append(p.slots, p.relay.newer)
 }
 
-// yield gives the place up if an older version waits for one.
-func (p *drawPlace) yield() {
+// tried notes how a try at the origin ended, if there was one; after a failure the place
+// is given up if one who goes before waits for one.
+func (p *drawPlace) tried(err error) {
+	if p.triedAt == 0 {
+		return
+	}
+	p.relay.noteOrigin(p.named, p.triedAt, err)
+	p.triedAt = 0
+	if err == nil {
+		return
+	}
 	p.relay.drawing.Lock()
-	older := p.relay.draws.OlderWaits(p.named.Version)
+	other := p.relay.draws.OtherFirst(p.named.Model, p.named.Version)
 	p.relay.drawing.Unlock()
-	if older {
+	if other {
 		p.leave()
 	}
 }
@@ -66,12 +87,12 @@
 }
 
 // behindOlder reports whether an older version of the same model is still to be brought
-// to servers, none of which holds it, and is of use.
+// to servers, none of which holds it, and can be had.
 func (r *Relay) behindOlder(named catalog.NamedVersion, now time.Duration) bool {
 	r.mu.Lock()
 	var older []catalog.NamedVersion
 	for _, v := range r.versions {
-		if v.named.Model == named.Model && v.named.Version < named.Version && v.asked && (v.uselessAt == 0 || now < v.uselessAt) {
+		if v.named.Model == named.Model && v.named.Version < named.Version && v.asked && !v.last(now) {
 			older = append(older, v.named)
 		}
 	}
--- a/internal/transport/relay/relay.go
+++ b/internal/transport/relay/relay.go
@@ -129,6 +129,8 @@
 	aheadUntil time.Duration
 	// learnt is true once the manifest was wanted ahead.
 	learnt bool
+	// origin is what the origin answered for it.
+	origin answers
 	// uselessAt is when another version will be the only one to answer; 0 if none.
 	uselessAt time.Duration
 }
@@ -164,8 +166,10 @@
 		}),
 	}
 	registry.MustRegister(m.bytes, m.corrupt)
-	return &Relay{self: self, view: view, origin: origin, client: client, log: log, metrics: m,
+	r := &Relay{self: self, view: view, origin: origin, client: client, log: log, metrics: m,
 		draws: relays.NewSlots(originParallel), newer: relays.NewSlots(newerParallel), holding: make(chan struct{}, holderLanes), byDigest: map[string][]byte{}}
+	r.draws.Last, r.newer.Last = r.goesLast, r.goesLast
+	return r
 }
 
 // Paths of the calls between entries and agents.
@@ -211,6 +215,9 @@
 		}
 		r.log.Warn("manifest not drawn", zap.String("Model", named.Model), zap.Uint64("Version", named.Version),
 			zap.String("Source", source), zap.Error(f.err))
+		if errors.Is(f.err, ErrGone) {
+			return
+		}
 		failed.note(source, f.err)
 		if errors.Is(f.err, errSlow) {
 			continue
@@ -244,7 +251,7 @@
 	case d.address == "":
 		return Manifest{}, fmt.Errorf("manifest of %s version %d: %w", d.named.Model, d.named.Version, errNoSource)
 	case d.source == originName:
-		return d.relay.origin.Manifest(context.Background(), d.address, d.named)
+		return d.relay.originManifest(d.address, d.named)
 	}
 	ctx, cancel := d.relay.whileLiving(filbertlever.HostID(d.source))
 	defer cancel()
@@ -307,7 +314,7 @@
 	piece := w.piece
 	failed := failures{}
 	began := boottime.Now()
-	place := &drawPlace{relay: r, named: named}
+	place := &drawPlace{relay: r, named: named, began: began}
 	defer place.leave()
 	for try := 0; again(try, failed, began); try++ {
 		if data, ok := r.held(manifest.Digests[piece]); ok {
@@ -315,7 +322,7 @@
 			return
 		}
 		if w.role >= relays.RoleHome && try%holderTurn == 0 {
-			if data, ok := r.fromHolders(named, piece, manifest); ok {
+			if data, ok := r.fromHolders(named, piece, manifest, place); ok {
 				r.keep(manifest.Digests[piece], data)
 				f.value, f.err = data, nil
 				return
@@ -327,6 +334,7 @@
 			r.metrics.corrupt.Inc()
 			err = fmt.Errorf("piece %d of %s version %d from %s: digest differs", piece, named.Model, named.Version, source)
 		}
+		place.tried(err)
 		if err == nil {
 			r.metrics.bytes.WithLabelValues(kindOf(source)).Add(float64(len(data)))
 			r.keep(manifest.Digests[piece], data)
@@ -336,6 +344,9 @@
 		f.err = err
 		r.log.Warn("piece not drawn", zap.String("Model", named.Model), zap.Uint64("Version", named.Version),
 			zap.Int("Piece", piece), zap.String("Source", source), zap.Error(err))
+		if errors.Is(err, ErrGone) {
+			return
+		}
 		failed.note(source, err)
 		time.Sleep(min(fetchPause<<try, fetchPauseMost))
 	}
@@ -358,12 +369,7 @@
 		defer cancel()
 		return fetchPiece(ctx, r.client, address, named, piece, ask)
 	}
-	place.take(boottime.Now())
-	data, err := r.origin.Piece(context.Background(), address, named, piece)
-	if err != nil {
-		place.yield()
-	}
-	return data, err
+	return r.originPiece(address, named, piece, place)
 }
 
 // originName is how the origin is called in logs.
