Only an older version that somebody still draws keeps a newer one back

Cause: behindOlder counted each older version that had been asked for once and that no server held: also one that all servers had left for a newer one, named more than two bounds ago so that nobody said since when it is of no use, and one that entries had judged not worth drawing. The newer one was drawn one piece at a time. Who had asked for the place of a newer version waited for it also after the older one was whole or of no use. Ruled out: forgetting that a version given up was asked for (`asked`): each piece asked for would begin drawing ahead and judging anew. Counting it for good once it is asked for again: one late call would keep the newer one back. Change: a version counts unless it or a newer one is held by some server; Supersede holds for all versions before, and makes none useful for longer; a version given up counts for askedKept (1 s) after it is asked for again; who waits behind an older version looks again each 0.2 s. Conclusion: the gain of the older version going first stays, without its cost where nobody gains.

--- a/internal/transport/relay/ahead.go
+++ b/internal/transport/relay/ahead.go
@@ -45,6 +45,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	v := r.version(named)
+	v.askedAt = boottime.Now()
 	if v.asked {
 		return
 	}
@@ -95,7 +96,7 @@
 		if r.worth(&v, now) {
 			wanted = append(wanted, v.named)
 		} else {
-			r.endAhead(v.named)
+			r.giveUpAhead(v.named, now)
 			r.log.Info("weights not worth drawing", zap.String("Model", v.named.Model), zap.Uint64("Version", v.named.Version))
 		}
 	}
@@ -131,12 +132,17 @@
 	return ahead
 }
 
-// Supersede says when a version will no longer answer, since another one will be
-// the only one to.
+// Supersede says when a version, and each before it, will no longer answer, since
+// another one will be the only one to.
 func (r *Relay) Supersede(named catalog.NamedVersion, uselessAt time.Duration) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.version(named).uselessAt = uselessAt
+	for _, v := range r.versions {
+		if v.named.Model == named.Model && v.named.Version < named.Version && (v.uselessAt == 0 || v.uselessAt > uselessAt) {
+			v.uselessAt = uselessAt
+		}
+	}
 }
 
 // worth reports whether a version can still serve for longer than fetching what
@@ -158,6 +164,13 @@
 	return switchover.Worth(left, each, now, v.uselessAt)
 }
 
+func (r *Relay) giveUpAhead(named catalog.NamedVersion, now time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	v := r.version(named)
+	v.ahead, v.givenUpAt = false, now
+}
+
 func (r *Relay) endAhead(named catalog.NamedVersion) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/internal/transport/relay/answers.go
+++ b/internal/transport/relay/answers.go
@@ -32,8 +32,20 @@
 	// before that one goes first. An origin that comes back may answer for one some
 	// hundred milliseconds before the other.
 	passedMost = time.Second
+	// askedKept is how long a version that was given up counts as wanted after it was asked
+	// for again: an agent that fetches asks several times a second.
+	askedKept = time.Second
 )
 
+// wanted reports whether a version is to be brought to servers: it was asked for, and if
+// it was given up, once more since.
+func (v *version) wanted(now time.Duration) bool {
+	if v.givenUpAt != 0 && (v.askedAt <= v.givenUpAt || now-v.askedAt > askedKept) {
+		return false
+	}
+	return v.asked
+}
+
 // last reports whether a version goes after all others: it is of no use, or the origin
 // does not give it out.
 //
--- a/internal/transport/relay/last_test.go
+++ b/internal/transport/relay/last_test.go
@@ -16,6 +16,7 @@
 
 	"github.com/filbertlever/filbertlever/internal/coordination/catalog"
 	"github.com/filbertlever/filbertlever/internal/coordination/relays"
+	"github.com/filbertlever/filbertlever/internal/transport/boottime"
 )
 
 // failingOrigin fails for one version, and counts how often that was asked for.
@@ -83,6 +84,35 @@
 	c.Assert(origin.asked.Load() <= originParallel, qt.IsTrue, qt.Commentf("asked %d times", origin.asked.Load()))
 }
 
+// A version was drawn one piece at a time to its end, since its pieces had been asked for
+// while an older one went before it, which had become useless meanwhile.
+func TestWhoWaitsBehindAnOlderVersionLooksAgain(t *testing.T) {
+	c := qt.New(t)
+	origin := &laneOrigin{version: 3}
+	r := New(relays.Entry{Host: "e1", Site: "a"}, alone{}, origin, &http.Client{}, zap.NewNop(), prometheus.NewRegistry())
+	r.mu.Lock()
+	r.version(versionOf(2)).asked = true
+	r.mu.Unlock()
+	c.Assert(r.behindOlder(versionOf(3), boottime.Now()), qt.IsTrue)
+	r.drawing.Lock()
+	held := r.newer.Take("drafter", 3)
+	r.drawing.Unlock()
+	<-held.Granted
+	var group sync.WaitGroup
+	group.Go(func() { drawAll(c, r, versionOf(3), 12) })
+	time.Sleep(50 * time.Millisecond)
+	c.Check(origin.most.Load(), qt.Equals, int32(0))
+	r.Supersede(versionOf(2), boottime.Now())
+	for end := time.Now().Add(2 * time.Second); origin.most.Load() < originParallel && time.Now().Before(end); {
+		time.Sleep(time.Millisecond)
+	}
+	c.Check(origin.most.Load(), qt.Equals, int32(originParallel))
+	r.drawing.Lock()
+	r.newer.Give()
+	r.drawing.Unlock()
+	group.Wait()
+}
+
 // holderAt is a site with one holder of one version.
 type holderAt struct {
 	alone
@@ -130,3 +160,34 @@
 	}
 	close(answer)
 }
+
+// A version that was judged not worth drawing is asked for again: servers lack it, and its
+// pieces go before those of the newer one, until nobody asks any more.
+func TestAVersionThatIsAskedForAgainGoesBefore(t *testing.T) {
+	c := qt.New(t)
+	v := &version{asked: true, askedAt: time.Second}
+	c.Assert(v.wanted(time.Hour), qt.IsTrue)
+	v.givenUpAt = 2 * time.Second
+	c.Assert(v.wanted(2*time.Second), qt.IsFalse)
+	v.askedAt = 3 * time.Second
+	c.Assert(v.wanted(3*time.Second), qt.IsTrue)
+	c.Assert(v.wanted(3*time.Second+askedKept+1), qt.IsFalse)
+}
+
+// What is said of a version holds for those before it, also if their bounds were long ago
+// when it was named, and makes none useful for longer.
+func TestAllVersionsBeforeOneAreSuperseded(t *testing.T) {
+	c := qt.New(t)
+	r := New(relays.Entry{Host: "e1", Site: "a"}, alone{}, &thinOrigin{}, &http.Client{}, zap.NewNop(), prometheus.NewRegistry())
+	r.mu.Lock()
+	r.version(versionOf(1)).uselessAt = time.Second
+	r.version(versionOf(2))
+	r.version(versionOf(4))
+	r.mu.Unlock()
+	r.Supersede(versionOf(4), time.Minute)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for number, want := range map[uint64]time.Duration{1: time.Second, 2: time.Minute, 4: time.Minute} {
+		c.Check(r.version(versionOf(number)).uselessAt, qt.Equals, want, qt.Commentf("version %d", number))
+	}
+}
--- a/internal/transport/relay/place.go
+++ b/internal/transport/relay/place.go
@@ -31,6 +31,10 @@
 // take it from those who still draw the older one.
 const newerParallel = 1
 
+// newerLook is how often one who waits behind an older version looks whether it still
+// has to.
+const newerLook = 200 * time.Millisecond
+
 // take waits until the piece may be drawn.
 func (p *drawPlace) take() {
 	if len(p.slots) > 0 {
@@ -50,11 +54,33 @@
 	return slots.Take(p.named.Model, p.named.Version)
 }
 
-// waitBehind waits for the place of a newer version.
+// waitBehind waits for the place of a newer version, for as long as an older one goes
+// before it.
+//
+// Guard: all pieces of a version may have been asked for while an older one went before
+// it; they were drawn one at a time to the last after that was whole, or of no use.
 func (p *drawPlace) waitBehind() {
 	waiter := p.ask(p.relay.newer)
-	<-waiter.Granted
-	p.slots = append(p.slots, p.relay.newer)
+	ticker := time.NewTicker(newerLook)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-waiter.Granted:
+			p.slots = append(p.slots, p.relay.newer)
+			return
+		case <-ticker.C:
+		}
+		if !p.relay.behindOlder(p.named, boottime.Now()) && p.unask(waiter) {
+			return
+		}
+	}
+}
+
+// unask ends the wait for the place of a newer version; false if it was granted.
+func (p *drawPlace) unask(waiter relays.Waiter) bool {
+	p.relay.drawing.Lock()
+	defer p.relay.drawing.Unlock()
+	return p.relay.newer.Leave(waiter)
 }
 
 // tried notes how a try at the origin ended, if there was one; after a failure the place
@@ -87,20 +113,32 @@
 }
 
 // behindOlder reports whether an older version of the same model is still to be brought
-// to servers, none of which holds it, and can be had.
+// to servers and can be had, and none holds it or a newer one.
+//
+// Guard: servers had left a version, or judged it not worth fetching, and none would ever
+// hold it; newer ones were drawn one piece at a time behind it, at half the rate of the
+// origin's link. Only one that somebody still draws, for servers that lack it, goes before.
 func (r *Relay) behindOlder(named catalog.NamedVersion, now time.Duration) bool {
 	r.mu.Lock()
-	var older []catalog.NamedVersion
+	newest := uint64(0)
+	var known []catalog.NamedVersion
 	for _, v := range r.versions {
-		if v.named.Model == named.Model && v.named.Version < named.Version && v.asked && !v.last(now) {
-			older = append(older, v.named)
+		if v.named.Model != named.Model {
+			continue
+		}
+		known = append(known, v.named)
+		if v.named.Version < named.Version && v.wanted(now) && !v.last(now) {
+			newest = max(newest, v.named.Version)
 		}
 	}
 	r.mu.Unlock()
-	for _, v := range older {
-		if len(r.view.Holders(v)) == 0 {
-			return true
+	if newest == 0 {
+		return false
+	}
+	for _, v := range known {
+		if v.Version >= newest && len(r.view.Holders(v)) > 0 {
+			return false
 		}
 	}
-	return false
+	return true
 }
--- a/internal/transport/relay/relay.go
+++ b/internal/transport/relay/relay.go
@@ -129,6 +129,9 @@
 	aheadUntil time.Duration
 	// learnt is true once the manifest was wanted ahead.
 	learnt bool
+	// askedAt is when it was last asked for, and givenUpAt when it was last judged not
+	// worth drawing, 0 if never.
+	askedAt, givenUpAt time.Duration
 	// origin is what the origin answered for it.
 	origin answers
 	// uselessAt is when another version will be the only one to answer; 0 if none.
