--- a/internal/transport/sidecar/load_test.go
+++ b/internal/transport/sidecar/load_test.go
@@ -190,18 +190,30 @@
 // since all processes may be killed before the server's turn comes.
 func TestOnlyAnIdleServerIsStagedEarly(t *testing.T) {
 	c := qt.New(t)
+	const pieces = 3
 	for _, idle := range []bool{true, false} {
-		entry := newWeightsEntry(t, 2, 3)
+		entry := newWeightsEntry(t, 2, pieces)
 		server := &engine{staged: map[int][]byte{}}
 		var early atomic.Int32
-		entry.sending = func() { early.Store(max(early.Load(), server.count())) }
+		var turn sync.Mutex
+		sent := int32(0)
+		entry.sending = func() {
+			// Each is sent once the one before lies beside an idle server.
+			turn.Lock()
+			defer turn.Unlock()
+			for end := time.Now().Add(5 * time.Second); idle && server.count() < sent && time.Now().Before(end); {
+				time.Sleep(time.Millisecond)
+			}
+			sent++
+			early.Store(max(early.Load(), server.count()))
+		}
 		s := newAgent(entry, server, Config{})
 		s.hasReport, s.reportedOnce = true, true
 		f := &fetching{agent: s, weights: newWeights(), named: catalog.NamedVersion{Model: "drafter", Version: 2}}
 		f.weights.idle = idle
 		f.run(context.Background())
 		c.Assert(early.Load() > 0, qt.Equals, idle)
-		c.Assert(server.count(), qt.Equals, int32(3))
+		c.Assert(server.count(), qt.Equals, int32(pieces))
 	}
 }
 
