A reader that has lost the store tells what it knows

Since a reader says at once that its calls fail, it told nothing at all, not even the whole table with its age.

Change: only changes are refused then.

--- a/internal/transport/gateway/feeds.go
+++ b/internal/transport/gateway/feeds.go
@@ -183,7 +183,9 @@
 	switch {
 	case whole && !ok:
 		return FeedAnswer{}, f.restarted, true
-	case !ok, log.lost, whole && log.base.revision == 0, !whole && after < log.from:
+	case !ok, log.lost && !whole, whole && log.base.revision == 0, !whole && after < log.from:
+		// Guard: a reader that has lost the store tells of no changes, but still what it knows,
+		// and how old that is. An entry that started then knew of no desired state.
 		return FeedAnswer{}, nil, false
 	}
 	answer := FeedAnswer{Revision: log.head, Age: boottime.Now() - log.confirmed}
--- a/internal/transport/gateway/feeds_test.go
+++ b/internal/transport/gateway/feeds_test.go
@@ -243,3 +243,19 @@
 		}
 	}
 }
+
+// An entry that started while the store did not answer its region's reader knew of no
+// desired state, though the reader did. It is told what that one knows, with its age; of
+// changes a reader that has lost the store tells nothing.
+func TestAReaderThatLostTheStoreTellsWhatItKnows(t *testing.T) {
+	c := qt.New(t)
+	f := newFeeds()
+	f.restart(TableDesired, rows(5, `[{"a":1}]`), boottime.Now()-time.Second)
+	f.lose(TableDesired)
+	answer, ok := f.since(context.Background(), TableDesired, 0)
+	c.Assert(ok, qt.IsTrue)
+	c.Assert(answer.Revision, qt.Equals, uint64(5))
+	c.Assert(answer.Age >= time.Second, qt.IsTrue)
+	_, ok = f.since(context.Background(), TableDesired, 5)
+	c.Assert(ok, qt.IsFalse)
+}
