A guard says what a reset takes back

Cause: it said that a reset takes back what lies unread at a host.

Change: the comment alone; no code.

--- a/internal/transport/channel/channel.go
+++ b/internal/transport/channel/channel.go
@@ -196,9 +196,10 @@
 
 // abort ends a connection with a reset.
 //
-// Guard: a request may lie unread at a host that stands still or behind a cut. An
-// orderly end would follow it there, and it would be read and begun long after
-// its caller has left; a reset takes it back.
+// Guard: a request may still be on its way to a host that stands still or behind a cut.
+// An orderly end would follow it there, and it would be read and begun long after its
+// caller has left; a reset drops what has not arrived. What lies in the server's socket
+// may be read all the same.
 func (c *conn) abort() {
 	if tcp, ok := c.Conn.(*net.TCPConn); ok {
 		// A connection that is gone already needs no reset.
