The store is asked for entries only if no entry answers

Ruled out: asking seeds only, which may be gone for long. A seed that answers nothing does not keep the store from being asked.

--- a/internal/transport/sidecar/sidecar.go
+++ b/internal/transport/sidecar/sidecar.go
@@ -5,24 +5,17 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
-	"fmt"
-	"io"
 	"net"
 	"net/http"
-	"net/url"
-	"slices"
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/prometheus/client_golang/prometheus"
 	"go.uber.org/zap"
 
 	"github.com/filbertlever/filbertlever/internal/coordination/catalog"
 	"github.com/filbertlever/filbertlever/internal/coordination/switchover"
-	"github.com/filbertlever/filbertlever/internal/transport/boottime"
 	"github.com/filbertlever/filbertlever/internal/transport/datagrams"
 	"github.com/filbertlever/filbertlever/internal/transport/gateway"
 	"github.com/filbertlever/filbertlever/internal/transport/relay"
@@ -87,12 +80,6 @@
 	// sites too: bytes between regions are scarce, and those entries count what
 	// they and others send.
 	farTurns = 25
-	// viewEvery is how often the view is read without being told of a change.
-	viewEvery = 3 * time.Second
-	// viewTimeout bounds the reading of a view.
-	viewTimeout = time.Second
-	// storeEvery bounds how often the store is asked for entries.
-	storeEvery = 2 * time.Second
 )
 
 // Sidecar is the agent of one model server.
@@ -114,7 +101,10 @@
 	viewed   gateway.View
 	viewedAt time.Duration
 	hasView  bool
-	askedAt  time.Duration
+	// unansweredSince is since when no entry has answered at all; 0 if one has. listedAt is
+	// when the store was last asked for entries.
+	unansweredSince time.Duration
+	listedAt        time.Duration
 	// news is true if the next report should go to all entries at once.
 	news bool
 	// switching is true while entries should send nothing here.
@@ -222,161 +212,6 @@
 	_ = s.socket.Close()
 }
 
-// runViews keeps the view of what is wanted current.
-func (s *Sidecar) runViews(ctx context.Context) {
-	lost := false
-	for {
-		err := s.refreshView(ctx)
-		pause := viewEvery
-		if err != nil {
-			pause = retryPause
-			if !lost && ctx.Err() == nil {
-				s.log.Warn("entries lost", zap.Error(err))
-			}
-		} else if lost {
-			s.log.Info("entries regained")
-		}
-		lost = err != nil
-		select {
-		case <-ctx.Done():
-			return
-		case <-s.wake:
-		case <-time.After(pause):
-		}
-	}
-}
-
-var errNoEntry = errors.New("no entry answers")
-
-// hedgePause is how long one entry is given before the next is asked too. One
-// without power answers nothing, and waiting for it would put off a load.
-const hedgePause = 60 * time.Millisecond
-
-// fetched is an entry's answer.
-type fetched struct {
-	address string
-	view    gateway.View
-	err     error
-}
-
-// refreshView reads the view from the first entry that answers, those of the
-// own site asked first.
-func (s *Sidecar) refreshView(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, viewTimeout)
-	defer cancel()
-	addresses := s.viewAddresses(ctx)
-	answers := make(chan fetched, len(addresses))
-	asked, ended := 0, 0
-	next := time.NewTimer(0)
-	defer next.Stop()
-	for ended < len(addresses) {
-		select {
-		case <-ctx.Done():
-			return errNoEntry
-		case <-next.C:
-			if asked < len(addresses) {
-				go s.runFetch(ctx, addresses[asked], answers)
-				asked++
-				next.Reset(hedgePause)
-			}
-		case answer := <-answers:
-			ended++
-			if answer.err == nil {
-				s.setView(answer)
-				return nil
-			}
-			s.log.Debug("view not read", zap.String("Entry", answer.address), zap.Error(answer.err))
-			next.Reset(0)
-		}
-	}
-	return errNoEntry
-}
-
-func (s *Sidecar) runFetch(ctx context.Context, address string, answers chan<- fetched) {
-	view, err := s.fetchView(ctx, address)
-	answers <- fetched{address: address, view: view, err: err}
-}
-
-func (s *Sidecar) setView(answer fetched) {
-	now := boottime.Now()
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.viewed, s.viewedAt, s.hasView = answer.view, now, true
-	if len(answer.view.Entries) > 0 {
-		s.entries = answer.view.Entries
-	}
-}
-
-// viewAddresses returns the peer addresses to ask, in order: who told of news, the
-// entries of the own site, all others, and the seeds.
-//
-// Guard: the agents of a site asked its first entry all, 53 of them with 20 KB each; each
-// begins at another one.
-func (s *Sidecar) viewAddresses(ctx context.Context) []string {
-	s.mu.Lock()
-	var told, near, far []string
-	for _, entry := range s.entries {
-		switch {
-		case entry.Datagrams == s.teller:
-			told = append(told, entry.Peers)
-		case entry.Site == s.config.Site:
-			near = append(near, entry.Peers)
-		default:
-			far = append(far, entry.Peers)
-		}
-	}
-	s.teller = ""
-	if len(near) > 0 {
-		first := int(xxhash.Sum64String(s.config.Address) % uint64(len(near)))
-		near = slices.Concat(near[first:], near[:first])
-	}
-	failed := !s.hasView || boottime.Now()-s.viewedAt > 2*viewEvery
-	ask := failed && boottime.Now()-s.askedAt > storeEvery
-	if ask {
-		s.askedAt = boottime.Now()
-	}
-	s.mu.Unlock()
-	addresses := slices.Concat(told, near, far, s.config.Seeds)
-	if !ask || s.lister == nil {
-		return addresses
-	}
-	// Seeds may be gone for long; the store knows who is there now.
-	entries, err := s.lister.ReadEntries(ctx)
-	if err != nil {
-		s.log.Warn("entries not read from the store", zap.Error(err))
-		return addresses
-	}
-	for _, entry := range entries.Present {
-		addresses = append(addresses, entry.Peers)
-	}
-	return addresses
-}
-
-// viewBytes bounds an entry's view: 460 entries are 0.1 MB of it.
-const viewBytes = 4 << 20
-
-func (s *Sidecar) fetchView(ctx context.Context, address string) (gateway.View, error) {
-	values := url.Values{"Service": {s.config.Service}, "Address": {s.config.Address}}
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+gateway.PathView+"?"+values.Encode(), nil)
-	if err != nil {
-		return gateway.View{}, err
-	}
-	response, err := s.client.Do(request)
-	if err != nil {
-		return gateway.View{}, err
-	}
-	defer func() { _ = response.Body.Close() }()
-	if response.StatusCode != http.StatusOK {
-		_, _ = io.Copy(io.Discard, response.Body)
-		return gateway.View{}, fmt.Errorf("view from %s: answered %d", address, response.StatusCode)
-	}
-	var view gateway.View
-	if err := json.NewDecoder(io.LimitReader(response.Body, viewBytes)).Decode(&view); err != nil {
-		return gateway.View{}, fmt.Errorf("view from %s: %w", address, err)
-	}
-	return view, nil
-}
-
 // held returns the version of a model that a server holds, 0 for none.
 func held(models []catalog.Model, name string) uint64 {
 	for _, model := range models {
