--- a/internal/transport/gateway/counts.go
+++ b/internal/transport/gateway/counts.go
@@ -42,16 +42,16 @@
 		}
 		now := boottime.Now()
 		g.mu.Lock()
-		near, far := g.peers.near()
+		near, far := g.peers.count()
 		counts := g.counts(now)
 		g.mu.Unlock()
 		if now-nearAt >= countsEvery*time.Duration(near/nearShare) && !same(&lastNear, &counts) {
 			lastNear, nearAt = counts, now
-			g.sendCounts(&counts, true)
+			g.sendCounts(&counts, reachNear)
 		}
 		if now-farAt >= farEach*time.Duration(far) && !same(&lastFar, &counts) {
 			lastFar, farAt = counts, now
-			g.sendCounts(&counts, false)
+			g.sendCounts(&counts, reachFar)
 		}
 	}
 }
@@ -63,13 +63,9 @@
 }
 
 // sendCounts sends counts to the entries of the region, or to those elsewhere.
-func (g *Gateway) sendCounts(counts *Counts, near bool) {
+func (g *Gateway) sendCounts(counts *Counts, to reach) {
 	g.mu.Lock()
-	addresses := g.peers.addresses(true)
-	if !near {
-		all := g.peers.addresses(false)
-		addresses = slices.DeleteFunc(all, func(address string) bool { return slices.Contains(addresses, address) })
-	}
+	addresses := g.peers.addresses(to)
 	g.mu.Unlock()
 	g.sendAll(Datagram{Counts: counts}, addresses)
 }
--- a/internal/transport/gateway/datagrams.go
+++ b/internal/transport/gateway/datagrams.go
@@ -118,7 +118,11 @@
 	for _, host := range g.peers.silent(now) {
 		g.fleet.SetCounts(host, nil, now)
 	}
-	addresses := g.peers.addresses(!all)
+	to := reachNear
+	if all {
+		to = reachAll
+	}
+	addresses := g.peers.addresses(to)
 	beat := g.ownBeat(now)
 	g.mu.Unlock()
 	g.sendAll(Datagram{Beat: beat}, addresses)
--- a/internal/transport/gateway/peers.go
+++ b/internal/transport/gateway/peers.go
@@ -38,6 +38,11 @@
 	self    Entry
 	started time.Duration
 	known   map[filbertlever.HostID]*peer
+	// order has the known entries by name, and near is how many of them are of this one's
+	// region; order is nil if they are to be found anew. Sorted at each question, 30 times
+	// a second, 98 entries took 62 us, and 460 took 309.
+	order []*peer
+	near  int
 }
 
 type peer struct {
@@ -75,6 +80,7 @@
 			p.known[entry.Host] = known
 		}
 		known.entry, known.listed = entry, true
+		p.order = nil
 	}
 	for _, host := range gone {
 		if known, ok := p.known[filbertlever.HostID(host)]; ok {
@@ -84,6 +90,7 @@
 	for host, known := range p.known {
 		if !known.listed {
 			delete(p.known, host)
+			p.order = nil
 		}
 	}
 }
@@ -94,6 +101,7 @@
 	for _, entry := range entries {
 		if _, ok := p.known[entry.Host]; !ok && entry.Host != p.self.Host {
 			p.known[entry.Host] = &peer{entry: entry, listed: true, since: now}
+			p.order = nil
 		}
 	}
 }
@@ -106,6 +114,9 @@
 		known = &peer{listed: true, since: now}
 		p.known[entry.Host] = known
 	}
+	if !ok || known.entry.Region != entry.Region {
+		p.order = nil
+	}
 	first = known.heard == 0 || known.entry.Incarnation != entry.Incarnation
 	if known.entry.Incarnation != entry.Incarnation {
 		known.sequence = 0
@@ -171,41 +182,68 @@
 // registered returns how many entries there are by the store's rows.
 func (p *peers) registered() int { return len(p.known) + 1 }
 
+// sorted returns the known entries by name.
+func (p *peers) sorted() []*peer {
+	if p.order != nil {
+		return p.order
+	}
+	p.order, p.near = make([]*peer, 0, len(p.known)), 0
+	for _, known := range p.known {
+		p.order = append(p.order, known)
+		if known.entry.Region == p.self.Region {
+			p.near++
+		}
+	}
+	slices.SortFunc(p.order, func(a, b *peer) int { return cmp.Compare(a.entry.Host, b.entry.Host) })
+	return p.order
+}
+
 // alive returns the entries that are alive, this one included, by name.
 func (p *peers) alive(now time.Duration) []Entry {
-	entries := []Entry{p.self}
-	for _, known := range p.known {
+	sorted := p.sorted()
+	entries := make([]Entry, 0, len(sorted)+1)
+	self := false
+	for _, known := range sorted {
+		if !self && known.entry.Host > p.self.Host {
+			entries, self = append(entries, p.self), true
+		}
 		if p.living(known, now) {
 			entries = append(entries, known.entry)
 		}
 	}
-	slices.SortFunc(entries, func(a, b Entry) int { return cmp.Compare(a.Host, b.Host) })
+	if !self {
+		entries = append(entries, p.self)
+	}
 	return entries
 }
 
-// addresses returns where datagrams go: to every entry that may live, or only
-// to those of this one's region.
-func (p *peers) addresses(regionOnly bool) []string {
+// reach says which entries a message goes to.
+type reach int
+
+// Whom messages go to: all entries that may live, those of this one's region, and those
+// of others.
+const (
+	reachAll reach = iota
+	reachNear
+	reachFar
+)
+
+// addresses returns where messages go.
+func (p *peers) addresses(to reach) []string {
 	var addresses []string
-	for _, known := range p.known {
-		if !regionOnly || known.entry.Region == p.self.Region {
+	for _, known := range p.sorted() {
+		near := known.entry.Region == p.self.Region
+		if to == reachAll || near == (to == reachNear) {
 			addresses = append(addresses, known.entry.Datagrams)
 		}
 	}
 	return addresses
 }
 
-// near returns how many other entries of the region there are, and far how many
-// elsewhere.
-func (p *peers) near() (near, far int) {
-	for _, known := range p.known {
-		if known.entry.Region == p.self.Region {
-			near++
-		} else {
-			far++
-		}
-	}
-	return near, far
+// count returns how many other entries of the region there are, and how many elsewhere.
+func (p *peers) count() (near, far int) {
+	known := len(p.sorted())
+	return p.near, known - p.near
 }
 
 // silent returns the entries that were heard once and are no longer.
