The signal to read settings anew is taken from the start

Change: a package that needs the standard library only, and so is initialised first, takes it; other commands than those of an installation give it back. What is left is the loader's and the runtime's start, before any code of ours runs.

--- a/cmd/filbertlever/installation.go
+++ b/cmd/filbertlever/installation.go
@@ -3,12 +3,10 @@
 import (
 	"context"
 	"fmt"
-	"os"
-	"os/signal"
-	"syscall"
 
 	"github.com/filbertlever/filbertlever/internal/settings"
 	"github.com/filbertlever/filbertlever/internal/transport/channel"
+	"github.com/filbertlever/filbertlever/internal/transport/hangup"
 	"github.com/filbertlever/filbertlever/internal/transport/installation"
 	"github.com/filbertlever/filbertlever/platform"
 )
@@ -29,9 +27,7 @@
 	if err != nil {
 		return nil, installation.File{}, fmt.Errorf("%w: %w", errUsage, err)
 	}
-	reload := make(chan os.Signal, 1)
-	signal.Notify(reload, syscall.SIGHUP)
-	return s, installation.File{Path: f.Settings, Reload: reload}, nil
+	return s, installation.File{Path: f.Settings, Reload: hangup.Received()}, nil
 }
 
 type installationEntryCommand struct {
--- a/cmd/filbertlever/main.go
+++ b/cmd/filbertlever/main.go
@@ -12,6 +12,8 @@
 
 	"github.com/alecthomas/kong"
 	kongcompletion "github.com/jotaen/kong-completion"
+
+	"github.com/filbertlever/filbertlever/internal/transport/hangup"
 )
 
 // arguments is the command line.
@@ -33,6 +35,9 @@
 	Version      kong.VersionFlag          `help:"Print the version."`
 }
 
+// installationName is the command whose processes read their settings anew when told.
+const installationName = "installation"
+
 const description = `Weight distribution for bursts: rolls signed bundles of models to hosts and answers callers.
 
 Exit codes: 0 ok, 1 failed, 2 usage, 3 conflict, 4 not run (nothing changed).
@@ -44,6 +49,9 @@
   filbertlever ask --model drafter "Draft a clause on late pickups"`
 
 func main() {
+	if len(os.Args) < 2 || os.Args[1] != installationName {
+		hangup.Release()
+	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
 	code := run(ctx, os.Args[1:])
 	stop()
--- /dev/null
+++ b/internal/transport/hangup/hangup.go
@@ -0,0 +1,31 @@
+// Package hangup takes the signal to read settings anew from the first moment of a
+// process. It imports only the standard library, so that it is initialised before what
+// takes long.
+package hangup
+
+import (
+	"os"
+	"os/signal"
+	"syscall"
+)
+
+var received = make(chan os.Signal, 1)
+
+// Guard: a platform changes a settings file and tells the process, which has just
+// started. By default the signal ends a process; one that listened once it had read its
+// settings, 5 ms after its start, ended by it and left its callers.
+func init() { signal.Notify(received, syscall.SIGHUP) }
+
+// Received has the signals since the start, one for all that were not taken yet.
+func Received() <-chan os.Signal { return received }
+
+// Release gives the signal its usual effect, as for a command at a desk whose terminal is
+// closed, also if it came already.
+func Release() {
+	signal.Stop(received)
+	select {
+	case <-received:
+		_ = syscall.Kill(os.Getpid(), syscall.SIGHUP)
+	default:
+	}
+}
