A refusal without an ID on a kept connection is nobody's

Ruled out: leaving such answers out altogether; on a connection's first request they can be no other's, and an order that was refused would be said to be unknown. Change: it counts only on a connection that had no request before; else it is skipped, and without another answer the request may have run.

--- a/internal/transport/channel/cancelled_test.go
+++ b/internal/transport/channel/cancelled_test.go
@@ -24,7 +24,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	cancel()
 	_, err = pool.Do(ctx, Server{ID: "server", Boot: 1, Address: s.address()}, &Request{Method: http.MethodGet, Target: "/x", Host: "h", Header: http.Header{"Id": {"2"}}},
-		func(*http.Response) bool { return true })
+		func(*http.Response, bool) bool { return true })
 	var failed *SendError
 	c.Assert(errors.As(err, &failed), qt.IsTrue)
 	c.Check(failed.Sent, qt.IsFalse)
--- a/internal/transport/channel/channel.go
+++ b/internal/transport/channel/channel.go
@@ -127,12 +127,16 @@
 	stray bool
 }
 
-// Do sends a request to a server and reads the head of its answer. ours tells whether an answer belongs to the request.
+// Ours tells whether an answer belongs to a request. It is the first on its connection
+// if no other request was sent there before, so that it can be no other's.
+type Ours func(answer *http.Response, first bool) bool
+
+// Do sends a request to a server and reads the head of its answer.
 //
 // Guard: a server may send a second answer late, where the next one is
 // expected; it would be taken for the answer to this request. Answers that are
 // not ours are skipped, and the connection is not kept.
-func (p *Pool) Do(ctx context.Context, server Server, request *Request, ours func(*http.Response) bool) (*Answer, error) {
+func (p *Pool) Do(ctx context.Context, server Server, request *Request, ours Ours) (*Answer, error) {
 	c, err := p.get(ctx, server)
 	if err != nil {
 		return nil, &SendError{Address: server.Address, Err: err}
@@ -161,7 +165,7 @@
 		if err != nil {
 			return fail(fmt.Errorf("read head: %w", err))
 		}
-		if ours(response) {
+		if ours(response, !c.used) {
 			answer.Response = response
 			return answer, nil
 		}
--- a/internal/transport/channel/channel_test.go
+++ b/internal/transport/channel/channel_test.go
@@ -86,7 +86,7 @@
 func do(pool *Pool, s *script, id string, request *Request) (string, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
 	defer cancel()
-	answer, err := pool.Do(ctx, Server{ID: "server", Boot: 1, Address: s.address()}, request, func(r *http.Response) bool { return r.Header.Get("Id") == id })
+	answer, err := pool.Do(ctx, Server{ID: "server", Boot: 1, Address: s.address()}, request, func(r *http.Response, _ bool) bool { return r.Header.Get("Id") == id })
 	if err != nil {
 		return "", err
 	}
