What a stopped entry drew is had from others, not from the origin again

Ruled out: answering closer to a version's bound, which only hides the later weights; a leaving mark in heartbeats, which does not help against a kill. Change: if an entry of the origin's site was lost since a version was named, or it was named before this process began, the homes of a piece are asked whether they have it before it is drawn.

--- a/internal/transport/gateway/named.go
+++ b/internal/transport/gateway/named.go
@@ -88,7 +88,7 @@
 		}
 		g.addNamed(v.Model, n, now)
 		if !first {
-			g.relay.Prefetch(v)
+			g.relay.Announce(v)
 		}
 	}
 }
--- a/internal/transport/relay/ahead.go
+++ b/internal/transport/relay/ahead.go
@@ -32,6 +32,17 @@
 // ErrGone means that the origin no longer has a version.
 var ErrGone = errors.New("the version is gone")
 
+// Announce takes a version that was just named, and draws its pieces ahead.
+// It returns at once and asks the view for nothing.
+func (r *Relay) Announce(named catalog.NamedVersion) {
+	r.mu.Lock()
+	if v := r.version(named); v.namedAt == 0 {
+		v.namedAt = boottime.Now()
+	}
+	r.mu.Unlock()
+	r.Prefetch(named)
+}
+
 // Prefetch draws the pieces whose drawer, or home at another site, is this entry,
 // so that they are there when agents ask; a second call does nothing. It returns at once.
 //
@@ -65,6 +76,7 @@
 // piece at a time.
 func (r *Relay) runAhead() {
 	for {
+		r.see()
 		versions := r.wantedAhead()
 		if len(versions) == 0 {
 			return
--- a/internal/transport/relay/fetch.go
+++ b/internal/transport/relay/fetch.go
@@ -92,6 +92,8 @@
 	switch response.StatusCode {
 	case http.StatusGone:
 		return nil, ErrGone
+	case http.StatusNotFound:
+		return nil, errNotHeld
 	case http.StatusBadGateway:
 		return nil, fmt.Errorf("%w: %s", errBehind, data[:min(len(data), 200)])
 	}
--- /dev/null
+++ b/internal/transport/relay/handover_test.go
@@ -0,0 +1,138 @@
+package relay
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/prometheus/client_golang/prometheus"
+	"go.uber.org/zap"
+
+	"github.com/filbertlever/filbertlever"
+	"github.com/filbertlever/filbertlever/internal/coordination/catalog"
+	"github.com/filbertlever/filbertlever/internal/coordination/relays"
+)
+
+// manyPieces is an origin of many pieces, slow as a thin link is.
+type manyPieces struct {
+	mu    sync.Mutex
+	drawn map[int]int
+}
+
+const handoverPieces = 16
+
+func (*manyPieces) Manifest(_ context.Context, _ string, v catalog.NamedVersion) (Manifest, error) {
+	manifest := Manifest{Model: v.Model, Version: v.Version}
+	for piece := range handoverPieces {
+		manifest.Digests = append(manifest.Digests, digestOf(pieceData(piece)))
+	}
+	return manifest, nil
+}
+
+func digestOf(data []byte) string {
+	sum := sha256.Sum256(data)
+	return hex.EncodeToString(sum[:])
+}
+
+func pieceData(piece int) []byte { return fmt.Appendf(nil, "piece %d", piece) }
+
+func (m *manyPieces) Piece(_ context.Context, _ string, _ catalog.NamedVersion, piece int) ([]byte, error) {
+	m.mu.Lock()
+	m.drawn[piece]++
+	m.mu.Unlock()
+	time.Sleep(2 * time.Millisecond)
+	return pieceData(piece), nil
+}
+
+func (m *manyPieces) total() int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	total := 0
+	for _, n := range m.drawn {
+		total += n
+	}
+	return total
+}
+
+// turning is an installation whose living entries change.
+type turning struct {
+	mu        sync.Mutex
+	entries   []relays.Entry
+	addresses map[filbertlever.HostID]string
+}
+
+func (*turning) Origin() (address, site string, ok bool) { return "origin", "a", true }
+
+func (*turning) Holders(catalog.NamedVersion) []relays.Holder { return nil }
+
+func (v *turning) Relays() ([]relays.Entry, map[filbertlever.HostID]string) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return append([]relays.Entry(nil), v.entries...), v.addresses
+}
+
+func (v *turning) remove(host filbertlever.HostID) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	var left []relays.Entry
+	for _, entry := range v.entries {
+		if entry.Host != host {
+			left = append(left, entry)
+		}
+	}
+	v.entries = left
+}
+
+func (v *turning) start(t *testing.T, entry relays.Entry, origin Origin) *Relay {
+	r := New(entry, v, origin, &http.Client{}, zap.NewNop(), prometheus.NewRegistry())
+	mux := http.NewServeMux()
+	r.Routes(mux)
+	server := httptest.NewServer(mux)
+	t.Cleanup(server.Close)
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.addresses[entry.Host] = server.Listener.Addr().String()
+	return r
+}
+
+// Callers wait for weights that the origin sends once more: the entry that had drawn them
+// stopped, and the one that follows it draws all of them, though entries of other sites
+// had them from the one before.
+func TestWhatAStoppedEntryDrewIsNotDrawnAgain(t *testing.T) {
+	c := qt.New(t)
+	origin := &manyPieces{drawn: map[int]int{}}
+	v := &turning{addresses: map[filbertlever.HostID]string{}, entries: []relays.Entry{{Host: "a1", Site: "a"}, {Host: "a2", Site: "a"}, {Host: "b1", Site: "b"}}}
+	running := map[filbertlever.HostID]*Relay{}
+	for _, entry := range v.entries {
+		running[entry.Host] = v.start(t, entry, origin)
+	}
+	for _, r := range running {
+		r.Announce(drafter)
+	}
+	all := func(r *Relay) {
+		for piece := range handoverPieces {
+			data, err := r.Piece(context.Background(), drafter, piece, relays.RoleAny)
+			c.Assert(err, qt.IsNil)
+			c.Assert(string(data), qt.Equals, string(pieceData(piece)))
+		}
+	}
+	all(running["b1"])
+	c.Assert(origin.total(), qt.Equals, handoverPieces)
+	v.remove("a1")
+	all(running["a2"])
+	c.Check(origin.total(), qt.Equals, handoverPieces)
+	// One that starts anew has nothing, and heard of the version from the store.
+	v.remove("a2")
+	v.mu.Lock()
+	v.entries = append(v.entries, relays.Entry{Host: "a3", Site: "a"})
+	v.mu.Unlock()
+	all(v.start(t, relays.Entry{Host: "a3", Site: "a"}, origin))
+	c.Check(origin.total(), qt.Equals, handoverPieces)
+}
--- a/internal/transport/relay/serve.go
+++ b/internal/transport/relay/serve.go
@@ -62,6 +62,10 @@
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
+	if req.URL.Query().Get(paramHeld) != "" {
+		r.serveHeld(w, named, piece)
+		return
+	}
 	r.Prefetch(named)
 	data, err := r.Piece(req.Context(), named, piece, askedAs(req))
 	if err != nil {
