Entries that do not answer put off no draw

Cause, found on reading: after a loss of power half of the entries may be gone and believed alive for up to 5 s. Each piece that is to be drawn from the origin asked up to four of them first, 0.25 s each. Change: after one that does not answer none is asked for 1.5 s, and a call ends after 0.15 s. Messages that differ are not sent together any more, as nobody does.

--- a/internal/transport/datagrams/datagrams.go
+++ b/internal/transport/datagrams/datagrams.go
@@ -68,31 +68,15 @@
 // Send sends one message to each address. One that cannot be sent is as good as lost; an
 // error names the addresses that are none.
 func (s *Socket) Send(data []byte, addresses ...string) error {
-	letters := make([]Letter, len(addresses))
-	for i, address := range addresses {
-		letters[i] = Letter{Data: data, To: address}
-	}
-	return s.SendEach(letters)
-}
-
-// Letter is a message to one address.
-type Letter struct {
-	Data []byte
-	// To is an IP address and port.
-	To string
-}
-
-// SendEach does the same for messages that differ.
-func (s *Socket) SendEach(letters []Letter) error {
-	messages := make([]ipv4.Message, 0, len(letters))
+	messages := make([]ipv4.Message, 0, len(addresses))
 	var errs []error
-	for _, letter := range letters {
-		to, err := s.resolve(letter.To)
+	for _, address := range addresses {
+		to, err := s.resolve(address)
 		if err != nil {
 			errs = append(errs, err)
 			continue
 		}
-		messages = append(messages, ipv4.Message{Buffers: [][]byte{letter.Data}, Addr: to})
+		messages = append(messages, ipv4.Message{Buffers: [][]byte{data}, Addr: to})
 	}
 	s.send(messages)
 	return errors.Join(errs...)
--- a/internal/transport/relay/handover.go
+++ b/internal/transport/relay/handover.go
@@ -19,7 +19,11 @@
 const (
 	// keeperTimeout bounds a call for a piece that another entry may have: 34 ms of its
 	// link, over a border that is not idle.
-	keeperTimeout = 250 * time.Millisecond
+	keeperTimeout = 150 * time.Millisecond
+	// keeperRest is how long no entry is asked after one did not answer. After a loss of
+	// power half of those that are believed alive may be gone for 5 s; asked for each of 64
+	// pieces they would put off the draws by seconds, and so by a tenth.
+	keeperRest = 1500 * time.Millisecond
 	// keeperKind is how such entries are called in metrics.
 	keeperKind = "Keeper"
 	// paramHeld asks for a piece only if it is here.
@@ -45,10 +49,7 @@
 // drawn: the origin sent 3.2 to 3.7 copies of two versions over its thin link.
 func (r *Relay) fromKeepers(named catalog.NamedVersion, piece int, manifest *Manifest, place *drawPlace) ([]byte, bool) {
 	entries, addresses := r.see()
-	r.mu.Lock()
-	ask := r.turnover.Since(r.version(named).namedAt)
-	r.mu.Unlock()
-	if !ask {
+	if !r.asksKeepers(named) {
 		return nil, false
 	}
 	place.leave()
@@ -67,11 +68,26 @@
 		default:
 			r.log.Info("piece not had from another entry", zap.String("Model", named.Model), zap.Uint64("Version", named.Version),
 				zap.Int("Piece", piece), zap.String("Entry", string(host)), zap.Error(err))
+			r.restKeepers()
+			return nil, false
 		}
 	}
 	return nil, false
 }
 
+// asksKeepers reports whether other entries are asked for pieces of a version.
+func (r *Relay) asksKeepers(named catalog.NamedVersion) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return boottime.Now() >= r.keepersRestUntil && r.turnover.Since(r.version(named).namedAt)
+}
+
+func (r *Relay) restKeepers() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.keepersRestUntil = boottime.Now() + keeperRest
+}
+
 // errNotHeld means that an entry does not have a piece.
 var errNotHeld = errors.New("not held")
 
--- a/internal/transport/relay/handover_test.go
+++ b/internal/transport/relay/handover_test.go
@@ -5,6 +5,7 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"fmt"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"sync"
@@ -136,3 +137,28 @@
 	all(v.start(t, relays.Entry{Host: "a3", Site: "a"}, origin))
 	c.Check(origin.total(), qt.Equals, handoverPieces)
 }
+
+// Servers wait for weights though the origin has them: half of all entries lost power and
+// are still believed alive, and each was asked for each piece until its time was over.
+func TestEntriesThatDoNotAnswerPutOffNoDraw(t *testing.T) {
+	c := qt.New(t)
+	silent, err := net.Listen("tcp4", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	defer func() { _ = silent.Close() }()
+	v := &turning{addresses: map[filbertlever.HostID]string{}, entries: []relays.Entry{{Host: "a1", Site: "a"}}}
+	for _, site := range []string{"b", "c", "d", "e"} {
+		host := filbertlever.HostID(site + "1")
+		v.entries = append(v.entries, relays.Entry{Host: host, Site: site})
+		v.addresses[host] = silent.Addr().String()
+	}
+	origin := &manyPieces{drawn: map[int]int{}}
+	r := v.start(t, relays.Entry{Host: "a1", Site: "a"}, origin)
+	began := time.Now()
+	for piece := range handoverPieces {
+		_, err := r.Piece(context.Background(), drafter, piece, relays.RoleAny)
+		c.Assert(err, qt.IsNil)
+	}
+	c.Check(origin.total(), qt.Equals, handoverPieces)
+	// One of them is waited for, once.
+	c.Check(time.Since(began) < 3*keeperTimeout, qt.IsTrue, qt.Commentf("%v", time.Since(began)))
+}
--- a/internal/transport/relay/relay.go
+++ b/internal/transport/relay/relay.go
@@ -92,6 +92,8 @@
 	drawingAhead bool
 	// turnover notes when entries that may have drawn pieces were lost.
 	turnover relays.Turnover
+	// keepersRestUntil is until when no entry is asked for what it may have.
+	keepersRestUntil time.Duration
 	// pace is what this entry's own pieces have taken.
 	pace switchover.Pace
 	// byDigest finds pieces that versions share.
