--- /dev/null
+++ b/cmd/filbertlever-logs/table.go
@@ -0,0 +1,132 @@
+package main
+
+import (
+	"fmt"
+	"io"
+	"slices"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/plotutil"
+	"gonum.org/v1/plot/vg"
+
+	"github.com/filbertlever/filbertlever/internal/coordination/outcome"
+)
+
+// shown are the kinds in the order of columns.
+var shown = []outcome.Kind{outcome.KindInTime, outcome.KindLate, outcome.KindRefused, outcome.KindBroken, outcome.KindFault, outcome.KindLeft}
+
+// second is what became of the requests that came in one second.
+type second struct {
+	kinds  map[outcome.Kind]int
+	causes map[outcome.Cause]int
+}
+
+// bySecond returns the seconds in order, and what came in each.
+func bySecond(rows []outcome.Row) ([]int64, map[int64]*second) {
+	var order []int64
+	seconds := map[int64]*second{}
+	for _, row := range rows {
+		s, ok := seconds[row.Second]
+		if !ok {
+			s = &second{kinds: map[outcome.Kind]int{}, causes: map[outcome.Cause]int{}}
+			seconds[row.Second] = s
+			order = append(order, row.Second)
+		}
+		s.kinds[row.Kind] += row.Requests
+		if row.Cause != outcome.CauseNone {
+			s.causes[row.Cause] += row.Requests
+		}
+	}
+	return order, seconds
+}
+
+// printTable prints one line a second, and the sums by cause.
+func printTable(to io.Writer, rows []outcome.Row, counts read) error {
+	w := tabwriter.NewWriter(to, 0, 0, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprint(w, "Second\t")
+	for _, kind := range shown {
+		fmt.Fprintf(w, "%s\t", kind)
+	}
+	fmt.Fprint(w, " Causes\n")
+	order, seconds := bySecond(rows)
+	total := &second{kinds: map[outcome.Kind]int{}, causes: map[outcome.Cause]int{}}
+	for _, at := range order {
+		s := seconds[at]
+		printSecond(w, time.Unix(at, 0).UTC().Format(time.TimeOnly), s)
+		for kind, n := range s.kinds {
+			total.kinds[kind] += n
+		}
+		for cause, n := range s.causes {
+			total.causes[cause] += n
+		}
+	}
+	printSecond(w, "All", total)
+	fmt.Fprintf(w, "\n%d files, %d lines, %d of them could not be read\n", counts.Files, counts.Lines, counts.Bad)
+	return w.Flush()
+}
+
+func printSecond(w io.Writer, name string, s *second) {
+	fmt.Fprintf(w, "%s\t", name)
+	for _, kind := range shown {
+		fmt.Fprintf(w, "%d\t", s.kinds[kind])
+	}
+	fmt.Fprintf(w, " %s\n", strings.Join(byNumber(s.causes), ", "))
+}
+
+// byNumber returns the causes, the most frequent first.
+func byNumber(causes map[outcome.Cause]int) []string {
+	var names []outcome.Cause
+	for cause := range causes {
+		names = append(names, cause)
+	}
+	slices.SortFunc(names, func(a, b outcome.Cause) int {
+		if causes[a] != causes[b] {
+			return causes[b] - causes[a]
+		}
+		return strings.Compare(string(a), string(b))
+	})
+	var texts []string
+	for _, name := range names {
+		texts = append(texts, fmt.Sprintf("%s %d", name, causes[name]))
+	}
+	return texts
+}
+
+// draw draws the requests of each cause by second.
+func draw(file string, rows []outcome.Row) error {
+	p := plot.New()
+	p.Title.Text = "Requests that were late, refused or broken, by the second in which they came"
+	p.X.Label.Text, p.Y.Label.Text = "seconds", "requests"
+	order, seconds := bySecond(rows)
+	causes := map[outcome.Cause]bool{}
+	for _, s := range seconds {
+		for cause := range s.causes {
+			causes[cause] = true
+		}
+	}
+	var names []string
+	for cause := range causes {
+		names = append(names, string(cause))
+	}
+	slices.Sort(names)
+	var lines []any
+	for _, name := range names {
+		points := plotter.XYs{}
+		for _, at := range order {
+			points = append(points, plotter.XY{X: float64(at - order[0]), Y: float64(seconds[at].causes[outcome.Cause(name)])})
+		}
+		lines = append(lines, name, points)
+	}
+	if err := plotutil.AddLines(p, lines...); err != nil {
+		return fmt.Errorf("plot: %w", err)
+	}
+	p.Legend.Top = true
+	if err := p.Save(25*vg.Centimeter, 12*vg.Centimeter, file); err != nil {
+		return fmt.Errorf("plot: %w", err)
+	}
+	return nil
+}
