Agents have their view as soon as before after a loss of power

Ruled out by plays: asking others for what a lost entry drew (no difference). Change: the store is asked at once if all seeds are silent, as hosts without power are; one that refuses connections is up. All are asked anew 0.15 s after the last one.

--- a/internal/transport/sidecar/views.go
+++ b/internal/transport/sidecar/views.go
@@ -27,9 +27,13 @@
 	// hedgePause is how long one entry is given before the next is asked too. One
 	// without power answers nothing, and waiting for it would put off a load.
 	hedgePause = 60 * time.Millisecond
+	// lastPause is how long the last one is given before all are asked anew.
+	lastPause = 150 * time.Millisecond
 	// storeAfter is how long no entry may have answered before the store is asked for
-	// others. All processes start within 0.3 s, and an entry listens 0.1 s later.
-	storeAfter = 500 * time.Millisecond
+	// others. All processes start within 0.3 s.
+	storeAfter = 300 * time.Millisecond
+	// askPause is the pause before all are asked anew.
+	askPause = 100 * time.Millisecond
 	// storeEvery bounds how often the store is asked for entries.
 	storeEvery = 2 * time.Second
 )
@@ -41,7 +45,7 @@
 		err := s.refreshView(ctx)
 		pause := viewEvery
 		if err != nil {
-			pause = retryPause
+			pause = askPause
 			if !lost && ctx.Err() == nil {
 				s.log.Warn("entries lost", zap.Error(err))
 			}
@@ -73,31 +77,30 @@
 
 // refreshView reads the view from the first entry that answers: those that are known are
 // asked one after the other, the next one if one takes long, then those that the store lists.
+//
+// Guard: after a loss of power the first call goes to a host that is not up yet, and the
+// network repeats it after 1 s. Agents that waited for that had their view, and servers
+// their weights, 0.8 s later than need be; all are soon asked anew.
 func (s *Sidecar) refreshView(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, viewTimeout)
 	defer cancel()
-	addresses, listed := s.viewAddresses(), false
-	answers := make(chan fetched)
-	asked, ended, any := 0, 0, false
-	defer func() { s.noteAnswers(any) }()
+	a := &asking{agent: s, addresses: s.viewAddresses(), answers: make(chan fetched)}
+	defer func() { s.noteAnswers(a.answered) }()
 	next := time.NewTimer(0)
 	defer next.Stop()
-	for !listed || ended < len(addresses) {
+	for !a.listed || a.ended < len(a.addresses) {
 		select {
 		case <-ctx.Done():
 			return errNoEntry
 		case <-next.C:
-			if asked == len(addresses) && !listed {
-				addresses, listed = append(addresses, s.listedAddresses(ctx)...), true
-			}
-			if asked < len(addresses) {
-				go s.runFetch(ctx, addresses[asked], answers)
-				asked++
-				next.Reset(hedgePause)
+			pause, more := a.more(ctx)
+			if !more {
+				return errNoEntry
 			}
-		case answer := <-answers:
-			ended++
-			any = any || answer.err == nil || errors.Is(answer.err, errNoView)
+			next.Reset(pause)
+		case answer := <-a.answers:
+			a.ended++
+			a.answered = a.answered || answer.err == nil || errors.Is(answer.err, errNoView)
 			if answer.err == nil {
 				s.setView(answer)
 				return nil
@@ -109,6 +112,39 @@
 	return errNoEntry
 }
 
+// asking is one round of asking entries for the view.
+type asking struct {
+	agent     *Sidecar
+	addresses []string
+	answers   chan fetched
+	// asked and ended are how many of addresses were asked, and have ended.
+	asked, ended int
+	// listed is true once the store's entries are among addresses.
+	listed bool
+	// answered is true once any entry has answered.
+	answered bool
+}
+
+// more asks the next entry, or looks for more; it returns how long that is given, and
+// false if there is none left to ask.
+func (a *asking) more(ctx context.Context) (time.Duration, bool) {
+	if a.asked == len(a.addresses) && !a.listed {
+		a.addresses, a.listed = append(a.addresses, a.agent.listedAddresses(ctx, a.ended == 0)...), true
+		if a.asked == len(a.addresses) {
+			return lastPause, true
+		}
+	}
+	if a.asked == len(a.addresses) {
+		return 0, false
+	}
+	go a.agent.runFetch(ctx, a.addresses[a.asked], a.answers)
+	a.asked++
+	if a.listed && a.asked == len(a.addresses) {
+		return lastPause, true
+	}
+	return hedgePause, true
+}
+
 func (s *Sidecar) runFetch(ctx context.Context, address string, answers chan<- fetched) {
 	view, err := s.fetchView(ctx, address)
 	select {
@@ -155,14 +191,16 @@
 }
 
 // listedAddresses returns the peer addresses of the entries that the store lists, if none
-// that is known has answered for a while: seeds may be gone for long.
+// that is known has answered for a while, or all are silent: seeds may be gone for long.
+// A host that refuses connections is up, and its entry soon is.
 //
 // Each agent that starts asked the store, 265 calls as an installation starts and as many
 // after each loss of power, though its seeds answered within 0.1 s.
-func (s *Sidecar) listedAddresses(ctx context.Context) []string {
+func (s *Sidecar) listedAddresses(ctx context.Context, silent bool) []string {
 	now := boottime.Now()
 	s.mu.Lock()
-	wait := s.unansweredSince == 0 || now-s.unansweredSince < storeAfter || s.listedAt != 0 && now-s.listedAt < storeEvery
+	unanswered := silent || s.unansweredSince != 0 && now-s.unansweredSince >= storeAfter
+	wait := !unanswered || s.listedAt != 0 && now-s.listedAt < storeEvery
 	if !wait {
 		s.listedAt = now
 	}
--- a/internal/transport/sidecar/views_test.go
+++ b/internal/transport/sidecar/views_test.go
@@ -157,9 +157,32 @@
 	defer live.Close()
 	store := &lister{entries: []gateway.Entry{{Peers: strings.TrimPrefix(live.URL, "http://")}}}
 	s := newAgent(&weightsEntry{}, &engine{}, Config{Seeds: []string{silent.Addr().String(), silent.Addr().String()}})
-	s.entries, s.lister, s.unansweredSince = nil, store, boottime.Now()-storeAfter
+	s.entries, s.lister = nil, store
 	began := time.Now()
 	c.Assert(s.refreshView(context.Background()), qt.IsNil)
-	c.Assert(time.Since(began) < viewTimeout, qt.IsTrue)
+	// Each seed is given its pause, and no more.
+	c.Assert(time.Since(began) < 5*hedgePause, qt.IsTrue, qt.Commentf("%v", time.Since(began)))
 	c.Assert(store.asked, qt.Equals, 1)
 }
+
+// All power was lost; the agent's first call goes to a host that is not up yet, and the
+// network repeats it only after a second. Agents had their view 0.8 s late, and all
+// servers their weights. The host is asked anew as soon as it is up.
+func TestAHostThatWasNotUpIsSoonAskedAgain(t *testing.T) {
+	c := qt.New(t)
+	var lost atomic.Int32
+	live := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if lost.Add(1) == 1 {
+			<-r.Context().Done()
+			return
+		}
+		_, _ = io.WriteString(w, "{}")
+	}))
+	defer live.Close()
+	s := newAgent(&weightsEntry{}, &engine{}, Config{Seeds: []string{strings.TrimPrefix(live.URL, "http://")}})
+	s.entries = nil
+	began := time.Now()
+	c.Assert(s.refreshView(context.Background()), qt.ErrorIs, errNoEntry)
+	c.Assert(s.refreshView(context.Background()), qt.IsNil)
+	c.Check(time.Since(began) < viewTimeout/2, qt.IsTrue, qt.Commentf("%v", time.Since(began)))
+}
