--- a/internal/coordination/outcome/outcome.go
+++ b/internal/coordination/outcome/outcome.go
@@ -4,7 +4,6 @@
 
 import (
 	"cmp"
-	"net/http"
 	"slices"
 	"strings"
 	"time"
@@ -37,6 +36,13 @@
 	Waited float64
 }
 
+// Statuses of HTTP that tell kinds apart.
+const (
+	statusCallersFault = 400
+	statusServerFailed = 500
+	statusNotRun       = 503
+)
+
 // Messages of the lines that are used.
 const (
 	messageEnded   = "request ended"
@@ -203,11 +209,11 @@
 		return KindLeft
 	case strings.HasPrefix(line.Reason, "the answer broke off"):
 		return KindBroken
-	case line.Status == http.StatusServiceUnavailable:
+	case line.Status == statusNotRun:
 		return KindRefused
-	case line.Status >= http.StatusInternalServerError:
+	case line.Status >= statusServerFailed:
 		return KindBroken
-	case line.Status >= http.StatusBadRequest:
+	case line.Status >= statusCallersFault:
 		return KindFault
 	case milliseconds(cmp.Or(line.First, line.Took)) > goal:
 		return KindLate
@@ -225,7 +231,7 @@
 				return known.cause
 			}
 		}
-		if line.Reason == "" && line.Status == http.StatusInternalServerError {
+		if line.Reason == "" && line.Status == statusServerFailed {
 			return "ServersOwnFailure"
 		}
 		return CauseOther
