A failed attempt's line tells which request it was, whatever its attempt

The incident's hypotheses differ in whether the same request was under way at each server that ended. A line names an attempt by an ID that is new each time, so that nothing tells. Each now carries a fingerprint of organisation, method, host, path and body, and the boot of the server. No decision changes.

--- a/internal/transport/gateway/attempts.go
+++ b/internal/transport/gateway/attempts.go
@@ -130,8 +130,8 @@
 // new process is known already. That one would get no request, for what it never had.
 func (a *attempts) blame(id string, end forward.End, err error) {
 	g := a.gateway
-	g.log.Warn("attempt failed", zap.String("Request", a.call.ID), zap.String("Backend", id),
-		zap.Stringer("End", end), zap.Error(err))
+	g.log.Warn("attempt failed", zap.String("Request", a.call.ID), zap.Stringer("Fingerprint", a.fingerprint()),
+		zap.String("Backend", id), zap.Int64("Boot", int64(a.last.Backend.Boot)), zap.Stringer("End", end), zap.Error(err))
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if !g.fleet.Followed(a.last.Backend) {
