What a server says of itself in an answer is read, logged and counted

The adapter decodes it, and for how long a server that refuses wants nothing (seconds with fractions, or a date); the entry writes and counts it. A server's closing of its connection said the same field before, was read by nobody, and does not mean that it leaves. No decision changes.

--- a/internal/transport/gateway/attempts.go
+++ b/internal/transport/gateway/attempts.go
@@ -98,6 +98,7 @@
 	if err != nil {
 		return a.sendFailed(id, err), nil
 	}
+	a.said(placement.Backend, reply)
 	if end := a.judge(id, reply); end != 0 {
 		if end != forward.EndFailed {
 			reply.Finish(a.drainSmall(reply))
--- a/internal/transport/gateway/ports.go
+++ b/internal/transport/gateway/ports.go
@@ -80,8 +80,10 @@
 	Moved bool
 	// Life names the server that answered, if it is another than expected.
 	Life string
-	// Leaving is true if the server ends the channel after this answer.
-	Leaving bool
+	// Leaves is true if the server says that it is about to end.
+	Leaves bool
+	// Rest is how long the server wants no more requests of this entry; 0 if it did not say.
+	Rest time.Duration
 	// Version is the version of the weights that answer; 0 if unknown.
 	Version uint64
 	// Finish ends the use of the channel, which is kept only after a whole answer.
