--- a/internal/coordination/quarantine/quarantine_test.go
+++ b/internal/coordination/quarantine/quarantine_test.go
@@ -195,7 +195,7 @@
 		f.advance(now)
 	}
 	first, ok := f.tables[0].Held(bad, now)
-	qt.Assert(t, ok, qt.IsTrue)
+	qt.Assert(t, ok && first <= config.Hold, qt.IsTrue, qt.Commentf("%v", first))
 	now += first
 	f.advance(now)
 	qt.Assert(t, f.held(bad, now), qt.Equals, 0)
