A server that says in an answer that it leaves gets no more requests

What callers lost: requests at a server that had said for seconds that it leaves. Cause: entries heard of a leaving by the server's row alone, which does not change while the store is away; what answers say was passed on and read by nobody. Class: what a peer says of itself at first hand was believed less than an older word at second hand. Ruled out: a word that was taken and lost by an older row (nobody had read it), requests that were placed before (placed 2 ms before they arrived).

Why it holds: a row takes nothing back, also one that lapses and is listed again; only another process does, told by its ID or boot.

--- a/internal/coordination/fleet/boots.go
+++ b/internal/coordination/fleet/boots.go
@@ -133,6 +133,7 @@
 	backend := before
 	backend.Boot, backend.Models, backend.Leaving = boot, nil, false
 	delete(f.busy, before.ID)
+	delete(f.words, before.ID)
 	f.forgetReport(s)
 	*s = server{backend: backend, row: s.row, missingSince: s.missingSince, bootedAt: max(now, 1)}
 	f.noteUsable(s, false)
--- a/internal/coordination/fleet/fleet.go
+++ b/internal/coordination/fleet/fleet.go
@@ -129,6 +129,8 @@
 	// byAddress gives the server listed last for an address.
 	byAddress map[string]string
 	revision  uint64
+	// words are what servers have said of themselves in answers, by ID.
+	words map[string]*word
 	// named are the versions of each model that operators have named.
 	named map[string][]uint64
 	// lacking is how many servers of a service in a row lacked what they should hold.
@@ -169,6 +171,7 @@
 		routers:   map[string]*routing.Router{},
 		servers:   map[string]*server{},
 		byAddress: map[string]string{},
+		words:     map[string]*word{},
 		named:     map[string][]uint64{},
 		lacking:   map[string]int{},
 		wobbly:    map[string]bool{},
@@ -286,7 +289,7 @@
 }
 
 func (f *Fleet) host(b catalog.Backend) filbertlever.Host {
-	return filbertlever.Host{ID: filbertlever.HostID(b.ID), Site: b.Site, Region: f.config.Regions[b.Site], Leaving: b.Leaving}
+	return filbertlever.Host{ID: filbertlever.HostID(b.ID), Site: b.Site, Region: f.config.Regions[b.Site], Leaving: b.Leaving || f.hasLeft(b)}
 }
 
 // plainTarget is the target of services without models.
--- /dev/null
+++ b/internal/coordination/fleet/said_test.go
@@ -0,0 +1,125 @@
+package fleet
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+
+	"github.com/filbertlever/filbertlever/internal/coordination/catalog"
+)
+
+// saidFleet has two plain servers.
+func saidFleet() (*Fleet, []catalog.Backend) {
+	f := newFleet()
+	f.SetState(state(), 0)
+	all := []catalog.Backend{listed("o1", plainService, "10.0.0.1:1", 0), listed("o2", plainService, "10.0.0.2:1", 0)}
+	f.Apply(all, nil, true, 0)
+	return f, all
+}
+
+// picked returns which servers get requests at a time.
+func picked(f *Fleet, now time.Duration) map[string]bool {
+	ids := map[string]bool{}
+	for range 20 {
+		p := f.Choose(Request{Service: plainService}, now)
+		if !p.Found {
+			continue
+		}
+		f.Ended(p.Backend.ID)
+		ids[p.Backend.ID] = true
+	}
+	return ids
+}
+
+// A server said in an answer that it leaves, and is sent requests again: its row says that
+// it is ready, its row lapsed and came back, all others are suspected, or it was the last.
+// Only another process takes the word back.
+func TestAServerThatSaidThatItLeavesIsNotPicked(t *testing.T) {
+	other := map[string]bool{"o2": true}
+	both := map[string]bool{"o1": true, "o2": true}
+	tests := []struct {
+		name string
+		then func(f *Fleet, all []catalog.Backend)
+		want map[string]bool
+	}{
+		{"nothing happens", func(*Fleet, []catalog.Backend) {}, other},
+		{"its row says ready", func(f *Fleet, all []catalog.Backend) { f.Apply(all, nil, true, time.Second) }, other},
+		{"its row lapses and comes back", func(f *Fleet, all []catalog.Backend) {
+			f.Apply(all[1:], nil, true, time.Second)
+			picked(f, 9*time.Second)
+			f.Apply(all, nil, true, 9*time.Second)
+		}, other},
+		{"it answers soundly", func(f *Fleet, all []catalog.Backend) { f.Answered("o1", time.Second) }, other},
+		{"the other one fails", func(f *Fleet, all []catalog.Backend) { f.Failed("o2", 10*time.Second) }, other},
+		{"it is the last", func(f *Fleet, all []catalog.Backend) { f.Leaves(all[1], time.Second) }, map[string]bool{}},
+		{"it starts again under its ID", func(f *Fleet, all []catalog.Backend) {
+			first, second := all[0], all[0]
+			first.Boot, second.Boot = 1764723093000, 1764723099000
+			f.Apply([]catalog.Backend{first}, nil, false, time.Second)
+			qt.Assert(t, picked(f, time.Second), qt.DeepEquals, other)
+			f.Apply([]catalog.Backend{second}, nil, false, time.Second)
+			// What the process before still says is not of this one.
+			f.Leaves(first, 2*time.Second)
+		}, both},
+		{"another one has its address", func(f *Fleet, all []catalog.Backend) {
+			next := all[0]
+			next.ID, next.Revision = "o3", 1
+			f.Apply([]catalog.Backend{next}, nil, false, time.Second)
+		}, map[string]bool{"o2": true, "o3": true}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			f, all := saidFleet()
+			qt.Assert(t, f.Leaves(all[0], 0), qt.IsTrue)
+			qt.Assert(t, f.Leaves(all[0], 0), qt.IsFalse)
+			qt.Assert(t, f.Takes(all[0], 0), qt.IsFalse)
+			test.then(f, all)
+			qt.Assert(t, picked(f, 10*time.Second), qt.DeepEquals, test.want)
+		})
+	}
+}
+
+// Whatever servers say, and whichever rows come in which order, no process gets a request
+// after it has said that it leaves.
+func TestWhatServersSayInAnyOrder(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		f, all := saidFleet()
+		boots := []catalog.Boot{1764723093000, 1764723094000}
+		now := time.Second
+		left := map[string]bool{}
+		for range rapid.IntRange(1, 40).Draw(t, "events") {
+			now += time.Duration(rapid.IntRange(0, 3000).Draw(t, "pause")) * time.Millisecond
+			at := rapid.IntRange(0, 1).Draw(t, "server")
+			switch rapid.IntRange(0, 4).Draw(t, "event") {
+			case 0:
+				f.Leaves(all[at], now)
+				if f.Known(all[at].ID) {
+					left[fmt.Sprint(all[at].ID, all[at].Boot)] = true
+				}
+			case 1:
+				f.Apply(all, nil, true, now)
+			case 2:
+				f.Apply(all[:1], nil, true, now)
+			case 3:
+				f.Failed(all[at].ID, now)
+			case 4:
+				if all[at].Boot == 0 {
+					all[at].Boot, left[fmt.Sprint(all[at].ID, boots[0])] = boots[0], left[fmt.Sprint(all[at].ID, 0)]
+				} else {
+					all[at].Boot++
+				}
+				all[at].Revision++
+				f.Apply(all[at:at+1], nil, false, now)
+			}
+			for id := range picked(f, now) {
+				b := f.servers[id].backend
+				if left[fmt.Sprint(b.ID, b.Boot)] {
+					t.Fatalf("%s of boot %d gets requests after it said that it leaves", b.ID, b.Boot)
+				}
+			}
+		}
+	})
+}
--- a/internal/transport/gateway/crashes.go
+++ b/internal/transport/gateway/crashes.go
@@ -136,15 +136,6 @@
 	}
 }
 
-// still returns an error if the request may no longer go to the server that it was placed
-// at. It is asked when a connection is there, which may take a while.
-func (a *attempts) still() error {
-	if a.kept() != nil {
-		return errKept
-	}
-	return nil
-}
-
 var errKept = errors.New("the request is kept from all servers by now")
 
 // processOf names the process that a request was placed at.
