A server that refuses and says for how long gets nothing meanwhile

What callers lost: tries at a server that had said that it wants none, and the budget of retries with them; the server did not come to rest. Cause: the time in its refusal was read by nobody. Now it gets no requests of that entry until the longest time that it named is over, also not as the last that is left, or from a request that waited for a connection; another process at its place starts free. If all servers of a service rest, callers are told the time of the first.

--- a/internal/coordination/fleet/choose.go
+++ b/internal/coordination/fleet/choose.go
@@ -120,7 +120,7 @@
 	var suspected []string
 	for id := range f.wobbly {
 		s, ok := f.servers[id]
-		fit := ok && s.backend.Service == service && s.missingSince == 0 && now >= s.switchingUntil
+		fit := ok && s.backend.Service == service && s.missingSince == 0 && now >= s.switchingUntil && now >= f.restsUntil(s)
 		if fit && f.table.Fit(filbertlever.HostID(id), f.at(now)) {
 			suspected = append(suspected, id)
 			router.SetHost(f.host(s.backend), true)
@@ -153,14 +153,15 @@
 	return f.readyIn(Request{Service: service}, now)
 }
 
-// readyIn is when the first server will hold what a request needs.
+// readyIn is when the first server will hold what a request needs, or wants requests again.
 func (f *Fleet) readyIn(request Request, now time.Duration) time.Duration {
 	first := time.Duration(0)
 	for _, s := range f.servers {
-		if s.backend.Service != request.Service || s.loadedAt <= now {
+		at := max(s.loadedAt, f.restsUntil(s))
+		if s.backend.Service != request.Service || at <= now || f.hasLeft(s.backend) {
 			continue
 		}
-		if in := s.loadedAt - now; first == 0 || in < first {
+		if in := at - now; first == 0 || in < first {
 			first = in
 		}
 	}
--- a/internal/coordination/fleet/health.go
+++ b/internal/coordination/fleet/health.go
@@ -17,7 +17,7 @@
 	if s.missingSince != 0 && now-f.returned >= f.config.LapseGrace {
 		return false
 	}
-	return now >= s.switchingUntil && now >= s.silentUntil && !f.stalled(s, now) && !f.silent(s, now) && f.table.Usable(filbertlever.HostID(s.backend.ID), f.at(now))
+	return now >= s.switchingUntil && now >= s.silentUntil && now >= f.restsUntil(s) && !f.stalled(s, now) && !f.silent(s, now) && f.table.Usable(filbertlever.HostID(s.backend.ID), f.at(now))
 }
 
 // stalled reports whether a server has requests and has been silent for longer
--- a/internal/coordination/fleet/said.go
+++ b/internal/coordination/fleet/said.go
@@ -11,6 +11,8 @@
 	boot catalog.Boot
 	// leaves is true once it has said that it is about to end, which is final.
 	leaves bool
+	// restsUntil is until when it wants no requests of this entry.
+	restsUntil time.Duration
 	// at is when it last said anything.
 	at time.Duration
 }
@@ -38,6 +40,32 @@
 	return true
 }
 
+// Rests notes that a process that has refused a request wants no more for a while. It
+// returns true if it wanted some before.
+//
+// Guard: a server that is overloaded refuses and is asked again at once, by each entry and
+// for each request; that takes from it what it needs to recover, and uses up the retries.
+// The longest time that it has named holds, and no other entry's word shortens it.
+func (f *Fleet) Rests(b catalog.Backend, rest, now time.Duration) bool {
+	w := f.wordOf(b, now)
+	if w == nil {
+		return false
+	}
+	first := now >= w.restsUntil
+	w.restsUntil = max(w.restsUntil, now+rest)
+	f.wobbly[b.ID] = true
+	f.place(b.ID, now)
+	return first
+}
+
+// restsUntil returns until when a server wants no requests; 0 if it has not said.
+func (f *Fleet) restsUntil(s *server) time.Duration {
+	if w, ok := f.words[s.backend.ID]; ok && w.of(s.backend) {
+		return w.restsUntil
+	}
+	return 0
+}
+
 // wordOf returns what a process has said, to be added to; nil if another has followed it.
 func (f *Fleet) wordOf(b catalog.Backend, now time.Duration) *word {
 	s, ok := f.servers[b.ID]
@@ -57,7 +85,7 @@
 // forgetWords drops words of servers that are long gone.
 func (f *Fleet) forgetWords(now time.Duration) {
 	for id, w := range f.words {
-		if _, listed := f.servers[id]; !listed && now-w.at >= wordKept {
+		if _, listed := f.servers[id]; !listed && now-max(w.at, w.restsUntil) >= wordKept {
 			delete(f.words, id)
 		}
 	}
@@ -71,4 +99,7 @@
 
 // Takes reports whether a request that was placed at a process may still go there: it may
 // have said otherwise while the request waited for a connection.
-func (f *Fleet) Takes(b catalog.Backend, _ time.Duration) bool { return !f.hasLeft(b) }
+func (f *Fleet) Takes(b catalog.Backend, now time.Duration) bool {
+	w, ok := f.words[b.ID]
+	return !ok || !w.of(b) || !w.leaves && now >= w.restsUntil
+}
--- a/internal/coordination/fleet/said_test.go
+++ b/internal/coordination/fleet/said_test.go
@@ -82,6 +82,48 @@
 	}
 }
 
+// A server refuses and says for how long it wants nothing, and is asked all the same: as the
+// last that is not suspected, once its row comes again, or after a shorter word. It is used
+// again at the end of the longest time that it named, or once another process is there.
+func TestAServerThatRestsIsNotPicked(t *testing.T) {
+	const rest = 3 * time.Second
+	other, both := map[string]bool{"o2": true}, map[string]bool{"o1": true, "o2": true}
+	tests := []struct {
+		name string
+		then func(f *Fleet, all []catalog.Backend)
+		want map[string]bool
+	}{
+		{"nothing happens", func(*Fleet, []catalog.Backend) {}, other},
+		{"its row comes again", func(f *Fleet, all []catalog.Backend) { f.Apply(all, nil, true, time.Second) }, other},
+		{"it names a shorter time", func(f *Fleet, all []catalog.Backend) { f.Rests(all[0], time.Millisecond, time.Second) }, other},
+		{"it answers a request sent before", func(f *Fleet, all []catalog.Backend) { f.Answered("o1", time.Second) }, other},
+		{"the other one fails", func(f *Fleet, all []catalog.Backend) { f.Failed("o2", rest-100*time.Millisecond) }, other},
+		{"the other one rests too", func(f *Fleet, all []catalog.Backend) { f.Rests(all[1], rest, time.Second) }, map[string]bool{}},
+		{"another one has its address", func(f *Fleet, all []catalog.Backend) {
+			next := all[0]
+			next.ID, next.Revision = "o3", 1
+			f.Apply([]catalog.Backend{next}, nil, false, time.Second)
+		}, map[string]bool{"o2": true, "o3": true}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			f, all := saidFleet()
+			qt.Assert(t, f.Rests(all[0], rest, 0), qt.IsTrue)
+			qt.Assert(t, f.Rests(all[0], rest, 0), qt.IsFalse)
+			test.then(f, all)
+			qt.Assert(t, f.Takes(all[0], rest-time.Millisecond), qt.IsFalse)
+			qt.Assert(t, picked(f, rest-time.Millisecond), qt.DeepEquals, test.want)
+			if len(test.want) == 0 {
+				qt.Assert(t, f.ReadyIn(plainService, rest-time.Millisecond), qt.Equals, time.Millisecond)
+			}
+			f, all = saidFleet()
+			f.Rests(all[0], rest, 0)
+			qt.Assert(t, f.Takes(all[0], rest), qt.IsTrue)
+			qt.Assert(t, picked(f, rest+sweepEvery), qt.DeepEquals, both)
+		})
+	}
+}
+
 // Whatever servers say, and whichever rows come in which order, no process gets a request
 // after it has said that it leaves.
 func TestWhatServersSayInAnyOrder(t *testing.T) {
@@ -93,7 +135,7 @@
 		for range rapid.IntRange(1, 40).Draw(t, "events") {
 			now += time.Duration(rapid.IntRange(0, 3000).Draw(t, "pause")) * time.Millisecond
 			at := rapid.IntRange(0, 1).Draw(t, "server")
-			switch rapid.IntRange(0, 4).Draw(t, "event") {
+			switch rapid.IntRange(0, 5).Draw(t, "event") {
 			case 0:
 				f.Leaves(all[at], now)
 				if f.Known(all[at].ID) {
@@ -105,6 +147,8 @@
 				f.Apply(all[:1], nil, true, now)
 			case 3:
 				f.Failed(all[at].ID, now)
+			case 5:
+				f.Rests(all[at], time.Duration(rapid.IntRange(0, 5000).Draw(t, "rest"))*time.Millisecond, now)
 			case 4:
 				if all[at].Boot == 0 {
 					all[at].Boot, left[fmt.Sprint(all[at].ID, boots[0])] = boots[0], left[fmt.Sprint(all[at].ID, 0)]
@@ -116,6 +160,9 @@
 			}
 			for id := range picked(f, now) {
 				b := f.servers[id].backend
+				if !f.Takes(b, now) {
+					t.Fatalf("%s gets requests while it wants none", b.ID)
+				}
 				if left[fmt.Sprint(b.ID, b.Boot)] {
 					t.Fatalf("%s of boot %d gets requests after it said that it leaves", b.ID, b.Boot)
 				}
--- a/internal/transport/gateway/said.go
+++ b/internal/transport/gateway/said.go
@@ -29,7 +29,7 @@
 		a.noteSaid(backend, saidLeaves, reply, g.fleet.Leaves(backend, now))
 	}
 	if reply.Rest > 0 {
-		a.noteSaid(backend, saidRests, reply, true)
+		a.noteSaid(backend, saidRests, reply, g.fleet.Rests(backend, reply.Rest, now))
 	}
 }
 
