A popular request is not held: failing test

What callers see: a lookup that many of them send is refused to all for minutes after some servers ended, though servers answered it a moment before.

--- a/internal/coordination/quarantine/innocent_test.go
+++ b/internal/coordination/quarantine/innocent_test.go
@@ -196,6 +196,36 @@
 	}
 }
 
+// Callers of one organisation all send the same lookup, a few of which are under way at each
+// server. Whatever ends servers, they are there, and the lookup was refused to all for
+// minutes though servers had answered it a moment before: a bad request comes back, and a
+// rack of six servers loses its power at once.
+func TestAPopularRequestIsNotHeld(t *testing.T) {
+	for seed := range uint64(20) {
+		w := newWorld(seed, 24)
+		popular := request(2_000_000)
+		w.run(2*time.Second, 4)
+		for n := range 40 {
+			for range 8 {
+				w.place(&modelRequest{print: popular, entry: w.rng.IntN(8)})
+			}
+			if n%3 == 0 {
+				w.place(&modelRequest{print: request(0), entry: w.rng.IntN(8), bad: true})
+			}
+			if n == 20 {
+				for _, s := range w.servers[:6] {
+					w.end(s)
+				}
+			}
+			w.run(w.now+200*ms, 4)
+		}
+		qt.Assert(t, w.refused, qt.Equals, 0, qt.Commentf("seed %d", seed))
+		qt.Assert(t, w.held(popular, w.now), qt.Equals, 0, qt.Commentf("seed %d", seed))
+		qt.Assert(t, w.held(request(0), w.now), qt.Equals, 8)
+		qt.Assert(t, w.ends <= 8, qt.IsTrue, qt.Commentf("seed %d: %d servers ended", seed, w.ends))
+	}
+}
+
 // Two requests that end servers come at once, five of them a second, and both are held; of
 // those sent beside them none is refused.
 func TestTwoRequestsThatEndServers(t *testing.T) {
