A request that servers answer is not held for the ends of others

What callers saw: a lookup that many of them send alike is refused to all for minutes after some servers ended. Cause, in the mend before: a request that is under way everywhere is there at each end, whatever causes it; that it was answered meanwhile counted only once it was suspected, and its end was known only seconds later, by the server's next row. Class: absence of a counter-example was taken for evidence where none had been looked for. Now each entry remembers what it answered within a minute (4,096 requests; a hash of 1.2 us at 1 KB each; bodies above 64 KB only if suspected). An end before the latest answer counts for nothing; of what was answered within a minute, ends at once count once, and the verdict waits a second. Only entries that had the request at an end decide, and those that answered it tell them so.

--- a/internal/coordination/quarantine/news.go
+++ b/internal/coordination/quarantine/news.go
@@ -32,7 +32,7 @@
 	At    time.Duration `cbor:"-"`
 }
 
-// Clearing is a request that was suspected and then answered.
+// Clearing is a request that was answered, and is suspected by whom it is told to.
 type Clearing struct {
 	Request Fingerprint   `cbor:"1,keyasint"`
 	Age     time.Duration `cbor:"2,keyasint"`
@@ -81,34 +81,48 @@
 	return nil
 }
 
-// Take takes another entry's news.
+// Take takes another entry's news, and returns what that entry does not know: which of the
+// requests under which servers ended were answered here lately.
 //
 // Guard: an entry that was cut off comes back with what it believed before. A request
 // that was answered meanwhile would be refused again; what is older than that is dropped.
-func (t *Table) Take(news *News, now time.Duration) {
+func (t *Table) Take(news *News, now time.Duration) []News {
 	for _, c := range news.Cleared {
-		at := now - c.Age
-		if s, ok := t.suspects[c.Request]; !ok || s.since <= at && s.seen <= at {
-			t.clear(c.Request, at)
-		}
+		t.takeCleared(c, now-c.Age)
 	}
+	var reply News
 	for _, told := range news.Ends {
 		if told.Age >= t.config.Evidence {
 			continue
 		}
 		e := t.endAt(told.Process, now-told.Age, now)
 		for _, request := range told.Requests {
+			if t.trusted(request, now) {
+				at, _ := t.answered.at(request)
+				reply.Cleared = append(reply.Cleared, Clearing{Request: request, At: at})
+			}
 			t.mark(request, e, now)
 		}
 	}
 	for _, h := range news.Holds {
 		t.takeHold(h, now-h.Age)
 	}
+	return reply.messages(now)
+}
+
+// takeCleared takes that a request was answered at another entry. What is held since then
+// stays held: who held it heard of the answer, or it ended servers after it.
+func (t *Table) takeCleared(c Clearing, at time.Duration) {
+	t.answered.note(c.Request, at)
+	s, ok := t.suspects[c.Request]
+	if ok && s.since <= at && (s.times > 0 || s.seen <= at) {
+		t.forget(c.Request)
+	}
 }
 
 // takeHold takes another entry's verdict.
 func (t *Table) takeHold(h Hold, at time.Duration) {
-	if cleared, ok := t.cleared[h.Request]; ok && cleared >= at {
+	if answered, ok := t.answered.at(h.Request); ok && answered >= at {
 		return
 	}
 	s := t.suspect(h.Request)
--- a/internal/coordination/quarantine/quarantine.go
+++ b/internal/coordination/quarantine/quarantine.go
@@ -22,12 +22,15 @@
 	// Evidence is how long an attempt that broke off waits for a sign that its process
 	// has ended, and one process's end is told from the next one's under the same name.
 	Evidence time.Duration
+	// Trust is how long an answer speaks for a request: of one that was answered no longer
+	// ago, only ends that lie Together apart count, and none before its latest answer.
+	Trust time.Duration
 	// Hold is how long a request is held first; it doubles each time, up to HoldMost.
 	Hold     time.Duration
 	HoldMost time.Duration
 	// Remember is how long a request that is not held is suspected after the last end.
 	Remember time.Duration
-	// Most bounds the requests that are remembered.
+	// Most bounds the requests that are remembered: those suspected, and those answered.
 	Most int
 }
 
@@ -41,9 +44,10 @@
 		Together: time.Second,
 		// A process is back, and its row is written, within seconds.
 		Evidence: 6 * time.Second,
+		Trust:    time.Minute,
 		Hold:     5 * time.Minute, HoldMost: 24 * time.Hour,
 		Remember: 10 * time.Minute,
-		// Half a megabyte.
+		// What an entry answers in a minute, and a megabyte.
 		Most: 4096,
 	}
 }
@@ -98,9 +102,8 @@
 	ends     map[Process]*end
 	suspects map[Fingerprint]*suspect
 	// heads counts suspects by the first part of their fingerprints.
-	heads map[uint64]int
-	// cleared is when requests were answered that had been suspected.
-	cleared map[Fingerprint]time.Duration
+	heads    map[uint64]int
+	answered answers
 	// markedAt is when a request was last suspected, and undecided is true until a verdict
 	// was made that all entries' news of it had the time to reach.
 	markedAt  time.Duration
@@ -114,7 +117,7 @@
 // New returns a table that suspects no request.
 func New(config Config) *Table {
 	return &Table{config: config, broken: map[Process][]broken{}, ends: map[Process]*end{},
-		suspects: map[Fingerprint]*suspect{}, heads: map[uint64]int{}, cleared: map[Fingerprint]time.Duration{}}
+		suspects: map[Fingerprint]*suspect{}, heads: map[uint64]int{}, answered: newAnswers(config.Most)}
 }
 
 // Quiet reports whether no request is suspected.
@@ -188,7 +191,7 @@
 
 // mark notes that a process ended under a request.
 func (t *Table) mark(request Fingerprint, e *end, now time.Duration) {
-	if at, ok := t.cleared[request]; ok && at >= e.at {
+	if at, ok := t.answered.at(request); ok && at >= e.at {
 		return
 	}
 	s := t.suspect(request)
@@ -251,21 +254,20 @@
 // Answered notes that a server gave a whole answer to a request, and went on: it ends none.
 //
 // Guard: a request that was under way at several servers that ended for other reasons was
-// refused though servers answer it.
+// refused though servers answer it; one that many callers send is under way everywhere.
 func (t *Table) Answered(request Fingerprint, now time.Duration) {
+	t.answered.note(request, now)
 	if _, ok := t.suspects[request]; !ok {
 		return
 	}
-	t.clear(request, now)
+	t.forget(request)
 	t.tell(News{Cleared: []Clearing{{Request: request, At: now}}}, now)
 }
 
-func (t *Table) clear(request Fingerprint, at time.Duration) {
-	t.forget(request)
-	if len(t.cleared) >= t.config.Most {
-		clear(t.cleared)
-	}
-	t.cleared[request] = at
+// trusted reports whether a request was answered lately.
+func (t *Table) trusted(request Fingerprint, now time.Duration) bool {
+	at, ok := t.answered.at(request)
+	return ok && now-at < t.config.Trust
 }
 
 // Held reports whether a request is kept from all servers, and for how long still.
@@ -298,9 +300,9 @@
 
 // Suspected reports whether the next end of a process under a request is the one for which
 // it is held. It then is sent to one server at a time.
-func (t *Table) Suspected(request Fingerprint) bool {
+func (t *Table) Suspected(request Fingerprint, now time.Duration) bool {
 	s, ok := t.suspects[request]
-	return ok && (s.times > 0 || s.unexplained(s.seen) >= t.config.Ends-1)
+	return ok && !t.trusted(request, now) && (s.times > 0 || len(t.against(s, now)) >= t.config.Ends-1)
 }
 
 func (t *Table) held(s *suspect, now time.Duration) bool { return s.times > 0 && now < t.until(s) }
@@ -317,15 +319,24 @@
 	return s.since + hold
 }
 
-// unexplained is how many ends before a time nothing else explains.
-func (s *suspect) unexplained(before time.Duration) int {
-	n := 0
+// against returns the ends before a time that count against a request: those that nothing
+// else explains, and that it was not answered after.
+//
+// Guard: a request that many callers send is under way at all servers that lose their power
+// at once. Of one that servers answer, such ends count once.
+func (t *Table) against(s *suspect, before time.Duration) []*end {
+	answered, trusted := t.answered.at(s.request)
+	trusted = trusted && before-answered < t.config.Trust
+	var ends []*end
 	for _, e := range s.ends {
-		if !e.explained && e.at <= before {
-			n++
+		switch {
+		case e.explained || e.at > before || trusted && e.at <= answered:
+		case trusted && len(ends) > 0 && e.at-ends[len(ends)-1].at < t.config.Together:
+		default:
+			ends = append(ends, e)
 		}
 	}
-	return n
+	return ends
 }
 
 // hold keeps a request from all servers, and takes it for the cause of each end that it
@@ -335,16 +346,12 @@
 // sent again and may meet the same one again. Counted alone, they were refused too.
 func (t *Table) hold(s *suspect, now time.Duration) {
 	s.since, s.times = max(now, 1), s.times+1
-	mine := false
 	for _, e := range s.ends {
 		e.explained = true
-		mine = mine || slices.Contains(e.mine, s.request)
 	}
-	if !mine {
-		// An entry that had the request there tells all the others.
-		return
+	if s.mine() {
+		t.tell(News{Holds: []Hold{{Request: s.request, At: s.since, Times: s.times}}}, now)
 	}
-	t.tell(News{Holds: []Hold{{Request: s.request, At: s.since, Times: s.times}}}, now)
 }
 
 // Advance takes note of what time has brought, and returns the requests that are held
@@ -354,7 +361,7 @@
 	if !t.undecided {
 		return nil
 	}
-	t.undecided = now-t.markedAt < t.config.Settle
+	t.undecided = now-t.markedAt <= t.config.Together
 	var held []Fingerprint
 	for s := t.verdict(now); s != nil; s = t.verdict(now) {
 		t.hold(s, now)
@@ -363,18 +370,18 @@
 	return held
 }
 
-// verdict returns the request that is to be held next: of those that may be the cause, the
-// one under which the most processes have ended.
+// verdict returns the request that is to be held next: of those that may be the cause, and
+// that this entry had at an end, the one under which the most processes have ended.
 func (t *Table) verdict(now time.Duration) *suspect {
-	before := now - t.config.Settle
 	var found *suspect
 	most := 0
 	for _, s := range t.suspects {
-		n := s.unexplained(before)
-		if s.times > 0 || n < t.config.Ends || n <= most {
+		if s.times > 0 || len(s.ends) < t.config.Ends || !s.mine() {
 			continue
 		}
-		if n < t.config.Certain && t.rivalled(s, n, before) {
+		before := t.decided(s.request, now)
+		n := len(t.against(s, before))
+		if n < t.config.Ends || n <= most || n < t.config.Certain && t.rivalled(s, n, before) {
 			continue
 		}
 		found, most = s, n
@@ -382,13 +389,30 @@
 	return found
 }
 
+// decided returns the time up to which ends are decided on. A request that is answered has
+// the time to be answered once more.
+func (t *Table) decided(request Fingerprint, now time.Duration) time.Duration {
+	if t.trusted(request, now) {
+		return now - t.config.Together
+	}
+	return now - t.config.Settle
+}
+
+// mine reports whether this entry had the request at one of its ends.
+//
+// Guard: an entry that only heard of the ends may not know that the request was answered
+// since; its verdict would be told to all. Those that had it decide, and are told.
+func (s *suspect) mine() bool {
+	return slices.ContainsFunc(s.ends, func(e *end) bool { return slices.Contains(e.mine, s.request) })
+}
+
 // rivalled reports whether another request explains the same ends as well.
 //
 // Guard: of two requests that were under way at the same servers one may have no part in
 // their ends. It was refused with the other; the next end mostly tells them apart.
 func (t *Table) rivalled(s *suspect, n int, before time.Duration) bool {
 	for _, other := range t.suspects {
-		if other == s || other.times > 0 || other.unexplained(before) < n {
+		if other == s || other.times > 0 || len(t.against(other, before)) < n {
 			continue
 		}
 		for _, e := range s.ends {
@@ -427,9 +451,4 @@
 			t.forget(request)
 		}
 	}
-	for request, at := range t.cleared {
-		if now-at >= t.config.Remember {
-			delete(t.cleared, request)
-		}
-	}
 }
--- a/internal/transport/gateway/crashes.go
+++ b/internal/transport/gateway/crashes.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"io"
+	"net"
 	"syscall"
 	"time"
 
@@ -96,7 +97,7 @@
 	switch {
 	case held:
 		return busy(reasonQuarantined, left)
-	case g.crashes.Suspected(print) && a.another(print):
+	case g.crashes.Suspected(print, boottime.Now()) && a.another(print):
 		return busy(reasonAlone, comeBackAlone)
 	}
 	return nil
@@ -123,7 +124,7 @@
 	}
 	g, print := a.gateway, a.fingerprint()
 	g.mu.Lock()
-	suspected := g.crashes.Suspected(print)
+	suspected := g.crashes.Suspected(print, boottime.Now())
 	g.mu.Unlock()
 	if !suspected {
 		return
@@ -160,9 +161,13 @@
 	}
 }
 
+// trustBody is the longest body of which it is remembered that its request was answered;
+// reading it for that takes 60 us.
+const trustBody = 64 << 10
+
 // survived notes that the server went on after it ran the request.
 func (a *attempts) survived() {
-	if !a.known() {
+	if len(a.call.Body) > trustBody && !a.known() {
 		return
 	}
 	g, print := a.gateway, a.fingerprint()
@@ -251,8 +256,10 @@
 }
 
 // takeCrashes takes another entry's news; the caller holds the lock.
-func (g *Gateway) takeCrashes(news *quarantine.News, now time.Duration) {
-	g.crashes.Take(news, now)
+func (g *Gateway) takeCrashes(news *quarantine.News, from net.Addr, now time.Duration) {
+	for _, reply := range g.crashes.Take(news, now) {
+		g.reply(Datagram{News: &reply}, from)
+	}
 	for _, hold := range news.Holds {
 		if _, held := g.crashes.Held(hold.Request, now); held {
 			g.withdraw(hold.Request)
--- a/internal/transport/gateway/datagrams.go
+++ b/internal/transport/gateway/datagrams.go
@@ -58,7 +58,7 @@
 		}
 	}
 	if d.News != nil {
-		g.takeCrashes(d.News, now)
+		g.takeCrashes(d.News, from, now)
 	}
 	if d.Counts != nil {
 		g.takeCounts(d.Counts, now)
