--- a/internal/coordination/quarantine/news.go
+++ b/internal/coordination/quarantine/news.go
@@ -45,7 +45,7 @@
 // Bounds of what is told.
 const (
 	// newsMost bounds the requests in one message, which then fits one packet.
-	newsMost = 32
+	newsMost = 18
 	// repeatFor is how long news is told again with each heartbeat, of which those to other
 	// regions come every two seconds.
 	//
--- a/internal/transport/gateway/attempts.go
+++ b/internal/transport/gateway/attempts.go
@@ -48,8 +48,8 @@
 func (x *exchange) run() {
 	a := &attempts{exchange: x, Attempts: forward.Attempts{
 		Class: forward.Class{Repeatable: x.route.Repeatable(), Servers: x.route.Attempts}}}
-	x.gateway.enter(a)
-	defer x.gateway.leave(a)
+	x.gateway.track(a)
+	defer x.gateway.untrack(a)
 	for first := true; ; first = false {
 		if p := a.kept(); p != nil {
 			a.giveUp(p)
--- a/internal/transport/gateway/crashes.go
+++ b/internal/transport/gateway/crashes.go
@@ -176,14 +176,14 @@
 	g.crashes.Answered(print, boottime.Now())
 }
 
-// enter notes a request that is under way, and leave one that has ended.
-func (g *Gateway) enter(a *attempts) {
+// track notes a request that is under way, and untrack one that has ended.
+func (g *Gateway) track(a *attempts) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.crashes.under[a] = true
 }
 
-func (g *Gateway) leave(a *attempts) {
+func (g *Gateway) untrack(a *attempts) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	delete(g.crashes.under, a)
@@ -241,7 +241,6 @@
 		g.log.Warn("request quarantined", zap.Stringer("Fingerprint", print), zap.Int("Ends", g.crashes.Ends(print)))
 		g.withdraw(print)
 	}
-	g.metrics.quarantined.Set(float64(g.crashes.HeldCount(now)))
 	return g.crashes.Fresh(now)
 }
 
