The loss of many servers at once tells other entries little

A message of 18 requests a second is the most that an entry tells of ends, those first under which most have ended; told again only with the heartbeats that go to all, one message each. Clearings are told only of what was told. A test of a hundred ends at once; the others hold.

--- a/internal/coordination/quarantine/news.go
+++ b/internal/coordination/quarantine/news.go
@@ -1,6 +1,7 @@
 package quarantine
 
 import (
+	"cmp"
 	"fmt"
 	"math/bits"
 	"slices"
@@ -46,14 +47,17 @@
 const (
 	// newsMost bounds the requests in one message, which then fits one packet.
 	newsMost = 18
-	// repeatFor is how long news is told again with each heartbeat, of which those to other
-	// regions come every two seconds.
+	// endsEach is how many requests under which a process ended are told a second at most,
+	// and waitMost how long one waits for its turn.
+	endsEach = 18
+	waitMost = 3 * time.Second
+	// repeatFor is how long news is told again, with each heartbeat that goes to all entries.
 	//
 	// Guard: datagrams are lost, one in some hundreds and more on a full link. An entry that
 	// missed one went on sending what all others refuse.
 	repeatFor = 5 * time.Second
-	// recentMost bounds what is told again, so that the loss of a whole data centre fills no link.
-	recentMost = 256
+	// recentMost bounds the verdicts that are told again.
+	recentMost = 64
 	// timesMost bounds how often a request can have been held in the life of a process.
 	timesMost = 1 << 16
 )
@@ -102,6 +106,9 @@
 				reply.Cleared = append(reply.Cleared, Clearing{Request: request, At: at})
 			}
 			t.mark(request, e, now)
+			if s, ok := t.suspects[request]; ok {
+				s.told = true
+			}
 		}
 	}
 	for _, h := range news.Holds {
@@ -129,7 +136,7 @@
 	if s.times >= h.Times {
 		return
 	}
-	s.since, s.times = max(at, 1), h.Times
+	s.since, s.times, s.told = max(at, 1), h.Times, true
 	for _, e := range s.ends {
 		e.explained = true
 	}
@@ -161,20 +168,64 @@
 	n.Cleared = append(n.Cleared, more.Cleared...)
 }
 
+func (n *News) addMine(all []mine) {
+	for _, m := range all {
+		n.add(News{Ends: []End{{Process: m.end.process, At: m.end.at, Requests: []Fingerprint{m.request}}}})
+	}
+}
+
 // Fresh returns what has come up since the last call, in messages.
 func (t *Table) Fresh(now time.Duration) []News {
 	fresh := t.fresh
 	t.fresh = News{}
+	fresh.addMine(t.nextEnds(now))
 	return fresh.messages(now)
 }
 
+// nextEnds returns the ends that are told now, those first that say most.
+//
+// Guard: with a data centre each entry loses hundreds of requests in one moment; told of
+// each, a hundred entries fill the links between regions for seconds. What ends servers one
+// by one is soon there for the second time, and goes first.
+func (t *Table) nextEnds(now time.Duration) []mine {
+	t.allowed = min(t.allowed+endsEach*(now-t.allowedAt).Seconds(), endsEach)
+	t.allowedAt = now
+	t.waiting = slices.DeleteFunc(t.waiting, func(m mine) bool { return now-m.at >= waitMost || t.suspects[m.request] == nil })
+	t.sortMine(t.waiting)
+	n := min(int(t.allowed), len(t.waiting))
+	next := slices.Clone(t.waiting[:n])
+	t.waiting = t.waiting[n:]
+	t.allowed -= float64(n)
+	for i := range next {
+		next[i].at = now
+		t.suspects[next[i].request].told = true
+	}
+	t.toldEnds = append(t.toldEnds, next...)
+	return next
+}
+
+// sortMine puts requests first under which most processes have ended.
+func (t *Table) sortMine(all []mine) {
+	ends := func(m mine) int {
+		if s, ok := t.suspects[m.request]; ok {
+			return len(s.ends)
+		}
+		return 0
+	}
+	slices.SortStableFunc(all, func(a, b mine) int { return cmp.Compare(ends(b), ends(a)) })
+}
+
 // Recent returns what this entry has told lately, in messages.
 func (t *Table) Recent(now time.Duration) []News {
 	t.told = slices.DeleteFunc(t.told, func(old told) bool { return now-old.at >= repeatFor })
+	t.toldEnds = slices.DeleteFunc(t.toldEnds, func(m mine) bool { return now-m.at >= repeatFor })
 	var all News
 	for _, old := range t.told {
 		all.add(old.news)
 	}
+	again := slices.Clone(t.toldEnds)
+	t.sortMine(again)
+	all.addMine(again[:min(len(again), newsMost)])
 	return all.messages(now)
 }
 
--- a/internal/coordination/quarantine/quarantine.go
+++ b/internal/coordination/quarantine/quarantine.go
@@ -83,11 +83,21 @@
 	ends    []*end
 	// seen is when the last of ends was heard of.
 	seen time.Duration
+	// told is true if other entries may suspect the request.
+	told bool
 	// since is when it was held last and times how often; 0 if it never was.
 	since time.Duration
 	times int
 }
 
+// mine is a request that this entry had under way at the end of a process, noted or told
+// at a time.
+type mine struct {
+	request Fingerprint
+	end     *end
+	at      time.Duration
+}
+
 // Table is what one entry believes of requests that end the processes that run them. It
 // is not safe for concurrent use. Times are of one steady clock.
 //
@@ -109,9 +119,15 @@
 	markedAt  time.Duration
 	undecided bool
 	sweptAt   time.Duration
-	// fresh is what was not told yet, and told what was within repeatFor.
-	fresh News
-	told  []told
+	// fresh and waiting are what was not told yet, and told and toldEnds what was within
+	// repeatFor.
+	fresh    News
+	waiting  []mine
+	told     []told
+	toldEnds []mine
+	// allowed is how many ends may be told, as of allowedAt.
+	allowed   float64
+	allowedAt time.Duration
 }
 
 // New returns a table that suspects no request.
@@ -185,7 +201,7 @@
 		return
 	}
 	e.mine = append(e.mine, request)
-	t.tell(News{Ends: []End{{Process: e.process, At: e.at, Requests: []Fingerprint{request}}}}, now)
+	t.waiting = append(t.waiting, mine{request, e, now})
 	t.mark(request, e, now)
 }
 
@@ -257,11 +273,14 @@
 // refused though servers answer it; one that many callers send is under way everywhere.
 func (t *Table) Answered(request Fingerprint, now time.Duration) {
 	t.answered.note(request, now)
-	if _, ok := t.suspects[request]; !ok {
+	s, ok := t.suspects[request]
+	if !ok {
 		return
 	}
 	t.forget(request)
-	t.tell(News{Cleared: []Clearing{{Request: request, At: now}}}, now)
+	if s.told {
+		t.tell(News{Cleared: []Clearing{{Request: request, At: now}}}, now)
+	}
 }
 
 // trusted reports whether a request was answered lately.
@@ -350,6 +369,7 @@
 		e.explained = true
 	}
 	if s.mine() {
+		s.told = true
 		t.tell(News{Holds: []Hold{{Request: s.request, At: s.since, Times: s.times}}}, now)
 	}
 }
--- a/internal/coordination/quarantine/quarantine_test.go
+++ b/internal/coordination/quarantine/quarantine_test.go
@@ -314,6 +314,47 @@
 	qt.Assert(t, f.tables[7].Digest(now), qt.Equals, f.tables[0].Digest(now))
 }
 
+// A data centre is lost with hundreds of an entry's requests, and telling of each fills the
+// links between regions. A message a second is the most, and a request under which another
+// server has ended before is in the first.
+func TestALossOfManyServersTellsLittle(t *testing.T) {
+	table := quarantine.New(quarantine.DefaultConfig())
+	bad := request(0)
+	now := time.Second
+	table.Broke(bad, process(0), true, now)
+	table.Ended(process(0), now)
+	table.Fresh(now)
+	now += 10 * time.Second
+	for n := range 100 {
+		for k := range 3 {
+			table.Broke(request(1+3*n+k), process(1+n), true, now)
+		}
+		if n == 99 {
+			table.Broke(bad, process(1+n), true, now)
+		}
+		table.Ended(process(1+n), now)
+	}
+	first := table.Fresh(now)
+	qt.Assert(t, first, qt.HasLen, 1)
+	qt.Assert(t, first[0].Ends[0].Requests[0], qt.Equals, bad)
+	messages, again := 0, 0
+	for range 100 {
+		now += 100 * ms
+		messages += len(table.Fresh(now))
+		table.Advance(now)
+	}
+	for range 5 {
+		again += len(table.Recent(now))
+		now += time.Second
+	}
+	told := 0
+	for _, news := range table.Holds(now) {
+		told += len(news.Holds)
+	}
+	qt.Assert(t, told, qt.Equals, 0)
+	qt.Assert(t, messages <= 40 && again <= 5, qt.IsTrue, qt.Commentf("%d messages, %d again", messages, again))
+}
+
 // Callers send any number of different requests that each end a server, and an entry's
 // memory grows until it is ended itself. It is bounded, and a held request stays.
 func TestMemoryIsBounded(t *testing.T) {
--- a/internal/transport/gateway/datagrams.go
+++ b/internal/transport/gateway/datagrams.go
@@ -131,7 +131,10 @@
 	}
 	addresses := g.peers.addresses(to)
 	beat := g.ownBeat(now)
-	recent := g.crashes.Recent(now)
+	var recent []quarantine.News
+	if all {
+		recent = g.crashes.Recent(now)
+	}
 	g.metrics.quarantined.Set(float64(g.crashes.HeldCount(now)))
 	g.mu.Unlock()
 	g.sendAll(Datagram{Beat: beat}, addresses)
