Verdicts on requests that end servers outlive all entries

What callers saw: after a loss of all power servers ended again under a request that all entries had refused before. Cause: verdicts were kept by processes only.

--- a/internal/coordination/quarantine/news.go
+++ b/internal/coordination/quarantine/news.go
@@ -136,12 +136,34 @@
 	if s.times >= h.Times {
 		return
 	}
-	s.since, s.times, s.told = max(at, 1), h.Times, true
+	s.since, s.times, s.told = at, h.Times, true
 	for _, e := range s.ends {
 		e.explained = true
 	}
 }
 
+// Verdicts returns the verdicts that this entry made since the last call and that are to be
+// kept, and the requests of which none is to be kept any more. Of several entries that made
+// the same one, those that had the request at the last end keep it.
+func (t *Table) Verdicts() (made []Hold, over []Fingerprint) {
+	made, over = t.made, t.over
+	t.made, t.over = nil, nil
+	return made, over
+}
+
+// Restore takes verdicts that were kept, and returns the requests whose time is past.
+func (t *Table) Restore(kept []Hold, now time.Duration) []Fingerprint {
+	var past []Fingerprint
+	for _, h := range kept {
+		t.takeHold(h, now-h.Age)
+		if s, ok := t.suspects[h.Request]; ok && s.since == now-h.Age && !t.held(s, now) {
+			t.forget(h.Request)
+			past = append(past, h.Request)
+		}
+	}
+	return past
+}
+
 // told is what this entry told, and when.
 type told struct {
 	news News
--- a/internal/coordination/quarantine/quarantine.go
+++ b/internal/coordination/quarantine/quarantine.go
@@ -85,7 +85,8 @@
 	seen time.Duration
 	// told is true if other entries may suspect the request.
 	told bool
-	// since is when it was held last and times how often; 0 if it never was.
+	// since is when it was held last, which may be before the clock's start, and times how
+	// often; 0 if it never was.
 	since time.Duration
 	times int
 }
@@ -125,6 +126,9 @@
 	waiting  []mine
 	told     []told
 	toldEnds []mine
+	// made and over are verdicts of this entry that are to be kept, and kept no more.
+	made []Hold
+	over []Fingerprint
 	// allowed is how many ends may be told, as of allowedAt.
 	allowed   float64
 	allowedAt time.Duration
@@ -278,6 +282,9 @@
 		return
 	}
 	t.forget(request)
+	if s.times > 0 {
+		t.over = append(t.over, request)
+	}
 	if s.told {
 		t.tell(News{Cleared: []Clearing{{Request: request, At: now}}}, now)
 	}
@@ -364,13 +371,18 @@
 // Guard: a server that runs 16 requests ends with 15 that have no part in it, which are
 // sent again and may meet the same one again. Counted alone, they were refused too.
 func (t *Table) hold(s *suspect, now time.Duration) {
-	s.since, s.times = max(now, 1), s.times+1
+	s.since, s.times = now, s.times+1
 	for _, e := range s.ends {
 		e.explained = true
 	}
-	if s.mine() {
-		s.told = true
-		t.tell(News{Holds: []Hold{{Request: s.request, At: s.since, Times: s.times}}}, now)
+	if !s.mine() {
+		return
+	}
+	s.told = true
+	hold := Hold{Request: s.request, At: s.since, Times: s.times}
+	t.tell(News{Holds: []Hold{hold}}, now)
+	if last := s.ends[len(s.ends)-1]; slices.Contains(last.mine, s.request) {
+		t.made = append(t.made, hold)
 	}
 }
 
--- a/internal/coordination/quarantine/quarantine_test.go
+++ b/internal/coordination/quarantine/quarantine_test.go
@@ -220,6 +220,30 @@
 	qt.Assert(t, f.tables[1].Suspected(bad, now), qt.IsFalse)
 }
 
+// Verdicts are kept for longer than the clock of an entry that has just started goes back,
+// and some are past when they are read: those are dropped, the others hold for what is left.
+func TestKeptVerdictsHoldForWhatIsLeft(t *testing.T) {
+	config := quarantine.DefaultConfig()
+	table := quarantine.New(config)
+	now := time.Second
+	kept := []quarantine.Hold{
+		{Request: request(0), Age: time.Minute, Times: 1},
+		{Request: request(1), Age: config.Hold + time.Second, Times: 1},
+		{Request: request(2), Age: config.Hold + time.Second, Times: 2},
+	}
+	past := table.Restore(kept, now)
+	qt.Assert(t, past, qt.DeepEquals, []quarantine.Fingerprint{request(1)})
+	left, held := table.Held(request(0), now)
+	qt.Assert(t, held, qt.IsTrue)
+	qt.Assert(t, left, qt.Equals, config.Hold-time.Minute)
+	left, held = table.Held(request(2), now)
+	qt.Assert(t, held, qt.IsTrue)
+	qt.Assert(t, left, qt.Equals, config.Hold-time.Second)
+	table.Answered(request(0), now)
+	_, over := table.Verdicts()
+	qt.Assert(t, over, qt.DeepEquals, []quarantine.Fingerprint{request(0)})
+}
+
 // A rack loses its power with a request under way at five of its servers, which others have
 // answered seconds before. It was refused to all who send it.
 func TestEndsAtOnceCountOnceForWhatIsAnswered(t *testing.T) {
--- a/internal/transport/gateway/counts.go
+++ b/internal/transport/gateway/counts.go
@@ -46,6 +46,7 @@
 		near, far := g.peers.count()
 		counts := g.counts(now)
 		news := g.advanceCrashes(now)
+		g.keepVerdicts(ctx)
 		var everyone []string
 		if len(news) > 0 {
 			everyone = g.peers.addresses(reachAll)
--- a/internal/transport/gateway/datagrams.go
+++ b/internal/transport/gateway/datagrams.go
@@ -53,6 +53,7 @@
 				g.heardNamed(n.Model, n.Version, n.Age, now)
 			}
 		}
+		g.heardRestored(d.Beat, now)
 		for _, news := range g.tellHolds(d.Beat.Held, now) {
 			g.reply(Datagram{News: &news}, from)
 		}
@@ -150,5 +151,5 @@
 
 // ownBeat is this entry's heartbeat; the caller holds the lock.
 func (g *Gateway) ownBeat(now time.Duration) *Beat {
-	return &Beat{Entry: g.config.Self, Ready: g.readyLocked(now), Lost: g.lost(now), Named: g.namedAges(now), Held: g.crashes.Digest(now)}
+	return &Beat{Entry: g.config.Self, Ready: g.readyLocked(now), Lost: g.lost(now), Named: g.namedAges(now), Held: g.crashes.Digest(now), Restored: g.restored.Load()}
 }
--- a/internal/transport/gateway/gateway.go
+++ b/internal/transport/gateway/gateway.go
@@ -72,6 +72,8 @@
 	lostUntil atomic.Int64
 	// listed is true once the store's list of entries has been read.
 	listed atomic.Bool
+	// restored is true once this entry knows the verdicts that were made before it started.
+	restored atomic.Bool
 	// stated is closed once a desired state is known, and started is when this process
 	// began.
 	stated  chan struct{}
@@ -110,7 +112,7 @@
 	}
 	g.revoke.Store(int64(config.Revoke))
 	g.relay = relay.New(relays.Entry{Host: config.Self.Host, Site: config.Self.Site}, relayView{g}, origin, client, log, registry)
-	for _, loop := range []func(context.Context){g.runDesired, g.runBackends, g.runEntries, g.runHeartbeat, g.runCounts, g.runSeeds} {
+	for _, loop := range []func(context.Context){g.runDesired, g.runBackends, g.runEntries, g.runHeartbeat, g.runCounts, g.runSeeds, g.runRestore} {
 		go loop(ctx)
 	}
 	go g.runDatagrams(ctx)
--- a/internal/transport/gateway/messages.go
+++ b/internal/transport/gateway/messages.go
@@ -36,6 +36,8 @@
 	Named []NamedAge `cbor:"4,keyasint,omitempty"`
 	// Held differs between entries that keep different requests from servers; 0: none.
 	Held uint64 `cbor:"5,keyasint,omitempty"`
+	// Restored is true once the entry knows the verdicts that were made before it started.
+	Restored bool `cbor:"6,keyasint,omitempty"`
 }
 
 // Counts tells how many requests an entry has at each backend server.
--- a/internal/transport/gateway/ports.go
+++ b/internal/transport/gateway/ports.go
@@ -13,6 +13,7 @@
 
 	"github.com/filbertlever/filbertlever"
 	"github.com/filbertlever/filbertlever/internal/coordination/catalog"
+	"github.com/filbertlever/filbertlever/internal/coordination/quarantine"
 )
 
 // Call is a caller's request.
@@ -113,6 +114,7 @@
 	TableDesired  Table = "Desired"
 	TableBackends Table = "Backends"
 	TableEntries  Table = "Entries"
+	TableHolds    Table = "Holds"
 )
 
 // Rows are rows of a table as the store sent them.
@@ -215,4 +217,9 @@
 	Entries(rows Rows, after uint64) (Entries, error)
 	Register(ctx context.Context, entry Entry) error
 	Unregister(ctx context.Context, entry Entry) error
+	// Holds returns the requests that are kept from all servers, and rows that tell of none;
+	// KeepHold writes one, and DropHolds removes what is kept no more.
+	Holds(ctx context.Context) ([]quarantine.Hold, []BadRow, error)
+	KeepHold(ctx context.Context, hold quarantine.Hold) error
+	DropHolds(ctx context.Context, requests []quarantine.Fingerprint) error
 }
