The logs tell a second refusal of the same caller from a first

Each try of a caller has an ID of its own; a refusal's line now has the fingerprint of what it repeats, and filbertlever-logs counts a refusal within 6 s of another one of the same as refused again, whichever entries did it. Memory is bounded at 180,000 refusals a file.

--- a/cmd/filbertlever-logs/read.go
+++ b/cmd/filbertlever-logs/read.go
@@ -26,7 +26,7 @@
 // readDirectory reads all files below a directory. A file may hold the lines of several
 // entries; those of one entry are in order.
 func readDirectory(directory string, goal time.Duration) ([]outcome.Row, read, error) {
-	var all []outcome.Row
+	var day outcome.Day
 	var counts read
 	err := filepath.WalkDir(directory, func(path string, entry fs.DirEntry, err error) error {
 		if err != nil || !entry.Type().IsRegular() {
@@ -42,10 +42,10 @@
 		if err := readLines(file, tally, &counts); err != nil {
 			return fmt.Errorf("read %s: %w", path, err)
 		}
-		all = outcome.Add(all, tally.Rows())
+		day.Add(tally)
 		return nil
 	})
-	return all, counts, err
+	return day.Rows(), counts, err
 }
 
 // readLines takes each line. A line may begin with other text, as what gathered the logs
--- a/cmd/filbertlever-logs/table.go
+++ b/cmd/filbertlever-logs/table.go
@@ -17,7 +17,7 @@
 )
 
 // shown are the kinds in the order of columns.
-var shown = []outcome.Kind{outcome.KindInTime, outcome.KindLate, outcome.KindRefused, outcome.KindBroken, outcome.KindFault, outcome.KindLeft}
+var shown = []outcome.Kind{outcome.KindInTime, outcome.KindLate, outcome.KindRefused, outcome.KindRefusedAgain, outcome.KindBroken, outcome.KindFault, outcome.KindLeft}
 
 // second is what became of the requests that came in one second.
 type second struct {
--- a/internal/coordination/outcome/outcome.go
+++ b/internal/coordination/outcome/outcome.go
@@ -4,6 +4,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -15,6 +16,8 @@
 	Time    time.Time
 	Message string
 	Request string
+	// Fingerprint is what stays the same between the tries of a caller that is refused.
+	Fingerprint string
 	// Status is that of the final answer.
 	Status int
 	// Reason says why the entry itself ended the request.
@@ -62,6 +65,8 @@
 	KindLate   Kind = "Late"
 	// KindRefused is a request that did not run, and was told when to come back.
 	KindRefused Kind = "Refused"
+	// KindRefusedAgain is one that had been refused shortly before, at any entry.
+	KindRefusedAgain Kind = "RefusedAgain"
 	// KindBroken is an answer that is not whole, or unknown.
 	KindBroken Kind = "Broken"
 	// KindFault is the caller's own fault, as an unknown key.
@@ -147,8 +152,26 @@
 	open  map[string]*notes
 	order []string
 	cells map[cell]int
+	// refusals are those of requests that can be recognised, the latest refusalsMost.
+	refusals []refusal
 }
 
+// refusal is a request that was refused.
+type refusal struct {
+	fingerprint string
+	arrived     time.Time
+	at          cell
+}
+
+// Bounds of refusals.
+const (
+	// refusalsMost bounds those that are remembered of an entry: 300 a second for ten minutes.
+	refusalsMost = 180_000
+	// againMost is the longest time after a refusal in which its caller comes back: a usual
+	// request has 6 s in all.
+	againMost = 6 * time.Second
+)
+
 // New returns a tally for a goal.
 func New(goal time.Duration) *Tally {
 	return &Tally{goal: goal, open: map[string]*notes{}, cells: map[cell]int{}}
@@ -200,7 +223,12 @@
 	delete(t.open, line.Request)
 	kind := kindOf(line, t.goal)
 	arrived := line.Time.Add(-milliseconds(line.Took))
-	t.cells[cell{second: arrived.Unix(), kind: kind, cause: t.cause(kind, line, n)}]++
+	at := cell{second: arrived.Unix(), kind: kind, cause: t.cause(kind, line, n)}
+	t.cells[at]++
+	if kind == KindRefused && line.Fingerprint != "" {
+		t.refusals = append(t.refusals, refusal{line.Fingerprint, arrived, at})
+		t.refusals = t.refusals[max(len(t.refusals)-refusalsMost, 0):]
+	}
 }
 
 func milliseconds(ms float64) time.Duration { return time.Duration(ms * float64(time.Millisecond)) }
@@ -262,26 +290,48 @@
 	return CauseSlow
 }
 
-// Rows returns the counts by second, kind and cause.
-func (t *Tally) Rows() []Row {
-	rows := make([]Row, 0, len(t.cells))
+// Day is the sum over entries. The zero value is empty.
+type Day struct {
+	cells    map[cell]int
+	refusals []refusal
+}
+
+// Add adds an entry's requests.
+func (d *Day) Add(t *Tally) {
+	if d.cells == nil {
+		d.cells = map[cell]int{}
+	}
 	for at, n := range t.cells {
-		rows = append(rows, Row{Second: at.second, Kind: at.kind, Cause: at.cause, Requests: n})
+		d.cells[at] += n
 	}
-	sortRows(rows)
-	return rows
+	d.refusals = append(d.refusals, t.refusals...)
 }
 
-// Add returns the sums of the rows of several tallies.
-func Add(tallies ...[]Row) []Row {
-	sums := map[cell]int{}
-	for _, rows := range tallies {
-		for _, row := range rows {
-			sums[cell{row.Second, row.Kind, row.Cause}] += row.Requests
+// Rows returns the counts by second, kind and cause. A request that came back after a
+// refusal and was refused again, by whichever entry, is of a kind of its own.
+func (d *Day) Rows() []Row {
+	cells := maps.Clone(d.cells)
+	slices.SortStableFunc(d.refusals, func(a, b refusal) int { return a.arrived.Compare(b.arrived) })
+	last := map[string]time.Time{}
+	for _, r := range d.refusals {
+		before, ok := last[r.fingerprint]
+		last[r.fingerprint] = r.arrived
+		if !ok || r.arrived.Sub(before) > againMost {
+			continue
+		}
+		if cells[r.at]--; cells[r.at] == 0 {
+			delete(cells, r.at)
 		}
+		again := r.at
+		again.kind = KindRefusedAgain
+		cells[again]++
 	}
-	all := &Tally{cells: sums}
-	return all.Rows()
+	rows := make([]Row, 0, len(cells))
+	for at, n := range cells {
+		rows = append(rows, Row{Second: at.second, Kind: at.kind, Cause: at.cause, Requests: n})
+	}
+	sortRows(rows)
+	return rows
 }
 
 func sortRows(rows []Row) {
--- a/internal/coordination/outcome/outcome_test.go
+++ b/internal/coordination/outcome/outcome_test.go
@@ -54,7 +54,7 @@
 		for _, line := range test.lines {
 			tally.Take(&line)
 		}
-		c.Check(tally.Rows(), qt.DeepEquals, []Row{{Second: 1000, Kind: test.kind, Cause: test.cause, Requests: 1}}, qt.Commentf(test.name))
+		c.Check(rows(tally), qt.DeepEquals, []Row{{Second: 1000, Kind: test.kind, Cause: test.cause, Requests: 1}}, qt.Commentf(test.name))
 	}
 }
 
@@ -71,10 +71,47 @@
 	c.Assert(len(tally.order) <= openMost, qt.IsTrue)
 }
 
+// rows are those of entries together.
+func rows(tallies ...*Tally) []Row {
+	var day Day
+	for _, t := range tallies {
+		day.Add(t)
+	}
+	return day.Rows()
+}
+
 // The log of many entries: the sum is of all, by second, kind and cause.
 func TestRowsOfEntriesAreAdded(t *testing.T) {
 	c := qt.New(t)
-	a := []Row{{1, KindLate, CauseQueue, 2}, {2, KindInTime, CauseNone, 5}}
-	b := []Row{{1, KindLate, CauseQueue, 3}, {1, KindInTime, CauseNone, 1}}
-	c.Assert(Add(a, b), qt.DeepEquals, []Row{{1, KindInTime, CauseNone, 1}, {1, KindLate, CauseQueue, 5}, {2, KindInTime, CauseNone, 5}})
+	a, b := New(goal), New(goal)
+	for n, tally := range []*Tally{a, b, b} {
+		line := ended(fmt.Sprint(n), 503, 0, "all servers are busy")
+		tally.Take(&line)
+	}
+	line := ended("r", 200, 100, "")
+	a.Take(&line)
+	c.Assert(rows(a, b), qt.DeepEquals, []Row{{1000, KindInTime, CauseNone, 1}, {1000, KindRefused, "AllBusy", 3}})
+}
+
+// A caller is refused, comes back at another entry under another ID, and is refused again:
+// half of a minute's refusals were no callers of their own. What stays the same tells.
+func TestASecondRefusalIsToldFromAFirst(t *testing.T) {
+	c := qt.New(t)
+	a, b := New(goal), New(goal)
+	refused := func(tally *Tally, request, fingerprint string, after time.Duration) {
+		line := ended(request, 503, 0, "all servers are busy")
+		line.Fingerprint, line.Time = fingerprint, line.Time.Add(after)
+		tally.Take(&line)
+	}
+	refused(b, "r2", "f1", 2*time.Second)
+	refused(a, "r1", "f1", 0)
+	refused(a, "r3", "f2", 0)
+	refused(a, "r4", "f1", 20*time.Second)
+	refused(a, "r5", "", 0)
+	refused(a, "r6", "", 0)
+	c.Assert(rows(a, b), qt.DeepEquals, []Row{
+		{1000, KindRefused, "AllBusy", 4},
+		{1002, KindRefusedAgain, "AllBusy", 1},
+		{1020, KindRefused, "AllBusy", 1},
+	})
 }
--- a/internal/transport/gateway/serve.go
+++ b/internal/transport/gateway/serve.go
@@ -258,7 +258,12 @@
 		header.Set("Connection", "close")
 	}
 	http.Error(x.writer, p.reason, p.status)
-	x.ended(p.status, p.reason, zap.Duration("RetryAfter", p.retry))
+	fields := []zap.Field{zap.Duration("RetryAfter", p.retry)}
+	if p.status == http.StatusServiceUnavailable && x.call != nil && len(x.call.Body) <= trustBody {
+		// The caller comes back under another ID; this is what stays the same.
+		fields = append(fields, zap.Stringer("Fingerprint", x.fingerprint()))
+	}
+	x.ended(p.status, p.reason, fields...)
 }
 
 // ended writes the line and the figures of a request's final answer.
