--- a/internal/transport/gateway/crashes.go
+++ b/internal/transport/gateway/crashes.go
@@ -59,12 +59,12 @@
 
 // fingerprint names the request, whatever its attempt.
 func (x *exchange) fingerprint() quarantine.Fingerprint {
-	if print := x.print.Load(); print != nil {
-		return *print
+	if known := x.fingerprinted.Load(); known != nil {
+		return *known
 	}
-	print := x.identity().Fingerprint()
-	x.print.Store(&print)
-	return print
+	f := x.identity().Fingerprint()
+	x.fingerprinted.Store(&f)
+	return f
 }
 
 // known reports whether the request may be suspected. Others cost no reading of their body.
@@ -90,14 +90,14 @@
 	if !a.known() {
 		return nil
 	}
-	g, print := a.gateway, a.fingerprint()
+	g, f := a.gateway, a.fingerprint()
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	left, held := g.crashes.Held(print, boottime.Now())
+	left, held := g.crashes.Held(f, boottime.Now())
 	switch {
 	case held:
 		return busy(reasonQuarantined, left)
-	case g.crashes.Suspected(print, boottime.Now()) && a.another(print):
+	case g.crashes.Suspected(f, boottime.Now()) && a.another(f):
 		return busy(reasonAlone, comeBackAlone)
 	}
 	return nil
@@ -105,15 +105,21 @@
 
 // another reports whether the same request is under way at a server; the caller holds the
 // lock.
-func (a *attempts) another(print quarantine.Fingerprint) bool {
+func (a *attempts) another(f quarantine.Fingerprint) bool {
 	for other := range a.gateway.crashes.under {
-		if known := other.print.Load(); other != a && other.withdraw != nil && known != nil && *known == print {
+		if other != a && other.withdraw != nil && other.is(f) {
 			return true
 		}
 	}
 	return false
 }
 
+// is reports whether this is a request with a fingerprint; its body is read only if all else
+// is the same.
+func (a *attempts) is(f quarantine.Fingerprint) bool {
+	return a.identity().Head() == f.Head() && a.fingerprint() == f
+}
+
 // awaitVerdict lets a request whose next end decides wait until that is known.
 //
 // Guard: the entry sends what broke off to another server within a millisecond, before
@@ -122,9 +128,9 @@
 	if !a.known() {
 		return
 	}
-	g, print := a.gateway, a.fingerprint()
+	g, f := a.gateway, a.fingerprint()
 	g.mu.Lock()
-	suspected := g.crashes.Suspected(print, boottime.Now())
+	suspected := g.crashes.Suspected(f, boottime.Now())
 	g.mu.Unlock()
 	if !suspected {
 		return
@@ -146,12 +152,12 @@
 
 // broke notes an attempt that got no whole answer, and looks whether its server ended.
 func (a *attempts) broke(err error) {
-	g, print, backend := a.gateway, a.fingerprint(), a.last.Backend
+	g, f, backend := a.gateway, a.fingerprint(), a.last.Backend
 	process, now := processOf(backend), boottime.Now()
 	byPeer := endedByPeer(err) && !errors.Is(err, errToCaller)
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.crashes.Broke(print, process, byPeer, now)
+	g.crashes.Broke(f, process, byPeer, now)
 	if at, ok := g.crashes.looked[process]; byPeer && (!ok || now-at > lookRest) {
 		if len(g.crashes.looked) >= lookedMost {
 			clear(g.crashes.looked)
@@ -170,10 +176,10 @@
 	if len(a.call.Body) > trustBody && !a.known() {
 		return
 	}
-	g, print := a.gateway, a.fingerprint()
+	g, f := a.gateway, a.fingerprint()
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.crashes.Answered(print, boottime.Now())
+	g.crashes.Answered(f, boottime.Now())
 }
 
 // track notes a request that is under way, and untrack one that has ended.
@@ -222,13 +228,13 @@
 	if len(under) == 0 {
 		return
 	}
-	prints := make([]string, 0, len(under))
-	for _, print := range under {
-		prints = append(prints, print.String())
+	names := make([]string, 0, len(under))
+	for _, f := range under {
+		names = append(names, f.String())
 	}
 	g.metrics.serverEnds.WithLabelValues(backend.Service).Inc()
 	g.log.Warn("backend server ended under requests", zap.String("Backend", backend.ID), zap.Int64("Boot", int64(backend.Boot)),
-		zap.String("Seen", seen), zap.Strings("Fingerprints", prints))
+		zap.String("Seen", seen), zap.Strings("Fingerprints", names))
 }
 
 // advanceCrashes makes verdicts, takes back what they concern, and returns what the other
@@ -237,18 +243,18 @@
 	for _, replaced := range g.fleet.Replacements() {
 		g.serverEnded(replaced, "Replaced")
 	}
-	for _, print := range g.crashes.Advance(now) {
-		g.log.Warn("request quarantined", zap.Stringer("Fingerprint", print), zap.Int("Ends", g.crashes.Ends(print)))
-		g.withdraw(print)
+	for _, f := range g.crashes.Advance(now) {
+		g.log.Warn("request quarantined", zap.Stringer("Fingerprint", f), zap.Int("Ends", g.crashes.Ends(f)))
+		g.withdraw(f)
 	}
 	return g.crashes.Fresh(now)
 }
 
 // withdraw takes back attempts at a request that have not begun to be answered; the caller
 // holds the lock.
-func (g *Gateway) withdraw(print quarantine.Fingerprint) {
+func (g *Gateway) withdraw(f quarantine.Fingerprint) {
 	for a := range g.crashes.under {
-		if a.withdraw != nil && a.identity().Head() == print.Head() && a.fingerprint() == print && a.takenBack.take() {
+		if a.withdraw != nil && a.is(f) && a.takenBack.take() {
 			a.withdraw()
 		}
 	}
--- a/internal/transport/gateway/serve.go
+++ b/internal/transport/gateway/serve.go
@@ -95,8 +95,8 @@
 	deadline     time.Time
 	ctx          context.Context
 	cancel       context.CancelFunc
-	// print is the request's fingerprint, once it was asked for.
-	print atomic.Pointer[quarantine.Fingerprint]
+	// fingerprinted is the request's fingerprint, once it was asked for.
+	fingerprinted atomic.Pointer[quarantine.Fingerprint]
 	// begun is when the first byte of an answer was sent on.
 	begun time.Time
 }
