--- a/internal/coordination/quarantine/verdict.go
+++ b/internal/coordination/quarantine/verdict.go
@@ -54,12 +54,15 @@
 // refused for ever, neither would be seen. The next end under it holds it twice as long.
 func (t *Table) until(s *suspect) time.Duration {
 	hold := t.config.HoldMost
-	if s.times < 16 {
+	if s.times <= doublings {
 		hold = min(t.config.Hold<<(s.times-1), hold)
 	}
 	return s.since + hold
 }
 
+// doublings is how often the time of a hold doubles at most, so that it stays a time.
+const doublings = 16
+
 // against returns the ends before a time that count against a request: those that nothing
 // else explains, and that it was not answered after.
 //
