--- a/internal/coordination/quarantine/config.go
+++ b/internal/coordination/quarantine/config.go
@@ -43,7 +43,7 @@
 		Trust:    time.Minute,
 		Hold:     5 * time.Minute, HoldMost: 24 * time.Hour,
 		Remember: 10 * time.Minute,
-		// What an entry answers in a minute, and a megabyte.
+		// What an entry answers in a minute; a megabyte in all.
 		Most: 4096,
 	}
 }
