--- a/internal/coordination/fleet/choose.go
+++ b/internal/coordination/fleet/choose.go
@@ -50,6 +50,8 @@
 	Cut bool
 	// ReportAge is the age of the load report that decided; negative if none.
 	ReportAge time.Duration
+	// Missing is how long the list has lacked the server; 0 if it is listed.
+	Missing time.Duration
 	// ReadyIn is when a server is predicted to be able to take the request, if
 	// none can now; 0 if that is not known.
 	ReadyIn time.Duration
@@ -95,6 +97,9 @@
 	if s.hasReport {
 		placement.Pace = s.load.Pace
 	}
+	if s.missingSince != 0 {
+		placement.Missing = now - s.missingSince
+	}
 	placement.Holds = f.version(s, request.Model, now)
 	if request.Version != 0 || request.Least != 0 {
 		placement.Version = placement.Holds
--- a/internal/transport/gateway/gateway.go
+++ b/internal/transport/gateway/gateway.go
@@ -94,7 +94,9 @@
 	// named are the versions of each model that operators want, oldest first.
 	named map[string][]named
 	bad   badRows
-	stop  *drain.Stop
+	// viewGap is the time between the last two answers about backend servers.
+	viewGap time.Duration
+	stop    *drain.Stop
 }
 
 // New returns a gateway; its loops run until ctx ends. The socket takes
--- a/internal/transport/gateway/metrics.go
+++ b/internal/transport/gateway/metrics.go
@@ -9,16 +9,17 @@
 // metrics are an entry's figures. None bears an organisation, so that nobody
 // who reads metrics learns of one.
 type metrics struct {
-	outcomes     *prometheus.CounterVec
-	retries      *prometheus.CounterVec
-	first        *prometheus.HistogramVec
-	beginLate    *prometheus.HistogramVec
-	takenBack    *prometheus.CounterVec
-	serverEnds   *prometheus.CounterVec
-	quarantined  prometheus.Gauge
-	said         *prometheus.CounterVec
-	badDatagrams prometheus.Counter
-	badRows      *prometheus.CounterVec
+	outcomes      *prometheus.CounterVec
+	retries       *prometheus.CounterVec
+	first         *prometheus.HistogramVec
+	beginLate     *prometheus.HistogramVec
+	takenBack     *prometheus.CounterVec
+	serverEnds    *prometheus.CounterVec
+	quarantined   prometheus.Gauge
+	said          *prometheus.CounterVec
+	placedMissing *prometheus.CounterVec
+	badDatagrams  prometheus.Counter
+	badRows       *prometheus.CounterVec
 }
 
 func newMetrics(registry prometheus.Registerer) *metrics {
@@ -57,6 +58,10 @@
 			Name: "filbertlever_gateway_server_said_total",
 			Help: "Answers in which a server says that it leaves, or wants no requests for a while.",
 		}, []string{"Service", "What"}),
+		placedMissing: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "filbertlever_gateway_placed_missing_total",
+			Help: "Requests placed at backend servers that the list lacks, by service.",
+		}, []string{"Service"}),
 		badDatagrams: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "filbertlever_gateway_bad_datagrams_total",
 			Help: "Datagrams that could not be read.",
@@ -66,12 +71,19 @@
 			Help: "Rows of the store that name nothing, by table and cause, once for each change of a row.",
 		}, []string{"Table", "Cause"}),
 	}
-	registry.MustRegister(m.outcomes, m.retries, m.first, m.beginLate, m.takenBack, m.serverEnds, m.quarantined, m.said, m.badDatagrams, m.badRows)
+	registry.MustRegister(m.outcomes, m.retries, m.first, m.beginLate, m.takenBack, m.serverEnds, m.quarantined, m.said, m.placedMissing, m.badDatagrams, m.badRows)
 	return m
 }
 
 // Register adds figures that are read from the gateway itself.
 func (g *Gateway) Register(registry prometheus.Registerer) {
+	for _, table := range []Table{TableDesired, TableBackends, TableEntries} {
+		registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+			Name:        "filbertlever_gateway_table_age_seconds",
+			Help:        "Age of the read that last confirmed a table of the store.",
+			ConstLabels: prometheus.Labels{"Table": string(table)},
+		}, func() float64 { return g.feeds.age(table, boottime.Now()).Seconds() }))
+	}
 	registry.MustRegister(
 		prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 			Name: "filbertlever_gateway_running",
--- a/internal/transport/gateway/placing.go
+++ b/internal/transport/gateway/placing.go
@@ -24,6 +24,7 @@
 		zap.String("Backend", placement.Backend.ID), zap.Duration("Predicted", placement.Predicted), zap.Int("Ahead", placement.Ahead),
 		zap.Int("Weighed", placement.Weighed), zap.Duration("ReportAge", placement.ReportAge), zap.String("Why", string(placement.Reason)), zap.Bool("Cut", placement.Cut), zap.Duration("Reading", placement.Reading)}
 	fields = append(fields, a.bounds(placement, now)...)
+	fields = append(fields, g.listing(placement, now)...)
 	if !placement.Found {
 		g.log.Info("no server", fields...)
 		return placement, busy(reasonNoServer, g.returnWhenReady(a.service, placement.ReadyIn, a.remaining(), now))
@@ -40,9 +41,27 @@
 		return placement, busy(reasonBusy, retry)
 	}
 	g.log.Info("placed", fields...)
+	g.notePlaced(a.service, placement)
 	return placement, nil
 }
 
+// listing tells of a placement how old the view of the servers is, and for how long the
+// server has been missing from it.
+func (g *Gateway) listing(placement fleet.Placement, now time.Duration) []zap.Field {
+	fields := []zap.Field{zap.Duration("ViewAge", g.feeds.age(TableBackends, now))}
+	if placement.Missing > 0 {
+		fields = append(fields, zap.Duration("Missing", placement.Missing))
+	}
+	return fields
+}
+
+// notePlaced counts placements at servers that the list lacks.
+func (g *Gateway) notePlaced(service string, placement fleet.Placement) {
+	if placement.Missing > 0 {
+		g.metrics.placedMissing.WithLabelValues(service).Inc()
+	}
+}
+
 // bounds tells of a placement which version the server is taken to hold, and for how
 // long the attempt may wait there until it has begun.
 func (a *attempts) bounds(placement fleet.Placement, now time.Duration) []zap.Field {
--- a/internal/transport/gateway/watch.go
+++ b/internal/transport/gateway/watch.go
@@ -257,10 +257,11 @@
 		now := boottime.Now()
 		g.mu.Lock()
 		defer g.mu.Unlock()
-		if now-last > absence {
+		g.viewGap, last = now-last, now
+		if g.viewGap > absence {
 			g.fleet.StoreReturned(now)
+			g.log.Info("missing servers count as lapsed", zap.Duration("Absent", g.viewGap))
 		}
-		last = now
 		if whole || len(rows.Raw) > 0 {
 			go g.runLearn(g.takeBackends(backends, whole, now))
 		}
@@ -298,10 +299,10 @@
 func (g *Gateway) logBackends(backends Backends) {
 	for _, b := range backends.Present {
 		g.log.Info("backend server listed", zap.String("Backend", b.ID), zap.String("Service", b.Service),
-			zap.String("Address", b.Address), zap.Bool("Leaving", b.Leaving), zap.Int("Models", len(b.Models)))
+			zap.String("Address", b.Address), zap.Bool("Leaving", b.Leaving), zap.Int("Models", len(b.Models)), zap.Duration("Within", g.viewGap))
 	}
 	for _, id := range backends.Gone {
-		g.log.Info("backend server gone", zap.String("Backend", id))
+		g.log.Info("backend server gone", zap.String("Backend", id), zap.Duration("Within", g.viewGap))
 	}
 }
 
