--- a/internal/coordination/fleet/boots_test.go
+++ b/internal/coordination/fleet/boots_test.go
@@ -329,7 +329,7 @@
 			f.SetState(state(), 30*time.Second)
 			c.Assert(f.Choose(wanted, 30*time.Second).Found, qt.IsFalse)
 			f.Report(told(2000, 2), 31*time.Second)
-			f.StoreReturned(31 * time.Second)
+			f.SetOutageEnd(31*time.Second, true, 31*time.Second)
 			back(f, 31*time.Second)
 			c.Assert(f.Choose(wanted, 31*time.Second).Holds, qt.Equals, uint64(2))
 			f.Apply([]catalog.Backend{booted("m1", modelService, 2000, 5, 2)}, nil, false, 31500*time.Millisecond)
--- a/internal/coordination/fleet/fleet.go
+++ b/internal/coordination/fleet/fleet.go
@@ -46,9 +46,11 @@
 	ReportForgotten time.Duration
 	// SilentTold is how long another entry's word on a silent server holds.
 	SilentTold time.Duration
-	// LapseGrace is how long after the store's return a missing entry may be one
-	// that lapsed while the store was away and comes back.
+	// LapseGrace is how long after an outage of the store a missing row may be one that
+	// lapsed meanwhile and comes back.
 	LapseGrace time.Duration
+	// Lapsed is what a server whose row may have lapsed must be better by.
+	Lapsed time.Duration
 }
 
 // DefaultConfig returns the costs used in production.
@@ -71,7 +73,8 @@
 		SilentTold:      time.Second,
 		ReportForgotten: 15 * time.Second,
 		SwitchMost:      4 * time.Second,
-		LapseGrace:      2200 * time.Millisecond,
+		LapseGrace:      2 * time.Second,
+		Lapsed:          90 * time.Millisecond,
 	}
 }
 
@@ -157,9 +160,10 @@
 	unfit map[string]*server
 	// sweptAt is when servers were last looked at for silence.
 	sweptAt time.Duration
-	// returned is when the store was last reached again after an absence.
-	returned time.Duration
-	epoch    time.Time
+	// outageEnd is the end of the store's last outage; hadOutage is false if none is known.
+	outageEnd time.Duration
+	hadOutage bool
+	epoch     time.Time
 }
 
 // New returns a fleet that knows no server.
@@ -181,7 +185,6 @@
 		reports:   list.New(),
 		unfit:     map[string]*server{},
 		epoch:     time.Unix(0, 0),
-		returned:  -config.LapseGrace,
 	}
 }
 
@@ -210,8 +213,11 @@
 		a.UsualPrompt == b.UsualPrompt && a.UsualAnswer == b.UsualAnswer
 }
 
-// StoreReturned notes that the store is reached again after an absence.
-func (f *Fleet) StoreReturned(now time.Duration) { f.returned = now }
+// SetOutageEnd takes the end of the store's last outage; ok is false if none is known.
+func (f *Fleet) SetOutageEnd(end time.Duration, ok bool, now time.Duration) {
+	f.outageEnd, f.hadOutage = end, ok
+	f.refresh(now)
+}
 
 // SetNamed takes the versions of a model that operators have named.
 func (f *Fleet) SetNamed(model string, versions []uint64, now time.Duration) {
@@ -317,6 +323,7 @@
 	router.SetHost(host, s.placedUsable)
 	router.SetLoaded(host.ID, f.targets(s, now))
 	router.SetLeaves(host.ID, s.leavesAt)
+	router.SetDoubtful(host.ID, s.missingSince != 0)
 	f.count(s, now)
 }
 
@@ -370,6 +377,7 @@
 	}
 	config := routing.Config{
 		Service: f.config.PlainService, OtherSite: f.config.OtherSite, OtherRegion: f.config.OtherRegion, Samples: samples,
+		Doubtful: f.config.Lapsed,
 	}
 	if e := service.Engine; e != nil {
 		config.Service = serviceTime(e)
--- a/internal/coordination/fleet/health.go
+++ b/internal/coordination/fleet/health.go
@@ -8,13 +8,17 @@
 	"github.com/filbertlever/filbertlever/internal/coordination/catalog"
 )
 
-// usable reports whether new requests may go to a server.
+// gone reports whether a server's row was removed. After an outage of the store, in which
+// the rows of live servers lapse, a missing row tells nothing for a while.
 //
-// Guard: an entry that lapsed while the store was away is missing from the
-// list for a moment though its server lives; all servers may be so at once. Only
-// what is still missing some time after the store's return is gone.
+// Guard: an absence of this entry alone lapses no row.
+func (f *Fleet) gone(s *server, now time.Duration) bool {
+	return s.missingSince != 0 && (!f.hadOutage || now-f.outageEnd >= f.config.LapseGrace)
+}
+
+// usable reports whether new requests may go to a server.
 func (f *Fleet) usable(s *server, now time.Duration) bool {
-	if s.missingSince != 0 && now-f.returned >= f.config.LapseGrace {
+	if f.gone(s, now) {
 		return false
 	}
 	return now >= s.switchingUntil && now >= s.silentUntil && now >= f.restsUntil(s) && !f.stalled(s, now) && !f.silent(s, now) && f.table.Usable(filbertlever.HostID(s.backend.ID), f.at(now))
@@ -272,7 +276,7 @@
 			delete(f.wobbly, id)
 			continue
 		}
-		if s.missingSince != 0 && now-f.returned >= f.config.LapseGrace {
+		if f.gone(s, now) {
 			f.drop(id, s)
 			continue
 		}
--- a/internal/coordination/routing/routing.go
+++ b/internal/coordination/routing/routing.go
@@ -38,6 +38,8 @@
 	// Cut is what it costs to begin an answer at a host that leaves before its
 	// end; it then goes on elsewhere, where its prompt is read again.
 	Cut time.Duration
+	// Doubtful is what a host that may be gone must be better by.
+	Doubtful time.Duration
 }
 
 // DefaultConfig returns the costs used in production.
@@ -150,6 +152,8 @@
 	// leavesAt is when the host breaks off what it does, as for a change of its
 	// weights; 0 if it does not.
 	leavesAt time.Duration
+	// doubtful is true while the host may be gone.
+	doubtful bool
 	// loaded are the targets that the host serves.
 	loaded []Target
 }
@@ -286,6 +290,13 @@
 	}
 }
 
+// SetDoubtful says whether a host may be gone.
+func (r *Router) SetDoubtful(id filbertlever.HostID, doubtful bool) {
+	if i, ok := r.index[id]; ok {
+		r.hosts[i].doubtful = doubtful
+	}
+}
+
 // Ended notes that a request sent to a host ended without a report of the
 // host's load, as when the host died.
 func (r *Router) Ended(id filbertlever.HostID) {
@@ -333,6 +344,9 @@
 		choice.Weighed++
 		cut := r.cut(i, request, predicted)
 		cost := predicted + r.cutCost(cut, request)
+		if r.hosts[i].doubtful {
+			cost += r.config.Doubtful
+		}
 		if best < 0 || cost < bestCost {
 			best, bestCost = i, cost
 			choice.Predicted, choice.Cut = predicted, cut
--- a/internal/transport/gateway/datagrams.go
+++ b/internal/transport/gateway/datagrams.go
@@ -54,6 +54,9 @@
 			}
 		}
 		g.heardRestored(d.Beat, now)
+		if d.Beat.Store != nil {
+			g.takeStoreUp(d.Beat.Store.span(now), now)
+		}
 		for _, news := range g.tellHolds(d.Beat.Held, now) {
 			g.reply(Datagram{News: &news}, from)
 		}
@@ -151,5 +154,5 @@
 
 // ownBeat is this entry's heartbeat; the caller holds the lock.
 func (g *Gateway) ownBeat(now time.Duration) *Beat {
-	return &Beat{Entry: g.config.Self, Ready: g.readyLocked(now), Lost: g.lost(now), Named: g.namedAges(now), Held: g.crashes.Digest(now), Restored: g.restored.Load()}
+	return &Beat{Entry: g.config.Self, Ready: g.readyLocked(now), Lost: g.lost(now), Named: g.namedAges(now), Held: g.crashes.Digest(now), Restored: g.restored.Load(), Store: g.storeUptime(now)}
 }
--- a/internal/transport/gateway/feedwire.go
+++ b/internal/transport/gateway/feedwire.go
@@ -13,6 +13,8 @@
 	"strconv"
 	"sync"
 	"time"
+
+	"github.com/filbertlever/filbertlever/internal/transport/boottime"
 )
 
 // chunk is an answer of the store, or of the reader that it was told by.
@@ -42,6 +44,8 @@
 	Packed []byte
 	// Raw are the rows as the store sent them; only where the answer was fetched.
 	Raw []json.RawMessage
+	// Store is the reader's knowledge of the store's uptime; nil if it has none.
+	Store *StoreUptime
 }
 
 // PathFeed is where entries follow their region's reader.
@@ -52,6 +56,9 @@
 	headerRevision = "Feed-Revision"
 	// headerAge is in nanoseconds.
 	headerAge = "Feed-Age"
+	// headerFirst and headerLast are the store's uptime, in milliseconds before the answer.
+	headerFirst = "Store-First"
+	headerLast  = "Store-Last"
 )
 
 // unpackedMost bounds what an answer may hold: a whole table of the store, which ends at
@@ -138,6 +145,13 @@
 	w.Header().Set("Content-Length", strconv.Itoa(len(answer.Packed)))
 	w.Header().Set(headerRevision, strconv.FormatUint(answer.Revision, 10))
 	w.Header().Set(headerAge, strconv.FormatInt(int64(answer.Age), 10))
+	g.mu.Lock()
+	store := g.storeUptime(boottime.Now())
+	g.mu.Unlock()
+	if store != nil {
+		w.Header().Set(headerFirst, strconv.Itoa(int(store.First)))
+		w.Header().Set(headerLast, strconv.Itoa(int(store.Last)))
+	}
 	_, _ = w.Write(answer.Packed)
 }
 
@@ -156,7 +170,11 @@
 	defer func() { _ = response.Body.Close() }()
 	switch response.StatusCode {
 	case http.StatusOK:
-		return decodeFeed(response.Header, response.Body)
+		answer, err := decodeFeed(response.Header, response.Body)
+		if err == nil {
+			g.noteReported(answer.Store)
+		}
+		return answer, err
 	case http.StatusGone:
 		return FeedAnswer{}, ErrHistoryGone
 	case http.StatusServiceUnavailable:
@@ -184,6 +202,14 @@
 		return FeedAnswer{}, fmt.Errorf("decode feed: Age: %w", errAge)
 	}
 	answer := FeedAnswer{Revision: revision, Age: time.Duration(age)}
+	if header.Get(headerFirst) != "" {
+		first, firstErr := strconv.ParseUint(header.Get(headerFirst), 10, 16)
+		last, lastErr := strconv.ParseUint(header.Get(headerLast), 10, 16)
+		if err := errors.Join(firstErr, lastErr); err != nil {
+			return FeedAnswer{}, fmt.Errorf("decode feed: %s: %w", headerFirst, err)
+		}
+		answer.Store = &StoreUptime{First: uint16(first), Last: uint16(last)}
+	}
 	if answer.Packed, err = io.ReadAll(io.LimitReader(body, unpackedMost)); err != nil {
 		return FeedAnswer{}, fmt.Errorf("decode feed: %w", err)
 	}
--- a/internal/transport/gateway/gateway.go
+++ b/internal/transport/gateway/gateway.go
@@ -19,6 +19,7 @@
 	"github.com/filbertlever/filbertlever/internal/coordination/fleet"
 	"github.com/filbertlever/filbertlever/internal/coordination/relays"
 	"github.com/filbertlever/filbertlever/internal/coordination/retry"
+	"github.com/filbertlever/filbertlever/internal/coordination/uptime"
 	"github.com/filbertlever/filbertlever/internal/transport/boottime"
 	"github.com/filbertlever/filbertlever/internal/transport/datagrams"
 	"github.com/filbertlever/filbertlever/internal/transport/relay"
@@ -96,6 +97,7 @@
 	bad   badRows
 	// viewGap is the time between the last two answers about backend servers.
 	viewGap time.Duration
+	uptime  uptime.Uptime
 	stop    *drain.Stop
 }
 
--- a/internal/transport/gateway/messages.go
+++ b/internal/transport/gateway/messages.go
@@ -38,6 +38,9 @@
 	Held uint64 `cbor:"5,keyasint,omitempty"`
 	// Restored is true once the entry knows the verdicts that were made before it started.
 	Restored bool `cbor:"6,keyasint,omitempty"`
+	// Store is since when and until when the store has answered, as far as the entry knows;
+	// nil if it knows of no answer lately.
+	Store *StoreUptime `cbor:"7,keyasint,omitempty"`
 }
 
 // Counts tells how many requests an entry has at each backend server.
--- /dev/null
+++ b/internal/transport/gateway/uptime.go
@@ -0,0 +1,77 @@
+package gateway
+
+import (
+	"math"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/filbertlever/filbertlever/internal/coordination/uptime"
+	"github.com/filbertlever/filbertlever/internal/transport/boottime"
+)
+
+// StoreUptime is a stretch of time in which the store answered, up to a minute long, in
+// milliseconds before it was sent.
+type StoreUptime struct {
+	First uint16 `cbor:"1,keyasint"`
+	Last  uint16 `cbor:"2,keyasint,omitempty"`
+}
+
+// newStoreUptime returns a span as it is sent; nil if it ended too long ago.
+func newStoreUptime(span uptime.Span, now time.Duration) *StoreUptime {
+	last := (now - span.Last).Milliseconds()
+	if last < 0 || last > math.MaxUint16 {
+		return nil
+	}
+	return &StoreUptime{First: uint16(min((now - span.First).Milliseconds(), math.MaxUint16)), Last: uint16(last)}
+}
+
+// span returns the times of a span that was just received.
+func (s *StoreUptime) span(now time.Duration) uptime.Span {
+	ago := func(ms uint16) time.Duration { return now - time.Duration(ms)*time.Millisecond }
+	return uptime.Span{First: ago(max(s.First, s.Last)), Last: ago(s.Last)}
+}
+
+// storeUptime is the heartbeat's part on the store; the caller holds the lock.
+func (g *Gateway) storeUptime(now time.Duration) *StoreUptime {
+	span, ok := g.uptime.Latest()
+	if !ok {
+		return nil
+	}
+	return newStoreUptime(span, now)
+}
+
+// noteAnswer notes that the store has just answered this entry.
+func (g *Gateway) noteAnswer() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := boottime.Now()
+	g.takeStoreUp(uptime.Span{First: now, Last: now}, now)
+}
+
+// noteReported takes what another entry knows, nil if nothing.
+func (g *Gateway) noteReported(reported *StoreUptime) {
+	if reported == nil {
+		return
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := boottime.Now()
+	g.takeStoreUp(reported.span(now), now)
+}
+
+// takeStoreUp notes that the store answered some entry in a span; the caller holds the lock.
+func (g *Gateway) takeStoreUp(span uptime.Span, now time.Duration) {
+	before, _ := g.uptime.OutageEnd()
+	g.uptime.Report(span)
+	end, ok := g.uptime.OutageEnd()
+	if end == before {
+		return
+	}
+	g.fleet.SetOutageEnd(end, ok, now)
+	if ok {
+		g.log.Info("store outage ended", zap.Duration("Ago", now-end))
+		return
+	}
+	g.log.Info("store outage was this entry's own absence")
+}
--- a/internal/transport/gateway/watch.go
+++ b/internal/transport/gateway/watch.go
@@ -131,6 +131,7 @@
 		}
 		return false, err
 	}
+	g.noteAnswer()
 	g.feeds.publish(w.table, w.revision, rows, sent)
 	return len(rows.Raw) > 0, w.take(rows, sent, false)
 }
@@ -168,6 +169,7 @@
 	if err != nil {
 		return err
 	}
+	g.noteAnswer()
 	g.feeds.restart(w.table, rows, sent)
 	return w.take(rows, sent, true)
 }
@@ -258,10 +260,6 @@
 		g.mu.Lock()
 		defer g.mu.Unlock()
 		g.viewGap, last = now-last, now
-		if g.viewGap > absence {
-			g.fleet.StoreReturned(now)
-			g.log.Info("missing servers count as lapsed", zap.Duration("Absent", g.viewGap))
-		}
 		if whole || len(rows.Raw) > 0 {
 			go g.runLearn(g.takeBackends(backends, whole, now))
 		}
@@ -292,10 +290,6 @@
 	}
 }
 
-// absence is the time without an answer after which the store counts as having
-// been away: longer than two calls in a row take.
-const absence = 3 * time.Second
-
 func (g *Gateway) logBackends(backends Backends) {
 	for _, b := range backends.Present {
 		g.log.Info("backend server listed", zap.String("Backend", b.ID), zap.String("Service", b.Service),
