--- a/internal/transport/gateway/feeds.go
+++ b/internal/transport/gateway/feeds.go
@@ -267,6 +267,10 @@
 // Guard: the store was away for 4 s. Each entry asked three that had lost it, and then the
 // store: 2,415 calls of it in a day in place of 1,846. It asks them again a little later;
 // one that the store answers, or the one that goes on trying, has it first.
+//
+// Guard: readers that the store leaves unanswered notice it one after the other, too late
+// for the bound on servers that leave. Rows of servers are small: who follows a reader that
+// lost a store which answers others asks the store itself.
 func (g *Gateway) followReader(ctx context.Context, table Table, after uint64) (Rows, time.Duration, bool, error) {
 	var asked filbertlever.HostID
 	for range readersAsked {
@@ -288,7 +292,11 @@
 		g.log.Info("reader lost the store", zap.String("Table", string(table)), zap.String("Reader", string(host)))
 		g.mu.Lock()
 		g.peers.noteLost(host)
+		asksItself := table == TableBackends && !g.lost(sent) && g.storeIsUp(sent)
 		g.mu.Unlock()
+		if asksItself {
+			return Rows{}, 0, false, nil
+		}
 	}
 	return Rows{}, 0, false, errReaderLost
 }
--- a/internal/transport/gateway/uptime.go
+++ b/internal/transport/gateway/uptime.go
@@ -41,6 +41,13 @@
 	return newStoreUptime(span, now)
 }
 
+// storeIsUp reports whether the store has answered some entry lately; the caller holds the
+// lock.
+func (g *Gateway) storeIsUp(now time.Duration) bool {
+	span, ok := g.uptime.Latest()
+	return ok && now-span.Last < uptime.OutageLeast
+}
+
 // noteAnswer notes that the store has just answered this entry.
 func (g *Gateway) noteAnswer() {
 	g.mu.Lock()
