--- a/internal/coordination/fleet/said.go
+++ b/internal/coordination/fleet/said.go
@@ -98,8 +98,12 @@
 }
 
 // Takes reports whether a request that was placed at a process may still go there: it may
-// have said otherwise while the request waited for a connection.
+// have left while the request waited for a connection.
 func (f *Fleet) Takes(b catalog.Backend, now time.Duration) bool {
+	s, ok := f.servers[b.ID]
+	if !ok || s.backend.Leaving || f.gone(s, now) {
+		return false
+	}
 	w, ok := f.words[b.ID]
 	return !ok || !w.of(b) || !w.leaves && now >= w.restsUntil
 }
--- a/internal/coordination/fleet/said_test.go
+++ b/internal/coordination/fleet/said_test.go
@@ -124,6 +124,38 @@
 	}
 }
 
+// A request that waited for a connection went to a server that had left meanwhile.
+func TestARequestOnItsWayIsNotSentToAServerThatLeft(t *testing.T) {
+	tests := []struct {
+		name string
+		then func(f *Fleet, one catalog.Backend)
+		want bool
+	}{
+		{"nothing happens", func(*Fleet, catalog.Backend) {}, true},
+		{"its row says that it leaves", func(f *Fleet, one catalog.Backend) {
+			one.Leaving, one.Revision = true, 9
+			f.Apply([]catalog.Backend{one}, nil, false, time.Second)
+		}, false},
+		{"its row is removed", func(f *Fleet, one catalog.Backend) { f.Apply(nil, []string{one.ID}, false, time.Second) }, false},
+		{"its row is missing after an outage", func(f *Fleet, one catalog.Backend) {
+			f.SetOutageEnd(time.Second, true, time.Second)
+			f.Apply(nil, []string{one.ID}, false, time.Second)
+		}, true},
+		{"the list lacks it", func(f *Fleet, _ catalog.Backend) { f.Apply(nil, nil, true, time.Second) }, false},
+		{"another one has its address", func(f *Fleet, one catalog.Backend) {
+			one.ID, one.Revision = "o3", 9
+			f.Apply([]catalog.Backend{one}, nil, false, time.Second)
+		}, false},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			f, all := saidFleet()
+			test.then(f, all[0])
+			qt.Assert(t, f.Takes(all[0], 1500*time.Millisecond), qt.Equals, test.want)
+		})
+	}
+}
+
 // Whatever servers say, and whichever rows come in which order, no process gets a request
 // after it has said that it leaves.
 func TestWhatServersSayInAnyOrder(t *testing.T) {
--- a/internal/transport/gateway/recall.go
+++ b/internal/transport/gateway/recall.go
@@ -72,7 +72,7 @@
 		a.broke(err)
 	}
 	switch {
-	case a.callerLeft(), errors.Is(err, errKept), errors.Is(err, errServerSaid):
+	case a.callerLeft(), errors.Is(err, errKept), errors.Is(err, errServerLeft):
 	case a.takenBack.Load():
 		a.gateway.metrics.takenBack.WithLabelValues(a.service).Inc()
 		a.gateway.log.Info("attempt taken back", zap.String("Request", a.call.ID), zap.String("Backend", id),
--- a/internal/transport/gateway/said.go
+++ b/internal/transport/gateway/said.go
@@ -44,7 +44,7 @@
 		zap.String("What", what), zap.Int("Status", reply.Status), zap.Duration("For", reply.Rest))
 }
 
-var errServerSaid = errors.New("the server has said that it takes no more")
+var errServerLeft = errors.New("the server takes no more requests")
 
 // still returns an error if the request may no longer go to the server that it was placed
 // at. It is asked when a connection is there, which may take a while.
@@ -56,7 +56,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if !g.fleet.Takes(a.last.Backend, boottime.Now()) {
-		return errServerSaid
+		return errServerLeft
 	}
 	return nil
 }
