--- a/internal/transport/gateway/datagrams.go
+++ b/internal/transport/gateway/datagrams.go
@@ -54,6 +54,7 @@
 			}
 		}
 		g.heardRestored(d.Beat, now)
+		g.peers.noteAnswered(d.Beat.Entry.Host, time.Duration(d.Beat.Answered)*time.Millisecond, now)
 		if d.Beat.Store != nil {
 			g.takeStoreUp(d.Beat.Store.span(now), now)
 		}
@@ -113,12 +114,16 @@
 func (g *Gateway) runHeartbeat(ctx context.Context) {
 	ticker := time.NewTicker(beatEvery)
 	defer ticker.Stop()
-	for turn := 0; ; turn++ {
-		g.beat(boottime.Now(), turn%farBeats == 0)
+	g.beat(boottime.Now(), true)
+	for turn := 1; ; {
 		select {
 		case <-ctx.Done():
 			return
+		case <-g.beatNow:
+			g.beat(boottime.Now(), false)
 		case <-ticker.C:
+			g.beat(boottime.Now(), turn%farBeats == 0)
+			turn++
 		}
 	}
 }
@@ -154,5 +159,5 @@
 
 // ownBeat is this entry's heartbeat; the caller holds the lock.
 func (g *Gateway) ownBeat(now time.Duration) *Beat {
-	return &Beat{Entry: g.config.Self, Ready: g.readyLocked(now), Lost: g.lost(now), Named: g.namedAges(now), Held: g.crashes.Digest(now), Restored: g.restored.Load(), Store: g.storeUptime(now)}
+	return &Beat{Entry: g.config.Self, Ready: g.readyLocked(now), Lost: g.lost(now), Named: g.namedAges(now), Held: g.crashes.Digest(now), Restored: g.restored.Load(), Store: g.storeUptime(now), Answered: g.answeredAgo(now)}
 }
--- a/internal/transport/gateway/feeds.go
+++ b/internal/transport/gateway/feeds.go
@@ -207,25 +207,21 @@
 func (g *Gateway) reader(now time.Duration) (filbertlever.HostID, string, bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	var answered, all []relays.Entry
+	var readers []relays.Reader
 	addresses := map[filbertlever.HostID]string{}
 	for _, e := range g.peers.alive(now) {
 		self := e.Host == g.config.Self.Host
 		if e.Region != g.config.Self.Region || !self && !g.peers.isReady(e.Host) {
 			continue
 		}
-		entry := relays.Entry{Host: e.Host, Site: e.Region}
 		addresses[e.Host] = e.Peers
-		all = append(all, entry)
-		if self && !g.lost(now) || !self && g.peers.isReader(e.Host) {
-			answered = append(answered, entry)
+		reader := relays.Reader{Host: e.Host, Lost: !g.peers.isReader(e.Host), Answered: g.peers.isAnswered(e.Host, now)}
+		if self {
+			reader.Lost, reader.Answered = g.lost(now), g.answered(now)
 		}
+		readers = append(readers, reader)
 	}
-	if len(answered) == 0 {
-		// One of them goes on trying for all.
-		answered = all
-	}
-	host := relays.Home(answered, g.config.Self.Region, "reader")
+	host := relays.PickReader(g.config.Self.Region, readers)
 	return host, addresses[host], host != g.config.Self.Host
 }
 
--- a/internal/transport/gateway/gateway.go
+++ b/internal/transport/gateway/gateway.go
@@ -98,6 +98,10 @@
 	// viewGap is the time between the last two answers about backend servers.
 	viewGap time.Duration
 	uptime  uptime.Uptime
+	// answeredAt is when the store last answered this entry; 0 if it has not.
+	answeredAt time.Duration
+	// beatNow asks for a heartbeat to the region.
+	beatNow chan struct{}
 	stop    *drain.Stop
 }
 
@@ -108,7 +112,7 @@
 	fleetConfig := fleet.DefaultConfig()
 	fleetConfig.Site, fleetConfig.Region, fleetConfig.Regions = config.Self.Site, config.Self.Region, config.Regions
 	g := &Gateway{
-		stated: make(chan struct{}), started: boottime.Now(),
+		stated: make(chan struct{}), started: boottime.Now(), beatNow: make(chan struct{}, 1),
 		config: config, store: store, codec: codec, sender: sender, log: log, socket: datagrams.New(socket), client: client, feeds: newFeeds(),
 		metrics: newMetrics(registry), rng: rng, fleet: fleet.New(fleetConfig, rng), gate: admission.DefaultEntryGate(),
 		budgets: map[string]*retry.Window{}, outages: map[string]*admission.Outage{}, room: newRoom(), crashes: newCrashes(), peers: newPeers(config.Self, boottime.Now()), named: map[string][]named{},
--- a/internal/transport/gateway/messages.go
+++ b/internal/transport/gateway/messages.go
@@ -41,6 +41,9 @@
 	// Store is since when and until when the store has answered, as far as the entry knows;
 	// nil if it knows of no answer lately.
 	Store *StoreUptime `cbor:"7,keyasint,omitempty"`
+	// Answered is how many milliseconds ago the store last answered the entry itself; 0 if
+	// that was too long ago to matter.
+	Answered uint16 `cbor:"8,keyasint,omitempty"`
 }
 
 // Counts tells how many requests an entry has at each backend server.
--- a/internal/transport/gateway/peers.go
+++ b/internal/transport/gateway/peers.go
@@ -55,6 +55,8 @@
 	ready  bool
 	// lost is true while the store does not answer it.
 	lost bool
+	// answeredAt is when the store last answered it; 0 if that is not known.
+	answeredAt time.Duration
 	// sequence is that of the last counts taken.
 	sequence int64
 }
@@ -166,6 +168,19 @@
 	return ok && known.ready && !known.lost
 }
 
+// noteAnswered notes how long ago the store answered an entry; 0 if the entry does not say.
+func (p *peers) noteAnswered(host filbertlever.HostID, ago, now time.Duration) {
+	if known, ok := p.known[host]; ok && ago > 0 {
+		known.answeredAt = now - ago
+	}
+}
+
+// isAnswered reports whether the store has answered an entry lately.
+func (p *peers) isAnswered(host filbertlever.HostID, now time.Duration) bool {
+	known, ok := p.known[host]
+	return ok && known.answeredAt != 0 && now-known.answeredAt < answerFresh
+}
+
 // noteLost notes that an entry says that it lost the store, until its next heartbeat.
 func (p *peers) noteLost(host filbertlever.HostID) {
 	if known, ok := p.known[host]; ok {
--- a/internal/transport/gateway/uptime.go
+++ b/internal/transport/gateway/uptime.go
@@ -48,14 +48,40 @@
 	return ok && now-span.Last < uptime.OutageLeast
 }
 
-// noteAnswer notes that the store has just answered this entry.
+// noteAnswer notes that the store has just answered this entry, and tells the others of the
+// region if they do not know that it does.
 func (g *Gateway) noteAnswer() {
+	now := boottime.Now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	now := boottime.Now()
+	if !g.answered(now) {
+		select {
+		case g.beatNow <- struct{}{}:
+		default:
+		}
+	}
+	g.answeredAt = now
 	g.takeStoreUp(uptime.Span{First: now, Last: now}, now)
 }
 
+// answerFresh is how long after an answer of the store an entry counts as served by it: a
+// reader has one within a second, and reports it with its next heartbeat.
+const answerFresh = 1500 * time.Millisecond
+
+// answered reports whether the store has answered this entry lately; the caller holds the lock.
+func (g *Gateway) answered(now time.Duration) bool {
+	return g.answeredAt != 0 && now-g.answeredAt < answerFresh
+}
+
+// answeredAgo is how long ago the store last answered this entry, in milliseconds; 0 if that
+// was too long ago to matter. The caller holds the lock.
+func (g *Gateway) answeredAgo(now time.Duration) uint16 {
+	if !g.answered(now) {
+		return 0
+	}
+	return uint16(max((now - g.answeredAt).Milliseconds(), 1))
+}
+
 // noteReported takes what another entry knows, nil if nothing.
 func (g *Gateway) noteReported(reported *StoreUptime) {
 	if reported == nil {
