--- /dev/null
+++ b/internal/coordination/drain/closing.go
@@ -0,0 +1,21 @@
+package drain
+
+// Closing tells from a server's answers whether the server leaves: one that leaves closes the
+// connection after each of them, another one does so now and then. The zero value is a server
+// that stays.
+type Closing struct{ inRow int }
+
+// closesLeast is how many answers in a row must close their connections.
+const closesLeast = 3
+
+// Observe takes the next answer.
+func (c *Closing) Observe(closes bool) {
+	if !closes {
+		c.inRow = 0
+		return
+	}
+	c.inRow = min(c.inRow+1, closesLeast)
+}
+
+// Leaving reports whether the server leaves.
+func (c *Closing) Leaving() bool { return c.inRow >= closesLeast }
--- /dev/null
+++ b/internal/coordination/drain/closing_test.go
@@ -0,0 +1,30 @@
+package drain
+
+import (
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+)
+
+func TestClosing(t *testing.T) {
+	tests := []struct {
+		name   string
+		closes []bool
+		want   bool
+	}{
+		{"no answer", nil, false},
+		{"one", []bool{true}, false},
+		{"now and then", []bool{true, false, true, true, false, true, true}, false},
+		{"all", []bool{false, true, true, true, true}, true},
+		{"it stays after all", []bool{true, true, true, true, false}, false},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			var closing Closing
+			for _, closes := range test.closes {
+				closing.Observe(closes)
+			}
+			qt.Assert(t, closing.Leaving(), qt.Equals, test.want)
+		})
+	}
+}
--- a/internal/coordination/fleet/counts.go
+++ b/internal/coordination/fleet/counts.go
@@ -34,6 +34,8 @@
 	// LoadedIn is how long it still takes until the server holds what it is
 	// being brought; 0 if nothing is.
 	LoadedIn time.Duration `cbor:"11,keyasint,omitempty"`
+	// Leaving is true if the server seems to leave, by its own answers.
+	Leaving bool `cbor:"12,keyasint,omitempty"`
 }
 
 // Report takes a server's own report.
@@ -42,6 +44,7 @@
 	if !ok || !f.takesReport(s, &load, now) {
 		return
 	}
+	changed := load.Leaving != s.load.Leaving
 	s.hasReport = true
 	s.load = load
 	s.reported = load.Models
@@ -58,6 +61,9 @@
 		s.switchingUntil = now + f.config.SwitchMost
 		f.wobbly[s.backend.ID] = true
 	}
+	if changed {
+		f.list(now)
+	}
 	f.place(s.backend.ID, now)
 }
 
--- a/internal/coordination/fleet/fleet.go
+++ b/internal/coordination/fleet/fleet.go
@@ -295,7 +295,7 @@
 }
 
 func (f *Fleet) host(b catalog.Backend) filbertlever.Host {
-	return filbertlever.Host{ID: filbertlever.HostID(b.ID), Site: b.Site, Region: f.config.Regions[b.Site], Leaving: b.Leaving || f.hasLeft(b)}
+	return filbertlever.Host{ID: filbertlever.HostID(b.ID), Site: b.Site, Region: f.config.Regions[b.Site], Leaving: f.leaves(b)}
 }
 
 // plainTarget is the target of services without models.
--- a/internal/coordination/fleet/said.go
+++ b/internal/coordination/fleet/said.go
@@ -40,6 +40,13 @@
 	return true
 }
 
+// Closes notes that a process closes the connection after an answer. A sound one does so now
+// and then, but one whose row is missing has left. It returns true if that is new.
+func (f *Fleet) Closes(b catalog.Backend, now time.Duration) bool {
+	s, ok := f.servers[b.ID]
+	return ok && s.missingSince != 0 && f.Leaves(b, now)
+}
+
 // Rests notes that a process that has refused a request wants no more for a while. It
 // returns true if it wanted some before.
 //
@@ -97,11 +104,17 @@
 	return ok && w.leaves && w.of(b)
 }
 
+// leaves reports whether a process leaves, by its row, its answers or its agent.
+func (f *Fleet) leaves(b catalog.Backend) bool {
+	s, ok := f.servers[b.ID]
+	return b.Leaving || f.hasLeft(b) || ok && s.load.Leaving
+}
+
 // Takes reports whether a request that was placed at a process may still go there: it may
 // have left while the request waited for a connection.
 func (f *Fleet) Takes(b catalog.Backend, now time.Duration) bool {
 	s, ok := f.servers[b.ID]
-	if !ok || s.backend.Leaving || f.gone(s, now) {
+	if !ok || f.leaves(s.backend) || f.gone(s, now) {
 		return false
 	}
 	w, ok := f.words[b.ID]
--- a/internal/coordination/fleet/said_test.go
+++ b/internal/coordination/fleet/said_test.go
@@ -8,6 +8,7 @@
 	qt "github.com/frankban/quicktest"
 	"pgregory.net/rapid"
 
+	"github.com/filbertlever/filbertlever"
 	"github.com/filbertlever/filbertlever/internal/coordination/catalog"
 )
 
@@ -156,6 +157,37 @@
 	}
 }
 
+// After an outage, a server whose row is missing and that closes its connections was taken for
+// one that lapsed.
+func TestAMissingServerThatClosesItsConnectionHasLeft(t *testing.T) {
+	c := qt.New(t)
+	f, all := saidFleet()
+	c.Assert(f.Closes(all[0], 0), qt.IsFalse)
+	f.SetOutageEnd(time.Second, true, time.Second)
+	f.Apply(nil, []string{all[0].ID}, false, time.Second)
+	request := Request{Service: plainService, Avoid: []filbertlever.HostID{"o2"}}
+	c.Assert(f.Choose(request, 1500*time.Millisecond).Found, qt.IsTrue)
+	c.Assert(f.Closes(all[0], 1500*time.Millisecond), qt.IsTrue)
+	c.Assert(f.Choose(request, 1500*time.Millisecond).Found, qt.IsFalse)
+}
+
+// Entries used a server that was leaving for as long as the store was away; its agent saw it.
+func TestAServerThatItsAgentSeesLeavingGetsNoRequests(t *testing.T) {
+	c := qt.New(t)
+	f := newFleet()
+	f.SetState(state(), 0)
+	f.Apply([]catalog.Backend{listed("m1", modelService, "10.0.0.1:1", 1), listed("m2", modelService, "10.0.0.2:1", 1)}, nil, true, 0)
+	load := Load{Address: "10.0.0.1:1", Sequence: 1, Models: []catalog.Model{{Name: model, Version: 1}}, Leaving: true}
+	f.Report(load, time.Second)
+	for range 20 {
+		c.Assert(f.Choose(Request{Service: modelService, Model: model}, time.Second).Backend.ID, qt.Equals, "m2")
+	}
+	c.Assert(f.Choose(Request{Service: modelService, Model: model, Avoid: []filbertlever.HostID{"m2"}}, time.Second).Found, qt.IsFalse)
+	load.Leaving, load.Sequence = false, 2
+	f.Report(load, 2*time.Second)
+	c.Assert(f.Choose(Request{Service: modelService, Model: model, Avoid: []filbertlever.HostID{"m2"}}, 2*time.Second).Found, qt.IsTrue)
+}
+
 // Whatever servers say, and whichever rows come in which order, no process gets a request
 // after it has said that it leaves.
 func TestWhatServersSayInAnyOrder(t *testing.T) {
--- a/internal/transport/gateway/ports.go
+++ b/internal/transport/gateway/ports.go
@@ -83,6 +83,8 @@
 	Life string
 	// Leaves is true if the server says that it is about to end.
 	Leaves bool
+	// Closes is true if the server closes the connection after the answer.
+	Closes bool
 	// Rest is how long the server wants no more requests of this entry; 0 if it did not say.
 	Rest time.Duration
 	// Version is the version of the weights that answer; 0 if unknown.
--- a/internal/transport/gateway/said.go
+++ b/internal/transport/gateway/said.go
@@ -13,6 +13,7 @@
 const (
 	saidLeaves = "Leaves"
 	saidRests  = "Rests"
+	saidCloses = "Closes"
 )
 
 // said takes what a server says of itself in the head of an answer, before anything of the
@@ -28,6 +29,9 @@
 	if reply.Leaves {
 		a.noteSaid(backend, saidLeaves, reply, g.fleet.Leaves(backend, now))
 	}
+	if reply.Closes && g.fleet.Closes(backend, now) {
+		a.noteSaid(backend, saidCloses, reply, true)
+	}
 	if reply.Rest > 0 {
 		a.noteSaid(backend, saidRests, reply, g.fleet.Rests(backend, reply.Rest, now))
 	}
--- a/internal/transport/sidecar/boots.go
+++ b/internal/transport/sidecar/boots.go
@@ -8,6 +8,7 @@
 	"go.uber.org/zap"
 
 	"github.com/filbertlever/filbertlever/internal/coordination/catalog"
+	"github.com/filbertlever/filbertlever/internal/coordination/drain"
 )
 
 // errRestarted means that the process that something was begun for is gone.
@@ -39,7 +40,9 @@
 			s.restarted(before, &report)
 		}
 	}
-	s.news = s.news || math.Abs(report.Pace-s.report.Pace) > paceNews
+	leaving := s.closing.Leaving()
+	s.closing.Observe(report.Closes)
+	s.news = s.news || math.Abs(report.Pace-s.report.Pace) > paceNews || s.closing.Leaving() != leaving
 	s.report, s.hasReport, s.reportedOnce, s.reportAsked = report, true, true, asked
 }
 
@@ -56,6 +59,7 @@
 	s.before = append(s.before, before)
 	s.before = s.before[max(len(s.before)-bootsTold, 0):]
 	s.switching, s.news = false, true
+	s.closing = drain.Closing{}
 	for _, m := range s.models {
 		m.leavesAt, m.servedAt = 0, 0
 		m.giveUp(errRestarted)
--- a/internal/transport/sidecar/reports.go
+++ b/internal/transport/sidecar/reports.go
@@ -56,6 +56,7 @@
 	load := fleet.Load{
 		Address: s.config.Address, Boot: s.report.Boot, Before: s.before, Sequence: uint64(time.Now().UnixNano()),
 		Running: s.report.Running, Queued: s.report.Queued, Pace: s.report.Pace, Switching: s.switching, Models: s.report.Models,
+		Leaving: s.closing.Leaving(),
 	}
 	now := boottime.Now()
 	for _, m := range s.models {
--- a/internal/transport/sidecar/sidecar.go
+++ b/internal/transport/sidecar/sidecar.go
@@ -15,6 +15,7 @@
 	"go.uber.org/zap"
 
 	"github.com/filbertlever/filbertlever/internal/coordination/catalog"
+	"github.com/filbertlever/filbertlever/internal/coordination/drain"
 	"github.com/filbertlever/filbertlever/internal/coordination/switchover"
 	"github.com/filbertlever/filbertlever/internal/transport/datagrams"
 	"github.com/filbertlever/filbertlever/internal/transport/gateway"
@@ -34,6 +35,8 @@
 	Running int
 	// Pace is above 1 if the server is slower than it should be; 0 if unknown.
 	Pace float64
+	// Closes is true if the server closes the connection after the report.
+	Closes bool
 }
 
 // Engine is the model server on this host.
@@ -109,6 +112,8 @@
 	news bool
 	// switching is true while entries should send nothing here.
 	switching bool
+	// closing tells whether the server leaves.
+	closing   drain.Closing
 	report    Report
 	hasReport bool
 	// reportAsked is when report was asked for.
