--- /dev/null
+++ b/internal/transport/gateway/uptime_test.go
@@ -0,0 +1,75 @@
+package gateway
+
+import (
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"go.uber.org/zap"
+
+	"github.com/filbertlever/filbertlever/internal/coordination/fleet"
+	"github.com/filbertlever/filbertlever/internal/coordination/uptime"
+)
+
+func TestStoreUptimeAsItIsSent(t *testing.T) {
+	const now = time.Hour
+	tests := []struct {
+		name string
+		span uptime.Span
+		want *StoreUptime
+	}{
+		{"in milliseconds", uptime.Span{First: now - 5*time.Second, Last: now - 20*time.Millisecond}, &StoreUptime{First: 5000, Last: 20}},
+		{"for hours", uptime.Span{First: 0, Last: now}, &StoreUptime{First: 65535}},
+		{"too long ago", uptime.Span{First: 0, Last: now - 2*time.Minute}, nil},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			sent := newStoreUptime(test.span, now)
+			qt.Assert(t, sent, qt.DeepEquals, test.want)
+			if sent != nil {
+				got := sent.span(now)
+				qt.Assert(t, got.Last, qt.Equals, test.span.Last)
+				qt.Assert(t, got.First >= test.span.First, qt.IsTrue)
+			}
+		})
+	}
+}
+
+// What cannot be, from a damaged process, becomes no longer a stretch than it says.
+func TestAStoreUptimeThatEndsBeforeItBegins(t *testing.T) {
+	got := (&StoreUptime{First: 10, Last: 500}).span(time.Second)
+	qt.Assert(t, got, qt.Equals, uptime.Span{First: 500 * time.Millisecond, Last: 500 * time.Millisecond})
+}
+
+// An entry that follows a reader took rows that lapsed in an outage for removed ones, as it
+// knew of the outage only with the next heartbeat.
+func TestAFeedAnswerTellsOfTheOutageBeforeItsRows(t *testing.T) {
+	c := qt.New(t)
+	header := http.Header{}
+	for name, value := range map[string]string{headerRevision: "7", headerAge: "0", headerFirst: "40", headerLast: "10"} {
+		header.Set(name, value)
+	}
+	answer, err := decodeFeed(header, strings.NewReader(""))
+	c.Assert(err, qt.IsNil)
+	c.Assert(answer.Store, qt.DeepEquals, &StoreUptime{First: 40, Last: 10})
+	header.Set(headerLast, "-1")
+	_, err = decodeFeed(header, strings.NewReader(""))
+	c.Assert(err, qt.ErrorMatches, "decode feed: Store-First: .*")
+}
+
+// Late reports of other entries end an outage that was this entry's own absence.
+func TestAnAbsenceThatOthersDenyIsNoOutage(t *testing.T) {
+	c := qt.New(t)
+	g := &Gateway{fleet: fleet.New(fleet.DefaultConfig(), rand.New(rand.NewPCG(1, 2))), log: zap.NewNop()}
+	at := func(seconds int) time.Duration { return time.Duration(seconds) * time.Second }
+	g.takeStoreUp(uptime.Span{First: at(1), Last: at(5)}, at(5))
+	g.takeStoreUp(uptime.Span{First: at(9), Last: at(9)}, at(9))
+	_, outage := g.uptime.OutageEnd()
+	c.Assert(outage, qt.IsTrue)
+	g.takeStoreUp((&StoreUptime{First: 8000, Last: 500}).span(at(10)), at(10))
+	_, outage = g.uptime.OutageEnd()
+	c.Assert(outage, qt.IsFalse)
+}
