--- a/internal/coordination/fleet/said_test.go
+++ b/internal/coordination/fleet/announcements_test.go
@@ -12,8 +12,8 @@
 	"github.com/filbertlever/filbertlever/internal/coordination/catalog"
 )
 
-// saidFleet has two plain servers.
-func saidFleet() (*Fleet, []catalog.Backend) {
+// twoServers has two plain servers.
+func twoServers() (*Fleet, []catalog.Backend) {
 	f := newFleet()
 	f.SetState(state(), 0)
 	all := []catalog.Backend{listed("o1", plainService, "10.0.0.1:1", 0), listed("o2", plainService, "10.0.0.2:1", 0)}
@@ -55,7 +55,7 @@
 		}, other},
 		{"it answers soundly", func(f *Fleet, all []catalog.Backend) { f.Answered("o1", time.Second) }, other},
 		{"the other one fails", func(f *Fleet, all []catalog.Backend) { f.Failed("o2", 10*time.Second) }, other},
-		{"it is the last", func(f *Fleet, all []catalog.Backend) { f.Leaves(all[1], time.Second) }, map[string]bool{}},
+		{"it is the last", func(f *Fleet, all []catalog.Backend) { f.NoteDraining(all[1], time.Second) }, map[string]bool{}},
 		{"it starts again under its ID", func(f *Fleet, all []catalog.Backend) {
 			first, second := all[0], all[0]
 			first.Boot, second.Boot = 1764723093000, 1764723099000
@@ -63,7 +63,7 @@
 			qt.Assert(t, picked(f, time.Second), qt.DeepEquals, other)
 			f.Apply([]catalog.Backend{second}, nil, false, time.Second)
 			// What the process before still says is not of this one.
-			f.Leaves(first, 2*time.Second)
+			f.NoteDraining(first, 2*time.Second)
 		}, both},
 		{"another one has its address", func(f *Fleet, all []catalog.Backend) {
 			next := all[0]
@@ -73,10 +73,10 @@
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
-			f, all := saidFleet()
-			qt.Assert(t, f.Leaves(all[0], 0), qt.IsTrue)
-			qt.Assert(t, f.Leaves(all[0], 0), qt.IsFalse)
-			qt.Assert(t, f.Takes(all[0], 0), qt.IsFalse)
+			f, all := twoServers()
+			qt.Assert(t, f.NoteDraining(all[0], 0), qt.IsTrue)
+			qt.Assert(t, f.NoteDraining(all[0], 0), qt.IsFalse)
+			qt.Assert(t, f.Accepts(all[0], 0), qt.IsFalse)
 			test.then(f, all)
 			qt.Assert(t, picked(f, 10*time.Second), qt.DeepEquals, test.want)
 		})
@@ -96,10 +96,10 @@
 	}{
 		{"nothing happens", func(*Fleet, []catalog.Backend) {}, other},
 		{"its row comes again", func(f *Fleet, all []catalog.Backend) { f.Apply(all, nil, true, time.Second) }, other},
-		{"it names a shorter time", func(f *Fleet, all []catalog.Backend) { f.Rests(all[0], time.Millisecond, time.Second) }, other},
+		{"it names a shorter time", func(f *Fleet, all []catalog.Backend) { f.NoteRetryAfter(all[0], time.Millisecond, time.Second) }, other},
 		{"it answers a request sent before", func(f *Fleet, all []catalog.Backend) { f.Answered("o1", time.Second) }, other},
 		{"the other one fails", func(f *Fleet, all []catalog.Backend) { f.Failed("o2", rest-100*time.Millisecond) }, other},
-		{"the other one rests too", func(f *Fleet, all []catalog.Backend) { f.Rests(all[1], rest, time.Second) }, map[string]bool{}},
+		{"the other one rests too", func(f *Fleet, all []catalog.Backend) { f.NoteRetryAfter(all[1], rest, time.Second) }, map[string]bool{}},
 		{"another one has its address", func(f *Fleet, all []catalog.Backend) {
 			next := all[0]
 			next.ID, next.Revision = "o3", 1
@@ -108,18 +108,18 @@
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
-			f, all := saidFleet()
-			qt.Assert(t, f.Rests(all[0], rest, 0), qt.IsTrue)
-			qt.Assert(t, f.Rests(all[0], rest, 0), qt.IsFalse)
+			f, all := twoServers()
+			qt.Assert(t, f.NoteRetryAfter(all[0], rest, 0), qt.IsTrue)
+			qt.Assert(t, f.NoteRetryAfter(all[0], rest, 0), qt.IsFalse)
 			test.then(f, all)
-			qt.Assert(t, f.Takes(all[0], rest-time.Millisecond), qt.IsFalse)
+			qt.Assert(t, f.Accepts(all[0], rest-time.Millisecond), qt.IsFalse)
 			qt.Assert(t, picked(f, rest-time.Millisecond), qt.DeepEquals, test.want)
 			if len(test.want) == 0 {
 				qt.Assert(t, f.ReadyIn(plainService, rest-time.Millisecond), qt.Equals, time.Millisecond)
 			}
-			f, all = saidFleet()
-			f.Rests(all[0], rest, 0)
-			qt.Assert(t, f.Takes(all[0], rest), qt.IsTrue)
+			f, all = twoServers()
+			f.NoteRetryAfter(all[0], rest, 0)
+			qt.Assert(t, f.Accepts(all[0], rest), qt.IsTrue)
 			qt.Assert(t, picked(f, rest+sweepEvery), qt.DeepEquals, both)
 		})
 	}
@@ -150,9 +150,9 @@
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
-			f, all := saidFleet()
+			f, all := twoServers()
 			test.then(f, all[0])
-			qt.Assert(t, f.Takes(all[0], 1500*time.Millisecond), qt.Equals, test.want)
+			qt.Assert(t, f.Accepts(all[0], 1500*time.Millisecond), qt.Equals, test.want)
 		})
 	}
 }
@@ -161,13 +161,13 @@
 // one that lapsed.
 func TestAMissingServerThatClosesItsConnectionHasLeft(t *testing.T) {
 	c := qt.New(t)
-	f, all := saidFleet()
-	c.Assert(f.Closes(all[0], 0), qt.IsFalse)
+	f, all := twoServers()
+	c.Assert(f.NoteConnectionClose(all[0], 0), qt.IsFalse)
 	f.SetOutageEnd(time.Second, true, time.Second)
 	f.Apply(nil, []string{all[0].ID}, false, time.Second)
 	request := Request{Service: plainService, Avoid: []filbertlever.HostID{"o2"}}
 	c.Assert(f.Choose(request, 1500*time.Millisecond).Found, qt.IsTrue)
-	c.Assert(f.Closes(all[0], 1500*time.Millisecond), qt.IsTrue)
+	c.Assert(f.NoteConnectionClose(all[0], 1500*time.Millisecond), qt.IsTrue)
 	c.Assert(f.Choose(request, 1500*time.Millisecond).Found, qt.IsFalse)
 }
 
@@ -192,7 +192,7 @@
 // after it has said that it leaves.
 func TestWhatServersSayInAnyOrder(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		f, all := saidFleet()
+		f, all := twoServers()
 		boots := []catalog.Boot{1764723093000, 1764723094000}
 		now := time.Second
 		left := map[string]bool{}
@@ -201,7 +201,7 @@
 			at := rapid.IntRange(0, 1).Draw(t, "server")
 			switch rapid.IntRange(0, 5).Draw(t, "event") {
 			case 0:
-				f.Leaves(all[at], now)
+				f.NoteDraining(all[at], now)
 				if f.Known(all[at].ID) {
 					left[fmt.Sprint(all[at].ID, all[at].Boot)] = true
 				}
@@ -212,7 +212,7 @@
 			case 3:
 				f.Failed(all[at].ID, now)
 			case 5:
-				f.Rests(all[at], time.Duration(rapid.IntRange(0, 5000).Draw(t, "rest"))*time.Millisecond, now)
+				f.NoteRetryAfter(all[at], time.Duration(rapid.IntRange(0, 5000).Draw(t, "rest"))*time.Millisecond, now)
 			case 4:
 				if all[at].Boot == 0 {
 					all[at].Boot, left[fmt.Sprint(all[at].ID, boots[0])] = boots[0], left[fmt.Sprint(all[at].ID, 0)]
@@ -224,7 +224,7 @@
 			}
 			for id := range picked(f, now) {
 				b := f.servers[id].backend
-				if !f.Takes(b, now) {
+				if !f.Accepts(b, now) {
 					t.Fatalf("%s gets requests while it wants none", b.ID)
 				}
 				if left[fmt.Sprint(b.ID, b.Boot)] {
--- a/internal/coordination/fleet/boots.go
+++ b/internal/coordination/fleet/boots.go
@@ -65,12 +65,11 @@
 	f.byAddress[backend.Address] = backend.ID
 }
 
-// takesRow reports whether a row tells of the process that is believed in, or of one
-// that has followed it, which then is believed in.
+// takesRow reports whether a row is of the process that is believed in, or of one that has
+// followed it, which then is believed in.
 //
-// Guard: rows arrive on several ways, and a process's last write may be performed after
-// the report of the next. A row of a process that is gone would bring back what it held:
-// requests go where nothing is held, and the counts of two processes mix.
+// Guard: a process's last write may be performed after the report of the next. Its row must not
+// bring back what a process that is gone held.
 func (f *Fleet) takesRow(s *server, row *catalog.Backend, now time.Duration) bool {
 	if row.Revision < s.row.revision {
 		return false
@@ -83,7 +82,7 @@
 		return true
 	case row.Boot == believed || believed == 0:
 		return true
-	case row.Boot < believed && (f.speaks(s, now) || f.hasEnded(life{row.ID, row.Boot}, now)):
+	case row.Boot < believed && (f.reportsLately(s, now) || f.hasEnded(life{row.ID, row.Boot}, now)):
 		return false
 	}
 	f.restart(s, SourceRow, row.Boot, row.Models, now)
@@ -101,8 +100,8 @@
 		return true
 	case slices.Contains(load.Before, believed):
 		// The agent has seen this one follow.
-	case load.Boot == s.row.boot && !f.speaks(s, now):
-		// A late datagram was believed, and its process tells nothing more.
+	case load.Boot == s.row.boot && !f.reportsLately(s, now):
+		// A late datagram was believed, and its process reports nothing more.
 	case load.Boot < believed || f.hasEnded(life{s.backend.ID, load.Boot}, now):
 		return false
 	}
@@ -113,16 +112,15 @@
 	return true
 }
 
-// speaks reports whether the process that is believed in has told of itself lately.
-func (f *Fleet) speaks(s *server, now time.Duration) bool {
+// reportsLately reports whether the process that is believed in has a fresh report.
+func (f *Fleet) reportsLately(s *server, now time.Duration) bool {
 	return s.hasReport && now-s.reportedAt < f.config.ReportFresh
 }
 
 // restart drops all that is held of the process before.
 //
-// Guard: a server that starts again under its ID holds and knows nothing of before. Its
-// weights, counts, change due, drain and suspicion were those of another process:
-// callers are sent where nothing is held, or kept from a sound server for ten seconds.
+// Guard: a server that starts again under its ID holds nothing of before; weights, counts, drain
+// and suspicion were those of another process.
 func (f *Fleet) restart(s *server, source Source, boot catalog.Boot, holds []catalog.Model, now time.Duration) {
 	before := s.backend
 	f.noteReplaced(before)
@@ -133,7 +131,7 @@
 	backend := before
 	backend.Boot, backend.Models, backend.Leaving = boot, nil, false
 	delete(f.busy, before.ID)
-	delete(f.words, before.ID)
+	delete(f.announcements, before.ID)
 	f.forgetReport(s)
 	*s = server{backend: backend, row: s.row, missingSince: s.missingSince, bootedAt: max(now, 1)}
 	f.noteUsable(s, false)
@@ -174,7 +172,7 @@
 	return restarts
 }
 
-// replacedMost bounds the processes that are told of at once.
+// replacedMost bounds the processes that Replacements returns at once.
 const replacedMost = 4096
 
 func (f *Fleet) noteReplaced(b catalog.Backend) {
@@ -202,8 +200,8 @@
 // Avoid returns the servers that a request is to go to no more, of those that it has been
 // to.
 //
-// Guard: where a service has few servers, the one that broke an answer off is the one to
-// go on at, once it has started again. Left out by its ID, the answer was lost.
+// Guard: where a service has few servers, the one that broke an answer off, once started again, is
+// the one to go on at.
 func (f *Fleet) Avoid(tried []catalog.Backend) []filbertlever.HostID {
 	var avoid []filbertlever.HostID
 	for _, b := range tried {
@@ -219,13 +217,12 @@
 // heartbeat.
 const bootHeard = 5 * time.Second
 
-// Told reports whether another entry's word on a server is of the process believed in.
+// IsCurrent reports whether another entry's report on a server is of the process believed in.
 // The boot that it names is 0 if it knows of no restart.
 //
-// Guard: entries hear of a restart up to seconds apart, and what they tell each other is
-// by the server's ID. Requests at the process before were counted at the new one, which
-// looked full, or silent, and got none.
-func (f *Fleet) Told(id string, boot catalog.Boot, now time.Duration) bool {
+// Guard: entries hear of a restart seconds apart. Requests at the process before must not count
+// at the new one, which would look full or silent.
+func (f *Fleet) IsCurrent(id string, boot catalog.Boot, now time.Duration) bool {
 	s, ok := f.servers[id]
 	if !ok || s.bootedAt == 0 {
 		return true
@@ -233,7 +230,7 @@
 	return boot == s.backend.Boot || boot == 0 && now-s.bootedAt >= bootHeard
 }
 
-// Boots returns which process this entry's word on servers is of, for those that started
+// Boots returns which process this entry's reports on servers are of, for those that started
 // again lately.
 func (f *Fleet) Boots(ids []string, now time.Duration) map[string]catalog.Boot {
 	var boots map[string]catalog.Boot
@@ -252,8 +249,8 @@
 
 // EndedAt notes that a request has ended at the process that it was placed at.
 //
-// Guard: requests to a process that is gone end late, behind a cut seconds after the new
-// one has its own. Taken from the count of the new one, it would look idle while full.
+// Guard: requests at a process that is gone end late; taken from the count of the new one, it
+// would look idle while full.
 func (f *Fleet) EndedAt(b catalog.Backend) {
 	if !f.Followed(b) {
 		f.Ended(b.ID)
--- a/internal/coordination/fleet/choose.go
+++ b/internal/coordination/fleet/choose.go
@@ -15,7 +15,7 @@
 	Model string
 	// Version is the only version wanted; 0 means any.
 	Version uint64
-	// Least is the oldest version wanted, one that SetNamed told; 0 means any.
+	// Least is the oldest version wanted, one that SetNamed was given; 0 means any.
 	Least        uint64
 	PromptTokens int
 	// AnswerTokens is how long the answer is expected to be; 0 if not known.
@@ -118,14 +118,13 @@
 
 // chooseSuspected picks among servers that failed lately.
 //
-// Guard: if all servers of a service fail some of their requests, all are under
-// suspicion most of the time, and every request would be refused though most
-// would be answered.
+// Guard: if all servers of a service fail some requests, all are suspected most of the time; most
+// requests would still be answered.
 func (f *Fleet) chooseSuspected(router *routing.Router, service string, wanted *routing.Request, now time.Duration) routing.Choice {
 	var suspected []string
-	for id := range f.wobbly {
+	for id := range f.transient {
 		s, ok := f.servers[id]
-		fit := ok && s.backend.Service == service && s.missingSince == 0 && now >= s.switchingUntil && now >= f.restsUntil(s)
+		fit := ok && s.backend.Service == service && s.missingSince == 0 && now >= s.switchingUntil && now >= f.retryAt(s)
 		if fit && f.table.Fit(filbertlever.HostID(id), f.at(now)) {
 			suspected = append(suspected, id)
 			router.SetHost(f.host(s.backend), true)
@@ -158,12 +157,12 @@
 	return f.readyIn(Request{Service: service}, now)
 }
 
-// readyIn is when the first server will hold what a request needs, or wants requests again.
+// readyIn is when the first server will hold what a request needs, or accept requests again.
 func (f *Fleet) readyIn(request Request, now time.Duration) time.Duration {
 	first := time.Duration(0)
 	for _, s := range f.servers {
-		at := max(s.loadedAt, f.restsUntil(s))
-		if s.backend.Service != request.Service || at <= now || f.hasLeft(s.backend) {
+		at := max(s.loadedAt, f.retryAt(s))
+		if s.backend.Service != request.Service || at <= now || f.announcedDraining(s.backend) {
 			continue
 		}
 		if in := at - now; first == 0 || in < first {
--- a/internal/coordination/fleet/counts.go
+++ b/internal/coordination/fleet/counts.go
@@ -11,7 +11,7 @@
 type Load struct {
 	// Address is where the server serves.
 	Address string `cbor:"1,keyasint"`
-	// Boot is the server's start; 0 if the agent does not tell it.
+	// Boot is the server's start; 0 if the agent does not report it.
 	Boot catalog.Boot `cbor:"2,keyasint,omitempty"`
 	// Before are the boots that the agent saw end, the latest last.
 	Before []catalog.Boot `cbor:"3,keyasint,omitempty"`
@@ -59,7 +59,7 @@
 	}
 	if load.Switching {
 		s.switchingUntil = now + f.config.SwitchMost
-		f.wobbly[s.backend.ID] = true
+		f.transient[s.backend.ID] = true
 	}
 	if changed {
 		f.list(now)
@@ -72,10 +72,10 @@
 // of 16 places takes and ends about four.
 const strayRequests = 4
 
-// count tells the router how many requests of other entries a server has.
+// count updates the router's count of other entries' requests at a server.
 //
-// Guard: an entry that cannot be heard still sends, and its requests wait in the
-// same queue; the server's own report shows what no entry tells of.
+// Guard: requests of an entry that is not heard wait in the same queue; only the server's own
+// report shows them.
 func (f *Fleet) count(s *server, now time.Duration) {
 	router := f.router(s.backend.Service)
 	if router == nil {
@@ -124,22 +124,22 @@
 // SetCounts takes how many requests another entry has at each server; nil if
 // the entry is gone.
 func (f *Fleet) SetCounts(entry filbertlever.HostID, counts map[string]int, now time.Duration) {
-	for _, id := range f.told[entry] {
+	for _, id := range f.gossiped[entry] {
 		if counts[id] == 0 {
 			f.setOthers(id, entry, 0, now)
 		}
 	}
-	told := f.told[entry][:0]
+	known := f.gossiped[entry][:0]
 	for id, n := range counts {
 		if n > 0 && f.setOthers(id, entry, n, now) {
-			told = append(told, id)
+			known = append(known, id)
 		}
 	}
-	if len(told) == 0 {
-		delete(f.told, entry)
+	if len(known) == 0 {
+		delete(f.gossiped, entry)
 		return
 	}
-	f.told[entry] = told
+	f.gossiped[entry] = known
 }
 
 // setOthers takes how many requests another entry has at one server; it returns false if
--- a/internal/coordination/fleet/fleet.go
+++ b/internal/coordination/fleet/fleet.go
@@ -44,8 +44,8 @@
 	// region is silent, and ReportForgotten when it counts as one without agent.
 	ReportMissed    time.Duration
 	ReportForgotten time.Duration
-	// SilentTold is how long another entry's word on a silent server holds.
-	SilentTold time.Duration
+	// SilentTTL is how long another entry's report of a silent server holds.
+	SilentTTL time.Duration
 	// LapseGrace is how long after an outage of the store a missing row may be one that
 	// lapsed meanwhile and comes back.
 	LapseGrace time.Duration
@@ -70,7 +70,7 @@
 		PlainStall:  300 * time.Millisecond,
 		// Three reports missed, and one late.
 		ReportMissed:    700 * time.Millisecond,
-		SilentTold:      time.Second,
+		SilentTTL:       time.Second,
 		ReportForgotten: 15 * time.Second,
 		SwitchMost:      4 * time.Second,
 		LapseGrace:      2 * time.Second,
@@ -110,7 +110,7 @@
 	leavesAt time.Duration
 	// switchingUntil is when the server is taken to have ended its switch.
 	switchingUntil time.Duration
-	// placedUsable is what the router was told last; Fleet.unfit has those that are not.
+	// placedUsable is what the router was last given; Fleet.unusable has those that are not.
 	placedUsable bool
 	// silentUntil is until when entries of the server's own region say that it is
 	// silent; this entry, of another region, cannot see it.
@@ -132,32 +132,30 @@
 	// byAddress gives the server listed last for an address.
 	byAddress map[string]string
 	revision  uint64
-	// words are what servers have said of themselves in answers, by ID.
-	words map[string]*word
+	// announcements are what servers have announced in answers, by ID.
+	announcements map[string]*announcement
 	// named are the versions of each model that operators have named.
 	named map[string][]uint64
-	// lacking is how many servers of a service in a row lacked what they should hold.
-	lacking map[string]int
-	// wobbly are servers whose fitness changes with time alone.
-	wobbly map[string]bool
-	// ended are processes that have ended, and restarts those that were told of none yet.
+	// modelMisses is how many servers of a service in a row lacked what they should hold.
+	modelMisses map[string]int
+	// transient are servers whose fitness changes with time alone.
+	transient map[string]bool
+	// ended are processes that have ended, and restarts those that Restarts has not returned.
 	ended    map[life]time.Duration
 	restarts []Restart
-	// replaced are processes that another has followed, and that were told of to none yet.
+	// replaced are processes that another has followed, and that Replacements has not returned.
 	replaced []catalog.Backend
-	// What has changed is noted where it changes, so that no step looks at every server:
-	// the counts of 20 entries and the ticks of 25 ms took 5 us and 9 us each at 265
-	// servers, 77 us and 229 us at 2,700, and take 1.5 us and 1.8 us at either.
+	// What has changed is noted where it changes, so that no step looks at every server.
 
 	// busy are the servers that have requests of this entry.
 	busy map[string]*server
-	// told are the servers at which another entry has requests.
-	told map[filbertlever.HostID][]string
+	// gossiped are the servers at which another entry has requests.
+	gossiped map[filbertlever.HostID][]string
 	// reports has the servers of this region by when they last reported, the longest ago
 	// first, but for those that are forgotten.
 	reports *list.List
-	// unfit are the servers that get no requests.
-	unfit map[string]*server
+	// unusable are the servers that get no requests.
+	unusable map[string]*server
 	// sweptAt is when servers were last looked at for silence.
 	sweptAt time.Duration
 	// outageEnd is the end of the store's last outage; hadOutage is false if none is known.
@@ -169,22 +167,22 @@
 // New returns a fleet that knows no server.
 func New(config Config, rng *rand.Rand) *Fleet {
 	return &Fleet{
-		config:    config,
-		rng:       rng,
-		table:     membership.New(membership.DefaultConfig()),
-		routers:   map[string]*routing.Router{},
-		servers:   map[string]*server{},
-		byAddress: map[string]string{},
-		words:     map[string]*word{},
-		named:     map[string][]uint64{},
-		lacking:   map[string]int{},
-		wobbly:    map[string]bool{},
-		ended:     map[life]time.Duration{},
-		busy:      map[string]*server{},
-		told:      map[filbertlever.HostID][]string{},
-		reports:   list.New(),
-		unfit:     map[string]*server{},
-		epoch:     time.Unix(0, 0),
+		config:        config,
+		rng:           rng,
+		table:         membership.New(membership.DefaultConfig()),
+		routers:       map[string]*routing.Router{},
+		servers:       map[string]*server{},
+		byAddress:     map[string]string{},
+		announcements: map[string]*announcement{},
+		named:         map[string][]uint64{},
+		modelMisses:   map[string]int{},
+		transient:     map[string]bool{},
+		ended:         map[life]time.Duration{},
+		busy:          map[string]*server{},
+		gossiped:      map[filbertlever.HostID][]string{},
+		reports:       list.New(),
+		unusable:      map[string]*server{},
+		epoch:         time.Unix(0, 0),
 	}
 }
 
@@ -246,7 +244,7 @@
 	for _, id := range gone {
 		if s, ok := f.servers[id]; ok && s.missingSince == 0 {
 			s.missingSince = max(now, 1)
-			f.wobbly[id] = true
+			f.transient[id] = true
 		}
 	}
 	f.list(now)
@@ -260,10 +258,8 @@
 
 // dropReplaced drops servers whose address has been taken by another one since.
 //
-// Guard: after a loss of power every server is a new one at its old address, and the row
-// of the old one stays for some seconds. Entries sent each request to old ones first and
-// were told so, up to seven times; that used up the retries, and 980 callers were refused
-// in 4 s at 45 entries.
+// Guard: after a loss of power every server is a new one at its old address, and the rows of
+// the old ones, which stay for seconds, would use up the retries.
 func (f *Fleet) dropReplaced(present []catalog.Backend) {
 	newest := map[string]string{}
 	for id, s := range f.servers {
@@ -295,7 +291,7 @@
 }
 
 func (f *Fleet) host(b catalog.Backend) filbertlever.Host {
-	return filbertlever.Host{ID: filbertlever.HostID(b.ID), Site: b.Site, Region: f.config.Regions[b.Site], Leaving: f.leaves(b)}
+	return filbertlever.Host{ID: filbertlever.HostID(b.ID), Site: b.Site, Region: f.config.Regions[b.Site], Leaving: f.draining(b)}
 }
 
 // plainTarget is the target of services without models.
@@ -392,12 +388,11 @@
 }
 
 const (
-	// samples is how many servers are weighed. Of 16 to 60 servers eight drawn
-	// at random hold one of the least loaded fifth five times in six.
+	// samples is how many servers are weighed: one of the least loaded fifth is among them
+	// nearly always.
 	samples = 8
-	// cutCost is what it costs to begin an answer where it will be broken off. 20 ms
-	// tip the scales between servers that are alike: a calm day's worth 0.82 -> 0.84.
-	// At 150 ms long answers gathered at too few servers: 0.76.
+	// cutCost is what it costs to begin an answer where it will be broken off: it decides
+	// between servers that are alike, and does not gather long answers at a few.
 	cutCost = 20 * time.Millisecond
 	// firstPasses is how many passes of an engine a new request waits through
 	// before its first event, with others' prompts read between.
--- a/internal/coordination/fleet/fleet_test.go
+++ b/internal/coordination/fleet/fleet_test.go
@@ -284,7 +284,7 @@
 	f := newFleet()
 	f.SetState(state(), 0)
 	f.Apply([]catalog.Backend{listed("m1", modelService, "m1", 1), listed("m2", modelService, "m2", 1)}, nil, true, 0)
-	f.Lacks("m1", 0)
+	f.NoteModelMissing("m1", 0)
 	for range 40 {
 		c.Assert(f.Choose(Request{Service: modelService, Model: model}, 0).Backend.ID, qt.Equals, "m2")
 	}
@@ -303,12 +303,12 @@
 		present = append(present, listed(id, modelService, id, 1))
 	}
 	f.Apply(present, nil, true, 0)
-	f.Lacks("m1", 0)
+	f.NoteModelMissing("m1", 0)
 	f.Answered("m2", 0)
-	f.Lacks("m2", 0)
+	f.NoteModelMissing("m2", 0)
 	wanted := Request{Service: modelService, Model: model}
 	c.Assert(f.Choose(wanted, 0).Found, qt.IsTrue)
-	f.Lacks("m3", 0)
+	f.NoteModelMissing("m3", 0)
 	c.Assert(f.Choose(wanted, 0).Found, qt.IsFalse)
 	f.Report(Load{Address: "m4", Sequence: 1, LoadedIn: 500 * time.Millisecond}, 0)
 	c.Assert(f.Choose(wanted, 0).ReadyIn, qt.Equals, 500*time.Millisecond)
@@ -384,8 +384,8 @@
 	f := newFleet()
 	f.SetState(state(), 0)
 	f.Apply([]catalog.Backend{listed("m1", modelService, "10.0.0.1:1", 1), listed("m2", modelService, "10.0.0.2:1", 1)}, nil, true, 0)
-	f.Lacks("m1", 0)
-	f.Lacks("m2", 0)
+	f.NoteModelMissing("m1", 0)
+	f.NoteModelMissing("m2", 0)
 	c.Assert(f.Choose(Request{Service: modelService, Model: model}, 0).Found, qt.IsFalse)
 	f.Report(Load{Address: "10.0.0.1:1", Sequence: 1, LoadedIn: 3 * time.Second}, time.Second)
 	f.Report(Load{Address: "10.0.0.2:1", Sequence: 1, LoadedIn: 2 * time.Second}, time.Second)
--- a/internal/coordination/fleet/health.go
+++ b/internal/coordination/fleet/health.go
@@ -9,7 +9,7 @@
 )
 
 // gone reports whether a server's row was removed. After an outage of the store, in which
-// the rows of live servers lapse, a missing row tells nothing for a while.
+// the rows of live servers lapse, a missing row shows nothing for a while.
 //
 // Guard: an absence of this entry alone lapses no row.
 func (f *Fleet) gone(s *server, now time.Duration) bool {
@@ -21,16 +21,14 @@
 	if f.gone(s, now) {
 		return false
 	}
-	return now >= s.switchingUntil && now >= s.silentUntil && now >= f.restsUntil(s) && !f.stalled(s, now) && !f.silent(s, now) && f.table.Usable(filbertlever.HostID(s.backend.ID), f.at(now))
+	return now >= s.switchingUntil && now >= s.silentUntil && now >= f.retryAt(s) && !f.stalled(s, now) && !f.silent(s, now) && f.table.Usable(filbertlever.HostID(s.backend.ID), f.at(now))
 }
 
 // stalled reports whether a server has requests and has been silent for longer
 // than any sound one is.
 //
-// Guard: a host that stands still refuses nothing and breaks nothing off; until
-// the first of its requests is given up it looks idle, and more are sent to it.
-// A sound engine sends a part of some answer every tenth of a second, once it has
-// read the prompts that came with the first.
+// Guard: a suspended host refuses nothing and breaks nothing off; it looks idle until its first
+// request is given up.
 func (f *Fleet) stalled(s *server, now time.Duration) bool {
 	if s.own == 0 {
 		return false
@@ -47,10 +45,8 @@
 // firstReading is how long an engine that has sent nothing yet of the requests that
 // it has now may read their prompts before it sends anything.
 //
-// Guard: after a loss of power 34 entries send a thousand requests within half a
-// second, and each engine gets a whole batch at once. It sends nothing for longer
-// than any engine at work does; 325 requests were given up at engines that were
-// reading them, and found no other place.
+// Guard: after a loss of power each engine gets a whole batch at once, and sends nothing while it
+// reads the prompts; it is not stalled.
 func (f *Fleet) firstReading(s *server, engine *catalog.Engine) time.Duration {
 	if s.heardAt >= s.batchAt {
 		return 0
@@ -71,13 +67,11 @@
 	}
 }
 
-// silent reports whether a server of this region, whose agent tells of it five
-// times a second, has not been heard of for a while, by its agent or its answers.
+// silent reports whether a server of this region has not been heard of for a while, neither by
+// its agent's reports nor by its answers.
 //
-// Guard: of several hosts that stand still at once, a request that is given up
-// at one is sent to the next, and reaches it when it wakes, long after its
-// caller has left. An agent that is merely being restarted is no sign as long as
-// the server's answers go on.
+// Guard: of several suspended hosts, a request that is given up at one would be sent to the next.
+// A restart of the agent alone is no sign, as answers go on.
 func (f *Fleet) silent(s *server, now time.Duration) bool {
 	if !s.hasReport || f.config.Regions[s.backend.Site] != f.config.Region {
 		return false
@@ -138,12 +132,12 @@
 	}
 }
 
-// SetSilent takes another entry's word on servers of its region.
+// SetSilent takes another entry's report on servers of its region.
 func (f *Fleet) SetSilent(ids []string, now time.Duration) {
 	for _, id := range ids {
 		s, ok := f.servers[id]
 		if ok && f.config.Regions[s.backend.Site] != f.config.Region {
-			s.silentUntil = now + f.config.SilentTold
+			s.silentUntil = now + f.config.SilentTTL
 			f.setUsable(s, now)
 		}
 	}
@@ -162,7 +156,7 @@
 // Answered notes that a server answered a request soundly.
 func (f *Fleet) Answered(id string, now time.Duration) {
 	if s, ok := f.servers[id]; ok {
-		f.lacking[s.backend.Service] = 0
+		f.modelMisses[s.backend.Service] = 0
 	}
 	f.table.Answered(filbertlever.HostID(id), f.at(now))
 }
@@ -171,7 +165,7 @@
 // unsoundly; it gets no request for a while.
 func (f *Fleet) Failed(id string, now time.Duration) {
 	f.table.Failed(filbertlever.HostID(id), f.at(now))
-	f.wobbly[id] = true
+	f.transient[id] = true
 	if _, ok := f.servers[id]; ok {
 		f.place(id, now)
 	}
@@ -187,12 +181,11 @@
 	}
 }
 
-// Lacks notes that a server says that it does not hold what was expected.
+// NoteModelMissing notes that a server does not hold what was expected.
 //
-// Guard: the list is a heartbeat behind, and after a loss of power it still
-// names what every server held before; all requests would go to servers that
-// hold nothing. Until the server's agent or the list says more, it holds nothing.
-func (f *Fleet) Lacks(id string, now time.Duration) {
+// Guard: the list is a heartbeat behind, and after a loss of power names what every server held
+// before. Until the server's agent or the list says more, the server holds nothing.
+func (f *Fleet) NoteModelMissing(id string, now time.Duration) {
 	s, ok := f.servers[id]
 	if !ok || f.state == nil || f.state.Services[s.backend.Service].Engine == nil {
 		return
@@ -200,22 +193,21 @@
 	s.backend.Models = nil
 	s.reported = nil
 	f.place(id, now)
-	f.lacking[s.backend.Service]++
-	if f.lacking[s.backend.Service] >= lackingMost {
-		f.doubtList(s.backend.Service, now)
+	f.modelMisses[s.backend.Service]++
+	if f.modelMisses[s.backend.Service] >= modelMissesMost {
+		f.distrustList(s.backend.Service, now)
 	}
 }
 
-// lackingMost is how many servers in a row must lack what the list says before the list
-// is doubted for all.
-const lackingMost = 2
+// modelMissesMost is how many servers in a row must lack what the list says before the list is
+// distrusted for all.
+const modelMissesMost = 2
 
-// doubtList takes servers of a service to hold nothing that no agent has told of.
+// distrustList takes servers of a service to hold only what agents have reported.
 //
-// Guard: after a loss of power each request went to one server after the other, up to
-// seven, that had held the model before; that used up the budget of retries, and 60
-// callers were refused who could have waited for the first server that was ready.
-func (f *Fleet) doubtList(service string, now time.Duration) {
+// Guard: after a loss of power requests would try one server after the other that held the model
+// before, and use up the budget of retries.
+func (f *Fleet) distrustList(service string, now time.Duration) {
 	for id, s := range f.servers {
 		if s.backend.Service != service || s.hasReport && now-s.reportedAt < f.config.ReportFresh {
 			continue
@@ -228,7 +220,7 @@
 // sweepEvery is how often it is looked which servers have fallen silent, or are no longer.
 const sweepEvery = 50 * time.Millisecond
 
-// setUsable tells the router whether a server is usable, if that has changed.
+// setUsable updates the router if it has changed whether a server is usable.
 func (f *Fleet) setUsable(s *server, now time.Duration) {
 	usable := f.usable(s, now)
 	if usable == s.placedUsable {
@@ -243,14 +235,14 @@
 func (f *Fleet) noteUsable(s *server, usable bool) {
 	s.placedUsable = usable
 	if usable {
-		delete(f.unfit, s.backend.ID)
+		delete(f.unusable, s.backend.ID)
 		return
 	}
-	f.unfit[s.backend.ID] = s
+	f.unusable[s.backend.ID] = s
 }
 
-// sweep looks at the servers that time alone may have made unfit, or fit again: those
-// whose agents are silent, those with requests, and those that are unfit.
+// sweep looks at the servers that time alone may have made unusable, or fit again: those
+// whose agents are silent, those with requests, and those that are unusable.
 func (f *Fleet) sweep(now time.Duration) {
 	if now-f.sweptAt < sweepEvery {
 		return
@@ -262,7 +254,7 @@
 	for _, s := range f.busy {
 		f.setUsable(s, now)
 	}
-	for _, s := range f.unfit {
+	for _, s := range f.unusable {
 		f.setUsable(s, now)
 	}
 }
@@ -270,10 +262,10 @@
 // refresh takes note of what time alone has changed.
 func (f *Fleet) refresh(now time.Duration) {
 	f.sweep(now)
-	for id := range f.wobbly {
+	for id := range f.transient {
 		s, ok := f.servers[id]
 		if !ok {
-			delete(f.wobbly, id)
+			delete(f.transient, id)
 			continue
 		}
 		if f.gone(s, now) {
@@ -282,7 +274,7 @@
 		}
 		f.place(id, now)
 		if s.missingSince == 0 && f.usable(s, now) {
-			delete(f.wobbly, id)
+			delete(f.transient, id)
 		}
 	}
 }
@@ -296,9 +288,9 @@
 	f.forget(s.backend)
 	f.forgetReport(s)
 	delete(f.servers, id)
-	delete(f.wobbly, id)
+	delete(f.transient, id)
 	delete(f.busy, id)
-	delete(f.unfit, id)
+	delete(f.unusable, id)
 	if f.byAddress[s.backend.Address] == id {
 		delete(f.byAddress, s.backend.Address)
 	}
--- a/internal/transport/gateway/attempts.go
+++ b/internal/transport/gateway/attempts.go
@@ -98,7 +98,7 @@
 	if err != nil {
 		return a.sendFailed(id, err), nil
 	}
-	a.said(placement.Backend, reply)
+	a.takeAnnouncements(placement.Backend, reply)
 	if end := a.judge(id, reply); end != 0 {
 		if end != forward.EndFailed {
 			reply.Finish(a.drainSmall(reply))
@@ -192,7 +192,7 @@
 		g.fleet.Replaced(id, boottime.Now())
 		return
 	}
-	g.fleet.Lacks(id, boottime.Now())
+	g.fleet.NoteModelMissing(id, boottime.Now())
 }
 
 var errUnsound = errors.New("answer without the server's receipt")
--- a/internal/transport/gateway/datagrams.go
+++ b/internal/transport/gateway/datagrams.go
@@ -81,7 +81,7 @@
 // takeCounts takes another entry's requests; the caller holds the lock.
 func (g *Gateway) takeCounts(counts *Counts, now time.Duration) {
 	if g.peers.newer(counts.From, counts.Sequence) {
-		told := func(id string) bool { return g.fleet.Told(id, counts.Boots[id], now) }
+		told := func(id string) bool { return g.fleet.IsCurrent(id, counts.Boots[id], now) }
 		maps.DeleteFunc(counts.Requests, func(id string, _ int) bool { return !told(id) })
 		counts.Silent = slices.DeleteFunc(counts.Silent, func(id string) bool { return !told(id) })
 		g.fleet.SetCounts(counts.From, counts.Requests, now)
--- a/internal/transport/gateway/metrics.go
+++ b/internal/transport/gateway/metrics.go
@@ -16,7 +16,7 @@
 	takenBack     *prometheus.CounterVec
 	serverEnds    *prometheus.CounterVec
 	quarantined   prometheus.Gauge
-	said          *prometheus.CounterVec
+	announcements *prometheus.CounterVec
 	placedMissing *prometheus.CounterVec
 	badDatagrams  prometheus.Counter
 	badRows       *prometheus.CounterVec
@@ -54,8 +54,8 @@
 			Name: "filbertlever_gateway_quarantined",
 			Help: "Requests that are kept from all servers, as servers end under them.",
 		}),
-		said: prometheus.NewCounterVec(prometheus.CounterOpts{
-			Name: "filbertlever_gateway_server_said_total",
+		announcements: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "filbertlever_gateway_server_announcements_total",
 			Help: "Answers in which a server says that it leaves, or wants no requests for a while.",
 		}, []string{"Service", "What"}),
 		placedMissing: prometheus.NewCounterVec(prometheus.CounterOpts{
@@ -71,7 +71,7 @@
 			Help: "Rows of the store that name nothing, by table and cause, once for each change of a row.",
 		}, []string{"Table", "Cause"}),
 	}
-	registry.MustRegister(m.outcomes, m.retries, m.first, m.beginLate, m.takenBack, m.serverEnds, m.quarantined, m.said, m.placedMissing, m.badDatagrams, m.badRows)
+	registry.MustRegister(m.outcomes, m.retries, m.first, m.beginLate, m.takenBack, m.serverEnds, m.quarantined, m.announcements, m.placedMissing, m.badDatagrams, m.badRows)
 	return m
 }
 
--- a/internal/transport/gateway/ports.go
+++ b/internal/transport/gateway/ports.go
@@ -82,11 +82,11 @@
 	// Life names the server that answered, if it is another than expected.
 	Life string
 	// Leaves is true if the server says that it is about to end.
-	Leaves bool
+	Draining bool
 	// Closes is true if the server closes the connection after the answer.
 	Closes bool
 	// Rest is how long the server wants no more requests of this entry; 0 if it did not say.
-	Rest time.Duration
+	RetryAfter time.Duration
 	// Version is the version of the weights that answer; 0 if unknown.
 	Version uint64
 	// Finish ends the use of the channel, which is kept only after a whole answer.
