--- a/internal/transport/datagrams/datagrams.go
+++ b/internal/transport/datagrams/datagrams.go
@@ -1,9 +1,7 @@
 // Package datagrams sends and takes the small messages between processes, many with
 // one system call.
 //
-// Where 20 entries and 50 agents of a region tell each other what they do, an entry
-// handles 600 messages a second each way. Sent and taken one by one, each cost some
-// 40 us of a core in system calls and wake-ups, three times what their content does.
+// Sent and received one by one, messages cost more in system calls and wake-ups than in content.
 package datagrams
 
 import (
@@ -22,9 +20,8 @@
 	batchMost = 64
 	// bytesMost is the largest message that is taken; longer ones are cut off there.
 	bytesMost = 8 << 10
-	// pause is the least time between two wake-ups for what has arrived. What entries
-	// tell each other is 25 to 100 ms apart, so 5 ms more make no placement worse; a
-	// start hears its peers within 20 ms.
+	// pause is the least time between two wake-ups for what has arrived; messages of one
+	// entry are several times as far apart.
 	pause = 5 * time.Millisecond
 )
 
@@ -90,7 +87,7 @@
 // resolvedMost is how many addresses are kept: those of all processes aimed for.
 const resolvedMost = 4096
 
-// resolve returns an address as the system wants it, which takes 1 us the first time.
+// resolve returns an address as the system wants it, and caches it.
 func (s *Socket) resolve(address string) (net.Addr, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/transport/gateway/named.go
+++ b/internal/transport/gateway/named.go
@@ -49,10 +49,8 @@
 // whose version may soon be too old, and when it is taken back if it has not; 0 if its
 // version has no such bound.
 //
-// Guard: whatever goes to older weights has such a time, also what is sent long before
-// the bound and what goes on with an answer. The first server that had a version got 83
-// requests within 80 ms from 42 entries; they waited there for up to 1.75 s, and some
-// began on it after the next one's bound.
+// Guard: whatever goes to older weights has such a time, also what is sent long before the bound and
+// what resumes an answer; it may wait in the server's queue past the bound.
 func (g *Gateway) takeBackAt(model string, now time.Duration, p fleet.Placement) (time.Duration, bool) {
 	if g.config.Bound <= 0 || g.plain(p.Backend.Service) {
 		return 0, true
@@ -147,15 +145,13 @@
 	return versions
 }
 
-// heardNamed takes a peer's word on when a version was named.
+// heardNamed takes a peer's report on when a version was named.
 //
-// Guard: a host that was cut off hears of a version seconds after all others. It
-// would send requests to servers with the older one, and tell its agents to wait
-// with their change, seconds after the bound; the earliest word counts.
+// Guard: a host that was cut off hears of a version late; counted from then, the bound would be kept
+// late. The earliest report counts.
 //
-// Guard: an entry that starts reads the newest version alone from the store. Of one that
-// was named shortly before it, whose bound comes first, only its peers can tell: requests
-// began on an older one 1.1 s after that bound.
+// Guard: an entry that starts reads only the newest version from the store. Of one that was named
+// shortly before it, whose bound comes first, only its peers know.
 func (g *Gateway) heardNamed(model string, version uint64, age, now time.Duration) {
 	list := g.named[model]
 	i := slices.IndexFunc(list, func(n named) bool { return n.version == version })
--- a/internal/transport/installation/roles.go
+++ b/internal/transport/installation/roles.go
@@ -43,9 +43,8 @@
 
 // Times of stops.
 const (
-	// takeShare is the part of a stop in which new requests are still taken,
-	// while callers learn to go elsewhere. Requests last 6 s at most on the
-	// users' installations, and a stop 8 s.
+	// takeShare is the part of a stop in which new requests are still accepted, while
+	// callers learn to go elsewhere; the rest is for those under way.
 	takeShare = 0.2
 	// stopMargin is left before the platform ends the process.
 	stopMargin = 500 * time.Millisecond
--- a/internal/transport/relay/ahead.go
+++ b/internal/transport/relay/ahead.go
@@ -21,8 +21,8 @@
 const (
 	// aheadPause is the pause after a round in which the origin failed.
 	aheadPause = 100 * time.Millisecond
-	// aheadMost is how long drawing ahead goes on: longer than outages of the
-	// origin that were met, 6 s, by ten times.
+	// aheadMost is how long fetching ahead goes on: much longer than outages of the
+	// origin last.
 	aheadMost = time.Minute
 	// aheadBeside is how many pieces of a newer version are drawn while one of the
 	// oldest cannot be had, before that is tried again.
@@ -50,8 +50,7 @@
 // asked for, not for its manifest: after a loss of power most servers still have
 // their pieces staged, and no piece has to move.
 //
-// Drawing only what is asked for leaves the origin's link half idle: 41 added
-// servers had their weights after 5.2 s, where the link allows 2.8 s.
+// Fetching only what is asked for leaves the origin's link half idle.
 func (r *Relay) Prefetch(named catalog.NamedVersion) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -69,11 +68,8 @@
 
 // runAhead draws ahead until nothing is left to draw.
 //
-// Guard: while the origin was away a second version was named. When it came back
-// both shared its thin link, and the older one, of which an eighth was missing,
-// took 4.4 s more, in which no server could answer; the oldest is finished first.
-// Nor is it given up while the origin is away: what only agents ask for comes one
-// piece at a time.
+// Guard: two versions that share the origin's thin link are both late; the oldest is finished first.
+// Nor is it given up while the origin is away: what only agents ask for comes one piece at a time.
 func (r *Relay) runAhead() {
 	for {
 		r.see()
--- a/internal/transport/relay/failures.go
+++ b/internal/transport/relay/failures.go
@@ -41,10 +41,9 @@
 
 // again reports whether a fetch that began then is tried once more.
 //
-// Guard: an entry that draws from the origin and gives up after half a second of an
-// outage lets those who wait for it ask another entry, which then draws the same
-// pieces as the origin comes back: 0.2 to 0.6 sets over its thin link, 0.5 s of it. It
-// tries on while those who wait do.
+// Guard: if an entry that fetches from the origin gives up early in an outage, those who wait for it
+// ask another one, which then fetches the same pieces as the origin comes back. It tries on while
+// those who wait do.
 func again(try int, failed failures, began time.Duration) bool {
 	if failed[originName] > 0 {
 		return boottime.Now()-began < originTried
@@ -52,9 +51,8 @@
 	return try < fetchTries
 }
 
-// originTried is how long an entry tries to draw from the origin before it tells those
-// who wait. Three such answers make them ask another one, longer than outages of the
-// origin that were met, 6 s.
+// originTried is how long an entry tries to fetch from the origin before it answers those who wait.
+// They ask another one after three such answers.
 const originTried = 3 * time.Second
 
 var errDied = errors.New("the entry no longer lives")
--- a/internal/transport/relay/handover.go
+++ b/internal/transport/relay/handover.go
@@ -17,12 +17,10 @@
 )
 
 const (
-	// keeperTimeout bounds a call for a piece that another entry may have: 34 ms of its
-	// link, over a border that is not idle.
+	// keeperTimeout bounds a call for a piece that another entry may have.
 	keeperTimeout = 150 * time.Millisecond
-	// keeperRest is how long no entry is asked after one did not answer. After a loss of
-	// power half of those that are believed alive may be gone for 5 s; asked for each of 64
-	// pieces they would put off the draws by seconds, and so by a tenth.
+	// keeperRest is how long no entry is asked after one did not answer: after a loss of
+	// power many may be gone, and asked for each piece they would put off the fetch.
 	keeperRest = 1500 * time.Millisecond
 	// keeperKind is how such entries are called in metrics.
 	keeperKind = "Keeper"
--- a/internal/transport/relay/holders.go
+++ b/internal/transport/relay/holders.go
@@ -16,8 +16,8 @@
 	// holderLanes is how many pieces an entry asks holders for at once; each gives
 	// out one at a time beside its live answers.
 	holderLanes = 4
-	// holderTimeout bounds one such call: 24 pieces of 27 ms wait at a holder where a
-	// site has four of them.
+	// holderTimeout bounds one such call: pieces for the rest of a site may wait at a
+	// holder.
 	holderTimeout = 1500 * time.Millisecond
 	// holderTurn is every how many tries of a piece holders are asked again.
 	holderTurn = 8
@@ -28,8 +28,7 @@
 // fromHolders asks hosts of this site that hold a version for a piece of it; false if
 // none has it whole.
 //
-// Gain: a set that servers hold need not come from the origin, over its thin link and
-// the border. With the origin away as 28 servers were added, they waited 9 s for it.
+// A set that servers hold need not come from the origin, which may be away.
 //
 // Guard: a holder gives out one piece at a time, and a try that failed at the origin kept
 // its place there while it asked one; it is for others meanwhile.
--- a/internal/transport/relay/manifest.go
+++ b/internal/transport/relay/manifest.go
@@ -16,8 +16,7 @@
 	"github.com/filbertlever/filbertlever/internal/transport/boottime"
 )
 
-// manifestWait is how long a manifest is waited for at another entry: 30 ms are usual
-// over a border that is not busy.
+// manifestWait is how long a manifest is waited for at another entry.
 const manifestWait = 150 * time.Millisecond
 
 // Manifest lists the pieces of one version of a model's weights.
@@ -116,9 +115,8 @@
 
 // wait waits for the manifest, from another entry only for a moment.
 //
-// Guard: after a loss of power the entry that should have it may not have started again,
-// and does not even refuse a connection: agents waited 0.7 s for a list of 7 KB, with
-// all the pieces of it beside their servers. The next source is asked.
+// Guard: after a loss of power the entry that should have it may not have started again, and does not
+// even refuse a connection. The next source is asked.
 func (d *manifestDraw) wait() (Manifest, error) {
 	patience := manifestWait
 	if d.source == originName {
--- a/internal/transport/relay/relay.go
+++ b/internal/transport/relay/relay.go
@@ -39,7 +39,7 @@
 
 // Bounds of a relay.
 const (
-	// versionsKept bounds the versions in memory, 2 MB each on the users' sites.
+	// versionsKept bounds the versions in memory.
 	versionsKept = 3
 	// originParallel is how many pieces one of the few drawers draws at once: two
 	// keep the origin's thin link full also if only one is left. Each more puts off
@@ -54,9 +54,9 @@
 	// fetchPauseMost bounds the pauses between tries, so that an origin that is
 	// back is soon seen to be: all servers may wait for it.
 	fetchPauseMost = 100 * time.Millisecond
-	// peerTimeout bounds a fetch from another entry that lives, where a piece may
-	// wait for its turn: two sets take 5.6 s on the thinnest link. Those who gave up
-	// sooner asked other entries, and the origin sent three copies.
+	// peerTimeout bounds a fetch from another entry that lives, where a piece may wait
+	// for its turn behind two sets: who gives up asks another one, and the origin sends
+	// one more copy.
 	peerTimeout = 12 * time.Second
 	// livingEvery is how often it is looked whether that entry still lives.
 	livingEvery = 200 * time.Millisecond
--- a/internal/transport/sidecar/fetch.go
+++ b/internal/transport/sidecar/fetch.go
@@ -19,8 +19,7 @@
 
 // How many pieces are moved at once: for an idle server enough to keep the host's
 // link full; for one that serves a single one, since callers' events wait behind
-// what is queued on the link, 34 ms for each piece. More are waited for: drawers
-// are up to 20 pieces apart.
+// what is queued on the link. More are waited for, as sources are many pieces apart.
 const (
 	lanesIdle     = 16
 	lanesServing  = 1
@@ -42,9 +41,8 @@
 
 // idle reports whether the server has no requests for the model and gets none.
 //
-// Guard: a server may begin to answer while a set is fetched. What had been begun at the
-// full rate of its link went on so, and requests needed up to 0.49 s to reach it, where
-// 1 ms is usual; it is asked anew for each piece.
+// Guard: a server may begin to answer while a set is fetched, and its requests would wait behind
+// pieces on its link; it is asked anew for each piece.
 func (f *fetching) idle() bool {
 	f.agent.mu.Lock()
 	defer f.agent.mu.Unlock()
@@ -120,9 +118,7 @@
 // fetch draws every piece that is not held. Some are waited for at once, in the
 // order in which homes draw, and so many as there are lanes are moved at once.
 //
-// Guard: with one piece waited for at a time, all that others had drawn meanwhile
-// waited behind it: sets that the origin's link allows in 2.9 s took 4.3 to 5.2 s,
-// and when it came back after an outage, 28 of 64 pieces were still to come.
+// Guard: with one piece waited for at a time, all that others have fetched meanwhile waits behind it.
 func (f *fetching) fetch(ctx context.Context, manifest *relay.Manifest) error {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
@@ -164,8 +160,7 @@
 	}
 }
 
-// firstPace is what a piece takes as far as is known before the first: 32 KiB
-// on a link of 7.6 Mbit/s.
+// firstPace is what a piece is taken to need before the first has come.
 const firstPace = 35 * time.Millisecond
 
 // progress prepares the prediction of when a fetch ends, and returns what to
@@ -230,7 +225,7 @@
 
 // takeStaged takes what already lies beside the server and is a piece of the
 // version: a server that crashed has lost its weights, but not what was staged,
-// and versions share pieces. A set over the host's link takes 2.3 s.
+// and versions share pieces.
 func (f *fetching) takeStaged(ctx context.Context, manifest *relay.Manifest) {
 	s := f.agent
 	s.mu.Lock()
@@ -268,10 +263,9 @@
 
 // stageWhole lays a whole set beside the server before its turn has come.
 //
-// Guard: all processes may be killed, or lose power, while servers wait for their
-// turn. What only agents hold is lost, and servers that must change answered nothing
-// for 3 to 5 s; what is staged stays. A server that crashes meanwhile loads the newer
-// version, which is wanted all the same.
+// Guard: all processes may lose power while servers wait for their turn. What only agents hold is
+// lost; what is staged stays. A server that crashes meanwhile loads the newer version, which is
+// wanted all the same.
 func (f *fetching) stageWhole(ctx context.Context, manifest *relay.Manifest) {
 	s := f.agent
 	s.mu.Lock()
@@ -295,7 +289,7 @@
 }
 
 // stageEarly lays a piece beside an idle server while others are on their way,
-// which leaves only the reading back for after the last: 0.13 s became 0.05 s.
+// which leaves only the reading back for after the last.
 // Beside a server that serves, it would overwrite what a restart loads again.
 //
 // Guard: another version may be about to be loaded. Pieces laid between its last
--- a/internal/transport/sidecar/load.go
+++ b/internal/transport/sidecar/load.go
@@ -62,8 +62,8 @@
 		}
 		s.setSwitching(true)
 		sleep(ctx, l.quiet-checkTime)
-		// Guard: pieces may turn bad while the server is kept free of requests; an
-		// order 1.1 s after the last look loaded one that had.
+		// Guard: pieces may turn bad while the server is kept free of requests; they are
+		// read back right before the order.
 		if err := l.stage(ctx, l.manifest); err != nil {
 			return err
 		}
@@ -130,8 +130,7 @@
 // stageTries bounds the rounds of staging and checking.
 const stageTries = 3
 
-// checkTime is kept before an order to read the staged pieces back: 64 of them take
-// some 50 ms on half a core.
+// checkTime is kept before an order to read the staged pieces back.
 const checkTime = 80 * time.Millisecond
 
 // stage lays the pieces beside the server and reads each back.
--- a/internal/transport/sidecar/views.go
+++ b/internal/transport/sidecar/views.go
@@ -30,7 +30,7 @@
 	// lastPause is how long the last one is given before all are asked anew.
 	lastPause = 150 * time.Millisecond
 	// storeAfter is how long no entry may have answered before the store is asked for
-	// others. All processes start within 0.3 s.
+	// others.
 	storeAfter = 300 * time.Millisecond
 	// askPause is the pause before all are asked anew.
 	askPause = 100 * time.Millisecond
@@ -78,9 +78,8 @@
 // refreshView reads the view from the first entry that answers: those that are known are
 // asked one after the other, the next one if one takes long, then those that the store lists.
 //
-// Guard: after a loss of power the first call goes to a host that is not up yet, and the
-// network repeats it after 1 s. Agents that waited for that had their view, and servers
-// their weights, 0.8 s later than need be; all are soon asked anew.
+// Guard: after a loss of power the first call may go to a host that is not up yet, and its connection
+// is retried late; all are soon asked anew.
 func (s *Sidecar) refreshView(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, viewTimeout)
 	defer cancel()
@@ -166,8 +165,7 @@
 // viewAddresses returns the peer addresses to ask, in order: who told of news, the
 // entries of the own site, all others, and the seeds.
 //
-// Guard: the agents of a site asked its first entry all, 53 of them with 20 KB each; each
-// begins at another one.
+// Guard: agents of a site must not all ask its first entry; each begins at another one.
 func (s *Sidecar) viewAddresses() []string {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -194,8 +192,7 @@
 // that is known has answered for a while, or all are silent: seeds may be gone for long.
 // A host that refuses connections is up, and its entry soon is.
 //
-// Each agent that starts asked the store, 265 calls as an installation starts and as many
-// after each loss of power, though its seeds answered within 0.1 s.
+// An agent that starts does not ask the store as long as its seeds may answer.
 func (s *Sidecar) listedAddresses(ctx context.Context, silent bool) []string {
 	now := boottime.Now()
 	s.mu.Lock()
@@ -232,7 +229,7 @@
 	}
 }
 
-// viewBytes bounds an entry's view: 460 entries are 0.1 MB of it.
+// viewBytes bounds an entry's view.
 const viewBytes = 4 << 20
 
 func (s *Sidecar) fetchView(ctx context.Context, address string) (gateway.View, error) {
