--- a/cmd/filbertlever-soak/main.go
+++ b/cmd/filbertlever-soak/main.go
@@ -26,6 +26,7 @@
 	Agents  int           `default:"12" help:"Agents, each beside a model server."`
 	Plain   int           `default:"3" help:"Plain servers."`
 	Callers int           `default:"24" help:"Callers."`
+	Gap     time.Duration `help:"Longest pause between two troubles of processes, links and the platform; 0 is the usual one."`
 	Known   string        `type:"existingfile" help:"File of seeds to run instead."`
 	Logs    string        `default:"soak-logs" help:"Where the logs of failed seeds are kept."`
 }
@@ -85,7 +86,7 @@
 		return false, err
 	}
 	result, err := soak.Run(ctx, soak.Config{Seed: seed, Length: c.Length, Entries: c.Entries, Agents: c.Agents, Plain: c.Plain,
-		Callers: c.Callers, Binary: binary, Logs: logs})
+		Callers: c.Callers, Binary: binary, Logs: logs, Gap: c.Gap})
 	if err != nil {
 		return false, err
 	}
--- a/internal/proof/soak.go
+++ b/internal/proof/soak.go
@@ -22,6 +22,8 @@
 	File string `yaml:"File"`
 	Old  string `yaml:"Old"`
 	New  string `yaml:"New"`
+	// Gap is the longest pause between troubles for promises that hold in calm only.
+	Gap time.Duration `yaml:"Gap"`
 }
 
 // RemovalResult is what the soak made of one removal.
@@ -94,7 +96,7 @@
 	for n := range uint64(s.Seeds) {
 		result.Runs++
 		command := exec.CommandContext(ctx, s.Program, "--binary", binary, "--seed", strconv.FormatUint(s.First+n, 10),
-			"--length", s.Length.String(), "--logs", filepath.Join(dir, "logs"))
+			"--length", s.Length.String(), "--gap", removal.Gap.String(), "--logs", filepath.Join(dir, "logs"))
 		output, _ := command.CombinedOutput() // an error is what is hoped for; the output tells
 		if promises := brokenPromises(string(output)); promises != "" {
 			result.Seed, result.Promise = s.First+n, promises
