--- a/internal/coordination/drain/closing_test.go
+++ b/internal/coordination/drain/closing_test.go
@@ -16,6 +16,7 @@
 		{"one", []bool{true}, false},
 		{"now and then", []bool{true, false, true, true, false, true, true}, false},
 		{"all", []bool{false, true, true, true, true}, true},
+		{"a server that keeps no connection", []bool{true, true, true, true}, false},
 		{"it stays after all", []bool{true, true, true, true, false}, false},
 	}
 	for _, test := range tests {
