--- a/internal/coordination/fleet/announcements.go
+++ b/internal/coordination/fleet/announcements.go
@@ -42,10 +42,16 @@
 }
 
 // NoteConnectionClose notes that a process closes the connection after an answer. A sound one
-// does so now and then, but one whose row is missing has left. It returns true if that is new.
+// does so now and then; one whose row is missing counts as gone until it is listed again. It
+// returns true if that is new.
 func (f *Fleet) NoteConnectionClose(b catalog.Backend, now time.Duration) bool {
 	s, ok := f.servers[b.ID]
-	return ok && s.missingSince != 0 && f.NoteDraining(b, now)
+	if !ok || s.missingSince == 0 || s.closes {
+		return false
+	}
+	s.closes = true
+	f.refresh(now)
+	return true
 }
 
 // NoteRetryAfter notes that a process that refused a request asks for no more for a while. It
--- a/internal/coordination/fleet/announcements_test.go
+++ b/internal/coordination/fleet/announcements_test.go
@@ -169,6 +169,10 @@
 	c.Assert(f.Choose(request, 1500*time.Millisecond).Found, qt.IsTrue)
 	c.Assert(f.NoteConnectionClose(all[0], 1500*time.Millisecond), qt.IsTrue)
 	c.Assert(f.Choose(request, 1500*time.Millisecond).Found, qt.IsFalse)
+	// Its row is back: it had only lapsed.
+	all[0].Revision++
+	f.Apply(all[:1], nil, false, 2*time.Second)
+	c.Assert(f.Choose(request, 2*time.Second).Found, qt.IsTrue)
 }
 
 // Entries used a server that was leaving for as long as the store was away; its agent saw it.
--- a/internal/coordination/fleet/boots.go
+++ b/internal/coordination/fleet/boots.go
@@ -54,7 +54,7 @@
 		s = &server{backend: catalog.Backend{ID: backend.ID}}
 		f.servers[backend.ID] = s
 	}
-	s.missingSince = 0
+	s.missingSince, s.closes = 0, false
 	if !f.takesRow(s, &backend, now) {
 		return
 	}
--- a/internal/coordination/fleet/fleet.go
+++ b/internal/coordination/fleet/fleet.go
@@ -119,6 +119,8 @@
 	bootedAt time.Duration
 	// missingSince is when the list first lacked the server; 0 if it is listed.
 	missingSince time.Duration
+	// closes is true once the server has closed a connection while it was not listed.
+	closes bool
 }
 
 // Fleet is not safe for concurrent use. Times are of one steady clock.
--- a/internal/coordination/fleet/health.go
+++ b/internal/coordination/fleet/health.go
@@ -13,7 +13,7 @@
 //
 // Guard: an absence of this entry alone lapses no row.
 func (f *Fleet) gone(s *server, now time.Duration) bool {
-	return s.missingSince != 0 && (!f.hadOutage || now-f.outageEnd >= f.config.LapseGrace)
+	return s.missingSince != 0 && (s.closes || !f.hadOutage || now-f.outageEnd >= f.config.LapseGrace)
 }
 
 // usable reports whether new requests may go to a server.
