--- /dev/null
+++ b/internal/coordination/fleet/missing_test.go
@@ -0,0 +1,102 @@
+package fleet
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/filbertlever/filbertlever/internal/coordination/catalog"
+)
+
+// Which servers with missing rows may get requests, by what is known of the store.
+func TestRemovedServersGetNoRequests(t *testing.T) {
+	const removed = 20 * time.Second
+	tests := []struct {
+		name string
+		// outage is the end of the store's outage; 0 if none is known.
+		outage time.Duration
+		after  time.Duration
+		used   bool
+	}{
+		{"no outage", 0, 0, false},
+		{"an outage long ago", removed - 5*time.Second, 0, false},
+		{"right after an outage", removed, time.Second, true},
+		{"some time after an outage", removed - time.Second, 500 * time.Millisecond, true},
+		{"past the grace", removed, 2 * time.Second, false},
+		{"past the grace, removed within it", removed - time.Second, time.Second, false},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			f := newFleet()
+			f.SetState(state(), 0)
+			f.Apply([]catalog.Backend{listed("o1", plainService, "10.0.0.1:1", 0)}, nil, true, 0)
+			if test.outage != 0 {
+				f.SetOutageEnd(test.outage, true, test.outage)
+			}
+			f.Apply(nil, []string{"o1"}, false, removed)
+			qt.Assert(t, f.Choose(Request{Service: plainService}, removed+test.after).Found, qt.Equals, test.used)
+		})
+	}
+}
+
+// A removed server got requests until the end of the grace, after others had reported that
+// the store was up all the while.
+func TestAnOutageThatWasNoneEndsTheGrace(t *testing.T) {
+	c := qt.New(t)
+	f := newFleet()
+	f.SetState(state(), 0)
+	f.Apply([]catalog.Backend{listed("o1", plainService, "10.0.0.1:1", 0)}, nil, true, 0)
+	f.SetOutageEnd(20*time.Second, true, 20*time.Second)
+	f.Apply(nil, []string{"o1"}, false, 20*time.Second)
+	c.Assert(f.Choose(Request{Service: plainService}, 20100*time.Millisecond).Found, qt.IsTrue)
+	f.SetOutageEnd(0, false, 20200*time.Millisecond)
+	c.Assert(f.Choose(Request{Service: plainService}, 20200*time.Millisecond).Found, qt.IsFalse)
+}
+
+// After an outage, a server whose row is missing is used where a listed one makes requests wait.
+func TestListedServersGoBeforeThoseThatMayHaveLapsed(t *testing.T) {
+	c := qt.New(t)
+	f := newFleet()
+	f.SetState(state(), 0)
+	f.Apply([]catalog.Backend{listed("m1", modelService, "10.0.0.1:1", 1), listed("m2", modelService, "10.0.0.2:1", 1)}, nil, true, 0)
+	f.SetOutageEnd(20*time.Second, true, 20*time.Second)
+	f.Apply(nil, []string{"m1"}, false, 20*time.Second)
+	request := Request{Service: modelService, Model: model}
+	for range engine().Slots {
+		c.Assert(f.Choose(request, 20*time.Second).Backend.ID, qt.Equals, "m2")
+	}
+	used := map[string]int{}
+	for range engine().Slots {
+		used[f.Choose(request, 20*time.Second).Backend.ID]++
+	}
+	c.Assert(used["m1"] > 0, qt.IsTrue, qt.Commentf("%v", used))
+}
+
+// Every request is refused for two seconds after the store's return. All
+// entries of live servers lapsed while the store was away and are missing from
+// the first list read after it.
+func TestServersThatLapsedWithTheStoreAreKeptForAWhile(t *testing.T) {
+	c := qt.New(t)
+	f := newFleet()
+	f.SetState(state(), 0)
+	f.Apply([]catalog.Backend{listed("o1", plainService, "10.0.0.1:1", 0)}, nil, true, 0)
+	back := 20 * time.Second
+	f.SetOutageEnd(back, true, back)
+	f.Apply(nil, []string{"o1"}, false, back)
+	c.Assert(f.Choose(Request{Service: plainService}, back+time.Second).Found, qt.IsTrue)
+	c.Assert(f.Choose(Request{Service: plainService}, back+3*time.Second).Found, qt.IsFalse)
+}
+
+// The same entries come back within the grace: the server goes on being used.
+func TestALapsedServerThatReturnsStays(t *testing.T) {
+	c := qt.New(t)
+	f := newFleet()
+	f.SetState(state(), 0)
+	one := listed("o1", plainService, "10.0.0.1:1", 0)
+	f.Apply([]catalog.Backend{one}, nil, true, 0)
+	f.SetOutageEnd(20*time.Second, true, 20*time.Second)
+	f.Apply(nil, []string{"o1"}, false, 20*time.Second)
+	f.Apply([]catalog.Backend{one}, nil, false, 21*time.Second)
+	c.Assert(f.Choose(Request{Service: plainService}, 30*time.Second).Found, qt.IsTrue)
+}
