Only the newest of several named versions is fetched if it suffices

Cause: entries fetch the oldest version first, and agents gave up a fetch only after its bound was missed.

Ruled out: giving up whatever is superseded. If the origin fails right after, the servers have neither; a set of which a quarter has come is finished.

Change: switchover.Skips, one rule for entries and agents: an older version that has hardly begun is left out if the newest alone leaves servers half of their turns. What a piece takes is first estimated from the origin's link, which the desired state says, and not from a constant of 88 ms.

--- a/internal/coordination/catalog/catalog.go
+++ b/internal/coordination/catalog/catalog.go
@@ -119,6 +119,8 @@
 	// Origin is the address of the origin of weights, if the service is one.
 	Origin     string
 	OriginSite string
+	// OriginRate is the rate of the origin's link in bytes a second; 0 if unknown.
+	OriginRate float64
 }
 
 // Limits bounds what a caller may send. Zero means no limit.
--- a/internal/coordination/switchover/pace.go
+++ b/internal/coordination/switchover/pace.go
@@ -1,6 +1,9 @@
 package switchover
 
-import "time"
+import (
+	"cmp"
+	"time"
+)
 
 // pieceTime is what one piece takes until pieces have been seen to come: twice 44
 // ms, the time over the thinnest link that was met, 5.94 Mbit/s.
@@ -21,8 +24,10 @@
 // Sources differ several times over; with a constant a version that is nearly whole would be given
 // up.
 type Pace struct {
-	last time.Duration
-	each time.Duration
+	// First is the estimate until pieces have come; pieceTime if 0.
+	First time.Duration
+	last  time.Duration
+	each  time.Duration
 }
 
 // Came notes that a piece has come.
@@ -33,16 +38,19 @@
 	if !known || since > pauseLeast {
 		return
 	}
-	if p.each == 0 {
-		p.each = pieceTime
-	}
+	p.each = p.Each()
 	p.each += time.Duration(paceShare * float64(since-p.each))
 }
 
+// PieceTime returns what a piece takes over a link of a rate in bytes a second; 0 if that is unknown.
+func PieceTime(pieceBytes int, rate float64) time.Duration {
+	if rate <= 0 {
+		return 0
+	}
+	return time.Duration(float64(pieceBytes) / rate * float64(time.Second))
+}
+
 // Each returns what one piece takes.
 func (p *Pace) Each() time.Duration {
-	if p.each == 0 {
-		return pieceTime
-	}
-	return p.each
+	return cmp.Or(p.each, p.First, pieceTime)
 }
--- a/internal/coordination/switchover/switchover.go
+++ b/internal/coordination/switchover/switchover.go
@@ -58,9 +58,10 @@
 	// Whole is true if all its pieces are on the host and verified, since WholeAt.
 	Whole   bool
 	WholeAt time.Duration
-	// Left is how many pieces are missing, if Known.
-	Left  int
-	Known bool
+	// Left is how many of its Pieces are missing, if Known; Pieces is at least Left.
+	Left   int
+	Pieces int
+	Known  bool
 }
 
 // last is how long after the naming a server may begin its change at the latest.
@@ -199,7 +200,7 @@
 	if newest == nil || newest.Whole {
 		return 0, false
 	}
-	inTime := now+c.Ready <= oldest.Since+(c.Ready+c.last())/2
+	inTime := c.suffices(oldest, newest, now, each)
 	missed := c.missed(oldest, now, each)
 	if missed && c.sooner(oldest, newest, now, each) {
 		return oldest.Version, true
@@ -210,6 +211,37 @@
 	return oldest.Version, true
 }
 
+// suffices reports whether fetching the newest version alone leaves servers half of the turns that
+// they have before the bound of the oldest one.
+func (c Config) suffices(oldest, newest *Named, now, each time.Duration) bool {
+	return now+c.needs(newest, each) <= oldest.Since+(c.Ready+c.last())/2
+}
+
+// begunShare is the part of a set from which on it is finished although a newer version suffices:
+// should the source fail meanwhile, the servers have at least one of them before the bound.
+const begunShare = 0.25
+
+// begun reports whether so much of a version has come that it is finished.
+func (n *Named) begun() bool {
+	return n.Whole || n.Known && float64(n.Pieces-n.Left) >= begunShare*float64(n.Pieces)
+}
+
+// Skips reports whether a version is left out since the newest one alone suffices.
+func (c Config) Skips(version uint64, named []Named, now, each time.Duration) bool {
+	if c.Bound <= 0 || len(named) == 0 {
+		return false
+	}
+	newest := &named[len(named)-1]
+	for i := range named {
+		n := &named[i]
+		if n.Version != version || n == newest {
+			continue
+		}
+		return now >= newest.Since && !n.begun() && c.suffices(n, newest, now, each)
+	}
+	return false
+}
+
 // changeTime is what a server without requests takes to lay and load a version.
 const changeTime = 500 * time.Millisecond
 
@@ -250,8 +282,8 @@
 }
 
 // Abandons reports whether the fetching of a version is to be given up for the
-// newest one: its bound is missed, and it could hardly serve before only the newest
-// may answer.
+// newest one: that one alone suffices, or the bound is missed, and the version could hardly
+// serve before only the newest may answer.
 func (c Config) Abandons(version uint64, named []Named, now, each time.Duration) bool {
 	if len(named) == 0 {
 		return false
@@ -260,7 +292,7 @@
 	for i := range named {
 		n := &named[i]
 		if n.Version == version && n != newest {
-			return c.missed(n, now, each) && !c.sooner(n, newest, now, each)
+			return c.Skips(version, named, now, each) || c.missed(n, now, each) && !c.sooner(n, newest, now, each)
 		}
 	}
 	return false
--- a/internal/transport/gateway/named.go
+++ b/internal/transport/gateway/named.go
@@ -10,6 +10,7 @@
 	"github.com/filbertlever/filbertlever/internal/coordination/catalog"
 	"github.com/filbertlever/filbertlever/internal/coordination/fleet"
 	"github.com/filbertlever/filbertlever/internal/coordination/switchover"
+	"github.com/filbertlever/filbertlever/internal/transport/relay"
 )
 
 // named is the version of a model that operators want.
@@ -101,6 +102,26 @@
 	for _, newer := range g.named[model] {
 		g.supersede(catalog.NamedVersion{Model: model, Version: newer.version}, newer.since)
 	}
+	g.planWeights(model)
+}
+
+// planWeights tells the relay which versions of a model are wanted; the caller holds the lock.
+func (g *Gateway) planWeights(model string) {
+	plan := relay.Plan{Bounds: g.switchover(model), OriginRate: g.originRate()}
+	for _, n := range g.named[model] {
+		plan.Named = append(plan.Named, switchover.Named{Version: n.version, Since: n.since})
+	}
+	g.relay.SetPlan(model, plan)
+}
+
+// originRate is the rate of the origin's link in bytes a second; 0 if unknown.
+func (g *Gateway) originRate() float64 {
+	state := g.state.Load()
+	if state == nil {
+		return 0
+	}
+	origin, _ := state.Origin()
+	return origin.OriginRate
 }
 
 // supersede tells the relay when the versions before one are of no more use.
@@ -161,6 +182,7 @@
 		g.addNamed(model, named{version: version, since: now - age}, now)
 	case list[i].guessed || now-age < list[i].since-heardSlack:
 		list[i] = named{version: version, since: now - age}
+		g.planWeights(model)
 	}
 }
 
--- a/internal/transport/gateway/named_test.go
+++ b/internal/transport/gateway/named_test.go
@@ -6,10 +6,14 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"github.com/prometheus/client_golang/prometheus"
+	"go.uber.org/zap"
 
 	"github.com/filbertlever/filbertlever/internal/coordination/catalog"
 	"github.com/filbertlever/filbertlever/internal/coordination/fleet"
+	"github.com/filbertlever/filbertlever/internal/coordination/relays"
 	"github.com/filbertlever/filbertlever/internal/transport/boottime"
+	"github.com/filbertlever/filbertlever/internal/transport/relay"
 )
 
 // A caller is answered by old weights seconds after their bound. Its entry was cut off
@@ -18,7 +22,8 @@
 func TestTheEarliestWordOnAVersionCounts(t *testing.T) {
 	c := qt.New(t)
 	const now, age = 25 * time.Second, 7 * time.Second
-	g := &Gateway{crashes: newCrashes(), named: map[string][]named{"drafter": {{version: 2, since: now}}}}
+	g := &Gateway{crashes: newCrashes(), named: map[string][]named{"drafter": {{version: 2, since: now}}},
+		relay: relay.New(relays.Entry{}, nil, nil, nil, zap.NewNop(), prometheus.NewRegistry())}
 	g.heardNamed("drafter", 2, age, now)
 	c.Assert(g.named["drafter"][0].since, qt.Equals, now-age)
 	// Neither a later word nor the time on the way changes anything.
--- a/internal/transport/gateway/views.go
+++ b/internal/transport/gateway/views.go
@@ -21,6 +21,8 @@
 	// Place is the server's place among the Count servers of its service.
 	Place int
 	Count int
+	// OriginRate is the rate of the origin's link in bytes a second; 0 if unknown.
+	OriginRate float64
 }
 
 func (g *Gateway) namedAges(now time.Duration) []NamedAge {
@@ -72,7 +74,7 @@
 	now := boottime.Now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	view := View{Entries: g.peers.alive(now)}
+	view := View{Entries: g.peers.alive(now), OriginRate: g.originRate()}
 	backends := g.fleet.Backends(service)
 	view.Count = len(backends)
 	view.Place = max(slices.IndexFunc(backends, func(b catalog.Backend) bool { return b.Address == address }), 0)
--- a/internal/transport/relay/ahead.go
+++ b/internal/transport/relay/ahead.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"maps"
 	"math"
 	"slices"
 	"sync"
@@ -134,7 +133,7 @@
 			r.log.Warn("weights not prefetched in time", zap.String("Model", v.named.Model), zap.Uint64("Version", v.named.Version))
 		}
 		if v.ahead {
-			ahead = append(ahead, version{named: v.named, uselessAt: v.uselessAt, manifests: maps.Clone(v.manifests)})
+			ahead = append(ahead, version{named: v.named, uselessAt: v.uselessAt})
 		}
 	}
 	return ahead
@@ -153,22 +152,19 @@
 	}
 }
 
-// worth reports whether a version can still serve for longer than fetching what
-// is missing takes. Entries draw at the same time, each its own pieces, of which all
-// miss about the same share.
+// worth reports whether a version is wanted beside newer ones, and can still serve for longer than
+// fetching what is missing takes.
 func (r *Relay) worth(v *version, now time.Duration) bool {
 	if v.uselessAt == 0 {
 		return true
 	}
-	left := 0
-	for _, f := range v.manifests {
-		if f.ended() && f.err == nil {
-			left = len(r.piecesAhead(v.named, &f.value))
-		}
+	if r.skips(v.named, now) {
+		return false
+	}
+	left, each := 0, time.Duration(0)
+	if manifest, ok := r.knownManifest(v.named); ok {
+		left, each, _ = r.progress(v.named, &manifest)
 	}
-	r.mu.Lock()
-	each := r.pace.Each()
-	r.mu.Unlock()
 	return switchover.Worth(left, each, now, v.uselessAt)
 }
 
@@ -186,7 +182,8 @@
 }
 
 // drawAhead draws up to most of this entry's pieces that are not here, and ends
-// drawing ahead once all are. It ends at the first that cannot be had.
+// drawing ahead once all are. It ends at the first that cannot be had, and once operators want
+// something else.
 func (r *Relay) drawAhead(named catalog.NamedVersion, most int) error {
 	ctx, cancel := context.WithCancelCause(context.Background())
 	defer cancel(nil)
@@ -195,6 +192,7 @@
 	if err != nil {
 		return err
 	}
+	plan := r.planCount()
 	pieces := r.piecesAhead(named, &manifest)
 	var group sync.WaitGroup
 	lanes := make(chan struct{}, originParallel)
@@ -203,6 +201,10 @@
 		if ctx.Err() != nil {
 			break
 		}
+		if r.replanned(plan) {
+			<-lanes
+			break
+		}
 		group.Go(func() {
 			defer func() { <-lanes }()
 			if _, err := r.Piece(ctx, named, piece, relays.RoleAny); err != nil {
@@ -214,7 +216,7 @@
 	if err := context.Cause(ctx); err != nil {
 		return err
 	}
-	if len(pieces) <= most {
+	if len(pieces) <= most && !r.replanned(plan) {
 		r.endAhead(named)
 		r.log.Info("weights prefetched", zap.String("Model", named.Model), zap.Uint64("Version", named.Version))
 	}
--- /dev/null
+++ b/internal/transport/relay/plan.go
@@ -0,0 +1,87 @@
+package relay
+
+import (
+	"slices"
+	"time"
+
+	"github.com/filbertlever/filbertlever/internal/coordination/catalog"
+	"github.com/filbertlever/filbertlever/internal/coordination/switchover"
+)
+
+// Plan is what operators want of a model.
+type Plan struct {
+	Bounds switchover.Config
+	// Named are the versions wanted, the oldest first; of each only Version and Since are set.
+	Named []switchover.Named
+	// OriginRate is the rate of the origin's link in bytes a second; 0 if unknown.
+	OriginRate float64
+}
+
+// SetPlan takes what operators want of a model from now on.
+func (r *Relay) SetPlan(model string, plan Plan) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.plans[model] = plan
+	r.planned++
+}
+
+// planCount is how often a plan was set.
+func (r *Relay) planCount() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.planned
+}
+
+// replanned reports whether a plan was set since a count.
+func (r *Relay) replanned(count int) bool { return r.planCount() != count }
+
+// skips reports whether a version is not drawn since a newer one alone suffices.
+func (r *Relay) skips(v catalog.NamedVersion, now time.Duration) bool {
+	r.mu.Lock()
+	plan := r.plans[v.Model]
+	r.mu.Unlock()
+	named := slices.Clone(plan.Named)
+	each := time.Duration(0)
+	for i := range named {
+		n := &named[i]
+		manifest, ok := r.knownManifest(catalog.NamedVersion{Model: v.Model, Version: n.Version})
+		if !ok {
+			continue
+		}
+		var pace time.Duration
+		if n.Left, pace, n.Known = r.progress(catalog.NamedVersion{Model: v.Model, Version: n.Version}, &manifest); n.Known {
+			n.Pieces, each = len(manifest.Digests), max(each, pace)
+		}
+	}
+	return plan.Bounds.Skips(v.Version, named, now, each)
+}
+
+// progress returns how many pieces of a set are missing among the entries and what each takes, by
+// this entry's own pieces, of which all entries miss about the same share; false if it has none.
+func (r *Relay) progress(named catalog.NamedVersion, manifest *Manifest) (left int, each time.Duration, ok bool) {
+	own := len(r.ownPieces(named, manifest))
+	if own == 0 {
+		return 0, 0, false
+	}
+	all := len(manifest.Digests)
+	missing := len(r.piecesAhead(named, manifest))
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	pace := r.pace
+	pace.First = switchover.PieceTime(manifest.PieceBytes, r.plans[named.Model].OriginRate) * time.Duration(all) / time.Duration(own)
+	return missing * all / own, pace.Each() * time.Duration(own) / time.Duration(all), true
+}
+
+// knownManifest returns the manifest of a version if it is here.
+func (r *Relay) knownManifest(named catalog.NamedVersion) (Manifest, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if v := r.known(named); v != nil {
+		for _, f := range v.manifests {
+			if f.ended() && f.err == nil {
+				return f.value, true
+			}
+		}
+	}
+	return Manifest{}, false
+}
--- a/internal/transport/relay/relay.go
+++ b/internal/transport/relay/relay.go
@@ -96,6 +96,9 @@
 	keepersRestUntil time.Duration
 	// pace is what this entry's own pieces have taken.
 	pace switchover.Pace
+	// plans are what operators want of each model.
+	plans   map[string]Plan
+	planned int
 	// byDigest finds pieces that versions share.
 	byDigest map[string][]byte
 }
@@ -156,7 +159,7 @@
 	}
 	registry.MustRegister(m.bytes, m.corrupt)
 	r := &Relay{self: self, view: view, origin: origin, client: client, log: log, metrics: m,
-		draws: relays.NewSlots(originParallel), newer: relays.NewSlots(newerParallel), holding: make(chan struct{}, holderLanes), byDigest: map[string][]byte{}}
+		draws: relays.NewSlots(originParallel), newer: relays.NewSlots(newerParallel), holding: make(chan struct{}, holderLanes), byDigest: map[string][]byte{}, plans: map[string]Plan{}}
 	r.draws.Last, r.newer.Last = r.goesLast, r.goesLast
 	return r
 }
--- a/internal/transport/sidecar/weights.go
+++ b/internal/transport/sidecar/weights.go
@@ -121,7 +121,8 @@
 			named[i].Whole = p.weights.whole[named[i].Version] != nil
 			named[i].WholeAt = p.weights.wholeAt[named[i].Version]
 			if manifest := p.weights.known[named[i].Version]; manifest != nil {
-				named[i].Left, named[i].Known = s.missing(manifest), true
+				named[i].Left, named[i].Pieces, named[i].Known = s.missing(manifest), len(manifest.Digests), true
+				s.pace.First = switchover.PieceTime(manifest.PieceBytes, s.viewed.OriginRate)
 			}
 		}
 		s.fetchNext(ctx, p)
