The store keeps when versions were named

Ruled out: taking the start of the process for the naming (the bound would be passed after a chain of restarts); the host's clock (it may be set).

Change: each region's reader writes to a table of the store, on the store's clock, when it heard of the versions. An entry that starts, and that no other entry tells within 0.1 s, reads them; the earliest row counts. Rows of other programs cannot name a version that operators have not. Errors of the clock make a bound end earlier, never later.

Cost: a write a region and version, a read an entry that starts alone.

--- a/internal/transport/gateway/gateway.go
+++ b/internal/transport/gateway/gateway.go
@@ -94,7 +94,9 @@
 	peers   *peers
 	// named are the versions of each model that operators want, oldest first.
 	named map[string][]named
-	bad   badRows
+	// namedNews has a value once the store has named a version.
+	namedNews chan struct{}
+	bad       badRows
 	// viewGap is the time between the last two answers about backend servers.
 	viewGap time.Duration
 	uptime  uptime.Uptime
@@ -112,7 +114,7 @@
 	fleetConfig := fleet.DefaultConfig()
 	fleetConfig.Site, fleetConfig.Region, fleetConfig.Regions = config.Self.Site, config.Self.Region, config.Regions
 	g := &Gateway{
-		stated: make(chan struct{}), started: boottime.Now(), beatNow: make(chan struct{}, 1),
+		stated: make(chan struct{}), started: boottime.Now(), beatNow: make(chan struct{}, 1), namedNews: make(chan struct{}, 1),
 		config: config, store: store, codec: codec, sender: sender, log: log, socket: datagrams.New(socket), client: client, feeds: newFeeds(),
 		metrics: newMetrics(registry), rng: rng, fleet: fleet.New(fleetConfig, rng), gate: admission.DefaultEntryGate(),
 		budgets: map[string]*retry.Window{}, outages: map[string]*admission.Outage{}, room: newRoom(), crashes: newCrashes(), peers: newPeers(config.Self, boottime.Now()), named: map[string][]named{},
@@ -120,7 +122,7 @@
 	}
 	g.revoke.Store(int64(config.Revoke))
 	g.relay = relay.New(relays.Entry{Host: config.Self.Host, Site: config.Self.Site}, relayView{g}, origin, client, log, registry)
-	for _, loop := range []func(context.Context){g.runDesired, g.runBackends, g.runEntries, g.runHeartbeat, g.runCounts, g.runSeeds, g.runRestore} {
+	for _, loop := range []func(context.Context){g.runDesired, g.runBackends, g.runEntries, g.runHeartbeat, g.runCounts, g.runSeeds, g.runRestore, g.runVersions} {
 		go loop(ctx)
 	}
 	go g.runDatagrams(ctx)
--- a/internal/transport/gateway/named.go
+++ b/internal/transport/gateway/named.go
@@ -89,6 +89,10 @@
 		if !first {
 			g.relay.Announce(v)
 		}
+		select {
+		case g.namedNews <- struct{}{}:
+		default:
+		}
 	}
 }
 
--- a/internal/transport/gateway/ports.go
+++ b/internal/transport/gateway/ports.go
@@ -117,6 +117,7 @@
 	TableBackends Table = "Backends"
 	TableEntries  Table = "Entries"
 	TableHolds    Table = "Holds"
+	TableVersions Table = "Versions"
 )
 
 // Rows are rows of a table as the store sent them.
@@ -224,4 +225,8 @@
 	Holds(ctx context.Context) ([]quarantine.Hold, []BadRow, error)
 	KeepHold(ctx context.Context, hold quarantine.Hold) error
 	DropHolds(ctx context.Context, requests []quarantine.Fingerprint) error
+	// KeepVersions writes when a host heard of the named versions. Versions returns what hosts
+	// have written, by how long before the call, or longer, and rows that tell of none.
+	KeepVersions(ctx context.Context, host filbertlever.HostID, named []NamedAge) error
+	Versions(ctx context.Context) ([]NamedAge, []BadRow, error)
 }
--- /dev/null
+++ b/internal/transport/gateway/versions.go
@@ -0,0 +1,102 @@
+package gateway
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/filbertlever/filbertlever/internal/transport/boottime"
+)
+
+// Times of what the platform's store keeps on named versions.
+const (
+	// versionsWait is how long an entry that starts waits for another one to tell when a version
+	// was named, before it asks the store.
+	versionsWait = 100 * time.Millisecond
+	// versionsTries bounds the calls that fail, with pauses from retryFirst on.
+	versionsTries = 20
+)
+
+// runVersions has the store keep when versions were named, and asks it for those that were named
+// before this entry started.
+//
+// Guard: all processes may end within the bound of a version. Servers that held an older one got no
+// requests until they had the newest, though they might still answer.
+func (g *Gateway) runVersions(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-g.namedNews:
+		}
+		if g.guesses() {
+			g.sleep(ctx, versionsWait)
+			g.retry(ctx, g.restoreVersions)
+			continue
+		}
+		g.retry(ctx, g.keepVersions)
+	}
+}
+
+// retry makes a call until it succeeds, or for versionsTries.
+func (g *Gateway) retry(ctx context.Context, call func(context.Context) error) {
+	pause := retryFirst
+	for range versionsTries {
+		err := call(ctx)
+		if err == nil || ctx.Err() != nil {
+			return
+		}
+		g.log.Warn("named versions neither kept nor read", zap.Error(err))
+		g.sleep(ctx, pause)
+		pause = min(2*pause, retryMost)
+	}
+}
+
+// guesses reports whether it is not known when some version was named.
+func (g *Gateway) guesses() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, list := range g.named {
+		if slices.ContainsFunc(list, func(n named) bool { return n.guessed }) {
+			return true
+		}
+	}
+	return false
+}
+
+// keepVersions writes when versions were named, if this entry reads the store for its region.
+func (g *Gateway) keepVersions(ctx context.Context) error {
+	now := boottime.Now()
+	if !g.reads(now) {
+		return nil
+	}
+	g.mu.Lock()
+	known := slices.DeleteFunc(g.namedAges(now), func(n NamedAge) bool { return !n.Known })
+	g.mu.Unlock()
+	return g.store.KeepVersions(ctx, g.config.Self.Host, known)
+}
+
+// restoreVersions reads when versions were named, unless it is known by now.
+func (g *Gateway) restoreVersions(ctx context.Context) error {
+	if !g.guesses() {
+		return nil
+	}
+	sent := boottime.Now()
+	ages, bad, err := g.store.Versions(ctx)
+	if err != nil {
+		return err
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.noteBad(bad)
+	for _, n := range ages {
+		// A row of another program may name a version that operators have not.
+		if n.Version <= g.newest(n.Model) {
+			g.heardNamed(n.Model, n.Version, n.Age, sent)
+		}
+	}
+	g.log.Info("named versions read", zap.Int("Versions", len(ages)))
+	return nil
+}
