Pieces of a skipped version give way at the origin

Cause: entries and agents that had asked for pieces of a version before the newer one was named had places at the origin before those of the newer one: 29 of 96 pieces of version 2 were fetched up to 2 s after it was skipped.

Change: a piece that waits for the origin is refused once its version is skipped, until the newest alone no longer suffices.

--- a/internal/transport/relay/ahead.go
+++ b/internal/transport/relay/ahead.go
@@ -158,7 +158,7 @@
 	if v.uselessAt == 0 {
 		return true
 	}
-	if r.skips(v.named, now) {
+	if r.judge(v.named, now) {
 		return false
 	}
 	left, each := 0, time.Duration(0)
--- a/internal/transport/relay/answers.go
+++ b/internal/transport/relay/answers.go
@@ -53,7 +53,7 @@
 // try kept its place for three seconds, whoever waited for that version next went before
 // the newer one, which the origin gave out, and no server got that.
 func (v *version) last(now time.Duration) bool {
-	return v.origin.gone || v.origin.passed || v.uselessAt != 0 && now >= v.uselessAt
+	return v.skipped || v.origin.gone || v.origin.passed || v.uselessAt != 0 && now >= v.uselessAt
 }
 
 // goesLast reports whether one who waits for a place goes after all others.
@@ -156,6 +156,9 @@
 		// It was said to another one meanwhile.
 		return nil, gone
 	}
+	if r.isSkipped(named) {
+		return nil, fmt.Errorf("piece %d of %s version %d: %w", piece, named.Model, named.Version, errSkipped)
+	}
 	place.triedAt = boottime.Now()
 	return r.origin.Piece(context.Background(), address, named, piece)
 }
--- a/internal/transport/relay/failures.go
+++ b/internal/transport/relay/failures.go
@@ -20,6 +20,9 @@
 // errNoSource means that an entry does not know where to have a piece from.
 var errNoSource = errors.New("no source is known")
 
+// errSkipped means that a newer version is drawn instead.
+var errSkipped = errors.New("a newer version is drawn instead")
+
 // errNoPiece means that a version has no such piece.
 var errNoPiece = errors.New("there is no such piece")
 
--- a/internal/transport/relay/plan.go
+++ b/internal/transport/relay/plan.go
@@ -6,6 +6,7 @@
 
 	"github.com/filbertlever/filbertlever/internal/coordination/catalog"
 	"github.com/filbertlever/filbertlever/internal/coordination/switchover"
+	"github.com/filbertlever/filbertlever/internal/transport/boottime"
 )
 
 // Plan is what operators want of a model.
@@ -25,6 +26,36 @@
 	r.planned++
 }
 
+// skipKept is how long it is not judged anew that a version is skipped.
+const skipKept = 500 * time.Millisecond
+
+// isSkipped reports whether a newer version is drawn instead of one that was asked for.
+//
+// Guard: pieces that were asked for before a newer version was named had places at the origin before
+// those of the newer one.
+func (r *Relay) isSkipped(named catalog.NamedVersion) bool {
+	now := boottime.Now()
+	r.mu.Lock()
+	v := r.known(named)
+	if v == nil || !v.skipped || now-v.judgedAt < skipKept {
+		defer r.mu.Unlock()
+		return v != nil && v.skipped
+	}
+	r.mu.Unlock()
+	return r.judge(named, now)
+}
+
+// judge decides whether a version is skipped.
+func (r *Relay) judge(named catalog.NamedVersion, now time.Duration) bool {
+	skipped := r.skips(named, now)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if v := r.known(named); v != nil {
+		v.skipped, v.judgedAt = skipped, now
+	}
+	return skipped
+}
+
 // planCount is how often a plan was set.
 func (r *Relay) planCount() int {
 	r.mu.Lock()
--- a/internal/transport/relay/plan_test.go
+++ b/internal/transport/relay/plan_test.go
@@ -1,7 +1,10 @@
 package relay
 
 import (
+	"context"
 	"net/http"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -39,3 +42,31 @@
 	c.Assert(whole(2), qt.IsFalse)
 	c.Assert(r.wantedAhead(), qt.HasLen, 0)
 }
+
+// Pieces of the older version that were asked for before the newer one was named have places at the
+// origin before those of the newer one.
+func TestPiecesOfASkippedVersionGiveWay(t *testing.T) {
+	c := qt.New(t)
+	origin := &laneOrigin{version: 3}
+	r := New(relays.Entry{Host: "e1", Site: "a"}, alone{}, origin, &http.Client{}, zap.NewNop(), prometheus.NewRegistry())
+	bounds, since := switchover.DefaultConfig(13400*time.Millisecond), boottime.Now()
+	var failed atomic.Int32
+	var group sync.WaitGroup
+	for piece := range thinPieces {
+		group.Go(func() {
+			if _, err := r.Piece(context.Background(), versionOf(2), piece, relays.RoleDrawer); err != nil {
+				failed.Add(1)
+			}
+		})
+	}
+	r.SetPlan("drafter", Plan{Bounds: bounds, Named: []switchover.Named{{Version: 2, Since: since}, {Version: 3, Since: since}}})
+	r.Supersede(versionOf(2), since+13*time.Second)
+	c.Assert(r.judge(versionOf(2), boottime.Now()), qt.IsTrue)
+	drawAll(c, r, versionOf(3), thinPieces)
+	group.Wait()
+	c.Assert(failed.Load() > thinPieces/2, qt.IsTrue, qt.Commentf("%d of %d", failed.Load(), thinPieces))
+	// Once the newer one alone no longer suffices, the older one is had again.
+	r.SetPlan("drafter", Plan{Bounds: bounds, Named: []switchover.Named{{Version: 2, Since: since - 10*time.Second}, {Version: 3, Since: since}}})
+	time.Sleep(skipKept)
+	drawAll(c, r, versionOf(2), thinPieces)
+}
--- a/internal/transport/relay/relay.go
+++ b/internal/transport/relay/relay.go
@@ -121,6 +121,9 @@
 	// askedAt is when it was last asked for, and givenUpAt when it was last judged not
 	// worth drawing, 0 if never.
 	askedAt, givenUpAt time.Duration
+	// skipped is true while a newer version that suffices is drawn instead, as judged at judgedAt.
+	skipped  bool
+	judgedAt time.Duration
 	// origin is what the origin answered for it.
 	origin answers
 	// uselessAt is when another version will be the only one to answer; 0 if none.
@@ -244,7 +247,7 @@
 		f.err = err
 		r.log.Warn("piece not drawn", zap.String("Model", named.Model), zap.Uint64("Version", named.Version),
 			zap.Int("Piece", piece), zap.String("Source", source), zap.Error(err))
-		if errors.Is(err, ErrGone) {
+		if errors.Is(err, ErrGone) || errors.Is(err, errSkipped) {
 			return
 		}
 		failed.note(source, err)
