Versions are kept in the store also beside one of unknown age

Found by reading: an entry that does not know when some version was named asked the store for it each time that a newer one was named, and never wrote when that was. After a first restart of all entries (or an update from code that kept nothing) no later version would have been kept until one had passed its bound.

--- a/internal/coordination/admission/entry.go
+++ b/internal/coordination/admission/entry.go
@@ -22,9 +22,9 @@
 	LateShare float64
 }
 
-// DefaultEntryGate returns the bounds used in production. Entries hear late of each other's requests:
-// where one counts a free place, another has often taken it, and a request admitted to a queue waits
-// behind more than it was told.
+// DefaultEntryGate returns the bounds used in production. Entries count each other's requests late: a
+// place that one counts as free is often taken, so a request admitted to a queue waits behind more than
+// was counted.
 func DefaultEntryGate() EntryGate {
 	return EntryGate{Waiting: 0, Reading: 100 * time.Millisecond, LateShare: 0.3}
 }
--- a/internal/transport/gateway/ports.go
+++ b/internal/transport/gateway/ports.go
@@ -225,8 +225,8 @@
 	Holds(ctx context.Context) ([]quarantine.Hold, []BadRow, error)
 	KeepHold(ctx context.Context, hold quarantine.Hold) error
 	DropHolds(ctx context.Context, requests []quarantine.Fingerprint) error
-	// KeepVersions writes when a host heard of the named versions. Versions returns what hosts
-	// have written, by how long before the call, or longer, and rows that tell of none.
+	// KeepVersions writes when a host learned of the named versions. Versions returns what hosts
+	// have written, as ages at the time of the call or a little more, and rows that cannot be read.
 	KeepVersions(ctx context.Context, host filbertlever.HostID, named []NamedAge) error
 	Versions(ctx context.Context) ([]NamedAge, []BadRow, error)
 }
--- a/internal/transport/gateway/versions.go
+++ b/internal/transport/gateway/versions.go
@@ -12,18 +12,18 @@
 
 // Times of what the platform's store keeps on named versions.
 const (
-	// versionsWait is how long an entry that starts waits for another one to tell when a version
+	// versionsWait is how long an entry that starts waits for a heartbeat that says when a version
 	// was named, before it asks the store.
 	versionsWait = 100 * time.Millisecond
 	// versionsTries bounds the calls that fail, with pauses from retryFirst on.
 	versionsTries = 20
 )
 
-// runVersions has the store keep when versions were named, and asks it for those that were named
+// runVersions writes to the store when versions were named, and reads it for those that were named
 // before this entry started.
 //
-// Guard: all processes may end within the bound of a version. Servers that held an older one got no
-// requests until they had the newest, though they might still answer.
+// Guard: after all processes ended within a version's bound, servers with an older version got no
+// requests until they held the newest.
 func (g *Gateway) runVersions(ctx context.Context) {
 	for {
 		select {
@@ -31,10 +31,9 @@
 			return
 		case <-g.namedNews:
 		}
-		if g.guesses() {
+		if g.hasUnknownAges() {
 			g.sleep(ctx, versionsWait)
 			g.retry(ctx, g.restoreVersions)
-			continue
 		}
 		g.retry(ctx, g.keepVersions)
 	}
@@ -54,8 +53,8 @@
 	}
 }
 
-// guesses reports whether it is not known when some version was named.
-func (g *Gateway) guesses() bool {
+// hasUnknownAges reports whether it is not known when some version was named.
+func (g *Gateway) hasUnknownAges() bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	for _, list := range g.named {
@@ -75,12 +74,15 @@
 	g.mu.Lock()
 	known := slices.DeleteFunc(g.namedAges(now), func(n NamedAge) bool { return !n.Known })
 	g.mu.Unlock()
+	if len(known) == 0 {
+		return nil
+	}
 	return g.store.KeepVersions(ctx, g.config.Self.Host, known)
 }
 
 // restoreVersions reads when versions were named, unless it is known by now.
 func (g *Gateway) restoreVersions(ctx context.Context) error {
-	if !g.guesses() {
+	if !g.hasUnknownAges() {
 		return nil
 	}
 	sent := boottime.Now()
--- a/internal/transport/relay/ahead.go
+++ b/internal/transport/relay/ahead.go
@@ -158,7 +158,7 @@
 	if v.uselessAt == 0 {
 		return true
 	}
-	if r.judge(v.named, now) {
+	if r.decideSkip(v.named, now) {
 		return false
 	}
 	left, each := 0, time.Duration(0)
@@ -182,8 +182,7 @@
 }
 
 // drawAhead draws up to most of this entry's pieces that are not here, and ends
-// drawing ahead once all are. It ends at the first that cannot be had, and once operators want
-// something else.
+// drawing ahead once all are. It ends at the first that cannot be had, and when the plan changes.
 func (r *Relay) drawAhead(named catalog.NamedVersion, most int) error {
 	ctx, cancel := context.WithCancelCause(context.Background())
 	defer cancel(nil)
@@ -192,7 +191,7 @@
 	if err != nil {
 		return err
 	}
-	plan := r.planCount()
+	revision := r.planRevision()
 	pieces := r.piecesAhead(named, &manifest)
 	var group sync.WaitGroup
 	lanes := make(chan struct{}, originParallel)
@@ -201,7 +200,7 @@
 		if ctx.Err() != nil {
 			break
 		}
-		if r.replanned(plan) {
+		if r.planRevision() != revision {
 			<-lanes
 			break
 		}
@@ -216,7 +215,7 @@
 	if err := context.Cause(ctx); err != nil {
 		return err
 	}
-	if len(pieces) <= most && !r.replanned(plan) {
+	if len(pieces) <= most && r.planRevision() == revision {
 		r.endAhead(named)
 		r.log.Info("weights prefetched", zap.String("Model", named.Model), zap.Uint64("Version", named.Version))
 	}
--- a/internal/transport/relay/failures.go
+++ b/internal/transport/relay/failures.go
@@ -20,8 +20,8 @@
 // errNoSource means that an entry does not know where to have a piece from.
 var errNoSource = errors.New("no source is known")
 
-// errSkipped means that a newer version is drawn instead.
-var errSkipped = errors.New("a newer version is drawn instead")
+// errSkipped means that a newer version is fetched instead.
+var errSkipped = errors.New("a newer version is fetched instead")
 
 // errNoPiece means that a version has no such piece.
 var errNoPiece = errors.New("there is no such piece")
--- a/internal/transport/relay/plan.go
+++ b/internal/transport/relay/plan.go
@@ -23,50 +23,47 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.plans[model] = plan
-	r.planned++
+	r.revision++
 }
 
-// skipKept is how long it is not judged anew that a version is skipped.
-const skipKept = 500 * time.Millisecond
+// skipTTL is how long a decision to skip a version holds before it is made anew.
+const skipTTL = 500 * time.Millisecond
 
-// isSkipped reports whether a newer version is drawn instead of one that was asked for.
+// isSkipped reports whether a newer version is fetched instead of one that was asked for.
 //
-// Guard: pieces that were asked for before a newer version was named had places at the origin before
-// those of the newer one.
+// Guard: pieces that were asked for before a newer version was named were fetched before those of the
+// newer one.
 func (r *Relay) isSkipped(named catalog.NamedVersion) bool {
 	now := boottime.Now()
 	r.mu.Lock()
 	v := r.known(named)
-	if v == nil || !v.skipped || now-v.judgedAt < skipKept {
+	if v == nil || !v.skipped || now-v.decidedAt < skipTTL {
 		defer r.mu.Unlock()
 		return v != nil && v.skipped
 	}
 	r.mu.Unlock()
-	return r.judge(named, now)
+	return r.decideSkip(named, now)
 }
 
-// judge decides whether a version is skipped.
-func (r *Relay) judge(named catalog.NamedVersion, now time.Duration) bool {
+// decideSkip decides whether a version is skipped, and keeps the decision.
+func (r *Relay) decideSkip(named catalog.NamedVersion, now time.Duration) bool {
 	skipped := r.skips(named, now)
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if v := r.known(named); v != nil {
-		v.skipped, v.judgedAt = skipped, now
+		v.skipped, v.decidedAt = skipped, now
 	}
 	return skipped
 }
 
-// planCount is how often a plan was set.
-func (r *Relay) planCount() int {
+// planRevision counts the plans that were set.
+func (r *Relay) planRevision() int {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.planned
+	return r.revision
 }
 
-// replanned reports whether a plan was set since a count.
-func (r *Relay) replanned(count int) bool { return r.planCount() != count }
-
-// skips reports whether a version is not drawn since a newer one alone suffices.
+// skips reports whether a version is not fetched since a newer one alone suffices.
 func (r *Relay) skips(v catalog.NamedVersion, now time.Duration) bool {
 	r.mu.Lock()
 	plan := r.plans[v.Model]
@@ -75,20 +72,22 @@
 	each := time.Duration(0)
 	for i := range named {
 		n := &named[i]
-		manifest, ok := r.knownManifest(catalog.NamedVersion{Model: v.Model, Version: n.Version})
+		other := catalog.NamedVersion{Model: v.Model, Version: n.Version}
+		manifest, ok := r.knownManifest(other)
 		if !ok {
 			continue
 		}
-		var pace time.Duration
-		if n.Left, pace, n.Known = r.progress(catalog.NamedVersion{Model: v.Model, Version: n.Version}, &manifest); n.Known {
-			n.Pieces, each = len(manifest.Digests), max(each, pace)
+		left, pace, ok := r.progress(other, &manifest)
+		if ok {
+			n.Left, n.Pieces, n.Known = left, len(manifest.Digests), true
+			each = max(each, pace)
 		}
 	}
 	return plan.Bounds.Skips(v.Version, named, now, each)
 }
 
-// progress returns how many pieces of a set are missing among the entries and what each takes, by
-// this entry's own pieces, of which all entries miss about the same share; false if it has none.
+// progress estimates how many pieces of a set the entries miss and what each takes, from this entry's
+// own pieces: all entries miss about the same share. It returns false for an entry that has none.
 func (r *Relay) progress(named catalog.NamedVersion, manifest *Manifest) (left int, each time.Duration, ok bool) {
 	own := len(r.ownPieces(named, manifest))
 	if own == 0 {
--- a/internal/transport/relay/plan_test.go
+++ b/internal/transport/relay/plan_test.go
@@ -61,12 +61,12 @@
 	}
 	r.SetPlan("drafter", Plan{Bounds: bounds, Named: []switchover.Named{{Version: 2, Since: since}, {Version: 3, Since: since}}})
 	r.Supersede(versionOf(2), since+13*time.Second)
-	c.Assert(r.judge(versionOf(2), boottime.Now()), qt.IsTrue)
+	c.Assert(r.decideSkip(versionOf(2), boottime.Now()), qt.IsTrue)
 	drawAll(c, r, versionOf(3), thinPieces)
 	group.Wait()
 	c.Assert(failed.Load() > thinPieces/2, qt.IsTrue, qt.Commentf("%d of %d", failed.Load(), thinPieces))
 	// Once the newer one alone no longer suffices, the older one is had again.
 	r.SetPlan("drafter", Plan{Bounds: bounds, Named: []switchover.Named{{Version: 2, Since: since - 10*time.Second}, {Version: 3, Since: since}}})
-	time.Sleep(skipKept)
+	time.Sleep(skipTTL)
 	drawAll(c, r, versionOf(2), thinPieces)
 }
--- a/internal/transport/relay/relay.go
+++ b/internal/transport/relay/relay.go
@@ -96,9 +96,9 @@
 	keepersRestUntil time.Duration
 	// pace is what this entry's own pieces have taken.
 	pace switchover.Pace
-	// plans are what operators want of each model.
-	plans   map[string]Plan
-	planned int
+	// plans are what operators want of each model; revision counts their changes.
+	plans    map[string]Plan
+	revision int
 	// byDigest finds pieces that versions share.
 	byDigest map[string][]byte
 }
@@ -121,9 +121,10 @@
 	// askedAt is when it was last asked for, and givenUpAt when it was last judged not
 	// worth drawing, 0 if never.
 	askedAt, givenUpAt time.Duration
-	// skipped is true while a newer version that suffices is drawn instead, as judged at judgedAt.
-	skipped  bool
-	judgedAt time.Duration
+	// skipped is true while a newer version that suffices is fetched instead, as decided at
+	// decidedAt.
+	skipped   bool
+	decidedAt time.Duration
 	// origin is what the origin answered for it.
 	origin answers
 	// uselessAt is when another version will be the only one to answer; 0 if none.
--- a/internal/transport/sidecar/sidecar.go
+++ b/internal/transport/sidecar/sidecar.go
@@ -100,7 +100,7 @@
 	metrics *metrics
 	// wake is signalled when an entry tells of a newer view.
 	wake chan struct{}
-	// due asks for a look at what to fetch or load next.
+	// due ends the wait for the next step.
 	due chan struct{}
 
 	mu      sync.Mutex
--- a/internal/transport/sidecar/weights.go
+++ b/internal/transport/sidecar/weights.go
@@ -102,7 +102,7 @@
 	}
 }
 
-// stepNow has it looked at once at what to fetch or load next.
+// stepNow starts what is to be fetched or loaded next without waiting for the next tick.
 func (s *Sidecar) stepNow() {
 	select {
 	case s.due <- struct{}{}:
