Refused callers come back while their answer can still be in time

Cause: under overload the servers are full all the time, and each caller has one further try. A caller that was told to come back after 0.1 s to 1.5 s is late whenever it gets a place, and takes it from one that would be in time. Change: the time that missing places take is bounded by a quarter of the caller's goal, from 30 ms on and 20 ms a place. The time in which prompts are read is known, and stays. The gate takes what the request would meet and what its caller still has as two structs.

--- a/internal/coordination/admission/crowd_test.go
+++ b/internal/coordination/admission/crowd_test.go
@@ -51,7 +51,7 @@
 				best, fewest = e, known
 			}
 		}
-		if ok, _ := gate.Admit(fewest+1-w.places, 0, firstToken, 6*time.Second, rng); !ok {
+		if ok, _ := gate.Admit(Forecast{Ahead: fewest + 1 - w.places, Predicted: firstToken}, Caller{Left: 6 * time.Second}, rng); !ok {
 			continue
 		}
 		waiting := max(len(engines[best])+1-w.places, 0)
--- a/internal/coordination/admission/entry.go
+++ b/internal/coordination/admission/entry.go
@@ -33,25 +33,52 @@
 const (
 	// earliestReturn is the time in which one of 16 full engines certainly ends a
 	// request; a caller that comes back so soon can still be answered in time.
-	earliestReturn = 60 * time.Millisecond
+	earliestReturn = 30 * time.Millisecond
 	// placeTime is how long one more waiting request puts off the next, as the servers of a
 	// region work in parallel.
-	placeTime = 40 * time.Millisecond
+	placeTime = 20 * time.Millisecond
+	// returnGoal is the part of its goal after which a caller comes back at the latest where
+	// places are taken, so that its answer can still be in time.
+	returnGoal = 0.25
 	// latestReturn keeps a refused caller within a third of its usual time.
 	latestReturn = 1500 * time.Millisecond
 	// returnSpread spreads callers that were refused together.
 	returnSpread = 0.5
 )
 
-// Admit reports whether a request is sent on that would have so many ahead of
-// it, itself included, and so much to be read before it, and whose first token is
-// predicted so. If not, it returns when to come back: when the queue should have
-// drained to what is admitted, spread so that callers do not return together.
-func (g EntryGate) Admit(ahead int, reading, predicted, left time.Duration, rng *rand.Rand) (bool, time.Duration) {
-	if ahead <= g.Waiting && reading <= g.Reading && predicted <= time.Duration(g.LateShare*float64(left)) {
+// Forecast is what a request would meet at the best server found for it.
+type Forecast struct {
+	// Ahead is how many requests the server would have beyond those it runs at once, this one
+	// included; 0 or less if none has to wait.
+	Ahead int
+	// Reading is how long the server still reads the prompts that came before.
+	Reading time.Duration
+	// Predicted is when the first token comes.
+	Predicted time.Duration
+}
+
+// Caller is what the caller of a request still has.
+type Caller struct {
+	// Left is the time until its deadline.
+	Left time.Duration
+	// Goal is the time to the first token that the caller expects; 0 if it expects none.
+	Goal time.Duration
+}
+
+// Admit reports whether a request is sent on. If not, it returns when the caller should come back,
+// spread so that callers do not return together.
+//
+// When a place comes free is not known, so callers ask again while they can still be answered in
+// time. When prompts will have been read is known.
+func (g EntryGate) Admit(f Forecast, c Caller, rng *rand.Rand) (bool, time.Duration) {
+	if f.Ahead <= g.Waiting && f.Reading <= g.Reading && f.Predicted <= time.Duration(g.LateShare*float64(c.Left)) {
 		return true, 0
 	}
-	return false, ReturnTime(max(time.Duration(ahead-g.Waiting-1)*placeTime, reading-g.Reading), rng)
+	places := time.Duration(f.Ahead-g.Waiting-1) * placeTime
+	if c.Goal > 0 {
+		places = min(places, time.Duration(returnGoal*float64(c.Goal)))
+	}
+	return false, ReturnTime(max(places, f.Reading-g.Reading), rng)
 }
 
 // ReturnTime returns when a caller should come back that was refused because a
--- a/internal/coordination/admission/entry_test.go
+++ b/internal/coordination/admission/entry_test.go
@@ -16,9 +16,9 @@
 	c := qt.New(t)
 	gate := DefaultEntryGate()
 	for _, predicted := range []time.Duration{90 * time.Millisecond, 250 * time.Millisecond} {
-		admitted, _ := gate.Admit(gate.Waiting, 0, predicted, 6*time.Second, newRng())
+		admitted, _ := gate.Admit(Forecast{Ahead: gate.Waiting, Predicted: predicted}, Caller{Left: 6 * time.Second}, newRng())
 		c.Assert(admitted, qt.IsTrue)
-		admitted, _ = gate.Admit(gate.Waiting+1, 0, predicted, 6*time.Second, newRng())
+		admitted, _ = gate.Admit(Forecast{Ahead: gate.Waiting + 1, Predicted: predicted}, Caller{Left: 6 * time.Second}, newRng())
 		c.Assert(admitted, qt.IsFalse)
 	}
 }
@@ -26,7 +26,7 @@
 // A request that cannot be answered in the time it has left is refused at once,
 // also if a place is free.
 func TestWhatCannotEndIsRefusedAtOnce(t *testing.T) {
-	admitted, retry := DefaultEntryGate().Admit(-5, 0, time.Second, time.Second, newRng())
+	admitted, retry := DefaultEntryGate().Admit(Forecast{Ahead: -5, Predicted: time.Second}, Caller{Left: time.Second}, newRng())
 	qt.Assert(t, admitted, qt.IsFalse)
 	qt.Assert(t, retry > 0, qt.IsTrue)
 }
@@ -38,7 +38,7 @@
 	rng := newRng()
 	seen := map[time.Duration]bool{}
 	for range 50 {
-		_, retry := DefaultEntryGate().Admit(2, 0, 200*time.Millisecond, 6*time.Second, rng)
+		_, retry := DefaultEntryGate().Admit(Forecast{Ahead: 2, Predicted: 200 * time.Millisecond}, Caller{Left: 6 * time.Second}, rng)
 		c.Assert(retry >= earliestReturn && retry <= 2*earliestReturn, qt.IsTrue)
 		seen[retry] = true
 	}
@@ -120,7 +120,7 @@
 			}
 			ahead := fewest + 1 - places
 			wait := time.Duration(max(ahead, 0)) * service / places
-			if ok, _ := gate.Admit(ahead, 0, 130*time.Millisecond+wait, 6*time.Second, rng); !ok {
+			if ok, _ := gate.Admit(Forecast{Ahead: ahead, Predicted: 130*time.Millisecond + wait}, Caller{Left: 6 * time.Second}, rng); !ok {
 				continue
 			}
 			length := time.Duration(rng.ExpFloat64() * float64(service))
@@ -147,9 +147,9 @@
 func TestABurstOfPromptsIsRefusedInTime(t *testing.T) {
 	c := qt.New(t)
 	gate := DefaultEntryGate()
-	admitted, _ := gate.Admit(-8, gate.Reading, 300*time.Millisecond, 6*time.Second, newRng())
+	admitted, _ := gate.Admit(Forecast{Ahead: -8, Reading: gate.Reading, Predicted: 300 * time.Millisecond}, Caller{Left: 6 * time.Second}, newRng())
 	c.Assert(admitted, qt.IsTrue)
-	admitted, retry := gate.Admit(-8, gate.Reading+150*time.Millisecond, 450*time.Millisecond, 6*time.Second, newRng())
+	admitted, retry := gate.Admit(Forecast{Ahead: -8, Reading: gate.Reading + 150*time.Millisecond, Predicted: 450 * time.Millisecond}, Caller{Left: 6 * time.Second}, newRng())
 	c.Assert(admitted, qt.IsFalse)
 	c.Assert(retry >= 150*time.Millisecond, qt.IsTrue)
 }
--- a/internal/coordination/admission/room.go
+++ b/internal/coordination/admission/room.go
@@ -94,6 +94,6 @@
 
 // AdmitWaiting reports whether a request that waits in a Room is sent on: only to a
 // place that is free, at a server that reads little.
-func (g EntryGate) AdmitWaiting(ahead int, reading, predicted, goal time.Duration) bool {
-	return ahead <= -roomFree && reading <= roomReading && predicted <= time.Duration(roomGoal*float64(goal))
+func (g EntryGate) AdmitWaiting(f Forecast, goal time.Duration) bool {
+	return f.Ahead <= -roomFree && f.Reading <= roomReading && f.Predicted <= time.Duration(roomGoal*float64(goal))
 }
--- a/internal/coordination/admission/room_test.go
+++ b/internal/coordination/admission/room_test.go
@@ -145,7 +145,7 @@
 			}
 			best, ahead, reading := e.best(now)
 			first := predict(ahead, reading)
-			ok, retry := gate.Admit(ahead, reading, first, left, rng)
+			ok, retry := gate.Admit(Forecast{Ahead: ahead, Reading: reading, Predicted: first}, Caller{Left: left, Goal: goal}, rng)
 			if ok {
 				e.run(best, now, first)
 				serve(who, now, first)
@@ -167,7 +167,7 @@
 			over := room.Scan(now, func(id uint64) bool {
 				best, ahead, reading := e.best(now)
 				first := predict(ahead, reading)
-				if !gate.AdmitWaiting(ahead, reading, first, goal) {
+				if !gate.AdmitWaiting(Forecast{Ahead: ahead, Reading: reading, Predicted: first}, goal) {
 					return false
 				}
 				e.run(best, now, first)
--- a/internal/transport/gateway/placing.go
+++ b/internal/transport/gateway/placing.go
@@ -5,6 +5,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/filbertlever/filbertlever/internal/coordination/admission"
 	"github.com/filbertlever/filbertlever/internal/coordination/fleet"
 	"github.com/filbertlever/filbertlever/internal/coordination/routing"
 	"github.com/filbertlever/filbertlever/internal/transport/boottime"
@@ -29,7 +30,7 @@
 		g.log.Info("no server", fields...)
 		return placement, busy(reasonNoServer, g.returnWhenReady(a.service, placement.ReadyIn, a.remaining(), now))
 	}
-	admitted, retry := g.gate.Admit(placement.Ahead, placement.Reading, placement.Predicted, a.remaining(), g.rng)
+	admitted, retry := g.gate.Admit(forecast(placement), admission.Caller{Left: a.remaining(), Goal: a.route.Goal}, g.rng)
 	if a.stream != nil || g.plain(a.service) {
 		// An answer that has begun goes on wherever it can, and a plain service
 		// has a queue of a few places of its own, which refuses.
@@ -45,6 +46,10 @@
 	return placement, nil
 }
 
+func forecast(p fleet.Placement) admission.Forecast {
+	return admission.Forecast{Ahead: p.Ahead, Reading: p.Reading, Predicted: p.Predicted}
+}
+
 // listing tells of a placement how old the view of the servers is, and for how long the
 // server has been missing from it.
 func (g *Gateway) listing(placement fleet.Placement, now time.Duration) []zap.Field {
--- a/internal/transport/gateway/room.go
+++ b/internal/transport/gateway/room.go
@@ -133,7 +133,7 @@
 		if !placement.Found {
 			return false
 		}
-		if o.attempts.stream == nil && !g.gate.AdmitWaiting(placement.Ahead, placement.Reading, placement.Predicted, o.attempts.route.Goal) {
+		if o.attempts.stream == nil && !g.gate.AdmitWaiting(forecast(placement), o.attempts.route.Goal) {
 			g.fleet.Ended(placement.Backend.ID)
 			return false
 		}
