A server to which no connection could be opened is not tried again for a moment

Cause, by the entries' logs from 35.1 to 35.6 s: 62 servers load their weights; five that are gone for good are still listed with weights, and are used as the only ones that fit although they have just failed: 669 attempts met a refused connection there. A request waits for the first server that will be ready only if none seems fit. Ruled out: rows of servers that lost their weights; two refusals of those have the list distrusted. Change: a server to which no connection could be opened is not tried for 250 ms, also if no other is fit. Before the change the test fails: of two unreachable servers one is tried again at once.

--- a/internal/coordination/fleet/choose.go
+++ b/internal/coordination/fleet/choose.go
@@ -124,7 +124,7 @@
 	var suspected []string
 	for id := range f.transient {
 		s, ok := f.servers[id]
-		fit := ok && s.backend.Service == service && s.missingSince == 0 && now >= s.switchingUntil && now >= f.retryAt(s)
+		fit := ok && s.backend.Service == service && s.missingSince == 0 && now >= s.switchingUntil && now >= f.retryAt(s) && !f.unreachable(s, now)
 		if fit && f.table.Fit(filbertlever.HostID(id), f.at(now)) {
 			suspected = append(suspected, id)
 			router.SetHost(f.host(s.backend), true)
--- a/internal/coordination/fleet/fleet.go
+++ b/internal/coordination/fleet/fleet.go
@@ -117,6 +117,8 @@
 	silentUntil time.Duration
 	// bootedAt is when this process was first heard of, if it followed another; else 0.
 	bootedAt time.Duration
+	// unreachableAt is when a connection to the server could last not be opened; 0 if always one could.
+	unreachableAt time.Duration
 	// missingSince is when the list first lacked the server; 0 if it is listed.
 	missingSince time.Duration
 	// closes is true once the server has closed a connection while it was not listed.
--- a/internal/coordination/fleet/fleet_test.go
+++ b/internal/coordination/fleet/fleet_test.go
@@ -137,6 +137,25 @@
 	c.Assert(f.Choose(Request{Service: plainService, Avoid: []filbertlever.HostID{"o1", "o2"}}, time.Second).Found, qt.IsFalse)
 }
 
+// All servers load their weights but two that are gone; each request is refused after it tried these,
+// where it could wait for the first that is ready.
+func TestRequestsWaitWhereOnlyUnreachableServersSeemFit(t *testing.T) {
+	c := qt.New(t)
+	f := newFleet()
+	f.SetState(state(), 0)
+	f.Apply([]catalog.Backend{listed("m1", modelService, "10.0.0.1:1", 1), listed("m2", modelService, "10.0.0.2:1", 1),
+		listed("m3", modelService, "10.0.0.3:1", 0)}, nil, true, 0)
+	f.Report(Load{Address: "10.0.0.3:1", Sequence: 1, LoadedIn: 400 * time.Millisecond}, time.Second)
+	wanted := Request{Service: modelService, Model: model}
+	f.Unreachable("m1", time.Second)
+	c.Assert(f.Choose(wanted, time.Second).Backend.ID, qt.Equals, "m2")
+	f.Unreachable("m2", time.Second)
+	got := f.Choose(wanted, time.Second)
+	c.Assert(got.Found, qt.IsFalse)
+	c.Assert(got.ReadyIn, qt.Equals, 400*time.Millisecond)
+	c.Assert(f.Choose(wanted, time.Second+unreachablePause).Found, qt.IsTrue)
+}
+
 // Requests sent to a server just before it switches weights wait through the
 // switch. Its agent tells ahead, and entries send elsewhere.
 func TestSwitchingServersGetNoRequests(t *testing.T) {
--- a/internal/coordination/fleet/health.go
+++ b/internal/coordination/fleet/health.go
@@ -171,6 +171,26 @@
 	}
 }
 
+// Unreachable notes that no connection to a server could be opened.
+func (f *Fleet) Unreachable(id string, now time.Duration) {
+	if s, ok := f.servers[id]; ok {
+		s.unreachableAt = now
+	}
+	f.Failed(id, now)
+}
+
+// unreachablePause is how long a server to which no connection could be opened is not tried again,
+// also if no other is fit: the requests of a moment do not all find out the same.
+const unreachablePause = 250 * time.Millisecond
+
+// unreachable reports whether a connection to a server has just failed.
+//
+// Guard: while all servers load their weights, those that are gone for good seem to be the only
+// ones that hold any; requests would use up their tries there instead of waiting.
+func (f *Fleet) unreachable(s *server, now time.Duration) bool {
+	return s.unreachableAt != 0 && now-s.unreachableAt < unreachablePause
+}
+
 // Replaced notes that another server answers at the address of this one, so
 // that this one is gone.
 func (f *Fleet) Replaced(id string, now time.Duration) {
--- a/internal/transport/gateway/attempts.go
+++ b/internal/transport/gateway/attempts.go
@@ -149,7 +149,11 @@
 		zap.String("Backend", id), zap.Int64("Boot", int64(a.last.Backend.Boot)), zap.Stringer("End", end), zap.Error(err))
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if !g.fleet.Followed(a.last.Backend) {
+	switch {
+	case g.fleet.Followed(a.last.Backend):
+	case end == forward.EndUnsent:
+		g.fleet.Unreachable(id, boottime.Now())
+	default:
 		g.fleet.Failed(id, boottime.Now())
 	}
 }
