--- /dev/null
+++ b/cmd/filbertlever-bench/experiment.go
@@ -0,0 +1,28 @@
+package main
+
+import (
+	"fmt"
+	"os"
+
+	"github.com/filbertlever/filbertlever/internal/bench/experiment"
+)
+
+type experimentCommand struct {
+	File string `arg:"" help:"The experiment, as YAML; examples/experiments has some."`
+}
+
+// Run plays each policy of an experiment with each seed in virtual time and prints a table.
+func (c *experimentCommand) Run() error {
+	data, err := os.ReadFile(c.File)
+	if err != nil {
+		return fmt.Errorf("read experiment: %w", err)
+	}
+	e, err := experiment.Parse(data)
+	if err != nil {
+		return fmt.Errorf("%s: %w", c.File, err)
+	}
+	rows := e.Run(func(policy string, seed uint64) {
+		fmt.Fprintf(os.Stderr, "%s, seed %d\n", policy, seed)
+	})
+	return experiment.Print(os.Stdout, rows)
+}
--- a/cmd/filbertlever-bench/main.go
+++ b/cmd/filbertlever-bench/main.go
@@ -13,9 +13,10 @@
 )
 
 type arguments struct {
-	Weights  weightsCommand  `cmd:"" help:"How weights reach many hosts, and how long a roll takes."`
-	Requests requestsCommand `cmd:"" help:"Requests under load and faults, and what the path costs."`
-	Control  controlCommand  `cmd:"" help:"What control costs an idle process, and how that grows."`
+	Weights    weightsCommand    `cmd:"" help:"How weights reach many hosts, and how long a roll takes."`
+	Requests   requestsCommand   `cmd:"" help:"Requests under load and faults, and what the path costs."`
+	Control    controlCommand    `cmd:"" help:"What control costs an idle process, and how that grows."`
+	Experiment experimentCommand `cmd:"" help:"Policies compared in virtual time, on modelled engines and callers."`
 }
 
 func main() {
