--- a/internal/coordination/admission/entry.go
+++ b/internal/coordination/admission/entry.go
@@ -31,8 +31,8 @@
 
 // Bounds of the time to come back.
 const (
-	// earliestReturn is the time in which one of 16 full engines certainly ends a
-	// request; a caller that comes back so soon can still be answered in time.
+	// earliestReturn is the least time after which a caller comes back. Some full engine mostly
+	// ends a request within it, and the answer can still be in time.
 	earliestReturn = 30 * time.Millisecond
 	// placeTime is how long one more waiting request puts off the next, as the servers of a
 	// region work in parallel.
