--- a/internal/bench/experiment/entry.go
+++ b/internal/bench/experiment/entry.go
@@ -143,13 +143,13 @@
 	}
 }
 
-// tell sends this entry's counts to some of the others, and again after a period.
-func (e *entry) tell(near bool, period time.Duration) {
+// gossip sends this entry's counts to some of the others, and again after a period.
+func (e *entry) gossip(near bool, period time.Duration) {
 	counts := e.fleet.Counts()
 	for _, other := range e.world.entries {
 		if other != e && (other.region == e.region) == near {
 			other.fleet.SetCounts(e.host, counts, e.world.now)
 		}
 	}
-	e.world.after(period, func() { e.tell(near, period) })
+	e.world.after(period, func() { e.gossip(near, period) })
 }
--- a/internal/bench/experiment/world.go
+++ b/internal/bench/experiment/world.go
@@ -118,8 +118,8 @@
 		}
 		nearPeriod := max(countsNear, time.Duration(near-1)*countsNearEach)
 		farPeriod := max(countsNear, time.Duration(len(w.entries)-near)*countsFarEach)
-		w.after(w.random(nearPeriod), func() { e.tell(true, nearPeriod) })
-		w.after(w.random(farPeriod), func() { e.tell(false, farPeriod) })
+		w.after(w.random(nearPeriod), func() { e.gossip(true, nearPeriod) })
+		w.after(w.random(farPeriod), func() { e.gossip(false, farPeriod) })
 	}
 	for _, s := range w.engines {
 		w.after(w.random(reportEvery), func() { w.reports(s) })
