--- a/internal/coordination/fleet/counts.go
+++ b/internal/coordination/fleet/counts.go
@@ -68,8 +68,7 @@
 }
 
 // strayRequests is how many more requests a server may report than the entries
-// know of before the report is believed: it is some 0.3 s old, in which a server
-// of 16 places takes and ends about four.
+// know of before the report is believed: what the server took and ended since the report was made.
 const strayRequests = 4
 
 // count updates the router's count of other entries' requests at a server.
--- a/internal/coordination/fleet/fleet.go
+++ b/internal/coordination/fleet/fleet.go
@@ -59,13 +59,12 @@
 		OtherSite: 20 * time.Millisecond,
 		// A little more than one waiting request costs: a server elsewhere is taken
 		// if two would wait here. Bytes between regions are scarce too.
-		OtherRegion: 90 * time.Millisecond,
-		FarMargin:   2,
-		// Orders and lookups take 15 to 30 ms at their servers.
+		OtherRegion:  90 * time.Millisecond,
+		FarMargin:    2,
 		PlainService: 30 * time.Millisecond,
 		ReportFresh:  2 * time.Second,
-		// The first event of one request in a full engine's queue takes 0.5 s at
-		// most; work at plain servers 110 ms at most.
+		// Longer than the first event of a request in a full engine's queue takes, and than work at
+		// plain servers does.
 		EngineStall: 600 * time.Millisecond,
 		PlainStall:  300 * time.Millisecond,
 		// Three reports missed, and one late.
--- a/internal/coordination/relays/handover.go
+++ b/internal/coordination/relays/handover.go
@@ -40,7 +40,7 @@
 func (t *Turnover) Since(named time.Duration) bool { return named == 0 || t.lostAt > named }
 
 // keepersMost bounds the entries that are asked for a piece before it is drawn from the
-// origin. Each answer takes some 4 ms, a piece of 32 KiB 26 to 44 ms of the origin's link.
+// origin: so many answers together take less than the piece takes on the origin's link.
 const keepersMost = 4
 
 // Keepers returns the entries to ask whether they have a piece that another one may have
--- a/internal/coordination/relays/slots.go
+++ b/internal/coordination/relays/slots.go
@@ -5,9 +5,8 @@
 // Slots grants a few places to those who draw, the oldest version of a model first,
 // models in the order of asking. It is not safe for concurrent use.
 //
-// Guard: while the origin was away a second version was named. Entries that had
-// the first one whole asked for the second, and their requests lay before those
-// for the last pieces of the first, 2.4 s of the origin's link.
+// Guard: if a second version is named while the origin is away, entries that have the first one whole
+// ask for the second, and must not delay the last pieces of the first.
 type Slots struct {
 	// Last reports whether a waiter goes after all others for now; nil if none does.
 	Last    func(Waiter) bool
--- a/internal/coordination/routing/predict.go
+++ b/internal/coordination/routing/predict.go
@@ -110,10 +110,7 @@
 	h.readUntil = max(h.readUntil, request.Now) + time.Duration(request.PromptTokens)*r.config.PrefillToken
 }
 
-// batchShare tells how little a fuller batch slows a request: a full one by half
-// of what one place in the queue does. Measured on engines of 16 places: the
-// first token after 98 ms alone, 142 ms in a full batch, 75 ms more for each
-// request that waits.
+// batchShare is how many times less a full batch slows a request than one place in the queue does.
 const batchShare = 2
 
 const (
--- a/internal/coordination/switchover/pace.go
+++ b/internal/coordination/switchover/pace.go
@@ -5,8 +5,8 @@
 	"time"
 )
 
-// pieceTime is what one piece takes until pieces have been seen to come: twice 44
-// ms, the time over the thinnest link that was met, 5.94 Mbit/s.
+// pieceTime is what one piece is taken to need while neither pieces nor the link's rate tell: twice
+// the time over a thin link.
 const pieceTime = 88 * time.Millisecond
 
 const (
--- a/internal/coordination/switchover/switchover.go
+++ b/internal/coordination/switchover/switchover.go
@@ -85,13 +85,11 @@
 	return max(c.Bound-max(c.Queue, hearing+c.Pass+closeWay+startLate+usualStart), 0)
 }
 
-// usualStart is what a request takes to begin at a server with a free place, 0.1 to
-// 0.3 s.
+// usualStart is what a request takes at most to begin at a server with a free place.
 const usualStart = 300 * time.Millisecond
 
 // hearing is what an entry hears of a named version later than the store
-// acknowledged it while the store is sound: 30 ms at 45 entries, and as much again
-// for each of four relays that it might pass.
+// acknowledged it while the store is sound, with room for relays on its way.
 const hearing = 150 * time.Millisecond
 
 // startLate is how much later than predicted a request may begin without being taken
@@ -99,8 +97,8 @@
 // answer for so much longer, each less has some more told that they may have run.
 const startLate = 100 * time.Millisecond
 
-// closeWay is how long it takes until a server knows that a connection was closed. An
-// entry under load was 30 to 160 ms late to close it.
+// closeWay is how long it takes until a server knows that a connection was closed, also by an entry
+// under load.
 const closeWay = 200 * time.Millisecond
 
 // MayBegin reports whether a request that is sent now to a server with a version
@@ -168,9 +166,8 @@
 // has been whole on the hosts since wholeAt: its turn in the time that is left, as all
 // hosts have the weights at about the same time.
 //
-// Guard: where the weights came late, as after an outage of the origin, turns that
-// counted from the naming had passed, and all servers changed in the same moment: 19
-// within 60 ms, with every answer broken off and none to go on at.
+// Guard: where the weights come late, as after an outage of the origin, turns that count from the
+// naming have passed; all servers would change at once and leave none for the answers under way.
 func (c Config) begin(since, wholeAt time.Duration, place, count int) time.Duration {
 	if wholeAt == 0 {
 		return since + c.Turn(place, count)
--- a/internal/transport/gateway/crashes.go
+++ b/internal/transport/gateway/crashes.go
@@ -167,8 +167,8 @@
 	}
 }
 
-// trustBody is the longest body of which it is remembered that its request was answered;
-// reading it for that takes 60 us.
+// trustBody is the longest body of which it is remembered that its request was answered: it is hashed
+// for that.
 const trustBody = 64 << 10
 
 // survived notes that the server went on after it ran the request.
--- a/internal/transport/gateway/gateway.go
+++ b/internal/transport/gateway/gateway.go
@@ -258,9 +258,8 @@
 
 // Origin returns the origin of weights, once the other entries can be known.
 //
-// Guard: an entry that has just started and knows no other takes itself for the
-// drawer of every piece. After a loss of power each drew a copy, and the origin's
-// connections were used up for 2 s.
+// Guard: an entry that has just started and knows no other takes itself for the one that fetches
+// every piece. After a loss of power each would fetch a copy and use up the origin's connections.
 func (v relayView) Origin() (address, site string, ok bool) {
 	state := v.g.state.Load()
 	if state == nil || !v.g.listed.Load() && !v.g.alone() {
--- a/internal/transport/gateway/room.go
+++ b/internal/transport/gateway/room.go
@@ -50,9 +50,8 @@
 		// moments, and each answer under way would be broken off for good.
 		return !placement.Found
 	case placement.Found:
-		// Guard: where more is asked than servers can do, a late request that waits takes
-		// a place from one that would be in time: 2 in 100 fewer were, and no more were
-		// answered.
+		// Guard: where more is asked than servers can do, a late request that waits takes a place
+		// from one that would be in time.
 		return a.late() && a.gateway.recovers(a.service, now)
 	}
 	return placement.ReadyIn > 0 && placement.ReadyIn < admission.RoomWait
--- a/internal/transport/gateway/seeds.go
+++ b/internal/transport/gateway/seeds.go
@@ -23,10 +23,8 @@
 
 // runSeeds asks the seeds for other entries until the store has listed them.
 //
-// Guard: after a loss of power while the store, or its part with the entries, is
-// away, each entry believes that it is alone and the home of every piece; eight of
-// them drew eight copies over the origin's thin link, and servers had their weights
-// 7 s after the start in place of 3.
+// Guard: after a loss of power while the store, or its part with the entries, is away, each entry
+// believes that it is alone and fetches every piece over the origin's thin link.
 func (g *Gateway) runSeeds(ctx context.Context) {
 	ticker := time.NewTicker(seedsEvery)
 	defer ticker.Stop()
--- a/internal/transport/gateway/serve.go
+++ b/internal/transport/gateway/serve.go
@@ -134,8 +134,8 @@
 
 // Times of an entry that has just started.
 const (
-	// stateWait is how long a request waits for the desired state, which is known 0.05
-	// to 0.3 s after the start. Told to come back, its caller has lost a try.
+	// stateWait is how long a request waits for the desired state, which is known soon after the
+	// start. A caller that is told to come back has lost a try.
 	stateWait = 400 * time.Millisecond
 	// stateExpected is the time since the start in which it is expected to be known
 	// soon; after that the store is away, and nothing tells for how long.
--- a/internal/transport/gateway/views.go
+++ b/internal/transport/gateway/views.go
@@ -96,10 +96,9 @@
 // news reports whether this entry knows more of the versions of a server's models than
 // the server's agent does; the caller holds the lock.
 //
-// Guard: an agent that hears of a version late changes its server after the bound. Each
-// entry looks at what the agent knows, wherever it has it from: compared by a count of
-// each entry's own changes, an agent that had asked one entry was told of news by 19
-// others with each report, and asked for 20 KB ten times a second.
+// Guard: an agent that hears of a version late changes its server after the bound. Each entry looks
+// at what the agent knows, wherever it has it from. Counts of an entry's own changes mean nothing to
+// an agent that asked another one, which would read its view again with each report.
 func (g *Gateway) news(report *LoadReport, now time.Duration) bool {
 	if report.Named == nil {
 		// It has no view yet, and asks for one anyway.
--- a/internal/transport/hangup/hangup.go
+++ b/internal/transport/hangup/hangup.go
@@ -11,9 +11,8 @@
 
 var received = make(chan os.Signal, 1)
 
-// Guard: a platform changes a settings file and tells the process, which has just
-// started. By default the signal ends a process; one that listened once it had read its
-// settings, 5 ms after its start, ended by it and left its callers.
+// Guard: a platform may change a settings file and signal a process that has just started. By default
+// the signal ends a process, so it is caught before settings are read.
 func init() { signal.Notify(received, syscall.SIGHUP) }
 
 // Received has the signals since the start, one for all that were not taken yet.
--- a/internal/transport/relay/answers.go
+++ b/internal/transport/relay/answers.go
@@ -25,8 +25,8 @@
 }
 
 const (
-	// goneKept is for how long a version that is gone is not asked for again: agents that
-	// want it ask each 0.2 s, and each call is paid for.
+	// goneKept is for how long a version that is gone is not asked for again, however often agents
+	// ask for it: each call is paid for.
 	goneKept = time.Second
 	// passedMost is how long tries may fail while the origin answers for a newer version
 	// before that one goes first. An origin that comes back may answer for one some
--- a/internal/transport/relay/place.go
+++ b/internal/transport/relay/place.go
@@ -11,9 +11,8 @@
 // drawPlace is one of the few places for draws from the origin, held by a piece between
 // its tries. Nothing is held at first.
 //
-// Guard: when the origin came back, pieces of a newer version were drawn between two
-// tries of the last pieces of an older one, and no server answered meanwhile: eight
-// pieces took 1.3 s, 0.35 s of the origin's link. A try that failed keeps its place, and
+// Guard: when the origin comes back, pieces of a newer version must not go between two tries of the
+// last pieces of an older one, which all servers wait for. A try that failed keeps its place, and
 // gives it up only to one that goes before it.
 type drawPlace struct {
 	relay *Relay
--- a/internal/transport/sidecar/serve.go
+++ b/internal/transport/sidecar/serve.go
@@ -10,8 +10,8 @@
 	"github.com/filbertlever/filbertlever/internal/transport/relay"
 )
 
-// giving bounds the pieces given out at once: a caller's events wait behind what is
-// queued on the host's link, 27 to 34 ms for each piece.
+// giving bounds the pieces given out at once: a caller's events wait behind what is queued on the
+// host's link.
 const giving = 1
 
 // Routes adds the calls of entries.
--- a/internal/transport/sidecar/weights.go
+++ b/internal/transport/sidecar/weights.go
@@ -23,9 +23,8 @@
 	loadTime = 400 * time.Millisecond
 	// awaitPause is how often a load under way is looked at.
 	awaitPause = 50 * time.Millisecond
-	// piecesStalled is the time without a piece after which nothing tells when the
-	// rest will come. While the origin was away for 6 s callers were told to come back
-	// within the second, and were refused again.
+	// piecesStalled is the time without a piece after which nothing tells when the rest will come,
+	// as while the origin is away.
 	piecesStalled = 500 * time.Millisecond
 	// retryPause is the pause after a failed step.
 	retryPause = 200 * time.Millisecond
