--- a/internal/bench/experiment/file.go
+++ b/internal/bench/experiment/file.go
@@ -5,7 +5,6 @@
 
 import (
 	"bytes"
-	"errors"
 	"fmt"
 	"time"
 
@@ -126,46 +125,59 @@
 	requestsMost = 5_000_000
 )
 
+// FieldError is a field of an experiment that cannot be.
+type FieldError struct {
+	Field string
+	// Problem is what it is, and what is expected.
+	Problem string
+}
+
+func (e *FieldError) Error() string { return e.Field + ": " + e.Problem }
+
+func invalid(field, format string, args ...any) error {
+	return &FieldError{Field: field, Problem: fmt.Sprintf(format, args...)}
+}
+
 func (e *Experiment) check() error {
 	entries, servers, requests := 0, 0, 0.0
 	for _, r := range e.Regions {
 		entries, servers = entries+r.Entries, servers+r.Servers
 		if r.Entries < 0 || r.Servers < 0 || r.Name == "" {
-			return fmt.Errorf("Regions: %+v: expected a name and numbers of 0 or more", r)
+			return invalid("Regions", "%+v: expected a name and numbers of 0 or more", r)
 		}
 	}
 	for _, k := range e.Kinds {
 		if k.PerSecond <= 0 || k.Prompt <= 0 || k.Answer <= 0 || k.Goal <= 0 || k.Limit <= 0 || k.Retries < 0 {
-			return fmt.Errorf("Kinds: %s: expected figures above 0, and Retries of 0 or more", k.Name)
+			return invalid("Kinds", "%s: expected figures above 0, and Retries of 0 or more", k.Name)
 		}
 		requests += k.PerSecond * e.Length.Seconds()
 	}
 	for _, b := range e.Bursts {
 		if b.At < 0 || b.For <= 0 || b.Factor <= 0 {
-			return fmt.Errorf("Bursts: %+v: expected For and Factor above 0", b)
+			return invalid("Bursts", "%+v: expected For and Factor above 0", b)
 		}
 		requests *= max(b.Factor, 1)
 	}
 	for _, o := range e.Outages {
 		if o.At < 0 || o.For <= 0 {
-			return fmt.Errorf("Outages: %+v: expected For above 0", o)
+			return invalid("Outages", "%+v: expected For above 0", o)
 		}
 	}
 	switch {
 	case e.Length <= 0 || e.Length > lengthMost:
-		return fmt.Errorf("Length: %v: expected a time up to %v", e.Length, lengthMost)
+		return invalid("Length", "%v: expected a time up to %v", e.Length, lengthMost)
 	case len(e.Seeds) == 0:
-		return errors.New("Seeds: expected one or more")
+		return invalid("Seeds", "expected one or more")
 	case entries == 0 || servers == 0:
-		return errors.New("Regions: expected an entry and a server or more")
+		return invalid("Regions", "expected an entry and a server or more")
 	case len(e.Kinds) == 0:
-		return errors.New("Kinds: expected one or more")
+		return invalid("Kinds", "expected one or more")
 	case len(e.Policies) == 0:
-		return errors.New("Policies: expected one or more")
+		return invalid("Policies", "expected one or more")
 	case e.Engine.Slots <= 0 || e.Engine.Step <= 0 || e.Engine.Stride <= 0 || e.Engine.PromptsPerSecond <= 0:
-		return fmt.Errorf("Engine: %+v: expected figures above 0", e.Engine)
+		return invalid("Engine", "%+v: expected figures above 0", e.Engine)
 	case requests > requestsMost:
-		return fmt.Errorf("Kinds: %.0f requests: expected %d or less", requests, requestsMost)
+		return invalid("Kinds", "%.0f requests: expected %d or less", requests, requestsMost)
 	}
 	return nil
 }
