--- a/cmd/filbertlever-bench/experiment.go
+++ b/cmd/filbertlever-bench/experiment.go
@@ -8,7 +8,7 @@
 )
 
 type experimentCommand struct {
-	File string `arg:"" help:"The experiment, as YAML; examples/experiments has some."`
+	File string `arg:"" help:"The experiment, as YAML; docs/measurements/experiments has some."`
 }
 
 // Run plays each policy of an experiment with each seed in virtual time and prints a table.
--- a/internal/bench/experiment/experiment_test.go
+++ b/internal/bench/experiment/experiment_test.go
@@ -41,7 +41,7 @@
 
 // overload returns the example in which more is asked than servers can do.
 func overload(t *testing.T) *Experiment {
-	data, err := os.ReadFile("../../../examples/experiments/overload.yaml")
+	data, err := os.ReadFile("../../../docs/measurements/experiments/overload.yaml")
 	qt.Assert(t, err, qt.IsNil)
 	e, err := Parse(data)
 	qt.Assert(t, err, qt.IsNil)
@@ -73,7 +73,7 @@
 }
 
 func TestExamplesAreRead(t *testing.T) {
-	files, err := filepath.Glob("../../../examples/experiments/*.yaml")
+	files, err := filepath.Glob("../../../docs/measurements/experiments/*.yaml")
 	qt.Assert(t, err, qt.IsNil)
 	qt.Assert(t, len(files) > 0, qt.IsTrue)
 	for _, file := range files {
@@ -85,7 +85,7 @@
 }
 
 func TestBadFiles(t *testing.T) {
-	data, err := os.ReadFile("../../../examples/experiments/overload.yaml")
+	data, err := os.ReadFile("../../../docs/measurements/experiments/overload.yaml")
 	qt.Assert(t, err, qt.IsNil)
 	tests := []struct{ name, old, replacement, want string }{
 		{"unknown field", "Length: 14s", "Lenght: 14s", `(?s)parse experiment: .*field Lenght not found.*`},
