Entries that start together take turns at the store

Cause: one entry of a region reads a whole table, and the others wait 0.6 s for it; with 3,000 rows over 20 Mbit/s it takes longer. Then all of them give up at the same moment and read the table themselves over the same link, which is full for the next half minute. Change: the n-th entry of a region waits n times as long, eight times at most, for one that has the table; a table that is arriving is not given up.

--- a/internal/coordination/relays/relays.go
+++ b/internal/coordination/relays/relays.go
@@ -81,6 +81,12 @@
 	return xxhash.Sum64String(piece + "\x00" + string(entry.Host))
 }
 
+// Turn returns the place of an entry in the order of a site's entries for a piece, 0 for its home.
+func Turn(self filbertlever.HostID, entries []Entry, site, piece string) int {
+	near := slices.DeleteFunc(slices.Clone(entries), func(e Entry) bool { return e.Site != site })
+	return slices.Index(rank(near, piece), self)
+}
+
 // Role is what an entry is asked as for a piece.
 type Role int
 
--- a/internal/coordination/relays/relays_test.go
+++ b/internal/coordination/relays/relays_test.go
@@ -119,3 +119,16 @@
 		}
 	})
 }
+
+// Entries that read the store one after the other agree on their order, and its first is the home.
+func TestTurnsAreInOneOrder(t *testing.T) {
+	c := qt.New(t)
+	entries := []Entry{{Host: "e1", Site: "a"}, {Host: "e2", Site: "a"}, {Host: "e3", Site: "b"}, {Host: "e4", Site: "a"}}
+	turns := map[int]bool{}
+	for _, host := range []filbertlever.HostID{"e1", "e2", "e4"} {
+		turns[Turn(host, entries, "a", "reader")] = true
+	}
+	c.Assert(turns, qt.DeepEquals, map[int]bool{0: true, 1: true, 2: true})
+	c.Assert(Turn(Home(entries, "a", "reader"), entries, "a", "reader"), qt.Equals, 0)
+	c.Assert(Turn("e3", entries, "a", "reader"), qt.Equals, -1)
+}
--- a/internal/transport/gateway/feeds.go
+++ b/internal/transport/gateway/feeds.go
@@ -30,10 +30,13 @@
 	// feedBytes how much of them before they are packed, as followers unpack and read all.
 	feedKept  = 256
 	feedBytes = 2 << 20
-	// wholeTimeout bounds the wait for a whole table from another entry, which may
-	// itself be reading it. wholePause is left between calls to one that has not
-	// started yet.
+	// wholeTimeout is how long the second entry of a region waits for a whole table from the first,
+	// which may itself be reading it; the third waits twice as long, and so on up to wholeTurns
+	// times. A table that is arriving is awaited for wholeMost. wholePause is left between calls to
+	// one that has not started yet.
 	wholeTimeout = 600 * time.Millisecond
+	wholeTurns   = 8
+	wholeMost    = 10 * time.Second
 	wholePause   = 50 * time.Millisecond
 	// hearWait is how long a new process waits for the heartbeats with which others
 	// answer its first one.
@@ -271,7 +274,7 @@
 			break
 		}
 		asked = host
-		answer, err := g.fetchFeed(ctx, address, table, after)
+		answer, err := g.fetchFeed(ctx, address, table, after, feedTimeout)
 		if !errors.Is(err, errReaderLost) {
 			rows, at, ok := g.followed(table, host, after, sent, answer, err)
 			return rows, at, ok, nil
@@ -322,6 +325,9 @@
 // Guard: after a loss of power all entries of a region would read the same tables over one thin
 // link, and time out. One of each region reads, and the others have them from that one.
 //
+// Guard: where that takes long, as with many servers, all others would give up at the same time and
+// fill the link for good; they take turns.
+//
 // Guard: after the store dropped its history a reader that asks its own followers hears nothing
 // new. The reader reads the store, and the others wait for that.
 func (g *Gateway) wholeFromReader(ctx context.Context, table Table, gone uint64) (Rows, time.Duration, bool) {
@@ -330,15 +336,20 @@
 	}
 	g.awaitListed(ctx)
 	g.sleep(ctx, hearWait)
-	ctx, cancel := context.WithTimeout(ctx, wholeTimeout)
+	ctx, cancel := context.WithTimeout(ctx, wholeMost)
 	defer cancel()
+	began := boottime.Now()
 	for ctx.Err() == nil {
 		sent := boottime.Now()
 		host, address, other := g.starter(sent)
 		if !other {
 			return Rows{}, 0, false
 		}
-		answer, err := g.fetchFeed(ctx, address, table, 0)
+		left := began + wholeTimeout*time.Duration(max(min(g.storeTurn(sent), wholeTurns), 1)) - sent
+		if left <= 0 {
+			break
+		}
+		answer, err := g.fetchFeed(ctx, address, table, 0, min(left, feedTimeout))
 		if err == nil && answer.Age <= readerAge && answer.Revision > gone {
 			return Rows{Revision: answer.Revision, Raw: joinRows(answer.Raw), packed: answer.Packed}, sent - answer.Age, true
 		}
@@ -362,14 +373,36 @@
 // starter returns the peer address of the entry to ask for whole tables: one of
 // this region that is ready; if none is, as all have just started, the one that
 // all of them take for their reader. It returns false if that is this one.
-//
-// Guard: after a loss of power the list names entries that have not started again yet; only those
-// that have been heard are asked.
 func (g *Gateway) starter(now time.Duration) (filbertlever.HostID, string, bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	var ready, all []relays.Entry
-	addresses := map[filbertlever.HostID]string{}
+	ready, all, addresses := g.startedEntries(now)
+	if len(ready) > 0 {
+		all = ready
+	}
+	host := relays.Home(all, g.config.Self.Region, readerPiece)
+	return host, addresses[host], host != g.config.Self.Host
+}
+
+// storeTurn is this entry's place among those of its region that may ask the store for a whole table,
+// 0 for the first.
+func (g *Gateway) storeTurn(now time.Duration) int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	_, all, _ := g.startedEntries(now)
+	return relays.Turn(g.config.Self.Host, all, g.config.Self.Region, readerPiece)
+}
+
+// readerPiece orders the entries of a region by who reads the store when all have just started.
+const readerPiece = "reader"
+
+// startedEntries returns the entries of this region that have been heard, and those of them that are
+// ready, with their peer addresses; the caller holds the lock.
+//
+// Guard: after a loss of power the list names entries that have not started again yet; only those
+// that have been heard are asked.
+func (g *Gateway) startedEntries(now time.Duration) (ready, all []relays.Entry, addresses map[filbertlever.HostID]string) {
+	addresses = map[filbertlever.HostID]string{}
 	for _, e := range g.peers.alive(now) {
 		if e.Region != g.config.Self.Region || e.Host != g.config.Self.Host && !g.peers.isHeard(e.Host) {
 			continue
@@ -381,9 +414,5 @@
 			ready = append(ready, entry)
 		}
 	}
-	if len(ready) > 0 {
-		all = ready
-	}
-	host := relays.Home(all, g.config.Self.Region, "reader")
-	return host, addresses[host], host != g.config.Self.Host
+	return ready, all, addresses
 }
--- a/internal/transport/gateway/feeds_test.go
+++ b/internal/transport/gateway/feeds_test.go
@@ -144,7 +144,7 @@
 	}))
 	t.Cleanup(server.Close)
 	g := &Gateway{crashes: newCrashes(), client: server.Client()}
-	answer, err := g.fetchFeed(context.Background(), server.Listener.Addr().String(), TableDesired, 5)
+	answer, err := g.fetchFeed(context.Background(), server.Listener.Addr().String(), TableDesired, 5, feedTimeout)
 	c.Assert(err, qt.IsNil)
 	c.Assert(answer.Revision, qt.Equals, uint64(6))
 	c.Assert(string(joinRows(answer.Raw)), qt.Equals, string(large))
--- a/internal/transport/gateway/feedwire.go
+++ b/internal/transport/gateway/feedwire.go
@@ -151,9 +151,16 @@
 	_, _ = w.Write(answer.Packed)
 }
 
-func (g *Gateway) fetchFeed(ctx context.Context, address string, table Table, after uint64) (FeedAnswer, error) {
-	ctx, cancel := context.WithTimeout(ctx, readerWait+readerTimeout)
+// feedTimeout bounds a call for changes.
+const feedTimeout = readerWait + readerTimeout
+
+// fetchFeed asks another entry for changes after a revision, 0 for the whole table. Changes are there
+// within a time; a whole table begins to arrive within it.
+func (g *Gateway) fetchFeed(ctx context.Context, address string, table Table, after uint64, within time.Duration) (FeedAnswer, error) {
+	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
+	timer := time.AfterFunc(within, cancel)
+	defer timer.Stop()
 	values := url.Values{"Table": {string(table)}, "After": {strconv.FormatUint(after, 10)}}
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+PathFeed+"?"+values.Encode(), nil)
 	if err != nil {
@@ -166,7 +173,11 @@
 	defer func() { _ = response.Body.Close() }()
 	switch response.StatusCode {
 	case http.StatusOK:
-		answer, err := decodeFeed(response.Header, response.Body)
+		body := io.Reader(response.Body)
+		if after == 0 {
+			body = &progress{body, timer}
+		}
+		answer, err := decodeFeed(response.Header, body)
 		if err == nil {
 			g.noteReported(answer.Store)
 		}
@@ -179,6 +190,23 @@
 	return FeedAnswer{}, fmt.Errorf("answered %d", response.StatusCode)
 }
 
+// progress puts a timeout off while a body is arriving.
+//
+// Guard: a whole table that many entries fetch at once takes longer than a call may last; given up
+// and begun again, none would ever arrive.
+type progress struct {
+	body  io.Reader
+	timer *time.Timer
+}
+
+func (p *progress) Read(data []byte) (int, error) {
+	n, err := p.body.Read(data)
+	if n > 0 {
+		p.timer.Reset(readerTimeout)
+	}
+	return n, err
+}
+
 // decodeFeed decodes a reader's answer.
 //
 // Guard: a view goes on from the revision that an answer names. One that no store
