--- a/internal/transport/gateway/feeds.go
+++ b/internal/transport/gateway/feeds.go
@@ -326,10 +326,10 @@
 // link, and time out. One of each region reads, and the others have them from that one.
 //
 // Guard: where that takes long, as with many servers, all others would give up at the same time and
-// fill the link for good; they take turns.
+// fill the link for good. While the one that reads answers that it has nothing yet, they take turns.
 //
 // Guard: after the store dropped its history a reader that asks its own followers hears nothing
-// new. The reader reads the store, and the others wait for that.
+// new. The reader reads the store, and the others wait for that, none long, as their views age.
 func (g *Gateway) wholeFromReader(ctx context.Context, table Table, gone uint64) (Rows, time.Duration, bool) {
 	if table == TableEntries || gone > 0 && g.reads(boottime.Now()) {
 		return Rows{}, 0, false
@@ -339,13 +339,16 @@
 	ctx, cancel := context.WithTimeout(ctx, wholeMost)
 	defer cancel()
 	began := boottime.Now()
-	for ctx.Err() == nil {
+	for heard := began; ctx.Err() == nil; {
 		sent := boottime.Now()
 		host, address, other := g.starter(sent)
 		if !other {
 			return Rows{}, 0, false
 		}
-		left := began + wholeTimeout*time.Duration(max(min(g.storeTurn(sent), wholeTurns), 1)) - sent
+		left := wholeTimeout - (sent - began)
+		if gone == 0 && sent-heard < wholeTimeout {
+			left = began + g.patience(sent) - sent
+		}
 		if left <= 0 {
 			break
 		}
@@ -357,6 +360,9 @@
 		if errors.Is(err, ErrHistoryGone) {
 			break
 		}
+		if err == nil && answer.Revision == 0 {
+			heard = boottime.Now()
+		}
 		g.sleep(ctx, wholePause)
 	}
 	g.log.Info("store asked for a whole table", zap.String("Table", string(table)))
@@ -384,13 +390,14 @@
 	return host, addresses[host], host != g.config.Self.Host
 }
 
-// storeTurn is this entry's place among those of its region that may ask the store for a whole table,
-// 0 for the first.
-func (g *Gateway) storeTurn(now time.Duration) int {
+// patience is how long this entry waits for a whole table from another one that is reading it, by its
+// place among the entries of its region.
+func (g *Gateway) patience(now time.Duration) time.Duration {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	_, all, _ := g.startedEntries(now)
-	return relays.Turn(g.config.Self.Host, all, g.config.Self.Region, readerPiece)
+	turn := relays.Turn(g.config.Self.Host, all, g.config.Self.Region, readerPiece)
+	return wholeTimeout * time.Duration(max(min(turn, wholeTurns), 1))
 }
 
 // readerPiece orders the entries of a region by who reads the store when all have just started.
