Requests run only in the regions that their route and organisation allow

Ruled out: rejecting sampled servers of other regions, which leaves some requests without a candidate; entries forwarding to each other, which they never do. Change: the router filters a pool by region before it samples; both lists bind; where a caller's own site has fewer than two entries it is named entries of other regions only if its host's routes allow them. No region left: refused at once as not run.

--- a/internal/coordination/catalog/catalog.go
+++ b/internal/coordination/catalog/catalog.go
@@ -56,6 +56,8 @@
 	Anonymous bool
 	// Resumable is true if an interrupted stream may continue at another server.
 	Resumable bool
+	// Regions are the regions whose servers may run the requests.
+	Regions filbertlever.Regions
 	// Shares holds at least one service.
 	Shares []Share
 }
@@ -143,6 +145,8 @@
 	// Priority overrides the priority of the route, unless it is negative.
 	Priority int
 	Keys     []string
+	// Regions are the regions whose servers may run the organisation's requests.
+	Regions filbertlever.Regions
 }
 
 // State is one version of the desired state.
@@ -154,7 +158,9 @@
 	RequireKeys bool
 
 	routes map[string][]Route
-	keys   map[string]Organisation
+	// regions holds the regions that all routes of a host allow.
+	regions map[string]filbertlever.Regions
+	keys    map[string]Organisation
 	// maxPassByModel holds the longest pass of any engine that may hold a model.
 	maxPassByModel map[string]time.Duration
 }
@@ -168,11 +174,13 @@
 		Limits:         limits,
 		RequireKeys:    len(organisations) > 0,
 		routes:         map[string][]Route{},
+		regions:        map[string]filbertlever.Regions{},
 		keys:           map[string]Organisation{},
 		maxPassByModel: map[string]time.Duration{},
 	}
 	for _, route := range routes {
 		s.routes[route.Host] = append(s.routes[route.Host], route)
+		s.regions[route.Host] = s.regions[route.Host].Intersect(route.Regions)
 	}
 	for _, list := range s.routes {
 		slices.SortStableFunc(list, func(a, b Route) int { return cmp.Compare(len(b.Prefix), len(a.Prefix)) })
@@ -205,6 +213,9 @@
 	return nil, false
 }
 
+// Regions returns the regions that all routes of a host allow.
+func (s *State) Regions(host string) filbertlever.Regions { return s.regions[host] }
+
 // Organisation returns the organisation that holds a key.
 func (s *State) Organisation(key string) (Organisation, bool) {
 	organisation, ok := s.keys[key]
--- a/internal/coordination/fleet/announcements_test.go
+++ b/internal/coordination/fleet/announcements_test.go
@@ -115,7 +115,7 @@
 			qt.Assert(t, f.Accepts(all[0], retryAfter-time.Millisecond), qt.IsFalse)
 			qt.Assert(t, pickedServers(f, retryAfter-time.Millisecond), qt.DeepEquals, test.want)
 			if len(test.want) == 0 {
-				qt.Assert(t, f.ReadyIn(plainService, retryAfter-time.Millisecond), qt.Equals, time.Millisecond)
+				qt.Assert(t, f.ReadyIn(Request{Service: plainService}, retryAfter-time.Millisecond), qt.Equals, time.Millisecond)
 			}
 			f, all = newFleetWithTwoServers()
 			f.RecordRetryAfter(all[0], retryAfter, 0)
--- a/internal/coordination/fleet/choose.go
+++ b/internal/coordination/fleet/choose.go
@@ -26,6 +26,8 @@
 	// Avoid are the servers that must not be picked, such as those that the request was already
 	// sent to.
 	Avoid []filbertlever.HostID
+	// Regions are the regions whose servers may be picked.
+	Regions filbertlever.Regions
 }
 
 // Placement is the server picked for a request and what is known of it.
@@ -78,7 +80,7 @@
 	default:
 		target = modelTarget(request.Model)
 	}
-	routed := &routing.Request{Target: target, PromptTokens: request.PromptTokens, Avoid: request.Avoid, Now: now,
+	routed := &routing.Request{Target: target, PromptTokens: request.PromptTokens, Avoid: request.Avoid, Regions: request.Regions, Now: now,
 		AnswerDuration: f.answerDuration(request), LastAttempt: request.LastAttempt}
 	choice := router.Choose(routed)
 	if choice.Host == "" {
@@ -86,7 +88,7 @@
 	}
 	s, ok := f.servers[string(choice.Host)]
 	if !ok {
-		return Placement{Reason: choice.Reason, Candidates: choice.CandidateCount, ReadyIn: f.readyIn(request, now)}
+		return Placement{Reason: choice.Reason, Candidates: choice.CandidateCount, ReadyIn: f.ReadyIn(request, now)}
 	}
 	f.recordSent(s, now)
 	age := time.Duration(-1)
@@ -154,19 +156,13 @@
 	return placement.QueuePosition <= maxQueue
 }
 
-// ReadyIn returns the time until the first server of a service holds the model that it loads or
-// accepts requests again; 0 if unknown.
-func (f *Fleet) ReadyIn(service string, now time.Duration) time.Duration {
-	return f.readyIn(Request{Service: service}, now)
-}
-
-// readyIn returns the time until the first server of the request's service holds the model that it
+// ReadyIn returns the time until the first server of the request's service holds the model that it
 // loads or accepts requests again; 0 if unknown.
-func (f *Fleet) readyIn(request Request, now time.Duration) time.Duration {
+func (f *Fleet) ReadyIn(request Request, now time.Duration) time.Duration {
 	earliest := time.Duration(0)
 	for _, s := range f.servers {
 		at := max(s.loadedAt, f.retryAt(s))
-		if s.backend.Service != request.Service || at <= now || f.announcedDraining(s.backend) {
+		if s.backend.Service != request.Service || at <= now || f.announcedDraining(s.backend) || !request.Regions.Allows(f.config.Regions[s.backend.Site]) {
 			continue
 		}
 		if in := at - now; earliest == 0 || in < earliest {
--- a/internal/coordination/routing/policies.go
+++ b/internal/coordination/routing/policies.go
@@ -28,7 +28,7 @@
 
 // chooseByPolicy chooses a host for a request with a policy other than PolicyPredicted.
 func (r *Router) chooseByPolicy(pick pickFunc, p *pool, request *Request) Choice {
-	eligible := slices.DeleteFunc(slices.Clone(p.hosts), func(i int32) bool { return !r.eligible(i, request.Avoid) })
+	eligible := slices.DeleteFunc(slices.Clone(p.hosts), func(i int32) bool { return !r.eligible(i, request) })
 	if len(eligible) == 0 {
 		return Choice{Reason: ReasonNoHost}
 	}
--- a/internal/coordination/routing/routing.go
+++ b/internal/coordination/routing/routing.go
@@ -83,6 +83,8 @@
 	PromptTokens int
 	// Avoid lists the hosts where the request has already failed.
 	Avoid []filbertlever.HostID
+	// Regions are the regions of the hosts that may run the request.
+	Regions filbertlever.Regions
 	// AnswerDuration is how long the answer is predicted to take, 0 if unknown.
 	AnswerDuration time.Duration
 	// LastAttempt is true if the answer cannot resume on another host again.
@@ -185,6 +187,8 @@
 	hasHints bool
 	// roundRobin counts the choices of PolicyRoundRobin.
 	roundRobin int
+	// inRegions is the buffer of hostsIn.
+	inRegions []int32
 }
 
 type prefixHint struct {
@@ -322,7 +326,7 @@
 	best, owner := int32(-1), int32(-1)
 	bestCost := time.Duration(0)
 	consider := func(i int32) {
-		if choice.CandidateCount == maxCandidates || !r.eligible(i, request.Avoid) {
+		if choice.CandidateCount == maxCandidates || !r.eligible(i, request) {
 			return
 		}
 		if slices.Contains(considered[:choice.CandidateCount], i) {
@@ -348,7 +352,7 @@
 		consider(first)
 		consider(second)
 	}
-	r.sample(p, consider, &choice.CandidateCount)
+	r.sample(r.hostsIn(p, request.Regions), consider, &choice.CandidateCount)
 	if choice.CandidateCount == 0 {
 		// No sampled host was eligible, for instance after the failure of a site, so all hosts are
 		// considered.
@@ -373,16 +377,32 @@
 }
 
 // sample considers random hosts until enough new candidates were found.
-func (r *Router) sample(p *pool, consider func(int32), count *int) {
-	want := min(*count+r.config.Samples, len(p.hosts))
+func (r *Router) sample(hosts []int32, consider func(int32), count *int) {
+	want := min(*count+r.config.Samples, len(hosts))
 	for attempts := 0; attempts < maxSampleAttempts && *count < want; attempts++ {
-		consider(p.hosts[r.rng.IntN(len(p.hosts))])
+		consider(hosts[r.rng.IntN(len(hosts))])
 	}
 }
 
-// eligible reports whether host i may get a request that avoids some hosts.
-func (r *Router) eligible(i int32, avoid []filbertlever.HostID) bool {
-	return r.hosts[i].usable && !slices.Contains(avoid, r.hosts[i].id)
+// hostsIn returns the hosts of a pool in some regions. Sampling the whole pool for a request of
+// few regions would find too few candidates.
+func (r *Router) hostsIn(p *pool, regions filbertlever.Regions) []int32 {
+	if regions == nil {
+		return p.hosts
+	}
+	r.inRegions = r.inRegions[:0]
+	for _, i := range p.hosts {
+		if regions.Allows(r.hosts[i].region) {
+			r.inRegions = append(r.inRegions, i)
+		}
+	}
+	return r.inRegions
+}
+
+// eligible reports whether host i may get a request.
+func (r *Router) eligible(i int32, request *Request) bool {
+	h := &r.hosts[i]
+	return h.usable && request.Regions.Allows(h.region) && !slices.Contains(request.Avoid, h.id)
 }
 
 // recordSent counts a request as sent to host i and records its prefix.
--- a/internal/coordination/routing/routing_test.go
+++ b/internal/coordination/routing/routing_test.go
@@ -275,3 +275,15 @@
 	c.Assert(again.PrefillWait, qt.Equals, time.Duration(0))
 	c.Assert(again.Reason, qt.Equals, routing.ReasonLeastPredicted)
 }
+
+// A request that only some regions may run goes to a host elsewhere, or misses the few hosts of
+// its region among many others.
+func TestRequestStaysInItsRegions(t *testing.T) {
+	c := qt.New(t)
+	r := newRouter(1, 500)
+	r.SetHost(filbertlever.Host{ID: id(7), Region: "asturias"}, true)
+	for range 20 {
+		c.Assert(r.Choose(&routing.Request{Target: drafter, Regions: filbertlever.Regions{"asturias"}}).Host, qt.Equals, id(7))
+	}
+	c.Assert(r.Choose(&routing.Request{Target: drafter, Regions: filbertlever.Regions{}}).Reason, qt.Equals, routing.ReasonNoHost)
+}
--- a/internal/transport/gateway/gateway.go
+++ b/internal/transport/gateway/gateway.go
@@ -175,12 +175,17 @@
 	return state.Limits
 }
 
-// Locate returns the addresses that callers should connect to and how long they may cache them.
-func (g *Gateway) Locate(_, site string) ([]string, time.Duration) {
+// Locate returns the addresses that a caller in a region and at a site should connect to for a
+// host, and how long it may cache them.
+func (g *Gateway) Locate(host, region, site string) ([]string, time.Duration) {
 	ready := g.Ready()
+	var allowed filbertlever.Regions
+	if state := g.state.Load(); state != nil {
+		allowed = state.Regions(host)
+	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.peers.locate(site, ready, boottime.Now()), g.config.LocateTTL
+	return g.peers.locate(site, region, allowed, ready, boottime.Now()), g.config.LocateTTL
 }
 
 // retryBudget returns the retry budget of a service. The caller holds g.mu.
--- a/internal/transport/gateway/peers.go
+++ b/internal/transport/gateway/peers.go
@@ -282,10 +282,14 @@
 }
 
 // locate returns the addresses to which a caller at a site should connect. Bandwidth between
-// regions is scarce, so callers stay at their own site if it has minSiteEntries entries.
-func (p *peers) locate(site string, selfReady bool, now time.Duration) []string {
+// regions is scarce, so callers stay at their own site if it has minSiteEntries entries. Otherwise
+// they connect in their own region or in one that their requests are allowed in.
+func (p *peers) locate(site, region string, allowed filbertlever.Regions, selfReady bool, now time.Duration) []string {
 	var atSite, all []string
 	add := func(entry Entry) {
+		if entry.Region != region && !allowed.Allows(entry.Region) {
+			return
+		}
 		all = append(all, entry.Callers)
 		if entry.Site == site {
 			atSite = append(atSite, entry.Callers)
--- a/internal/transport/gateway/peers_test.go
+++ b/internal/transport/gateway/peers_test.go
@@ -58,19 +58,38 @@
 		t.Run(test.name, func(t *testing.T) {
 			p := newPeers(entryAt("e1", "a", "ra"), 0)
 			test.prepare(p)
-			qt.Assert(t, p.locate("a", test.selfReady, now), qt.DeepEquals, test.want)
+			qt.Assert(t, p.locate("a", "ra", nil, test.selfReady, now), qt.DeepEquals, test.want)
 		})
 	}
 }
 
+// Callers whose requests may run in one region only are named entries of a third region.
+func TestLocateNamesOnlyAllowedRegions(t *testing.T) {
+	const now = 10 * time.Second
+	c := qt.New(t)
+	p := newPeers(entryAt("e1", "a", "ra"), 0)
+	p.observeHeartbeat(entryAt("e2", "b", "rb"), true, false, now)
+	p.observeHeartbeat(entryAt("e3", "c", "rc"), true, false, now)
+	for _, test := range []struct {
+		allowed filbertlever.Regions
+		want    []string
+	}{
+		{nil, []string{"e1", "e2", "e3"}},
+		{filbertlever.Regions{"rb"}, []string{"e1", "e2"}},
+		{filbertlever.Regions{}, []string{"e1"}},
+	} {
+		c.Check(p.locate("a", "ra", test.allowed, true, now), qt.DeepEquals, test.want)
+	}
+}
+
 // After a start the other entries are known only by their rows. Callers receive their
 // addresses during startupGrace, and later only if heartbeats arrive.
 func TestListedEntriesAreAliveDuringStartupGrace(t *testing.T) {
 	c := qt.New(t)
 	p := newPeers(entryAt("e1", "a", "ra"), 10*time.Second)
 	p.applyRows([]Entry{entryAt("e2", "a", "ra")}, nil, true, 10*time.Second)
-	c.Assert(p.locate("a", true, 11*time.Second), qt.DeepEquals, []string{"e1", "e2"})
-	c.Assert(p.locate("a", true, 12*time.Second), qt.DeepEquals, []string{"e1"})
+	c.Assert(p.locate("a", "ra", nil, true, 11*time.Second), qt.DeepEquals, []string{"e1", "e2"})
+	c.Assert(p.locate("a", "ra", nil, true, 12*time.Second), qt.DeepEquals, []string{"e1"})
 }
 
 // After a power failure the servers of one region received their weights 7 s late, since
--- a/internal/transport/gateway/placement.go
+++ b/internal/transport/gateway/placement.go
@@ -89,7 +89,7 @@
 	at, ok := g.cancelDeadline(a.call.Model, now, placement)
 	if !ok {
 		g.fleet.Release(placement.Backend.ID)
-		return fleet.Placement{Reason: routing.ReasonNoHost, Candidates: placement.Candidates, ReadyIn: g.fleet.ReadyIn(a.service, now)}
+		return fleet.Placement{Reason: routing.ReasonNoHost, Candidates: placement.Candidates, ReadyIn: g.fleet.ReadyIn(a.placementRequest(now), now)}
 	}
 	a.startDeadline = at
 	return placement
@@ -155,7 +155,7 @@
 
 // placementRequest describes the request for placement. The caller holds g.mu.
 func (a *attempts) placementRequest(now time.Duration) fleet.Request {
-	request := fleet.Request{Service: a.service, Model: a.call.Model, PromptTokens: a.call.PromptTokens,
+	request := fleet.Request{Service: a.service, Regions: a.regions, Model: a.call.Model, PromptTokens: a.call.PromptTokens,
 		AnswerTokens: a.call.AnswerTokens, LastAttempt: a.Sent()+1 >= a.Class.MaxServers, Avoid: a.gateway.fleet.ServersToAvoid(a.tried)}
 	if a.call.Model != "" {
 		request.MinVersion = a.gateway.minVersion(a.call.Model, now)
--- a/internal/transport/gateway/serve.go
+++ b/internal/transport/gateway/serve.go
@@ -11,6 +11,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/filbertlever/filbertlever"
 	"github.com/filbertlever/filbertlever/internal/coordination/admission"
 	"github.com/filbertlever/filbertlever/internal/coordination/catalog"
 	"github.com/filbertlever/filbertlever/internal/coordination/quarantine"
@@ -92,10 +93,12 @@
 	route        *catalog.Route
 	service      string
 	organisation catalog.Organisation
-	priority     int
-	deadline     time.Time
-	ctx          context.Context
-	cancel       context.CancelFunc
+	// regions are those that both the route and the organisation allow.
+	regions  filbertlever.Regions
+	priority int
+	deadline time.Time
+	ctx      context.Context
+	cancel   context.CancelFunc
 	// cachedFingerprint is set once the request's fingerprint has been computed.
 	cachedFingerprint atomic.Pointer[quarantine.Fingerprint]
 	// firstByteAt is when the first byte of the response was forwarded.
@@ -193,7 +196,7 @@
 
 // checkKey finds the organisation that the request's key belongs to.
 func (x *exchange) checkKey() *errorResponse {
-	x.priority = x.route.Priority
+	x.priority, x.regions = x.route.Priority, x.route.Regions
 	if !x.state.RequireKeys || x.route.Anonymous {
 		return nil
 	}
@@ -205,6 +208,7 @@
 		return &errorResponse{status: http.StatusUnauthorized, reason: reasonNoKey}
 	}
 	x.organisation = organisation
+	x.regions = x.route.Regions.Intersect(organisation.Regions)
 	if organisation.Priority >= 0 {
 		x.priority = organisation.Priority
 	}
@@ -355,5 +359,5 @@
 	g, now := a.gateway, boottime.Now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.retryDelayUntilReady(a.service, g.fleet.ReadyIn(a.service, now), a.remaining(), now)
+	return g.retryDelayUntilReady(a.service, g.fleet.ReadyIn(a.placementRequest(now), now), a.remaining(), now)
 }
