--- a/internal/coordination/fleet/fleet.go
+++ b/internal/coordination/fleet/fleet.go
@@ -146,6 +146,8 @@
 	revision  uint64
 	// announcements are what servers announced in their answers, by server ID.
 	announcements map[string]*announcement
+	// evacuated are the sites whose servers must get no requests.
+	evacuated map[string]bool
 	// namedVersions are the versions of each model that operators have named.
 	namedVersions map[string][]uint64
 	// modelMisses counts, by service, consecutive requests at servers that lacked the model they
@@ -187,6 +189,7 @@
 		servers:         map[string]*server{},
 		byAddress:       map[string]string{},
 		announcements:   map[string]*announcement{},
+		evacuated:       map[string]bool{},
 		namedVersions:   map[string][]uint64{},
 		modelMisses:     map[string]int{},
 		recheck:         map[string]bool{},
--- a/internal/coordination/fleet/health.go
+++ b/internal/coordination/fleet/health.go
@@ -19,7 +19,7 @@
 
 // usable reports whether new requests may be sent to a server.
 func (f *Fleet) usable(s *server, now time.Duration) bool {
-	if f.isRemoved(s, now) {
+	if f.isRemoved(s, now) || f.evacuated[s.backend.Site] {
 		return false
 	}
 	return now >= s.switchingUntil && now >= s.silentUntil && now >= f.retryAt(s) && !f.stalled(s, now) && !f.silent(s, now) && f.members.Usable(filbertlever.HostID(s.backend.ID), f.membershipTime(now))
--- a/internal/transport/gateway/ports.go
+++ b/internal/transport/gateway/ports.go
@@ -177,7 +177,11 @@
 	// State is nil if it has not changed.
 	State *catalog.State
 	Named []catalog.ModelVersion
-	Bad   []BadRow
+	// Evacuated are the sites that an operator asked to evacuate, and Reopened those whose
+	// evacuation has ended.
+	Evacuated []string
+	Reopened  []string
+	Bad       []BadRow
 }
 
 // Backends holds the list of backend servers, or the changes to it.
--- a/internal/transport/gateway/watch.go
+++ b/internal/transport/gateway/watch.go
@@ -228,7 +228,7 @@
 //
 // Answers of the store may arrive out of order. Only a state with a higher version replaces
 // the current one.
-func (g *Gateway) applyDesired(rows Rows, after uint64, _, initial bool) error {
+func (g *Gateway) applyDesired(rows Rows, after uint64, whole, initial bool) error {
 	desired, err := g.store.DecodeDesired(rows, after)
 	if err != nil {
 		return err
@@ -246,11 +246,20 @@
 		}
 		g.log.Info("desired state in force", zap.Uint64("Version", desired.State.Version), zap.Uint64("Revision", rows.Revision))
 	}
+	g.setEvacuated(desired, whole, now)
 	g.setNamed(desired.Named, initial, now)
 	g.reportBadRows(desired.Bad)
 	return nil
 }
 
+// setEvacuated applies changes of the evacuated sites. The caller holds the lock.
+func (g *Gateway) setEvacuated(desired Desired, whole bool, now time.Duration) {
+	changed := g.fleet.SetEvacuated(desired.Evacuated, desired.Reopened, whole, now)
+	for _, site := range changed {
+		g.log.Info("site evacuation changed", zap.String("Site", site), zap.Bool("Evacuated", g.fleet.Evacuated(site)))
+	}
+}
+
 // runBackends follows the table of backend servers.
 func (g *Gateway) runBackends(ctx context.Context) {
 	last := boottime.Now()
