Cold servers get no more requests than they can take from all entries together

Cause: a server is cold for some seconds after its start and crashes under more requests a second than the desired state says; all entries sent to it at once. Ruled out: an n-th part for each of n entries (45 that are each one request ahead send 45 at once); time slots (one round lasts as long as the cold time). Change: three entries of the server's region, by rendezvous hash of the registered entries, use a cold server, each with a third of the rate; a request that was placed but not sent is given back. A server counts as cold by its row, after a restart that only its agent reported, and after its site was reopened.

--- a/internal/coordination/catalog/catalog.go
+++ b/internal/coordination/catalog/catalog.go
@@ -122,6 +122,10 @@
 	Engine *Engine
 	// MaxConnections limits the connections to one server from all callers together.
 	MaxConnections int
+	// ColdStart is how long a server is cold after its start, and ColdRate how many requests a
+	// second it can take meanwhile, from all entries together. 0 means no limit.
+	ColdStart time.Duration
+	ColdRate  float64
 	// Origin is the address of the origin of weights, if the service is one.
 	Origin     string
 	OriginSite string
@@ -288,7 +292,9 @@
 	Site     string
 	Slots    int
 	Draining bool
-	Models   []Model
+	// ColdFor is how long the server stays cold after its row was written.
+	ColdFor time.Duration
+	Models  []Model
 }
 
 // ModelVersion identifies a version of a model's weights.
--- a/internal/coordination/fleet/boots.go
+++ b/internal/coordination/fleet/boots.go
@@ -56,6 +56,7 @@
 		f.servers[backend.ID] = s
 	}
 	s.missingSince, s.closesConnections = 0, false
+	changed := backend.Revision == 0 || backend.Revision > s.lastRow.revision
 	if !f.acceptRow(s, &backend, now) {
 		return
 	}
@@ -64,6 +65,9 @@
 	}
 	s.backend = backend
 	f.byAddress[backend.Address] = backend.ID
+	if changed {
+		f.markCold(s, backend.ColdFor, now)
+	}
 }
 
 // acceptRow reports whether a row belongs to the current process or to one that replaced it, which
@@ -136,6 +140,7 @@
 	f.removeFromReportOrder(s)
 	*s = server{backend: backend, lastRow: s.lastRow, missingSince: s.missingSince, restartedAt: max(now, 1)}
 	f.markUsable(s, false)
+	f.markStarted(s, now)
 	f.clearProcessState(backend)
 	if source == SourceReport {
 		// After a row, Apply updates the membership itself.
@@ -256,6 +261,6 @@
 // process, it would appear to be idle while it is full.
 func (f *Fleet) ReleaseIfCurrent(b catalog.Backend) {
 	if !f.Superseded(b) {
-		f.Release(b.ID)
+		f.release(b.ID)
 	}
 }
--- a/internal/coordination/fleet/choose.go
+++ b/internal/coordination/fleet/choose.go
@@ -129,7 +129,7 @@
 	var suspected []string
 	for id := range f.recheck {
 		s, ok := f.servers[id]
-		eligible := ok && s.backend.Service == service && !f.evacuated[s.backend.Site] && s.missingSince == 0 && now >= s.switchingUntil && now >= f.retryAt(s) && !f.recentlyUnreachable(s, now)
+		eligible := ok && s.backend.Service == service && !f.evacuated[s.backend.Site] && !f.coldLimited(s, now) && s.missingSince == 0 && now >= s.switchingUntil && now >= f.retryAt(s) && !f.recentlyUnreachable(s, now)
 		if eligible && f.members.Eligible(filbertlever.HostID(id), f.membershipTime(now)) {
 			suspected = append(suspected, id)
 			router.SetHost(f.host(s.backend), true)
@@ -161,7 +161,7 @@
 func (f *Fleet) ReadyIn(request Request, now time.Duration) time.Duration {
 	earliest := time.Duration(0)
 	for _, s := range f.servers {
-		at := max(s.loadedAt, f.retryAt(s))
+		at := max(s.loadedAt, f.retryAt(s), f.coldReadyAt(s, now))
 		if s.backend.Service != request.Service || at <= now || f.evacuated[s.backend.Site] || f.announcedDraining(s.backend) || !request.Regions.Allows(f.config.Regions[s.backend.Site]) {
 			continue
 		}
--- a/internal/coordination/fleet/counts.go
+++ b/internal/coordination/fleet/counts.go
@@ -103,10 +103,19 @@
 		f.busy[s.backend.ID] = s
 	}
 	s.ownRequests++
+	f.recordSentCold(s, now)
 }
 
-// Release removes a request from the count of a server, after it has ended there or was not sent.
+// Release reverts a Choose whose request was not sent.
 func (f *Fleet) Release(id string) {
+	if s, ok := f.busy[id]; ok {
+		f.refundCold(s)
+	}
+	f.release(id)
+}
+
+// release removes a request from the count of a server.
+func (f *Fleet) release(id string) {
 	s, ok := f.busy[id]
 	if !ok {
 		return
--- a/internal/coordination/fleet/evacuation.go
+++ b/internal/coordination/fleet/evacuation.go
@@ -30,6 +30,9 @@
 	}
 	for id, s := range f.servers {
 		if changed[s.backend.Site] {
+			if !f.evacuated[s.backend.Site] {
+				f.markStarted(s, now)
+			}
 			f.syncRouter(id, now)
 		}
 	}
--- a/internal/coordination/fleet/fleet.go
+++ b/internal/coordination/fleet/fleet.go
@@ -18,7 +18,8 @@
 
 // Config holds the penalties, timeouts and limits of a Fleet.
 type Config struct {
-	// Site and Region are those of this entry.
+	// Host, Site and Region are those of this entry.
+	Host   filbertlever.HostID
 	Site   string
 	Region string
 	// Regions maps each site to its region.
@@ -130,6 +131,11 @@
 	// closesConnections is true if the server closed a connection while it was missing from the
 	// list.
 	closesConnections bool
+	// coldUntil is when the server is no longer cold. Until then this entry sends it a request each
+	// coldInterval, the next one not before coldNextAt, or none if coldInterval is 0.
+	coldUntil    time.Duration
+	coldInterval time.Duration
+	coldNextAt   time.Duration
 }
 
 // Fleet tracks the backend servers of all services. It is not safe for concurrent use. All times
@@ -146,6 +152,8 @@
 	revision  uint64
 	// announcements are what servers announced in their answers, by server ID.
 	announcements map[string]*announcement
+	// entries are the registered entries, including this one; nil if they are unknown.
+	entries []filbertlever.Host
 	// evacuated are the sites whose servers must get no requests.
 	evacuated map[string]bool
 	// namedVersions are the versions of each model that operators have named.
@@ -167,6 +175,8 @@
 	busy map[string]*server
 	// gossipedServers are, by entry, the servers at which that entry has requests in flight.
 	gossipedServers map[filbertlever.HostID][]string
+	// cold are the cold servers that this entry may use.
+	cold map[string]*server
 	// reportOrder holds the servers of this region by the time of their last report, oldest first.
 	// Servers whose agent has timed out are not in it.
 	reportOrder *list.List
@@ -196,6 +206,7 @@
 		endedProcesses:  map[process]time.Duration{},
 		busy:            map[string]*server{},
 		gossipedServers: map[filbertlever.HostID][]string{},
+		cold:            map[string]*server{},
 		reportOrder:     list.New(),
 		unusable:        map[string]*server{},
 		epoch:           time.Unix(0, 0),
@@ -214,6 +225,7 @@
 			delete(f.routers, name)
 		}
 	}
+	f.updateCold()
 	for id := range f.servers {
 		f.syncRouter(id, now)
 	}
--- a/internal/transport/gateway/gateway.go
+++ b/internal/transport/gateway/gateway.go
@@ -115,7 +115,7 @@
 func New(ctx context.Context, config Config, store Store, codec Codec, sender Sender, origin relay.Origin,
 	client *http.Client, socket net.PacketConn, log *zap.Logger, registry prometheus.Registerer, rng *rand.Rand) *Gateway {
 	fleetConfig := fleet.DefaultConfig()
-	fleetConfig.Site, fleetConfig.Region, fleetConfig.Regions = config.Self.Site, config.Self.Region, config.Regions
+	fleetConfig.Host, fleetConfig.Site, fleetConfig.Region, fleetConfig.Regions = config.Self.Host, config.Self.Site, config.Self.Region, config.Regions
 	g := &Gateway{
 		stateKnown: make(chan struct{}), started: boottime.Now(), heartbeatNow: make(chan struct{}, 1), namedChanged: make(chan struct{}, 1),
 		config: config, store: store, codec: codec, sender: sender, log: log, socket: datagrams.New(socket), client: client, feeds: newFeeds(),
--- a/internal/transport/gateway/peers.go
+++ b/internal/transport/gateway/peers.go
@@ -205,6 +205,15 @@
 // registeredCount returns the number of registered entries, including this one.
 func (p *peers) registeredCount() int { return len(p.byHost) + 1 }
 
+// hosts returns the registered entries, including this one.
+func (p *peers) hosts() []filbertlever.Host {
+	hosts := []filbertlever.Host{{ID: p.self.Host, Region: p.self.Region}}
+	for _, other := range p.sorted() {
+		hosts = append(hosts, filbertlever.Host{ID: other.entry.Host, Region: other.entry.Region})
+	}
+	return hosts
+}
+
 // sorted returns the other entries, sorted by host.
 func (p *peers) sorted() []*peer {
 	if p.order != nil {
--- a/internal/transport/gateway/watch.go
+++ b/internal/transport/gateway/watch.go
@@ -343,6 +343,7 @@
 		g.mu.Lock()
 		g.peers.applyRows(entries.Present, entries.Removed, whole, boottime.Now())
 		g.resizeRetryBudgets()
+		g.fleet.SetEntries(g.peers.hosts())
 		g.reportBadRows(entries.Bad)
 		g.mu.Unlock()
 		if !g.entriesListed.Swap(true) {
