--- a/internal/transport/gateway/placement.go
+++ b/internal/transport/gateway/placement.go
@@ -26,6 +26,9 @@
 		zap.Int("Weighed", placement.Candidates), zap.Duration("ReportAge", placement.ReportAge), zap.String("Why", string(placement.Reason)), zap.Bool("Cut", placement.WillInterrupt), zap.Duration("Reading", placement.PrefillWait)}
 	fields = append(fields, a.startFields(placement, now)...)
 	fields = append(fields, g.viewFields(placement, now)...)
+	if a.regions != nil {
+		fields = append(fields, zap.Strings("Regions", a.regions))
+	}
 	if !placement.Found {
 		g.log.Info("no server available", fields...)
 		return placement, unavailable(reasonNoServer, g.retryDelayUntilReady(a.service, placement.ReadyIn, a.remaining(), now))
--- a/internal/transport/gateway/watch.go
+++ b/internal/transport/gateway/watch.go
@@ -254,9 +254,12 @@
 
 // setEvacuated applies changes of the evacuated sites. The caller holds the lock.
 func (g *Gateway) setEvacuated(desired Desired, whole bool, now time.Duration) {
-	changed := g.fleet.SetEvacuated(desired.Evacuated, desired.Reopened, whole, now)
-	for _, site := range changed {
-		g.log.Info("site evacuation changed", zap.String("Site", site), zap.Bool("Evacuated", g.fleet.Evacuated(site)))
+	for _, site := range g.fleet.SetEvacuated(desired.Evacuated, desired.Reopened, whole, now) {
+		message := "site reopened"
+		if g.fleet.Evacuated(site) {
+			message = "site evacuated"
+		}
+		g.log.Info(message, zap.String("Site", site))
 	}
 }
 
@@ -306,7 +309,7 @@
 func (g *Gateway) logBackends(backends Backends) {
 	for _, b := range backends.Present {
 		g.log.Info("backend server listed", zap.String("Backend", b.ID), zap.String("Service", b.Service),
-			zap.String("Address", b.Address), zap.Bool("Leaving", b.Draining), zap.Int("Models", len(b.Models)), zap.Duration("Within", g.backendsInterval))
+			zap.String("Address", b.Address), zap.Bool("Leaving", b.Draining), zap.Int("Models", len(b.Models)), zap.Duration("ColdFor", b.ColdFor), zap.Duration("Within", g.backendsInterval))
 	}
 	for _, id := range backends.Removed {
 		g.log.Info("backend server removed", zap.String("Backend", id), zap.Duration("Within", g.backendsInterval))
