Processes that start together no longer fill the links between regions

Cause: at 484 entries in five regions, four regions never started. Each starting entry asked up to three seeds every 0.3 s for all entries (100 KB, 97 askers a region, over a border of 32 Mbit/s), sent heartbeats to all 483 others with each answer, and read and followed the store's list of entries by itself until it was ready: 97 copies of 250 KB a region. Calls timed out and were repeated; nothing ever finished. 503 agents asked all seeds ten times a second. What grows is the square of the entries; at 98 entries it fitted. Ruled out: longer timeouts, which move the size at which it ends. Heartbeats and counts between regions still grow with the square.

--- a/internal/transport/gateway/counts.go
+++ b/internal/transport/gateway/counts.go
@@ -73,8 +73,5 @@
 
 // sendCounts sends counts to the entries in a scope.
 func (g *Gateway) sendCounts(counts *Counts, to scope) {
-	g.mu.Lock()
-	addresses := g.peers.addresses(to)
-	g.mu.Unlock()
-	g.sendTo(Datagram{Counts: counts}, addresses)
+	g.sendTo(Datagram{Counts: counts}, g.addressesOf(to))
 }
--- a/internal/transport/gateway/datagrams.go
+++ b/internal/transport/gateway/datagrams.go
@@ -115,46 +115,69 @@
 	}
 }
 
-// runHeartbeat sends a heartbeat to all entries at the start, then one at every interval, and
-// one to the region whenever heartbeatNow requests it.
+// runHeartbeat sends a heartbeat to the region and to some entries of other regions at every
+// interval, and one to the region whenever heartbeatNow requests it.
 func (g *Gateway) runHeartbeat(ctx context.Context) {
 	ticker := time.NewTicker(heartbeatInterval)
 	defer ticker.Stop()
-	g.sendHeartbeat(boottime.Now(), true)
-	for tick := 1; ; {
+	for tick := 0; ; {
 		select {
 		case <-ctx.Done():
 			return
 		case <-g.heartbeatNow:
-			g.sendHeartbeat(boottime.Now(), false)
+			g.sendHeartbeat(boottime.Now(), g.addressesOf(scopeRegion))
 		case <-ticker.C:
-			g.sendHeartbeat(boottime.Now(), tick%heartbeatsPerRemote == 0)
+			g.sendTurn(boottime.Now(), tick%heartbeatsPerRemote)
 			tick++
 		}
 	}
 }
 
-// sendHeartbeat sends a heartbeat to the other entries of the region, or to all entries. It
-// also drops the counts of entries that have timed out.
-func (g *Gateway) sendHeartbeat(now time.Duration, all bool) {
+// sendTurn sends the heartbeat of one interval: to the region, and to one in heartbeatsPerRemote of
+// the other entries, each in its turn. With the heartbeat they get the recent crash reports, the
+// region once in a round of turns.
+//
+// Entries that start together have the same ticks. If each sent its heartbeats to all other regions
+// at once, they would fill the links between regions for a moment.
+func (g *Gateway) sendTurn(now time.Duration, turn int) {
+	g.mu.Lock()
+	region, remote := g.peers.addresses(scopeRegion), inTurn(g.peers.addresses(scopeRemote), turn)
+	reports := g.crashes.RecentReports(now)
+	g.mu.Unlock()
+	g.sendHeartbeat(now, slices.Concat(region, remote))
+	if turn == 0 {
+		remote = append(remote, region...)
+	}
+	g.sendCrashReports(reports, remote)
+}
+
+// inTurn returns the addresses that get a heartbeat in one of heartbeatsPerRemote turns.
+func inTurn(addresses []string, turn int) []string {
+	var due []string
+	for i := turn; i < len(addresses); i += heartbeatsPerRemote {
+		due = append(due, addresses[i])
+	}
+	return due
+}
+
+// sendHeartbeat sends a heartbeat to some entries. It also drops the counts of entries that have
+// timed out.
+func (g *Gateway) sendHeartbeat(now time.Duration, addresses []string) {
 	g.mu.Lock()
 	for _, host := range g.peers.timedOut(now) {
 		g.fleet.SetPeerCounts(host, nil, now)
 	}
-	to := scopeRegion
-	if all {
-		to = scopeAll
-	}
-	addresses := g.peers.addresses(to)
 	heartbeat := g.ownHeartbeat(now)
-	var recent []quarantine.CrashReport
-	if all {
-		recent = g.crashes.RecentReports(now)
-	}
 	g.metrics.quarantined.Set(float64(g.crashes.HeldCount(now)))
 	g.mu.Unlock()
 	g.sendTo(Datagram{Heartbeat: heartbeat}, addresses)
-	g.sendCrashReports(recent, addresses)
+}
+
+// addressesOf returns the datagram addresses of the entries in a scope.
+func (g *Gateway) addressesOf(to scope) []string {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.peers.addresses(to)
 }
 
 // sendCrashReports sends reports on requests that crash backend servers.
--- a/internal/transport/gateway/feeds.go
+++ b/internal/transport/gateway/feeds.go
@@ -45,8 +45,10 @@
 	// heartbeatReplyWait is how long a new process waits for the heartbeats with which other
 	// entries reply to its first one.
 	heartbeatReplyWait = 20 * time.Millisecond
-	// entryListWait is how long a new process waits for the list of entries.
-	entryListWait = 400 * time.Millisecond
+	// entryListWait is how long a new process waits for the list of entries before it reads other
+	// tables, and peersWait how long it waits for another entry that has the list.
+	entryListWait = 800 * time.Millisecond
+	peersWait     = 400 * time.Millisecond
 )
 
 // feedLog holds the recent changes of one table for followers.
@@ -212,13 +214,14 @@
 	defer g.mu.Unlock()
 	var readers []relays.Reader
 	addresses := map[filbertlever.HostID]string{}
+	starting := g.regionStarting(now)
 	for _, e := range g.peers.alive(now) {
 		self := e.Host == g.config.Self.Host
-		if e.Region != g.config.Self.Region || !self && !g.peers.isReady(e.Host) {
+		if e.Region != g.config.Self.Region || !self && !g.peers.isReady(e.Host) && !(starting && g.peers.hasHeartbeat(e.Host)) {
 			continue
 		}
 		addresses[e.Host] = e.Peers
-		reader := relays.Reader{Host: e.Host, Unavailable: !g.peers.canReadStore(e.Host), StoreAnswered: g.peers.hasRecentStoreAnswer(e.Host, now)}
+		reader := relays.Reader{Host: e.Host, Unavailable: g.peers.isStoreUnreachable(e.Host), StoreAnswered: g.peers.hasRecentStoreAnswer(e.Host, now)}
 		if self {
 			reader.Unavailable, reader.StoreAnswered = g.storeUnreachable(now), g.hasRecentStoreAnswer(now)
 		}
@@ -228,6 +231,16 @@
 	return host, addresses[host], host != g.config.Self.Host
 }
 
+// regionStarting reports whether this entry and all others of its region have just started. The
+// caller holds the lock.
+//
+// Such entries follow one of them, although none is ready. If each read the store until it is ready,
+// their reads would fill the links between regions, and none would become ready.
+func (g *Gateway) regionStarting(now time.Duration) bool {
+	ready, _, _ := g.observedEntries(now)
+	return g.state.Load() == nil && len(ready) == 0
+}
+
 // isReader reports whether this entry reads the store for its region.
 func (g *Gateway) isReader(now time.Duration) bool {
 	_, _, remote := g.selectReader(now)
@@ -251,7 +264,7 @@
 	notified := now < time.Duration(g.readerSuspendedUntil.Swap(int64(now+readerBackoff)))
 	g.feeds.markUnreachable(table)
 	if !notified {
-		g.sendHeartbeat(now, false)
+		g.sendHeartbeat(now, g.addressesOf(scopeRegion))
 	}
 }
 
@@ -344,10 +357,14 @@
 // table. The reader therefore reads the store. The other entries wait for that, but each only for
 // a short time, because their views become outdated.
 func (g *Gateway) fetchSnapshot(ctx context.Context, table Table, goneRevision uint64) (Rows, time.Duration, bool) {
-	if table == TableEntries || goneRevision > 0 && g.isReader(boottime.Now()) {
+	if goneRevision > 0 && g.isReader(boottime.Now()) {
 		return Rows{}, 0, false
 	}
-	g.awaitEntryList(ctx)
+	if table == TableEntries {
+		g.awaitPeers(ctx)
+	} else {
+		g.awaitEntryList(ctx)
+	}
 	g.sleepJittered(ctx, heartbeatReplyWait)
 	ctx, cancel := context.WithTimeout(ctx, maxSnapshotDuration)
 	defer cancel()
@@ -382,6 +399,23 @@
 	return Rows{}, 0, false
 }
 
+// awaitPeers waits until another entry of this region is known, which may have the list of entries,
+// up to peersWait. Only seeds name other entries before the list does.
+func (g *Gateway) awaitPeers(ctx context.Context) {
+	if len(g.config.Seeds) == 0 {
+		return
+	}
+	known := func() bool {
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		_, all, _ := g.observedEntries(boottime.Now())
+		return len(all) > 1
+	}
+	for end := boottime.Now() + peersWait; boottime.Now() < end && !known() && ctx.Err() == nil; {
+		g.sleepJittered(ctx, snapshotRetryPause/2)
+	}
+}
+
 // awaitEntryList waits until the list of entries has been read, up to entryListWait.
 func (g *Gateway) awaitEntryList(ctx context.Context) {
 	for end := boottime.Now() + entryListWait; boottime.Now() < end && !g.entriesListed.Load() && ctx.Err() == nil; {
--- a/internal/transport/gateway/gateway.go
+++ b/internal/transport/gateway/gateway.go
@@ -230,7 +230,7 @@
 	g.stop.Announce(time.Now())
 	g.mu.Unlock()
 	g.log.Info("leaving", zap.Int64("Running", g.inFlight.Load()))
-	g.sendHeartbeat(boottime.Now(), true)
+	g.sendHeartbeat(boottime.Now(), g.addressesOf(scopeAll))
 	go g.unregister(ctx)
 	ticker := time.NewTicker(drainPollInterval)
 	defer ticker.Stop()
--- a/internal/transport/gateway/peers.go
+++ b/internal/transport/gateway/peers.go
@@ -5,6 +5,8 @@
 	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/filbertlever/filbertlever"
 )
 
@@ -15,8 +17,8 @@
 	// heartbeatTimeout is the time without a heartbeat after which an entry of the region
 	// counts as dead. It spans three heartbeats, since datagrams may be dropped.
 	heartbeatTimeout = 1300 * time.Millisecond
-	// One in heartbeatsPerRemote heartbeats is also sent to other regions, as bandwidth
-	// between regions is scarce. remoteHeartbeatTimeout is the timeout for their entries.
+	// An entry of another region gets one in heartbeatsPerRemote heartbeats, as bandwidth
+	// between regions is scarce. remoteHeartbeatTimeout is the timeout for such entries.
 	heartbeatsPerRemote    = 5
 	remoteHeartbeatTimeout = 5 * time.Second
 	// startupGrace is how long a newly discovered entry of the region counts as alive
@@ -99,15 +101,18 @@
 	}
 }
 
-// addDiscovered adds entries that another entry reported. Whether they are alive is decided
-// by their own heartbeats.
-func (p *peers) addDiscovered(entries []Entry, now time.Duration) {
+// addDiscovered adds entries that another entry reported, and returns the new ones. Whether they
+// are alive is decided by their own heartbeats.
+func (p *peers) addDiscovered(entries []Entry, now time.Duration) []Entry {
+	var added []Entry
 	for _, entry := range entries {
 		if _, ok := p.byHost[entry.Host]; !ok && entry.Host != p.self.Host {
 			p.byHost[entry.Host] = &peer{entry: entry, listed: true, discoveredAt: now}
 			p.order = nil
+			added = append(added, entry)
 		}
 	}
+	return added
 }
 
 // observeHeartbeat records a heartbeat, and reports whether it is the first one of that
@@ -165,11 +170,10 @@
 	return ok && other.ready
 }
 
-// canReadStore reports whether an entry may read the store for its region: it is ready, and
-// the store answers it.
-func (p *peers) canReadStore(host filbertlever.HostID) bool {
+// isStoreUnreachable reports whether the store does not answer an entry, by its last heartbeat.
+func (p *peers) isStoreUnreachable(host filbertlever.HostID) bool {
 	other, ok := p.byHost[host]
-	return ok && other.ready && !other.storeUnreachable
+	return ok && other.storeUnreachable
 }
 
 // recordStoreAnswer records how long ago the store last answered an entry. An age of 0 means
@@ -249,6 +253,36 @@
 	return entries
 }
 
+// maxRemoteNeighbours is the number of entries of each other region that neighbours returns.
+const maxRemoteNeighbours = 20
+
+// neighbours returns the entries that a process in a region needs to know: the live ones of that
+// region, and a few of each other region, the same ones in each answer. With all entries, the
+// answers to processes that start together would grow with the square of the installation and fill
+// the links between regions.
+func (p *peers) neighbours(region string, now time.Duration) []Entry {
+	var near []Entry
+	byRegion := map[string][]Entry{}
+	for _, entry := range p.alive(now) {
+		if region == "" || entry.Region == region {
+			near = append(near, entry)
+		} else {
+			byRegion[entry.Region] = append(byRegion[entry.Region], entry)
+		}
+	}
+	for _, remote := range byRegion {
+		slices.SortFunc(remote, func(a, b Entry) int { return cmp.Compare(neighbourScore(region, a), neighbourScore(region, b)) })
+		near = append(near, remote[:min(len(remote), maxRemoteNeighbours)]...)
+	}
+	return near
+}
+
+// neighbourScore orders the entries that the processes of a region know of other regions. Regions
+// have different orders, so that no entry is known to all.
+func neighbourScore(region string, entry Entry) uint64 {
+	return xxhash.Sum64String(region + "\x00" + string(entry.Host))
+}
+
 // scope selects the entries that a message is sent to.
 type scope int
 
--- a/internal/transport/gateway/views.go
+++ b/internal/transport/gateway/views.go
@@ -12,6 +12,7 @@
 
 // View is what an entry reports to an agent about the installation.
 type View struct {
+	// Entries are the live entries of the agent's region, and a few of each other region.
 	Entries []Entry
 	// Named are the named versions of the models of the agent's service, for each model
 	// from the oldest to the newest.
@@ -57,8 +58,8 @@
 }
 
 func (g *Gateway) serveView(w http.ResponseWriter, r *http.Request) {
-	service, address := r.URL.Query().Get("Service"), r.URL.Query().Get("Address")
-	view, ok := g.view(service, address)
+	query := r.URL.Query()
+	view, ok := g.view(query.Get("Service"), query.Get("Address"), query.Get("Region"))
 	if !ok {
 		http.Error(w, "no desired state is known", http.StatusServiceUnavailable)
 		return
@@ -70,9 +71,9 @@
 // initialVersion is the version of a model for which no version has been named.
 const initialVersion = 1
 
-// view returns the view of the agent at a server's address. It returns false while no desired
-// state is known.
-func (g *Gateway) view(service, address string) (View, bool) {
+// view returns the view of the agent in a region, at a server's address. It returns false while no
+// desired state is known.
+func (g *Gateway) view(service, address, region string) (View, bool) {
 	state := g.state.Load()
 	if state == nil {
 		return View{}, false
@@ -80,7 +81,7 @@
 	now := boottime.Now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	view := View{Entries: g.peers.alive(now), OriginRate: g.originRate()}
+	view := View{Entries: g.peers.neighbours(region, now), OriginRate: g.originRate()}
 	backends := g.fleet.Backends(service)
 	view.ServerCount = len(backends)
 	view.ServerIndex = max(slices.IndexFunc(backends, func(b catalog.Backend) bool { return b.Address == address }), 0)
--- a/internal/transport/gateway/watch.go
+++ b/internal/transport/gateway/watch.go
@@ -350,7 +350,7 @@
 		g.reportBadRows(entries.Bad)
 		g.mu.Unlock()
 		if !g.entriesListed.Swap(true) {
-			g.sendHeartbeat(boottime.Now(), true)
+			g.sendHeartbeat(boottime.Now(), g.addressesOf(scopeRegion))
 		}
 		return nil
 	}
--- a/internal/transport/installation/roles.go
+++ b/internal/transport/installation/roles.go
@@ -147,7 +147,7 @@
 	runCtx, cancelRun := context.WithCancel(context.Background())
 	defer cancelRun()
 	agent := sidecar.New(runCtx, sidecar.Config{
-		Site: s.Site, Service: s.ModelServer.Service, Address: s.ModelServer.Address, Seeds: s.Seeds,
+		Site: s.Site, Region: s.Region, Service: s.ModelServer.Service, Address: s.ModelServer.Address, Seeds: s.Seeds,
 		MaxStaleness: time.Duration(s.Bounds.Version), FirstStart: s.FirstStart,
 	}, ports.Engine, ports.Entries, newClient(), socket, p.log, p.registry)
 	pieces := http.NewServeMux()
--- a/internal/transport/sidecar/sidecar.go
+++ b/internal/transport/sidecar/sidecar.go
@@ -63,7 +63,8 @@
 
 // Config holds the settings of a Sidecar.
 type Config struct {
-	Site string
+	Site   string
+	Region string
 	// Service is the service that the model server at Address belongs to.
 	Service string
 	Address string
@@ -106,6 +107,8 @@
 
 	mu      sync.Mutex
 	entries []gateway.Entry
+	// seedRounds counts the calls of seeds.
+	seedRounds uint64
 	// notifier is the datagram address of the entry that last announced a newer view.
 	notifier   string
 	view       gateway.View
--- a/internal/transport/sidecar/views.go
+++ b/internal/transport/sidecar/views.go
@@ -32,8 +32,10 @@
 	// storeFallbackDelay is the time without an answer from any entry after which the
 	// entries are read from the store.
 	storeFallbackDelay = 300 * time.Millisecond
-	// viewRetryDelay is the pause before all entries are retried.
-	viewRetryDelay = 100 * time.Millisecond
+	// viewRetryDelay is the pause before all entries are retried. It doubles up to
+	// maxViewRetryDelay: while an installation starts, all agents ask the same few seeds.
+	viewRetryDelay    = 100 * time.Millisecond
+	maxViewRetryDelay = 400 * time.Millisecond
 	// storeReadInterval is the minimum interval between reads of the entries from the store.
 	storeReadInterval = 2 * time.Second
 )
@@ -41,11 +43,13 @@
 // runViews keeps the view up to date.
 func (s *Sidecar) runViews(ctx context.Context) {
 	unreachable := false
+	retryDelay := viewRetryDelay
 	for {
 		err := s.refreshView(ctx)
 		pause := viewInterval
 		if err != nil {
-			pause = viewRetryDelay
+			pause = retryDelay
+			retryDelay = min(2*retryDelay, maxViewRetryDelay)
 			if !unreachable && ctx.Err() == nil {
 				s.log.Warn("no entry reachable", zap.Error(err))
 			}
@@ -53,6 +57,7 @@
 			s.log.Info("entry reachable again")
 		}
 		if err == nil {
+			retryDelay = viewRetryDelay
 			s.requestStep()
 		}
 		unreachable = err != nil
@@ -109,6 +114,10 @@
 				return nil
 			}
 			s.log.Debug("failed to read view", zap.String("Entry", answer.address), zap.Error(answer.err))
+			if errors.Is(answer.err, errNoView) && !s.knowsEntries() {
+				// A seed that has just started has no view. The others have probably started with it.
+				return errNoEntry
+			}
 			next.Reset(0)
 		}
 	}
@@ -149,6 +158,13 @@
 	return hedgeDelay, true
 }
 
+// knowsEntries reports whether the agent knows more entries than its seeds.
+func (s *Sidecar) knowsEntries() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.entries) > 0
+}
+
 func (s *Sidecar) askEntry(ctx context.Context, address string, answers chan<- viewAnswer) {
 	view, err := s.fetchView(ctx, address)
 	select {
@@ -191,7 +207,18 @@
 		first := int(xxhash.Sum64String(s.config.Address) % uint64(len(sameSite)))
 		sameSite = slices.Concat(sameSite[first:], sameSite[:first])
 	}
-	return slices.Concat(notifier, sameSite, otherSites, s.config.Seeds)
+	return slices.Concat(notifier, sameSite, otherSites, s.seeds())
+}
+
+// seeds returns the seeds in an order that differs between agents and between calls, so that no
+// seed gets the first request of all agents. The caller holds the lock.
+func (s *Sidecar) seeds() []string {
+	if len(s.config.Seeds) == 0 {
+		return nil
+	}
+	s.seedRounds++
+	first := int((xxhash.Sum64String(s.config.Address) + s.seedRounds) % uint64(len(s.config.Seeds)))
+	return slices.Concat(s.config.Seeds[first:], s.config.Seeds[:first])
 }
 
 // storeEntryAddresses returns the peer addresses of the entries in the store. It reads the
@@ -239,7 +266,7 @@
 const maxViewBytes = 4 << 20
 
 func (s *Sidecar) fetchView(ctx context.Context, address string) (gateway.View, error) {
-	values := url.Values{"Service": {s.config.Service}, "Address": {s.config.Address}}
+	values := url.Values{"Service": {s.config.Service}, "Address": {s.config.Address}, "Region": {s.config.Region}}
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+gateway.PathView+"?"+values.Encode(), nil)
 	if err != nil {
 		return gateway.View{}, err
