Callers of a site with more than 64 entries are named different ones

Cause: an answer names at most 64 entries, and always the first 64 of the sorted list: at 97 entries a site a third got no callers. Ruled out: a random choice in each answer; callers close connections to entries that are no longer named. Change: each caller's host has an order of its own, by hash; it keeps its choice while entries come and go. Evidence: TestCallersOfManyEntriesAreNamedDifferentOnes, which fails on the code before. Up to 64 entries nothing changes.

--- a/internal/transport/gateway/gateway.go
+++ b/internal/transport/gateway/gateway.go
@@ -175,9 +175,9 @@
 	return state.Limits
 }
 
-// Locate returns the addresses that a caller in a region and at a site should connect to for a
-// host, and how long it may cache them.
-func (g *Gateway) Locate(host, region, site string) ([]string, time.Duration) {
+// Locate returns the addresses that a caller should connect to for a host, and how long it may
+// cache them.
+func (g *Gateway) Locate(host string, caller Caller) ([]string, time.Duration) {
 	ready := g.Ready()
 	var allowed filbertlever.Regions
 	if state := g.state.Load(); state != nil {
@@ -185,7 +185,7 @@
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.peers.locate(site, region, allowed, ready, boottime.Now()), g.config.LocateTTL
+	return g.peers.locate(caller, allowed, ready, boottime.Now()), g.config.LocateTTL
 }
 
 // retryBudget returns the retry budget of a service. The caller holds g.mu.
--- a/internal/transport/gateway/peers.go
+++ b/internal/transport/gateway/peers.go
@@ -324,17 +324,25 @@
 	return hosts
 }
 
-// locate returns the addresses to which a caller at a site should connect. Bandwidth between
-// regions is scarce, so callers stay at their own site if it has minSiteEntries entries. Otherwise
-// they connect in their own region or in one that their requests are allowed in.
-func (p *peers) locate(site, region string, allowed filbertlever.Regions, selfReady bool, now time.Duration) []string {
+// Caller describes who asks where to connect.
+type Caller struct {
+	Region string
+	Site   string
+	// Host is the caller's host, without a port.
+	Host string
+}
+
+// locate returns the addresses to which a caller should connect. Bandwidth between regions is
+// scarce, so callers stay at their own site if it has minSiteEntries entries. Otherwise they connect
+// in their own region or in one that their requests are allowed in.
+func (p *peers) locate(caller Caller, allowed filbertlever.Regions, selfReady bool, now time.Duration) []string {
 	var atSite, all []string
 	add := func(entry Entry) {
-		if entry.Region != region && !allowed.Allows(entry.Region) {
+		if entry.Region != caller.Region && !allowed.Allows(entry.Region) {
 			return
 		}
 		all = append(all, entry.Callers)
-		if entry.Site == site {
+		if entry.Site == caller.Site {
 			atSite = append(atSite, entry.Callers)
 		}
 	}
@@ -351,5 +359,19 @@
 	if len(atSite) >= minSiteEntries {
 		all = atSite
 	}
-	return all[:min(len(all), maxLocateAddresses)]
+	return pickAddresses(all, caller.Host)
+}
+
+// pickAddresses returns at most maxLocateAddresses of the sorted addresses. A caller keeps its choice
+// while entries come and go, because it closes its connections to entries that are no longer named.
+// Callers have different choices, so that all entries get requests.
+func pickAddresses(addresses []string, callerHost string) []string {
+	if len(addresses) <= maxLocateAddresses {
+		return addresses
+	}
+	score := func(address string) uint64 { return xxhash.Sum64String(callerHost + "\x00" + address) }
+	slices.SortFunc(addresses, func(a, b string) int { return cmp.Compare(score(a), score(b)) })
+	addresses = addresses[:maxLocateAddresses]
+	slices.Sort(addresses)
+	return addresses
 }
--- a/internal/transport/gateway/peers_test.go
+++ b/internal/transport/gateway/peers_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
+	"slices"
 	"testing"
 	"time"
 
@@ -58,7 +60,7 @@
 		t.Run(test.name, func(t *testing.T) {
 			p := newPeers(entryAt("e1", "a", "ra"), 0)
 			test.prepare(p)
-			qt.Assert(t, p.locate("a", "ra", nil, test.selfReady, now), qt.DeepEquals, test.want)
+			qt.Assert(t, p.locate(Caller{Region: "ra", Site: "a"}, nil, test.selfReady, now), qt.DeepEquals, test.want)
 		})
 	}
 }
@@ -78,18 +80,42 @@
 		{filbertlever.Regions{"rb"}, []string{"e1", "e2"}},
 		{filbertlever.Regions{}, []string{"e1"}},
 	} {
-		c.Check(p.locate("a", "ra", test.allowed, true, now), qt.DeepEquals, test.want)
+		c.Check(p.locate(Caller{Region: "ra", Site: "a"}, test.allowed, true, now), qt.DeepEquals, test.want)
 	}
 }
 
+// Of 97 entries of a site always the same 64 were named, so that a third got no requests.
+func TestCallersOfManyEntriesAreNamedDifferentOnes(t *testing.T) {
+	c := qt.New(t)
+	var all []string
+	for n := range maxLocateAddresses + 33 {
+		all = append(all, fmt.Sprint("e", n))
+	}
+	named := map[string]int{}
+	for n := range 100 {
+		caller := fmt.Sprint("caller-", n)
+		first := pickAddresses(slices.Clone(all), caller)
+		c.Assert(first, qt.HasLen, maxLocateAddresses)
+		for _, address := range first {
+			named[address]++
+		}
+		again := pickAddresses(slices.DeleteFunc(slices.Clone(all), func(a string) bool { return a == first[0] }), caller)
+		c.Assert(again, qt.HasLen, maxLocateAddresses)
+		for _, address := range first[1:] {
+			c.Assert(again, qt.Contains, address)
+		}
+	}
+	c.Assert(named, qt.HasLen, len(all))
+}
+
 // After a start the other entries are known only by their rows. Callers receive their
 // addresses during startupGrace, and later only if heartbeats arrive.
 func TestListedEntriesAreAliveDuringStartupGrace(t *testing.T) {
 	c := qt.New(t)
 	p := newPeers(entryAt("e1", "a", "ra"), 10*time.Second)
 	p.applyRows([]Entry{entryAt("e2", "a", "ra")}, nil, true, 10*time.Second)
-	c.Assert(p.locate("a", "ra", nil, true, 11*time.Second), qt.DeepEquals, []string{"e1", "e2"})
-	c.Assert(p.locate("a", "ra", nil, true, 12*time.Second), qt.DeepEquals, []string{"e1"})
+	c.Assert(p.locate(Caller{Region: "ra", Site: "a"}, nil, true, 11*time.Second), qt.DeepEquals, []string{"e1", "e2"})
+	c.Assert(p.locate(Caller{Region: "ra", Site: "a"}, nil, true, 12*time.Second), qt.DeepEquals, []string{"e1"})
 }
 
 // After a power failure the servers of one region received their weights 7 s late, since
