Registrations of entries that start together are spread by their number

Cause: all entries registered in the store at once and repeated each 0.1 to 1.2 s. The store writes 200 rows of a part a second and lets a write wait for a second; calls were given up after 0.8 s and repeated. 22 entries whose logs were kept failed 228 times in the fleet's first 28 s, some to the end of it (27 answers 429, 59 timeouts, 143 connections that were not opened in 0.7 s). Ruled out: a longer timeout alone; retries then still exceed the rate of the store. Whether the connections that were not opened have this cause is not shown yet.

--- a/internal/transport/gateway/watch.go
+++ b/internal/transport/gateway/watch.go
@@ -9,6 +9,7 @@
 	"go.uber.org/zap"
 
 	"github.com/filbertlever/filbertlever/internal/coordination/catalog"
+	"github.com/filbertlever/filbertlever/internal/coordination/retry"
 	"github.com/filbertlever/filbertlever/internal/transport/boottime"
 )
 
@@ -358,14 +359,26 @@
 	w.run(ctx)
 }
 
+// registerSpread spreads the registrations of entries that start together. The store performs 200
+// writes of a part a second; at half of that rate the rows of servers are not delayed.
+var registerSpread = retry.Spread{Interval: 10 * time.Millisecond, Initial: initialBackoff, Max: 8 * time.Second}
+
 // runRegister registers this entry in the store, with retries until it succeeds.
 func (g *Gateway) runRegister(ctx context.Context) {
-	for backoff := initialBackoff; ctx.Err() == nil; backoff = min(2*backoff, maxBackoff) {
+	g.awaitPeers(ctx)
+	for failures := 0; ctx.Err() == nil; failures++ {
+		g.mu.Lock()
+		delay := registerSpread.Delay(failures, g.peers.registeredCount(), g.rng)
+		g.mu.Unlock()
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(delay):
+		}
 		err := g.store.Register(ctx, g.config.Self)
 		if err == nil {
 			return
 		}
 		g.log.Warn("failed to register entry", zap.Error(err))
-		g.sleepJittered(ctx, backoff)
 	}
 }
