An entry that knows no other entries uses no cold servers

Cause, by reading: an entry that has just started and not read the list of entries assumed a third of the rate, beside the three that use the server; after a restart of all entries that could be all of them. Change: it uses cold servers once it has the list.

--- a/internal/coordination/fleet/cold.go
+++ b/internal/coordination/fleet/cold.go
@@ -69,16 +69,12 @@
 	if rate <= 0 {
 		return
 	}
+	// While the other entries are not known yet, there are no senders.
 	senders := f.coldSendersOf(s)
-	if len(senders) > 0 && !slices.Contains(senders, f.config.Host) {
+	if !slices.Contains(senders, f.config.Host) {
 		return
 	}
-	share := len(senders)
-	if share == 0 {
-		// The other entries are not known yet.
-		share = coldSenders
-	}
-	s.coldInterval = time.Duration(float64(share) / rate * float64(time.Second))
+	s.coldInterval = time.Duration(float64(len(senders)) / rate * float64(time.Second))
 	f.cold[s.backend.ID] = s
 }
 
