Reads of whole tables begin at a constant rate in a region of any size

Cause: entries that start wait for one of their region to read a table, the n-th n times 0.6 s, but eight times at most. Of 97 entries 89 stopped waiting at 4.8 s and read 0.7 MB each over one border: 62 MB, 16 s of it. Entries also went to the store whenever the one that they follow had no list yet. Ruled out: a larger number of turns, which moves the size at which the rest begins together. Change: no limit to the turns; only the first eight do not wait for one that does not respond; a starting entry asks again when the one that it follows has not read the table yet. Evidence: TestReadsOfWholeTablesBeginAtAConstantRate (at 97 entries 89 began together before).

--- a/internal/coordination/relays/reader.go
+++ b/internal/coordination/relays/reader.go
@@ -1,6 +1,10 @@
 package relays
 
-import "github.com/filbertlever/filbertlever"
+import (
+	"time"
+
+	"github.com/filbertlever/filbertlever"
+)
 
 // Reader is an entry that may read the store on behalf of the other entries of
 // its region.
@@ -39,3 +43,23 @@
 	}
 	return 1
 }
+
+// SnapshotInterval is the time between the entries of a region, in the order of their ranks, at which
+// they stop waiting for another entry's copy of a whole table and read the store.
+const SnapshotInterval = 600 * time.Millisecond
+
+// maxImpatient is the number of entries that stop waiting together if the entry that should read the
+// table does not respond. The view of a running entry would otherwise become outdated.
+const maxImpatient = 8
+
+// SnapshotWait returns how long the entry with a rank in its region waits for a copy of a whole table
+// before it reads the store. reading is true if the entry that it asks is known to be reading.
+//
+// The rate at which entries give up must not grow with the region: their reads share one link, and
+// from some number on none of them would end before its timeout.
+func SnapshotWait(rank int, reading bool) time.Duration {
+	if !reading && rank <= maxImpatient {
+		return SnapshotInterval
+	}
+	return SnapshotInterval * time.Duration(max(rank, 1))
+}
--- a/internal/coordination/relays/relays_test.go
+++ b/internal/coordination/relays/relays_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 	"pgregory.net/rapid"
@@ -136,3 +137,22 @@
 	c.Assert(Rank(Home(entries, "a", "reader"), entries, "a", "reader"), qt.Equals, 0)
 	c.Assert(Rank("e3", entries, "a", "reader"), qt.Equals, -1)
 }
+
+// From the ninth entry of a region on all stopped waiting for a whole table at the same moment. Their
+// reads filled the link, timed out, and began again together.
+func TestReadsOfWholeTablesBeginAtAConstantRate(t *testing.T) {
+	for _, reading := range []bool{true, false} {
+		for _, entries := range []int{3, 20, 97, 500} {
+			starts := map[time.Duration]int{}
+			for rank := range entries {
+				starts[SnapshotWait(rank, reading)]++
+			}
+			most := 0
+			for _, n := range starts {
+				most = max(most, n)
+			}
+			qt.Check(t, most <= maxImpatient+1, qt.IsTrue, qt.Commentf("%d of %d entries begin together", most, entries))
+			qt.Check(t, SnapshotWait(1, reading), qt.Equals, SnapshotInterval)
+		}
+	}
+}
--- a/internal/transport/gateway/feeds.go
+++ b/internal/transport/gateway/feeds.go
@@ -32,14 +32,9 @@
 	// maxFeedBytes their uncompressed size, because followers decompress and decode all of them.
 	maxFeedBatches = 256
 	maxFeedBytes   = 2 << 20
-	// snapshotTimeout is how long the second entry of a region waits for a snapshot of a table from
-	// the first entry, which may itself still be reading the table. The third entry waits twice as
-	// long, and so on up to maxSnapshotTurns times.
-	snapshotTimeout  = 600 * time.Millisecond
-	maxSnapshotTurns = 8
-	// maxSnapshotDuration bounds the whole fetch of a snapshot. A transfer that has begun may
-	// take longer than the timeouts above.
-	maxSnapshotDuration = 10 * time.Second
+	// maxSnapshotTransfer bounds the fetch of a snapshot beyond the wait for it. A transfer that has
+	// begun may take longer than the wait.
+	maxSnapshotTransfer = 10 * time.Second
 	// snapshotRetryPause is the pause between calls to an entry that has not started yet.
 	snapshotRetryPause = 50 * time.Millisecond
 	// heartbeatReplyWait is how long a new process waits for the heartbeats with which other
@@ -241,6 +236,13 @@
 	return g.state.Load() == nil && len(ready) == 0
 }
 
+// isRegionStarting is regionStarting for callers that do not hold the lock.
+func (g *Gateway) isRegionStarting(now time.Duration) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.regionStarting(now)
+}
+
 // isReader reports whether this entry reads the store for its region.
 func (g *Gateway) isReader(now time.Duration) bool {
 	_, _, remote := g.selectReader(now)
@@ -298,6 +300,10 @@
 		}
 		previous = host
 		response, err := g.fetchFeed(ctx, address, table, after, feedTimeout)
+		if errors.Is(err, ErrRevisionPruned) && g.isRegionStarting(sentAt) {
+			// The reader has not read the table yet.
+			break
+		}
 		if !errors.Is(err, errReaderDisconnected) {
 			rows, at, ok := g.acceptFeed(table, host, after, sentAt, response, err)
 			return rows, at, ok, nil
@@ -350,12 +356,12 @@
 // and time out. Therefore one entry of each region reads them and the others fetch them from it.
 //
 // If that takes long, as with many servers, the other entries would all time out at the same time
-// and overload the link permanently. While the reading entry answers that it has no rows yet, they
-// time out one after the other instead.
+// and overload the link permanently. They time out one after the other instead, so that reads of
+// the store begin at the same rate in a region of any size.
 //
-// After the store dropped its history, a reader that asked its own followers would get no newer
-// table. The reader therefore reads the store. The other entries wait for that, but each only for
-// a short time, because their views become outdated.
+// The first few time out together if the reading entry does not respond, or after the store dropped
+// its history, as their views become outdated. A reader that asked its own followers then would get
+// no newer table, and therefore reads the store.
 func (g *Gateway) fetchSnapshot(ctx context.Context, table Table, goneRevision uint64) (Rows, time.Duration, bool) {
 	if goneRevision > 0 && g.isReader(boottime.Now()) {
 		return Rows{}, 0, false
@@ -366,19 +372,17 @@
 		g.awaitEntryList(ctx)
 	}
 	g.sleepJittered(ctx, heartbeatReplyWait)
-	ctx, cancel := context.WithTimeout(ctx, maxSnapshotDuration)
-	defer cancel()
 	startedAt := boottime.Now()
+	ctx, cancel := context.WithTimeout(ctx, maxSnapshotTransfer+g.snapshotWait(startedAt, true))
+	defer cancel()
 	for lastEmptyAt := startedAt; ctx.Err() == nil; {
 		sentAt := boottime.Now()
 		host, address, remote := g.snapshotSource(sentAt)
 		if !remote {
 			return Rows{}, 0, false
 		}
-		timeout := snapshotTimeout - (sentAt - startedAt)
-		if goneRevision == 0 && sentAt-lastEmptyAt < snapshotTimeout {
-			timeout = startedAt + g.snapshotWait(sentAt) - sentAt
-		}
+		reading := goneRevision == 0 && sentAt-lastEmptyAt < relays.SnapshotInterval
+		timeout := startedAt + g.snapshotWait(sentAt, reading) - sentAt
 		if timeout <= 0 {
 			break
 		}
@@ -388,7 +392,10 @@
 		}
 		g.log.Debug("no snapshot from the reader", zap.String("Table", string(table)), zap.String("Reader", string(host)), zap.Error(err))
 		if errors.Is(err, ErrRevisionPruned) {
-			break
+			if g.snapshotWait(sentAt, false) <= relays.SnapshotInterval {
+				break
+			}
+			g.sleepJittered(ctx, readerRetryDelay)
 		}
 		if err == nil && response.Revision == 0 {
 			lastEmptyAt = boottime.Now()
@@ -437,14 +444,14 @@
 	return host, addresses[host], host != g.config.Self.Host
 }
 
-// snapshotWait returns how long this entry waits for a snapshot from the entry that is reading the
-// table. It grows with the position of this entry in the order of its region.
-func (g *Gateway) snapshotWait(now time.Duration) time.Duration {
+// snapshotWait returns how long this entry waits for a snapshot before it reads the store. reading is
+// true if the entry that it asks is known to be reading the table.
+func (g *Gateway) snapshotWait(now time.Duration, reading bool) time.Duration {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	_, all, _ := g.observedEntries(now)
 	rank := relays.Rank(g.config.Self.Host, all, g.config.Self.Region, readerHashKey)
-	return snapshotTimeout * time.Duration(max(min(rank, maxSnapshotTurns), 1))
+	return relays.SnapshotWait(rank, reading)
 }
 
 // readerHashKey is the key that determines the order of a region's entries as readers of the
--- a/internal/transport/gateway/wholetable_test.go
+++ b/internal/transport/gateway/wholetable_test.go
@@ -74,9 +74,9 @@
 		want             bool
 		earliest, latest time.Duration
 	}{
-		{"the first has no rows yet", serveEmptyTable, 0, false, 2 * snapshotTimeout, 3 * snapshotTimeout},
-		{"the first does not respond", serveNothing, 0, false, snapshotTimeout, 2 * snapshotTimeout},
-		{"the store dropped its history", serveEmptyTable, 4, false, snapshotTimeout, 2 * snapshotTimeout},
+		{"the first has no rows yet", serveEmptyTable, 0, false, 2 * relays.SnapshotInterval, 3 * relays.SnapshotInterval},
+		{"the first does not respond", serveNothing, 0, false, relays.SnapshotInterval, 2 * relays.SnapshotInterval},
+		{"the store dropped its history", serveEmptyTable, 4, false, relays.SnapshotInterval, 2 * relays.SnapshotInterval},
 		{"the table is arriving", serveSlowly, 0, true, feedTimeout, 3 * feedTimeout},
 	}
 	for _, test := range tests {
