An entry whose list of entries changes stops using cold servers that are no longer its own

Cause: found by a property test in which entries join, leave and restart: when a new list took a cold server from an entry, the router still had the server as usable, and nothing evaluated it again; 27 requests in 240 ms where 26 a second are allowed. Change: a new list re-evaluates all cold servers. The test draws lists that differ by a joining and a leaving entry and entries without one; the sum stays within the bound in 100 drawn runs.

--- a/internal/coordination/fleet/cold.go
+++ b/internal/coordination/fleet/cold.go
@@ -22,16 +22,17 @@
 const coldSenders = 3
 
 // SetEntries sets the registered entries, including this one.
-func (f *Fleet) SetEntries(entries []filbertlever.Host) {
+func (f *Fleet) SetEntries(entries []filbertlever.Host, now time.Duration) {
 	f.entries = entries
-	f.updateCold()
+	f.updateCold(now)
 }
 
 // updateCold recomputes this entry's share of all cold servers.
-func (f *Fleet) updateCold() {
+func (f *Fleet) updateCold(now time.Duration) {
 	for _, s := range f.servers {
-		if s.coldUntil > 0 {
+		if now < s.coldUntil {
 			f.setColdInterval(s)
+			f.refreshUsable(s, now)
 		}
 	}
 }
--- a/internal/coordination/fleet/cold_test.go
+++ b/internal/coordination/fleet/cold_test.go
@@ -3,10 +3,12 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
 
 	"github.com/filbertlever/filbertlever"
 	"github.com/filbertlever/filbertlever/internal/coordination/catalog"
@@ -30,7 +32,7 @@
 		config.Host, config.Site, config.Region = entry.ID, [...]string{"a", "b"}[n%2], entry.Region
 		config.Regions = map[string]string{"a": "ra", "b": "rb"}
 		f := New(config, rand.New(rand.NewPCG(1, uint64(n))))
-		f.SetEntries(entries)
+		f.SetEntries(entries, 0)
 		f.SetState(catalog.New(1, nil, services, nil, catalog.Limits{}), 0)
 		fleets = append(fleets, f)
 	}
@@ -106,10 +108,10 @@
 	cold.ColdFor = coldTime
 	f := newColdFleets(1)[0]
 	entries := f.entries
-	f.SetEntries(nil)
+	f.SetEntries(nil, 0)
 	f.Apply([]catalog.Backend{cold}, nil, true, 0)
 	c.Assert(f.Choose(Request{Service: modelService, Model: model}, 0).Found, qt.IsFalse)
-	f.SetEntries(entries)
+	f.SetEntries(entries, 0)
 	c.Assert(f.Choose(Request{Service: modelService, Model: model}, 0).Found, qt.IsTrue)
 }
 
@@ -142,3 +144,41 @@
 	sent := countSent(fleets, 0)
 	c.Assert(sent > coldRate/2 && sent <= coldRate+coldSenders, qt.IsTrue, qt.Commentf("%d requests", sent))
 }
+
+// While entries join, leave and restart, their lists of entries differ, and the shares of all of them
+// add up to more than a cold server can take.
+func TestColdServerKeepsItsBoundWhileListsOfEntriesDiffer(t *testing.T) {
+	// bound is the number of requests in any second that the server is sure to survive.
+	const bound = 3*coldRate/2 + 5
+	rapid.Check(t, func(rt *rapid.T) {
+		perRegion := rapid.IntRange(3, 20).Draw(rt, "entries")
+		fleets := newColdFleets(perRegion)
+		cold := newBackend("m1", modelService, "10.0.0.1:1", 1)
+		cold.ColdFor = coldTime
+		for _, f := range fleets {
+			f.Apply([]catalog.Backend{cold}, nil, true, 0)
+		}
+		all := fleets[0].entries
+		joining, leaving := rapid.IntRange(0, len(all)-1).Draw(rt, "joining"), rapid.IntRange(0, len(all)-1).Draw(rt, "leaving")
+		// views are the lists that entries may have at one time: with and without those two.
+		views := [][]filbertlever.Host{nil, all,
+			slices.Concat(all[:joining], all[joining+1:]), slices.Concat(all[:leaving], all[leaving+1:])}
+		var sent []time.Duration
+		for at := time.Duration(0); at < coldTime; at += 10 * time.Millisecond {
+			for _, f := range fleets {
+				if rapid.IntRange(0, 60).Draw(rt, "change") == 0 {
+					f.SetEntries(views[rapid.IntRange(0, len(views)-1).Draw(rt, "view")], at)
+				}
+				if p := f.Choose(Request{Service: modelService, Model: model}, at); p.Found {
+					f.release(p.Backend.ID)
+					sent = append(sent, at)
+				}
+			}
+		}
+		for i := range sent {
+			if j := i + bound; j < len(sent) && sent[j]-sent[i] < time.Second {
+				rt.Fatalf("%d requests within %v", bound+1, sent[j]-sent[i])
+			}
+		}
+	})
+}
--- a/internal/coordination/fleet/fleet.go
+++ b/internal/coordination/fleet/fleet.go
@@ -225,7 +225,7 @@
 			delete(f.routers, name)
 		}
 	}
-	f.updateCold()
+	f.updateCold(now)
 	for id := range f.servers {
 		f.syncRouter(id, now)
 	}
--- a/internal/transport/gateway/watch.go
+++ b/internal/transport/gateway/watch.go
@@ -344,10 +344,11 @@
 		if err != nil {
 			return err
 		}
+		now := boottime.Now()
 		g.mu.Lock()
-		g.peers.applyRows(entries.Present, entries.Removed, whole, boottime.Now())
+		g.peers.applyRows(entries.Present, entries.Removed, whole, now)
 		g.resizeRetryBudgets()
-		g.fleet.SetEntries(g.peers.hosts())
+		g.fleet.SetEntries(g.peers.hosts(), now)
 		g.reportBadRows(entries.Bad)
 		g.mu.Unlock()
 		if !g.entriesListed.Swap(true) {
