Relay: a test waits for the end of the prefetch, not for its last piece

TestOnlyNewestOfTwoVersionsIsFetched failed once in a fresh clone beside six processes: the queue still held version 3. Cause, traced: the last piece is cached before the goroutine that fetched it ends the prefetch of the version; the test looked at the queue between the two. Change: it waits for the line that says that the weights were prefetched. All assertions stay.

--- a/internal/transport/relay/plan_test.go
+++ b/internal/transport/relay/plan_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -11,6 +12,7 @@
 	qt "github.com/frankban/quicktest"
 	"github.com/prometheus/client_golang/prometheus"
 	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
 
 	"github.com/filbertlever/filbertlever/internal/coordination/relays"
 	"github.com/filbertlever/filbertlever/internal/coordination/switchover"
@@ -22,7 +24,14 @@
 func TestOnlyNewestOfTwoVersionsIsFetched(t *testing.T) {
 	c := qt.New(t)
 	origin := &concurrencyOrigin{version: 3}
-	r := New(relays.Entry{Host: "e1", Site: "a"}, singleEntryView{}, origin, &http.Client{}, zap.NewNop(), prometheus.NewRegistry())
+	prefetched := make(chan struct{}, 2)
+	log := zap.New(zapcore.NewCore(zapcore.NewJSONEncoder(zapcore.EncoderConfig{}), zapcore.AddSync(io.Discard), zap.InfoLevel), zap.Hooks(func(e zapcore.Entry) error {
+		if e.Message == "weights prefetched" {
+			prefetched <- struct{}{}
+		}
+		return nil
+	}))
+	r := New(relays.Entry{Host: "e1", Site: "a"}, singleEntryView{}, origin, &http.Client{}, log, prometheus.NewRegistry())
 	since := boottime.Now()
 	plan := Plan{Config: switchover.DefaultConfig(13400 * time.Millisecond), Versions: []switchover.TargetVersion{{Version: 2, SetAt: since}}}
 	r.SetPlan("drafter", plan)
@@ -35,8 +44,10 @@
 		manifest, ok := r.cachedManifest(drafterVersion(version))
 		return ok && len(r.missingPieces(drafterVersion(version), &manifest)) == 0
 	}
-	for end := time.Now().Add(5 * time.Second); !complete(3) && time.Now().Before(end); {
-		time.Sleep(time.Millisecond)
+	// The last piece is cached before the prefetch of its version ends.
+	select {
+	case <-prefetched:
+	case <-time.After(5 * time.Second):
 	}
 	c.Assert(complete(3), qt.IsTrue)
 	c.Assert(complete(2), qt.IsFalse)
