--- a/internal/transport/gateway/peers_test.go
+++ b/internal/transport/gateway/peers_test.go
@@ -84,6 +84,19 @@
 	}
 }
 
+// An entry of another region that had died was still named to callers seconds later.
+func TestLocateDropsDeadEntriesOfOtherRegions(t *testing.T) {
+	c := qt.New(t)
+	// tolerated is the shortest time, of any installation, after which a dead entry must not be named.
+	const tolerated = 6 * time.Second
+	p := newPeers(entryAt("e1", "a", "ra"), 0)
+	p.observeHeartbeat(entryAt("e2", "b", "rb"), true, false, time.Second)
+	p.observeVouching(entryAt("e3", "b", "rb"), nil, time.Second)
+	caller := Caller{Region: "ra", Site: "a"}
+	c.Assert(p.locate(caller, nil, true, 2*time.Second), qt.DeepEquals, []string{"e1", "e2"})
+	c.Assert(p.locate(caller, nil, true, time.Second+tolerated), qt.DeepEquals, []string{"e1"})
+}
+
 // Of 97 entries of a site always the same 64 were named, so that a third got no requests.
 func TestCallersOfManyEntriesAreNamedDifferentOnes(t *testing.T) {
 	c := qt.New(t)
