--- a/internal/transport/gateway/datagrams.go
+++ b/internal/transport/gateway/datagrams.go
@@ -137,8 +137,8 @@
 }
 
 // sendTurn sends the heartbeat of one interval: to the region, and, if this entry is a speaker of its
-// region, to one in heartbeatsPerRemote of the other entries, each in its turn. With the heartbeat they get the recent crash reports, the
-// region once in a round of turns.
+// region, to one in heartbeatsPerRemote of the other entries, each in its turn. It also sends the
+// recent crash reports, to the region once in a round of turns.
 //
 // Entries that start together have the same ticks. If each sent its heartbeats to all other regions
 // at once, they would fill the links between regions for a moment.
