Gateway: the terms of the field for entries that report their region to others

Delegates send heartbeats to other regions and report the rest of theirs. Names and comments only; the messages on the wire have the same keys.

--- a/internal/coordination/relays/reader.go
+++ b/internal/coordination/relays/reader.go
@@ -48,9 +48,9 @@
 // they stop waiting for another entry's copy of a whole table and read the store.
 const SnapshotInterval = 600 * time.Millisecond
 
-// maxImpatient is the number of entries that stop waiting together if the entry that should read the
+// maxSimultaneousReads is the number of entries that stop waiting together if the entry that should read the
 // table does not respond. The view of a running entry would otherwise become outdated.
-const maxImpatient = 8
+const maxSimultaneousReads = 8
 
 // SnapshotWait returns how long the entry with a rank in its region waits for a copy of a whole table
 // before it reads the store. reading is true if the entry that it asks is known to be reading.
@@ -58,7 +58,7 @@
 // The rate at which entries give up must not grow with the region: their reads share one link, and
 // from some number on none of them would end before its timeout.
 func SnapshotWait(rank int, reading bool) time.Duration {
-	if !reading && rank <= maxImpatient {
+	if !reading && rank <= maxSimultaneousReads {
 		return SnapshotInterval
 	}
 	return SnapshotInterval * time.Duration(max(rank, 1))
--- a/internal/coordination/relays/relays_test.go
+++ b/internal/coordination/relays/relays_test.go
@@ -151,7 +151,7 @@
 			for _, n := range starts {
 				most = max(most, n)
 			}
-			qt.Check(t, most <= maxImpatient+1, qt.IsTrue, qt.Commentf("%d of %d entries begin together", most, entries))
+			qt.Check(t, most <= maxSimultaneousReads+1, qt.IsTrue, qt.Commentf("%d of %d entries begin together", most, entries))
 			qt.Check(t, SnapshotWait(1, reading), qt.Equals, SnapshotInterval)
 		}
 	}
--- a/internal/transport/gateway/datagrams.go
+++ b/internal/transport/gateway/datagrams.go
@@ -51,8 +51,8 @@
 			// A process that has just started discovers the others by their replies.
 			g.reply(Datagram{Heartbeat: g.ownHeartbeat(now)}, from)
 		}
-		if d.Heartbeat.Vouches && d.Heartbeat.Entry.Region != g.config.Self.Region {
-			g.peers.observeVouching(d.Heartbeat.Entry, d.Heartbeat.Down, now)
+		if d.Heartbeat.ReportsRegion && d.Heartbeat.Entry.Region != g.config.Self.Region {
+			g.peers.observeRegionReport(d.Heartbeat.Entry, d.Heartbeat.Down, now)
 		}
 		for _, n := range d.Heartbeat.Named {
 			if n.Known {
@@ -136,7 +136,7 @@
 	}
 }
 
-// sendTurn sends the heartbeat of one interval: to the region, and, if this entry is a speaker of its
+// sendTurn sends the heartbeat of one interval: to the region, and, if this entry is a delegate of its
 // region, to one in heartbeatsPerRemote of the other entries, each in its turn. It also sends the
 // recent crash reports, to the region once in a round of turns.
 //
@@ -145,13 +145,13 @@
 func (g *Gateway) sendTurn(now time.Duration, turn int) {
 	g.mu.Lock()
 	region, remote := g.peers.addresses(scopeRegion), inTurn(g.peers.addresses(scopeRemote), turn)
-	speaker := g.peers.speaker(now)
+	delegate := g.peers.delegate(now)
 	reports := g.crashes.RecentReports(now)
 	heartbeat := g.ownHeartbeat(now)
 	g.mu.Unlock()
 	g.sendHeartbeat(now, region)
-	if speaker.speaks {
-		heartbeat.Vouches, heartbeat.Down = speaker.vouches, speaker.down
+	if delegate.sends {
+		heartbeat.ReportsRegion, heartbeat.Down = delegate.reportsRegion, delegate.down
 		g.sendTo(Datagram{Heartbeat: heartbeat}, remote)
 	}
 	if turn == 0 {
--- a/internal/transport/gateway/messages.go
+++ b/internal/transport/gateway/messages.go
@@ -48,10 +48,10 @@
 	// StoreAnswerAgeMs is how many milliseconds ago the store last answered the entry itself;
 	// 0 if that is longer ago than storeAnswerTTL.
 	StoreAnswerAgeMs uint16 `cbor:"8,keyasint,omitempty"`
-	// Vouches is true if the entry reports all entries of its region as alive, except for
+	// ReportsRegion is true if the entry reports all entries of its region as alive, except for
 	// Down, which is sorted.
-	Vouches bool                  `cbor:"9,keyasint,omitempty"`
-	Down    []filbertlever.HostID `cbor:"10,keyasint,omitempty"`
+	ReportsRegion bool                  `cbor:"9,keyasint,omitempty"`
+	Down          []filbertlever.HostID `cbor:"10,keyasint,omitempty"`
 }
 
 // Counts reports the requests that an entry has in flight at each backend server.
--- a/internal/transport/gateway/peers.go
+++ b/internal/transport/gateway/peers.go
@@ -24,11 +24,11 @@
 	// startupGrace is how long a newly discovered entry of the region counts as alive
 	// without a heartbeat. For entries of other regions it is remoteHeartbeatTimeout.
 	startupGrace = 1500 * time.Millisecond
-	// maxSpeakers is the number of entries of a region that send heartbeats to other regions. If
-	// the region has more, they also report which of the others are down. vouchTimeout is the time
+	// maxDelegates is the number of entries of a region that send heartbeats to other regions. If
+	// the region has more, they also report which of the others are down. regionReportTimeout is the time
 	// without such a report of being alive, of which each entry gets several a second.
-	maxSpeakers  = 20
-	vouchTimeout = 3 * time.Second
+	maxDelegates        = 20
+	regionReportTimeout = 3 * time.Second
 )
 
 // minSiteEntries is the number of entries at a caller's own site from which on entries of
@@ -59,8 +59,8 @@
 	listed bool
 	// heartbeatAt is when the last heartbeat arrived; 0 if none has.
 	heartbeatAt time.Duration
-	// vouchedAt is when an entry of its region last reported it as alive; 0 if none has.
-	vouchedAt time.Duration
+	// reportedAliveAt is when an entry of its region last reported it as alive; 0 if none has.
+	reportedAliveAt time.Duration
 	// ready is true if the last heartbeat reported that the entry accepts callers.
 	ready bool
 	// storeUnreachable is true while the entry reports that the store does not answer it.
@@ -165,7 +165,7 @@
 	switch {
 	case remote:
 		return now-max(other.heartbeatAt, other.discoveredAt) < remoteHeartbeatTimeout ||
-			other.vouchedAt != 0 && now-other.vouchedAt < vouchTimeout
+			other.reportedAliveAt != 0 && now-other.reportedAliveAt < regionReportTimeout
 	case other.heartbeatAt == 0:
 		return now-other.discoveredAt < startupGrace
 	}
@@ -217,51 +217,51 @@
 // registeredCount returns the number of registered entries, including this one.
 func (p *peers) registeredCount() int { return len(p.byHost) + 1 }
 
-// speaker describes the part of an entry in the heartbeats between regions.
-type speaker struct {
-	// speaks is true if the entry sends heartbeats to other regions, and vouches if it does so for
-	// the other entries of its region too, except for down, which is sorted.
-	speaks, vouches bool
-	down            []filbertlever.HostID
+// delegate describes the part of an entry in the heartbeats between regions.
+type delegate struct {
+	// sends is true if the entry sends heartbeats to other regions, and reportsRegion if these report
+	// the other entries of its region as alive too, except for down, which is sorted.
+	sends, reportsRegion bool
+	down                 []filbertlever.HostID
 }
 
-// speaker returns the part of this entry. The speakers of a region are the live entries with the
+// delegate returns the part of this entry. The delegates of a region are the live entries with the
 // lowest scores, so that another one takes the place of one that fails.
 //
 // If all entries sent heartbeats to all others, their bytes would grow with the square of the
 // installation and take a quarter of the links between regions at 484 entries.
-func (p *peers) speaker(now time.Duration) speaker {
+func (p *peers) delegate(now time.Duration) delegate {
 	rank, score := 0, neighbourScore("", p.self)
-	var s speaker
+	var d delegate
 	for _, other := range p.sorted() {
 		if other.entry.Region != p.self.Region {
 			continue
 		}
 		switch {
 		case !p.isAlive(other, now):
-			s.down = append(s.down, other.entry.Host)
+			d.down = append(d.down, other.entry.Host)
 		case neighbourScore("", other.entry) < score:
 			rank++
 		}
 	}
-	s.speaks = rank < maxSpeakers
-	s.vouches = s.speaks && p.regionCount >= maxSpeakers
-	if !s.vouches {
-		s.down = nil
+	d.sends = rank < maxDelegates
+	d.reportsRegion = d.sends && p.regionCount >= maxDelegates
+	if !d.reportsRegion {
+		d.down = nil
 	}
-	return s
+	return d
 }
 
-// observeVouching records that a speaker of another region reports the entries of its region as
+// observeRegionReport records that a delegate of another region reports the entries of its region as
 // alive, except for those that are down.
-func (p *peers) observeVouching(from Entry, down []filbertlever.HostID, now time.Duration) {
+func (p *peers) observeRegionReport(from Entry, down []filbertlever.HostID, now time.Duration) {
 	for _, other := range p.sorted() {
 		if other.entry.Region != from.Region || other.entry.Host == from.Host {
 			continue
 		}
 		if _, isDown := slices.BinarySearch(down, other.entry.Host); !isDown {
-			other.ready = other.ready || max(other.heartbeatAt, other.vouchedAt) == 0
-			other.vouchedAt = now
+			other.ready = other.ready || max(other.heartbeatAt, other.reportedAliveAt) == 0
+			other.reportedAliveAt = now
 		}
 	}
 }
@@ -374,7 +374,7 @@
 func (p *peers) timedOut(now time.Duration) []filbertlever.HostID {
 	var hosts []filbertlever.HostID
 	for host, other := range p.byHost {
-		if max(other.heartbeatAt, other.vouchedAt) != 0 && !p.isAlive(other, now) {
+		if max(other.heartbeatAt, other.reportedAliveAt) != 0 && !p.isAlive(other, now) {
 			hosts = append(hosts, host)
 		}
 	}
--- a/internal/transport/gateway/peers_test.go
+++ b/internal/transport/gateway/peers_test.go
@@ -91,7 +91,7 @@
 	const tolerated = 6 * time.Second
 	p := newPeers(entryAt("e1", "a", "ra"), 0)
 	p.observeHeartbeat(entryAt("e2", "b", "rb"), true, false, time.Second)
-	p.observeVouching(entryAt("e3", "b", "rb"), nil, time.Second)
+	p.observeRegionReport(entryAt("e3", "b", "rb"), nil, time.Second)
 	caller := Caller{Region: "ra", Site: "a"}
 	c.Assert(p.locate(caller, nil, true, 2*time.Second), qt.DeepEquals, []string{"e1", "e2"})
 	c.Assert(p.locate(caller, nil, true, time.Second+tolerated), qt.DeepEquals, []string{"e1"})
--- a/internal/transport/gateway/starts_test.go
+++ b/internal/transport/gateway/starts_test.go
@@ -82,8 +82,8 @@
 }
 
 // Heartbeats between regions grew with the square of the installation. A few entries of each region
-// vouch for the others, and one that dies is noticed by all.
-func TestFewEntriesOfARegionSpeakToOtherRegions(t *testing.T) {
+// report the others as alive, and one that dies is noticed by all.
+func TestFewEntriesOfARegionSendHeartbeatsToOtherRegions(t *testing.T) {
 	c := qt.New(t)
 	const perRegion = 60
 	now := 10 * time.Second
@@ -91,7 +91,7 @@
 	dead := all[2]
 	far := newPeers(all[1], 0)
 	far.applyRows(all, nil, true, 0)
-	speakers, vouched := 0, 0
+	delegates, alive := 0, 0
 	for _, self := range all {
 		if self.Region != "r0" || self.Host == dead.Host {
 			continue
@@ -103,34 +103,34 @@
 				p.observeHeartbeat(other, true, false, now)
 			}
 		}
-		s := p.speaker(now)
-		c.Assert(s.vouches, qt.Equals, s.speaks)
-		if s.speaks {
-			speakers++
-			c.Assert(s.down, qt.DeepEquals, []filbertlever.HostID{dead.Host})
+		d := p.delegate(now)
+		c.Assert(d.reportsRegion, qt.Equals, d.sends)
+		if d.sends {
+			delegates++
+			c.Assert(d.down, qt.DeepEquals, []filbertlever.HostID{dead.Host})
 			far.observeHeartbeat(self, true, false, now)
-			far.observeVouching(self, s.down, now)
+			far.observeRegionReport(self, d.down, now)
 		}
 	}
-	c.Assert(speakers, qt.Equals, maxSpeakers)
+	c.Assert(delegates, qt.Equals, maxDelegates)
 	for _, entry := range far.alive(now) {
 		if entry.Region == "r0" {
-			vouched++
+			alive++
 		}
 		c.Assert(entry.Host, qt.Not(qt.Equals), dead.Host)
 	}
-	c.Assert(vouched, qt.Equals, perRegion-1)
+	c.Assert(alive, qt.Equals, perRegion-1)
 	c.Assert(far.timedOut(now+remoteHeartbeatTimeout), qt.HasLen, perRegion-1)
 }
 
-// In a region of few entries each speaks for itself only.
-func TestEntriesOfASmallRegionSpeakForThemselves(t *testing.T) {
+// In a region of few entries each reports itself only.
+func TestEntriesOfASmallRegionReportThemselves(t *testing.T) {
 	c := qt.New(t)
 	p := newPeers(entryAt("e0", "a", "ra"), 0)
-	for n := 1; n < maxSpeakers; n++ {
+	for n := 1; n < maxDelegates; n++ {
 		p.observeHeartbeat(entryAt(fmt.Sprint("e", n), "a", "ra"), true, false, time.Second)
 	}
-	s := p.speaker(time.Second)
-	c.Assert(s.speaks, qt.IsTrue)
-	c.Assert(s.vouches, qt.IsFalse)
+	d := p.delegate(time.Second)
+	c.Assert(d.sends, qt.IsTrue)
+	c.Assert(d.reportsRegion, qt.IsFalse)
 }
