Entries and agents log the rate limits that servers announce

The record of the incident does not show which answer named a limit, so it could not tell an entry that ignores a limit from one that was never given any. Agents log it if the report of their server carries it, which is not known yet. No decision uses it.

--- a/internal/transport/gateway/announcements.go
+++ b/internal/transport/gateway/announcements.go
@@ -14,6 +14,7 @@
 	announcedDraining   = "Draining"
 	announcedRetryAfter = "RetryAfter"
 	announcedClose      = "ConnectionClose"
+	announcedRateLimit  = "RateLimit"
 )
 
 // recordAnnouncements records the announcements in the head of an answer, before any part of
@@ -32,6 +33,7 @@
 	if reply.ConnectionClose && g.fleet.RecordConnectionClose(backend, now) {
 		a.reportAnnouncement(backend, announcedClose, reply, true)
 	}
+	a.reportRateLimit(backend, reply)
 	if reply.RetryAfter > 0 {
 		a.reportAnnouncement(backend, announcedRetryAfter, reply, g.fleet.RecordRetryAfter(backend, reply.RetryAfter, now))
 	}
@@ -44,8 +46,22 @@
 	if !first {
 		return
 	}
-	g.log.Info("backend server announcement", zap.String("Request", a.call.ID), zap.String("Backend", backend.ID),
-		zap.String("What", kind), zap.Int("Status", reply.Status), zap.Duration("For", reply.RetryAfter))
+	fields := []zap.Field{zap.String("Request", a.call.ID), zap.String("Backend", backend.ID),
+		zap.String("What", kind), zap.Int("Status", reply.Status), zap.Duration("For", reply.RetryAfter)}
+	if reply.RateLimit != nil {
+		fields = append(fields, zap.Float64("PerSecond", *reply.RateLimit))
+	}
+	g.log.Info("backend server announcement", fields...)
+}
+
+// reportRateLimit counts and logs the rate limit in the head of an answer.
+func (a *attempts) reportRateLimit(backend catalog.Backend, reply *Reply) {
+	if reply.RateLimitErr != nil {
+		a.gateway.log.Warn("unreadable rate limit of a backend server", zap.String("Request", a.call.ID), zap.String("Backend", backend.ID), zap.Error(reply.RateLimitErr))
+	}
+	if reply.RateLimit != nil {
+		a.reportAnnouncement(backend, announcedRateLimit, reply, true)
+	}
 }
 
 var errNotAccepting = errors.New("the server no longer accepts requests")
--- a/internal/transport/gateway/metrics.go
+++ b/internal/transport/gateway/metrics.go
@@ -56,7 +56,7 @@
 		}),
 		announcements: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "filbertlever_gateway_server_announcements_total",
-			Help: "Answers in which a server says that it leaves, or wants no requests for a while.",
+			Help: "Answers in which a server announces that it is draining, wants no requests for a while, or limits their rate.",
 		}, []string{"Service", "What"}),
 		placedMissing: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "filbertlever_gateway_placed_missing_total",
--- a/internal/transport/gateway/ports.go
+++ b/internal/transport/gateway/ports.go
@@ -89,6 +89,10 @@
 	ConnectionClose bool
 	// RetryAfter is how long the server wants no more requests from this entry; 0 if unspecified.
 	RetryAfter time.Duration
+	// RateLimit is the number of requests a second that the server takes from all entries together;
+	// nil if it names none. RateLimitErr is why a limit that it named cannot be used.
+	RateLimit    *float64
+	RateLimitErr error
 	// Version is the version of the weights that answer; 0 if unknown.
 	Version uint64
 	// Finish releases the connection, which is reused only if the response was read completely.
--- a/internal/transport/sidecar/boots.go
+++ b/internal/transport/sidecar/boots.go
@@ -42,12 +42,25 @@
 			s.handleRestart(previous, &report)
 		}
 	}
+	s.logRateLimit(report.RateLimit)
 	leaving := s.drainDetector.Leaving()
 	s.drainDetector.Observe(report.ClosesConnection)
 	s.broadcastNext = s.broadcastNext || math.Abs(report.Slowdown-s.report.Slowdown) > slowdownChangeThreshold || s.drainDetector.Leaving() != leaving
 	s.report, s.hasReport, s.everReported, s.reportRequestedAt = report, true, true, requestedAt
 }
 
+// logRateLimit logs a rate limit that differs from the one in the last report; the caller holds the
+// lock.
+func (s *Sidecar) logRateLimit(limit *float64) {
+	last := s.report.RateLimit
+	switch {
+	case limit == nil && last != nil:
+		s.log.Info("model server lifted its rate limit")
+	case limit != nil && (last == nil || *last != *limit):
+		s.log.Info("model server limits its rate", zap.Float64("PerSecond", *limit))
+	}
+}
+
 // handleRestart discards what was planned for the previous boot; the caller holds the
 // lock. Pieces and manifests are kept because they are on the host, and staged pieces are
 // read back before each load.
--- a/internal/transport/sidecar/sidecar.go
+++ b/internal/transport/sidecar/sidecar.go
@@ -37,6 +37,9 @@
 	Slowdown float64
 	// ClosesConnection is true if the server closes the connection after the report.
 	ClosesConnection bool
+	// RateLimit is the number of requests a second that the server takes from all entries together;
+	// nil if the report names none.
+	RateLimit *float64
 }
 
 // Engine is the model server on this host.
