Few entries share the rate limit that a server announces

Callers saw nothing; a model server in need got 20 to 32 requests in 4 s where it had announced 1 and 2.7 a second to the entries that sent them.

Cause: no code read the limit, so placement went on as before. Ruled out: each entry keeping the whole rate by itself (one entry alone placed three requests within 0.04 s), and requests placed before that waited for a connection (their placements come seconds after the announcement).

Change: the limit in the head of an answer is recorded before the answer is forwarded. Changes are reported to all other entries. A request that was placed before the limit was known and waits for a connection is placed anew. An older answer, another process or an unreadable value takes no limit back.

--- a/internal/coordination/fleet/announcements.go
+++ b/internal/coordination/fleet/announcements.go
@@ -13,6 +13,7 @@
 	draining bool
 	// retryAt is the time until which the process asked this entry not to send requests.
 	retryAt time.Duration
+	limit   rateLimit
 	// updatedAt is the time of the last announcement.
 	updatedAt time.Duration
 }
@@ -93,6 +94,7 @@
 		f.pruneAnnouncements(now)
 		a = &announcement{boot: s.backend.Boot}
 		f.announcements[b.ID] = a
+		f.dropRateLimit(b.ID)
 	}
 	a.updatedAt = now
 	return a
@@ -103,6 +105,7 @@
 	for id, a := range f.announcements {
 		if _, tracked := f.servers[id]; !tracked && now-max(a.updatedAt, a.retryAt) >= announcementTTL {
 			delete(f.announcements, id)
+			f.dropRateLimit(id)
 		}
 	}
 }
--- a/internal/coordination/fleet/boots.go
+++ b/internal/coordination/fleet/boots.go
@@ -137,6 +137,7 @@
 	backend.Boot, backend.Models, backend.Draining = boot, nil, false
 	delete(f.busy, old.ID)
 	delete(f.announcements, old.ID)
+	f.dropRateLimit(old.ID)
 	f.removeFromReportOrder(s)
 	*s = server{backend: backend, lastRow: s.lastRow, missingSince: s.missingSince, restartedAt: max(now, 1)}
 	f.markUsable(s, false)
--- a/internal/coordination/fleet/choose.go
+++ b/internal/coordination/fleet/choose.go
@@ -35,6 +35,8 @@
 	Backend catalog.Backend
 	// Found is false if no server can take the request.
 	Found bool
+	// RateCounted is true if the request counts against this entry's share of a rate limit.
+	RateCounted bool
 	// Version is the version that must answer, if Request.Version or Request.MinVersion was set.
 	Version uint64
 	// Slowdown is the factor by which the server is slower than expected; 0 if unknown.
@@ -90,12 +92,12 @@
 	if !ok {
 		return Placement{Reason: choice.Reason, Candidates: choice.CandidateCount, ReadyIn: f.ReadyIn(request, now)}
 	}
-	f.recordSent(s, now)
+	counted := f.recordSent(s, now)
 	age := time.Duration(-1)
 	if s.hasReport {
 		age = now - s.reportedAt
 	}
-	placement := Placement{Backend: s.backend, Found: true, PredictedLatency: choice.Predicted, QueuePosition: choice.QueuePosition, Reason: choice.Reason, Candidates: choice.CandidateCount, ReportAge: age, WillInterrupt: choice.WillInterrupt, PrefillWait: choice.PrefillWait}
+	placement := Placement{Backend: s.backend, Found: true, RateCounted: counted, PredictedLatency: choice.Predicted, QueuePosition: choice.QueuePosition, Reason: choice.Reason, Candidates: choice.CandidateCount, ReportAge: age, WillInterrupt: choice.WillInterrupt, PrefillWait: choice.PrefillWait}
 	if f.config.Regions[s.backend.Site] != f.config.Region {
 		placement.QueuePosition += f.config.OtherRegionMargin
 	}
@@ -129,7 +131,7 @@
 	var suspected []string
 	for id := range f.recheck {
 		s, ok := f.servers[id]
-		eligible := ok && s.backend.Service == service && !f.evacuated[s.backend.Site] && !f.coldLimited(s, now) && s.missingSince == 0 && now >= s.switchingUntil && now >= f.retryAt(s) && !f.recentlyUnreachable(s, now)
+		eligible := ok && s.backend.Service == service && !f.evacuated[s.backend.Site] && !f.coldLimited(s, now) && !f.rateLimited(s, now) && s.missingSince == 0 && now >= s.switchingUntil && now >= f.retryAt(s) && !f.recentlyUnreachable(s, now)
 		if eligible && f.members.Eligible(filbertlever.HostID(id), f.membershipTime(now)) {
 			suspected = append(suspected, id)
 			router.SetHost(f.host(s.backend), true)
@@ -161,7 +163,7 @@
 func (f *Fleet) ReadyIn(request Request, now time.Duration) time.Duration {
 	earliest := time.Duration(0)
 	for _, s := range f.servers {
-		at := max(s.loadedAt, f.retryAt(s), f.coldReadyAt(s, now))
+		at := max(s.loadedAt, f.retryAt(s), f.coldReadyAt(s, now), f.rateReadyAt(s))
 		if s.backend.Service != request.Service || at <= now || f.evacuated[s.backend.Site] || f.announcedDraining(s.backend) || !request.Regions.Allows(f.config.Regions[s.backend.Site]) {
 			continue
 		}
--- a/internal/coordination/fleet/cold.go
+++ b/internal/coordination/fleet/cold.go
@@ -25,6 +25,7 @@
 func (f *Fleet) SetEntries(entries []filbertlever.Host, now time.Duration) {
 	f.entries = entries
 	f.updateCold(now)
+	f.updateRateShares(now)
 }
 
 // updateCold recomputes this entry's share of all cold servers.
--- a/internal/coordination/fleet/counts.go
+++ b/internal/coordination/fleet/counts.go
@@ -96,20 +96,23 @@
 	return counts
 }
 
-// recordSent counts one more request of this entry at a server.
-func (f *Fleet) recordSent(s *server, now time.Duration) {
+// recordSent counts one more request of this entry at a server. It returns true if the request
+// counts against a rate limit.
+func (f *Fleet) recordSent(s *server, now time.Duration) bool {
 	if s.ownRequests == 0 {
 		s.progressAt, s.batchStartedAt = now, now
 		f.busy[s.backend.ID] = s
 	}
 	s.ownRequests++
 	f.recordSentCold(s, now)
+	return f.recordSentLimited(s, now)
 }
 
 // Release reverts a Choose whose request was not sent.
 func (f *Fleet) Release(id string) {
 	if s, ok := f.busy[id]; ok {
 		f.refundCold(s)
+		f.refundRate(s)
 	}
 	f.release(id)
 }
--- a/internal/coordination/fleet/fleet.go
+++ b/internal/coordination/fleet/fleet.go
@@ -152,6 +152,10 @@
 	revision  uint64
 	// announcements are what servers announced in their answers, by server ID.
 	announcements map[string]*announcement
+	// rateLimits are the announcements of the servers that limit their rate or did so recently, and
+	// rateSenders the limited servers of which this entry is a sender.
+	rateLimits  map[string]*announcement
+	rateSenders map[string]*server
 	// entries are the registered entries, including this one; nil if they are unknown.
 	entries []filbertlever.Host
 	// evacuated are the sites whose servers must get no requests.
@@ -199,6 +203,8 @@
 		servers:         map[string]*server{},
 		byAddress:       map[string]string{},
 		announcements:   map[string]*announcement{},
+		rateLimits:      map[string]*announcement{},
+		rateSenders:     map[string]*server{},
 		evacuated:       map[string]bool{},
 		namedVersions:   map[string][]uint64{},
 		modelMisses:     map[string]int{},
--- a/internal/coordination/fleet/health.go
+++ b/internal/coordination/fleet/health.go
@@ -19,7 +19,7 @@
 
 // usable reports whether new requests may be sent to a server.
 func (f *Fleet) usable(s *server, now time.Duration) bool {
-	if f.isRemoved(s, now) || f.evacuated[s.backend.Site] || f.coldLimited(s, now) {
+	if f.isRemoved(s, now) || f.evacuated[s.backend.Site] || f.coldLimited(s, now) || f.rateLimited(s, now) {
 		return false
 	}
 	return now >= s.switchingUntil && now >= s.silentUntil && now >= f.retryAt(s) && !f.stalled(s, now) && !f.silent(s, now) && f.members.Usable(filbertlever.HostID(s.backend.ID), f.membershipTime(now))
@@ -290,6 +290,7 @@
 func (f *Fleet) refresh(now time.Duration) {
 	f.checkHealth(now)
 	f.refreshCold(now)
+	f.refreshRateLimits(now)
 	for id := range f.recheck {
 		s, ok := f.servers[id]
 		if !ok {
@@ -320,6 +321,7 @@
 	delete(f.busy, id)
 	delete(f.unusable, id)
 	delete(f.cold, id)
+	delete(f.rateSenders, id)
 	if f.byAddress[s.backend.Address] == id {
 		delete(f.byAddress, s.backend.Address)
 	}
--- a/internal/transport/gateway/announcements.go
+++ b/internal/transport/gateway/announcements.go
@@ -2,10 +2,14 @@
 
 import (
 	"errors"
+	"net/http"
+	"slices"
+	"time"
 
 	"go.uber.org/zap"
 
 	"github.com/filbertlever/filbertlever/internal/coordination/catalog"
+	"github.com/filbertlever/filbertlever/internal/coordination/fleet"
 	"github.com/filbertlever/filbertlever/internal/transport/boottime"
 )
 
@@ -15,6 +19,7 @@
 	announcedRetryAfter = "RetryAfter"
 	announcedClose      = "ConnectionClose"
 	announcedRateLimit  = "RateLimit"
+	announcedNoLimit    = "NoRateLimit"
 )
 
 // recordAnnouncements records the announcements in the head of an answer, before any part of
@@ -33,7 +38,7 @@
 	if reply.ConnectionClose && g.fleet.RecordConnectionClose(backend, now) {
 		a.reportAnnouncement(backend, announcedClose, reply, true)
 	}
-	a.reportRateLimit(backend, reply)
+	a.recordRateLimit(backend, reply, now)
 	if reply.RetryAfter > 0 {
 		a.reportAnnouncement(backend, announcedRetryAfter, reply, g.fleet.RecordRetryAfter(backend, reply.RetryAfter, now))
 	}
@@ -54,17 +59,56 @@
 	g.log.Info("backend server announcement", fields...)
 }
 
-// reportRateLimit counts and logs the rate limit in the head of an answer.
-func (a *attempts) reportRateLimit(backend catalog.Backend, reply *Reply) {
+// recordRateLimit records the rate limit in the head of an answer. Only a success without a limit
+// lifts it, as it is not known whether refusals carry the limit too. The caller holds g.mu.
+func (a *attempts) recordRateLimit(backend catalog.Backend, reply *Reply, now time.Duration) {
+	g := a.gateway
 	if reply.RateLimitErr != nil {
-		a.gateway.log.Warn("unreadable rate limit of a backend server", zap.String("Request", a.call.ID), zap.String("Backend", backend.ID), zap.Error(reply.RateLimitErr))
+		g.log.Warn("unreadable rate limit of a backend server", zap.String("Request", a.call.ID), zap.String("Backend", backend.ID), zap.Error(reply.RateLimitErr))
+		return
 	}
-	if reply.RateLimit != nil {
-		a.reportAnnouncement(backend, announcedRateLimit, reply, true)
+	if reply.RateLimit == nil && (!reply.Verified || reply.Status >= http.StatusMultipleChoices) {
+		return
+	}
+	changed := g.fleet.RecordRateLimit(backend, reply.RateLimit, a.placedAt, now)
+	switch {
+	case reply.RateLimit != nil:
+		a.reportAnnouncement(backend, announcedRateLimit, reply, changed)
+	case changed:
+		a.reportAnnouncement(backend, announcedNoLimit, reply, true)
+	}
+}
+
+// sendRateReports sends the reports about rate limits that are due to all other entries.
+func (g *Gateway) sendRateReports(now time.Duration) {
+	g.mu.Lock()
+	reports := g.fleet.RateReports(now)
+	var addresses []string
+	if len(reports) > 0 {
+		addresses = g.peers.addresses(scopeAll)
+	}
+	g.mu.Unlock()
+	for part := range slices.Chunk(reports, maxRateReports) {
+		g.sendTo(Datagram{RateReports: part}, addresses)
+	}
+}
+
+// maxRateReports limits the reports in one message, which has at most 8 KiB.
+const maxRateReports = 100
+
+// applyRateReports applies another entry's reports. The caller holds the lock.
+func (g *Gateway) applyRateReports(reports []fleet.RateReport, now time.Duration) {
+	for _, r := range reports {
+		if g.fleet.ApplyRateReport(r, now) {
+			g.log.Info("rate limit reported by another entry", zap.String("Backend", r.Backend), zap.Float64("PerSecond", r.PerSecond), zap.Duration("Age", r.Age))
+		}
 	}
 }
 
-var errNotAccepting = errors.New("the server no longer accepts requests")
+var (
+	errNotAccepting = errors.New("the server no longer accepts requests")
+	errRateLimited  = errors.New("the server has limited its rate since the request was placed")
+)
 
 // checkBeforeSend returns an error if the request must no longer be sent to its server. It is
 // called when a connection is available, which may be some time after placement.
@@ -78,5 +122,8 @@
 	if !g.fleet.Accepts(a.placement.Backend, boottime.Now()) {
 		return errNotAccepting
 	}
+	if !g.fleet.WithinRateLimit(a.placement) {
+		return errRateLimited
+	}
 	return nil
 }
--- a/internal/transport/gateway/counts.go
+++ b/internal/transport/gateway/counts.go
@@ -30,7 +30,8 @@
 )
 
 // runCounts sends changed counts to the other entries, at intervals that grow with their
-// number. It sends crash reports without delay.
+// number. It sends crash reports and reports about rate limits without
+// delay.
 func (g *Gateway) runCounts(ctx context.Context) {
 	ticker := time.NewTicker(countsInterval)
 	defer ticker.Stop()
@@ -54,6 +55,7 @@
 		}
 		g.mu.Unlock()
 		g.sendCrashReports(reports, everyone)
+		g.sendRateReports(now)
 		if now-localAt >= countsInterval*time.Duration(local/peersPerInterval) && !countsEqual(&lastLocal, &counts) {
 			lastLocal, localAt = counts, now
 			g.sendCounts(&counts, scopeRegion)
--- a/internal/transport/gateway/datagrams.go
+++ b/internal/transport/gateway/datagrams.go
@@ -74,6 +74,7 @@
 	if d.Counts != nil {
 		g.applyCounts(d.Counts, now)
 	}
+	g.applyRateReports(d.RateReports, now)
 	if d.Load != nil {
 		d.Load.Load.AgentAddress = from.String()
 		g.fleet.ApplyReport(d.Load.Load, now)
@@ -178,6 +179,7 @@
 	}
 	heartbeat := g.ownHeartbeat(now)
 	g.metrics.quarantined.Set(float64(g.crashes.HeldCount(now)))
+	g.metrics.rateLimited.Set(float64(g.fleet.RateLimitedCount()))
 	g.mu.Unlock()
 	g.sendTo(Datagram{Heartbeat: heartbeat}, addresses)
 }
--- a/internal/transport/gateway/decode.go
+++ b/internal/transport/gateway/decode.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/filbertlever/filbertlever/internal/coordination/catalog"
+	"github.com/filbertlever/filbertlever/internal/coordination/fleet"
 )
 
 // Limits on data from other processes.
@@ -122,6 +123,19 @@
 	return nil
 }
 
+// checkRateReports validates reports about rate limits.
+func checkRateReports(reports []fleet.RateReport) error {
+	for _, r := range reports {
+		if r.Backend == "" || len(r.Backend) > maxNameBytes {
+			return fmt.Errorf("rate report: %w", errName)
+		}
+		if !(r.PerSecond >= 0) || r.Age < 0 {
+			return fmt.Errorf("rate report: %v a second, age %v: %w", r.PerSecond, r.Age, errOutOfRange)
+		}
+	}
+	return nil
+}
+
 // check validates a load report, or nil.
 func (l *LoadReport) check() error {
 	if l == nil {
--- a/internal/transport/gateway/messages.go
+++ b/internal/transport/gateway/messages.go
@@ -26,6 +26,8 @@
 	Changed bool `cbor:"4,keyasint,omitempty"`
 	// Crashes reports requests that crash backend servers.
 	Crashes *quarantine.CrashReport `cbor:"5,keyasint,omitempty"`
+	// RateReports are what the entry reports about the rate limits of backend servers.
+	RateReports []fleet.RateReport `cbor:"6,keyasint,omitempty"`
 }
 
 // Heartbeat reports the state of an entry to the others.
@@ -118,7 +120,7 @@
 	if err := decMode.Unmarshal(data, &d); err != nil {
 		return nil, fmt.Errorf("decode datagram: %w", err)
 	}
-	if err := errors.Join(d.Heartbeat.check(), d.Counts.check(), d.Load.check(), d.Crashes.Validate()); err != nil {
+	if err := errors.Join(d.Heartbeat.check(), d.Counts.check(), d.Load.check(), d.Crashes.Validate(), checkRateReports(d.RateReports)); err != nil {
 		return nil, fmt.Errorf("decode datagram: %w", err)
 	}
 	return &d, nil
--- a/internal/transport/gateway/metrics.go
+++ b/internal/transport/gateway/metrics.go
@@ -17,6 +17,7 @@
 	serverCrashes        *prometheus.CounterVec
 	quarantined          prometheus.Gauge
 	announcements        *prometheus.CounterVec
+	rateLimited          prometheus.Gauge
 	placedMissing        *prometheus.CounterVec
 	badDatagrams         prometheus.Counter
 	badRows              *prometheus.CounterVec
@@ -58,6 +59,10 @@
 			Name: "filbertlever_gateway_server_announcements_total",
 			Help: "Answers in which a server announces that it is draining, wants no requests for a while, or limits their rate.",
 		}, []string{"Service", "What"}),
+		rateLimited: prometheus.NewGauge(prometheus.GaugeOpts{
+			Name: "filbertlever_gateway_rate_limited",
+			Help: "Backend servers that limit the requests a second from all entries together.",
+		}),
 		placedMissing: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "filbertlever_gateway_placed_missing_total",
 			Help: "Requests placed at backend servers that the list lacks, by service.",
@@ -71,7 +76,7 @@
 			Help: "Rows of the store that name nothing, by table and cause, once for each change of a row.",
 		}, []string{"Table", "Cause"}),
 	}
-	registry.MustRegister(m.outcomes, m.retries, m.firstByte, m.startPredictionError, m.cancelledAttempts, m.serverCrashes, m.quarantined, m.announcements, m.placedMissing, m.badDatagrams, m.badRows)
+	registry.MustRegister(m.outcomes, m.retries, m.firstByte, m.startPredictionError, m.cancelledAttempts, m.serverCrashes, m.quarantined, m.announcements, m.rateLimited, m.placedMissing, m.badDatagrams, m.badRows)
 	return m
 }
 
--- a/internal/transport/gateway/placement.go
+++ b/internal/transport/gateway/placement.go
@@ -30,7 +30,7 @@
 		fields = append(fields, zap.Strings("Regions", a.regions))
 	}
 	if !placement.Found {
-		g.log.Info("no server available", fields...)
+		g.log.Info("no server available", append(fields, zap.Duration("ReadyIn", placement.ReadyIn))...)
 		return placement, unavailable(reasonNoServer, g.retryDelayUntilReady(a.service, placement.ReadyIn, a.remaining(), now))
 	}
 	admitted, retryAfter := g.gate.Admit(forecast(placement), admission.Caller{Remaining: a.remaining(), Goal: a.route.FirstByteGoal}, g.rng)
@@ -54,13 +54,16 @@
 	return admission.Forecast{QueuePosition: p.QueuePosition, PrefillWait: p.PrefillWait, Predicted: p.PredictedLatency}
 }
 
-// viewFields returns log fields with the age of the view of the servers, and how long the chosen
-// server has been missing from the list.
+// viewFields returns log fields with the age of the view of the servers, how long the chosen server
+// has been missing from the list, and whether its rate is limited.
 func (g *Gateway) viewFields(placement fleet.Placement, now time.Duration) []zap.Field {
 	fields := []zap.Field{zap.Duration("ViewAge", g.feeds.age(TableBackends, now))}
 	if placement.MissingFor > 0 {
 		fields = append(fields, zap.Duration("Missing", placement.MissingFor))
 	}
+	if placement.RateCounted {
+		fields = append(fields, zap.Bool("RateCounted", true))
+	}
 	return fields
 }
 
