Entries log when the store has been restored from an older copy

The record of the incident shows neither the era of the store nor the revision that an entry follows from, so it could not tell entries that follow a revision of before the restoration from others that are behind.

--- a/internal/transport/gateway/ports.go
+++ b/internal/transport/gateway/ports.go
@@ -130,6 +130,9 @@
 type Rows struct {
 	// Revision is the revision of the whole store.
 	Revision uint64
+	// Era is how often the store has been restored from an older copy; 0 if unknown, as in rows from
+	// another entry.
+	Era uint64
 	// Raw is opaque. It is empty if there are no rows.
 	Raw []byte
 	// compressed is Raw as another entry compressed it; nil if the rows came from the store.
--- a/internal/transport/gateway/watch.go
+++ b/internal/transport/gateway/watch.go
@@ -59,6 +59,8 @@
 	// droppedRevision is the newest revision from which the store could no longer send
 	// changes; 0 if there is none.
 	droppedRevision uint64
+	// era is that of the last answer of the store itself; 0 if unknown.
+	era uint64
 	// initial is true until rows have been applied.
 	initial bool
 	// unreachable is true while calls fail.
@@ -176,6 +178,7 @@
 // applyRows applies rows that were complete at a time, and confirms the view.
 func (w *tableWatch) applyRows(rows Rows, at time.Duration, whole bool) error {
 	after := w.revision
+	w.logEra(rows)
 	if err := w.apply(rows, after, whole, w.initial); err != nil {
 		return err
 	}
@@ -187,6 +190,18 @@
 	return nil
 }
 
+// logEra logs a change of the store's era.
+func (w *tableWatch) logEra(rows Rows) {
+	if rows.Era == 0 || rows.Era == w.era {
+		return
+	}
+	if w.era != 0 {
+		w.gateway.log.Warn("store restored from an older copy", zap.String("Table", string(w.table)), zap.Uint64("Before", w.era), zap.Uint64("Era", rows.Era),
+			zap.Uint64("FollowedFrom", w.revision), zap.Uint64("Revision", rows.Revision))
+	}
+	w.era = rows.Era
+}
+
 // noteUnreachable logs the first of a series of failed calls.
 func (w *tableWatch) noteUnreachable(ctx context.Context, err error) {
 	if !w.unreachable && ctx.Err() == nil {
