Views of a restored store continue from its new era

Callers whose keys had been revoked were still served 3.4 s after the store had acknowledged the revocation (3 s are allowed), and leaving servers can get requests for as long.

Cause: the store had been restored from an older copy, and its revisions went back. Entries that asked it got 410 and read the tables again; entries that followed another one kept the higher revision of before, took no changes below it, and counted their view as fresh. Rows of servers with lower revisions than before were ignored too. The class: a number that was trusted to only rise.

Ruled out: an entry that has just started, a reader that stands still.

Change: a revision carries the era of the store in its upper bits, so that all comparisons order by era first. A view of an earlier era is read again, from the entry that it follows; changes from an entry of an earlier era are not taken. For 10 s the copy takes nothing back that was known (revoked keys, leaving and removed servers, evacuations); then each table is read again. Entries register again and save naming times and quarantined requests again.

--- a/internal/coordination/fleet/boots.go
+++ b/internal/coordination/fleet/boots.go
@@ -55,7 +55,7 @@
 		s = &server{backend: catalog.Backend{ID: backend.ID}}
 		f.servers[backend.ID] = s
 	}
-	s.missingSince, s.closesConnections = 0, false
+	s.missingSince, s.lostAt, s.closesConnections = 0, 0, false
 	changed := backend.Revision == 0 || backend.Revision > s.lastRow.revision
 	if !f.acceptRow(s, &backend, now) {
 		return
--- a/internal/coordination/fleet/fleet.go
+++ b/internal/coordination/fleet/fleet.go
@@ -128,6 +128,8 @@
 	unreachableAt time.Duration
 	// missingSince is when the server was first missing from the list; 0 if it is listed.
 	missingSince time.Duration
+	// lostAt is when the store was restored from a copy that lacks the server; 0 if it was not.
+	lostAt time.Duration
 	// closesConnections is true if the server closed a connection while it was missing from the
 	// list.
 	closesConnections bool
@@ -169,6 +171,8 @@
 	recheck map[string]bool
 	// endedProcesses maps each process that has ended to when this was observed.
 	endedProcesses map[process]time.Duration
+	// departed maps each process that is no longer listed to when it was removed.
+	departed map[process]time.Duration
 	// restarts are those that TakeRestarts has not returned yet.
 	restarts []Restart
 	// replaced are the processes that were replaced and that TakeReplaced has not returned yet.
@@ -210,6 +214,7 @@
 		modelMisses:     map[string]int{},
 		recheck:         map[string]bool{},
 		endedProcesses:  map[process]time.Duration{},
+		departed:        map[process]time.Duration{},
 		busy:            map[string]*server{},
 		gossipedServers: map[filbertlever.HostID][]string{},
 		cold:            map[string]*server{},
@@ -267,7 +272,7 @@
 		listed[backend.ID] = true
 		f.applyRow(backend, now)
 	}
-	f.removeReplaced(present)
+	f.removeReplaced(present, now)
 	if complete {
 		for id := range f.servers {
 			if !listed[id] {
@@ -294,7 +299,7 @@
 //
 // After a power failure every server has a new ID at its old address. The rows of the old servers
 // stay for seconds, and requests would use up their retries on them.
-func (f *Fleet) removeReplaced(present []catalog.Backend) {
+func (f *Fleet) removeReplaced(present []catalog.Backend, now time.Duration) {
 	newest := map[string]string{}
 	for id, s := range f.servers {
 		old, ok := f.servers[newest[s.backend.Address]]
@@ -309,7 +314,7 @@
 		other, ok := f.servers[newest[s.backend.Address]]
 		if ok && newest[s.backend.Address] != id && s.backend.Revision < other.backend.Revision {
 			f.recordReplaced(s.backend)
-			f.remove(id, s)
+			f.remove(id, s, now)
 		}
 	}
 }
--- a/internal/coordination/fleet/health.go
+++ b/internal/coordination/fleet/health.go
@@ -9,12 +9,18 @@
 )
 
 // isRemoved reports whether a server's row was removed. Rows of running servers expire during an
-// outage of the store, so a missing row counts as removed only after a grace period.
+// outage of the store, and a store that was restored from an older copy may lack them, so a missing
+// row counts as removed only after a grace period.
 //
 // Only outages of the store itself count. If this entry alone lost contact with the store, no rows
 // expired.
 func (f *Fleet) isRemoved(s *server, now time.Duration) bool {
-	return s.missingSince != 0 && (s.closesConnections || !f.outageKnown || now-f.outageEnd >= f.config.ExpiryGracePeriod)
+	if s.missingSince == 0 || s.closesConnections {
+		return s.missingSince != 0
+	}
+	mayHaveExpired := f.outageKnown && now-f.outageEnd < f.config.ExpiryGracePeriod
+	mayBeLost := s.lostAt != 0 && now-s.lostAt < f.config.ExpiryGracePeriod
+	return !mayHaveExpired && !mayBeLost
 }
 
 // usable reports whether new requests may be sent to a server.
@@ -202,7 +208,7 @@
 func (f *Fleet) RecordReplaced(id string, now time.Duration) {
 	if s, ok := f.servers[id]; ok {
 		f.recordReplaced(s.backend)
-		f.remove(id, s)
+		f.remove(id, s, now)
 		f.updateMembership(now)
 	}
 }
@@ -298,7 +304,7 @@
 			continue
 		}
 		if f.isRemoved(s, now) {
-			f.remove(id, s)
+			f.remove(id, s, now)
 			continue
 		}
 		f.syncRouter(id, now)
@@ -309,7 +315,8 @@
 }
 
 // remove removes a server and all its state.
-func (f *Fleet) remove(id string, s *server) {
+func (f *Fleet) remove(id string, s *server, now time.Duration) {
+	f.recordDeparted(s.backend, now)
 	if router := f.router(s.backend.Service); router != nil {
 		router.SetHost(f.host(s.backend), false)
 		router.SetTargets(filbertlever.HostID(id), nil)
--- a/internal/coordination/quarantine/reports.go
+++ b/internal/coordination/quarantine/reports.go
@@ -157,6 +157,16 @@
 	return newHolds, cleared
 }
 
+// StoreAgain queues all current holds to be written to the store, which may have lost them.
+func (t *Table) StoreAgain(now time.Duration) {
+	t.newHolds = nil
+	for request, s := range t.suspects {
+		if t.held(s, now) {
+			t.newHolds = append(t.newHolds, Hold{Request: request, At: s.heldAt, Count: s.holdCount})
+		}
+	}
+}
+
 // Restore adds holds that were read from the store, and returns the requests whose holds
 // have expired.
 func (t *Table) Restore(stored []Hold, now time.Duration) []Fingerprint {
--- a/internal/transport/gateway/badrows.go
+++ b/internal/transport/gateway/badrows.go
@@ -9,6 +9,7 @@
 	"go.uber.org/zap"
 
 	"github.com/filbertlever/filbertlever/internal/coordination/catalog"
+	"github.com/filbertlever/filbertlever/internal/coordination/revision"
 )
 
 // maxTrackedBadRows limits the bad rows whose reports are tracked. There may be 22,000 servers with a
@@ -58,7 +59,7 @@
 		}
 		g.metrics.badRows.WithLabelValues(string(bad.Table), string(bad.Cause)).Inc()
 		g.log.Warn("invalid row ignored", zap.String("Table", string(bad.Table)), zap.String("Key", bad.Key),
-			zap.Uint64("Revision", bad.Revision), zap.String("Cause", string(bad.Cause)), zap.Error(bad.Err))
+			zap.Uint64("Revision", revision.Number(bad.Revision)), zap.String("Cause", string(bad.Cause)), zap.Error(bad.Err))
 	}
 }
 
--- a/internal/transport/gateway/feeds.go
+++ b/internal/transport/gateway/feeds.go
@@ -11,6 +11,7 @@
 
 	"github.com/filbertlever/filbertlever"
 	"github.com/filbertlever/filbertlever/internal/coordination/relays"
+	"github.com/filbertlever/filbertlever/internal/coordination/revision"
 	"github.com/filbertlever/filbertlever/internal/transport/boottime"
 )
 
@@ -133,6 +134,16 @@
 	log.changed = make(chan struct{})
 }
 
+// head returns the revision of the view of a table; 0 if there is none.
+func (f *feeds) head(table Table) uint64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if log, ok := f.tables[table]; ok {
+		return log.headRevision
+	}
+	return 0
+}
+
 // isUnreachable reports whether the store does not answer calls for a table.
 func (f *feeds) isUnreachable(table Table) bool {
 	f.mu.Lock()
@@ -300,6 +311,9 @@
 		}
 		previous = host
 		response, err := g.fetchFeed(ctx, address, table, after, feedTimeout)
+		if errors.Is(err, ErrStoreRestored) {
+			return Rows{}, 0, false, err
+		}
 		if errors.Is(err, ErrRevisionPruned) && g.isRegionStarting(sentAt) {
 			// The reader has not read the table yet.
 			break
@@ -323,12 +337,18 @@
 // maxReaderAttempts limits how many readers are asked one after the other.
 const maxReaderAttempts = 3
 
+// errReaderEra means that a reader has not learned yet that the store was restored.
+var errReaderEra = errors.New("the view of the reader is from an earlier era of the store")
+
 // errReaderDisconnected means that the store does not answer the reader.
 var errReaderDisconnected = errors.New("the reader is disconnected from the store")
 
 // acceptFeed returns the rows of a reader's response. It returns false if the call failed or
 // the reader's view is too old.
 func (g *Gateway) acceptFeed(table Table, host filbertlever.HostID, after uint64, sentAt time.Duration, response FeedResponse, err error) (Rows, time.Duration, bool) {
+	if err == nil && revision.Era(response.Revision) < revision.Era(after) {
+		err = errReaderEra
+	}
 	if err == nil && response.Age > maxAgeOf(table) {
 		err = fmt.Errorf("view of the reader is %v old, the limit is %v", response.Age, maxAgeOf(table))
 	}
--- a/internal/transport/gateway/feedwire.go
+++ b/internal/transport/gateway/feedwire.go
@@ -14,6 +14,7 @@
 	"sync"
 	"time"
 
+	"github.com/filbertlever/filbertlever/internal/coordination/revision"
 	"github.com/filbertlever/filbertlever/internal/transport/boottime"
 )
 
@@ -135,6 +136,7 @@
 		return
 	}
 	if !ok {
+		w.Header().Set(headerRevision, strconv.FormatUint(g.feeds.head(Table(r.URL.Query().Get("Table"))), 10))
 		w.WriteHeader(http.StatusGone)
 		return
 	}
@@ -185,6 +187,10 @@
 		}
 		return feed, err
 	case http.StatusGone:
+		head, err := strconv.ParseUint(response.Header.Get(headerRevision), 10, 64)
+		if err == nil && after > 0 && revision.Era(head) > revision.Era(after) {
+			return FeedResponse{}, ErrStoreRestored
+		}
 		return FeedResponse{}, ErrRevisionPruned
 	case http.StatusServiceUnavailable:
 		return FeedResponse{}, errReaderDisconnected
@@ -214,7 +220,7 @@
 // A view continues from the revision of the response. A revision that the store never reaches
 // would make the view miss all later changes.
 func decodeFeed(header http.Header, body io.Reader) (FeedResponse, error) {
-	revision, err := strconv.ParseUint(header.Get(headerRevision), 10, 64)
+	head, err := strconv.ParseUint(header.Get(headerRevision), 10, 64)
 	if err != nil {
 		return FeedResponse{}, fmt.Errorf("decode feed: %s: %w", headerRevision, err)
 	}
@@ -222,12 +228,12 @@
 	switch {
 	case err != nil:
 		return FeedResponse{}, fmt.Errorf("decode feed: %s: %w", headerAge, err)
-	case revision > maxRevision:
+	case revision.Number(head) > maxRevision:
 		return FeedResponse{}, fmt.Errorf("decode feed: Revision: %w", errRevision)
 	case age < 0:
 		return FeedResponse{}, fmt.Errorf("decode feed: Age: %w", errOutOfRange)
 	}
-	feed := FeedResponse{Revision: revision, Age: time.Duration(age)}
+	feed := FeedResponse{Revision: head, Age: time.Duration(age)}
 	if header.Get(headerStoreFirst) != "" {
 		first, firstErr := strconv.ParseUint(header.Get(headerStoreFirst), 10, 16)
 		last, lastErr := strconv.ParseUint(header.Get(headerStoreLast), 10, 16)
--- a/internal/transport/gateway/gateway.go
+++ b/internal/transport/gateway/gateway.go
@@ -105,6 +105,12 @@
 	uptime           uptime.Uptime
 	// storeAnsweredAt is when the store last answered this entry; 0 if it has not.
 	storeAnsweredAt time.Duration
+	// tableEras are the eras of the store in the last rows of each table, storeEra is the highest one,
+	// and stateEra that of the desired state in force.
+	tableEras          map[Table]uint64
+	storeEra, stateEra uint64
+	// writeAgain requests that what this entry wrote to the store be written again.
+	writeAgain chan struct{}
 	// heartbeatNow requests an immediate heartbeat to the region.
 	heartbeatNow chan struct{}
 	stop         *drain.Stop
@@ -117,7 +123,7 @@
 	fleetConfig := fleet.DefaultConfig()
 	fleetConfig.Host, fleetConfig.Site, fleetConfig.Region, fleetConfig.Regions = config.Self.Host, config.Self.Site, config.Self.Region, config.Regions
 	g := &Gateway{
-		stateKnown: make(chan struct{}), started: boottime.Now(), heartbeatNow: make(chan struct{}, 1), namedChanged: make(chan struct{}, 1),
+		stateKnown: make(chan struct{}), started: boottime.Now(), heartbeatNow: make(chan struct{}, 1), writeAgain: make(chan struct{}, 1), tableEras: map[Table]uint64{}, namedChanged: make(chan struct{}, 1),
 		config: config, store: store, codec: codec, sender: sender, log: log, socket: datagrams.New(socket), client: client, feeds: newFeeds(),
 		metrics: newMetrics(registry), rng: rng, fleet: fleet.New(fleetConfig, rng), gate: admission.DefaultEntryGate(),
 		retryBudgets: map[string]*retry.Window{}, outages: map[string]*admission.Outage{}, waitQueue: newWaitQueue(), crashes: newCrashes(), peers: newPeers(config.Self, boottime.Now()), versionsByModel: map[string][]namedVersion{},
--- a/internal/transport/gateway/metrics.go
+++ b/internal/transport/gateway/metrics.go
@@ -18,6 +18,7 @@
 	quarantined          prometheus.Gauge
 	announcements        *prometheus.CounterVec
 	rateLimited          prometheus.Gauge
+	storeRestored        prometheus.Counter
 	placedMissing        *prometheus.CounterVec
 	badDatagrams         prometheus.Counter
 	badRows              *prometheus.CounterVec
@@ -63,6 +64,10 @@
 			Name: "filbertlever_gateway_rate_limited",
 			Help: "Backend servers that limit the requests a second from all entries together.",
 		}),
+		storeRestored: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "filbertlever_gateway_store_restored_total",
+			Help: "Restorations of the store from an older copy.",
+		}),
 		placedMissing: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "filbertlever_gateway_placed_missing_total",
 			Help: "Requests placed at backend servers that the list lacks, by service.",
@@ -76,7 +81,7 @@
 			Help: "Rows of the store that name nothing, by table and cause, once for each change of a row.",
 		}, []string{"Table", "Cause"}),
 	}
-	registry.MustRegister(m.outcomes, m.retries, m.firstByte, m.startPredictionError, m.cancelledAttempts, m.serverCrashes, m.quarantined, m.announcements, m.rateLimited, m.placedMissing, m.badDatagrams, m.badRows)
+	registry.MustRegister(m.outcomes, m.retries, m.firstByte, m.startPredictionError, m.cancelledAttempts, m.serverCrashes, m.quarantined, m.announcements, m.rateLimited, m.storeRestored, m.placedMissing, m.badDatagrams, m.badRows)
 	return m
 }
 
--- a/internal/transport/gateway/ports.go
+++ b/internal/transport/gateway/ports.go
@@ -14,6 +14,7 @@
 	"github.com/filbertlever/filbertlever"
 	"github.com/filbertlever/filbertlever/internal/coordination/catalog"
 	"github.com/filbertlever/filbertlever/internal/coordination/quarantine"
+	"github.com/filbertlever/filbertlever/internal/coordination/revision"
 )
 
 // Call is a caller's request.
@@ -110,6 +111,10 @@
 // ErrRevisionPruned means that a feed no longer holds all changes since the requested revision.
 var ErrRevisionPruned = errors.New("the requested revision is no longer in the history")
 
+// ErrStoreRestored means that the store was restored from an older copy since the requested revision,
+// which it no longer has or has given out again.
+var ErrStoreRestored = fmt.Errorf("the store was restored from an older copy: %w", ErrRevisionPruned)
+
 // ErrStoreRejected means that the store is reachable but refuses to serve this process: it answers
 // with a refusal, or refuses the connection.
 var ErrStoreRejected = errors.New("the store refuses to serve this process")
@@ -128,11 +133,9 @@
 
 // Rows holds rows of a table as the store sent them.
 type Rows struct {
-	// Revision is the revision of the whole store.
+	// Revision is the revision of the whole store, as defined by package revision. The numbers in Raw
+	// are of its era.
 	Revision uint64
-	// Era is how often the store has been restored from an older copy; 0 if unknown, as in rows from
-	// another entry.
-	Era uint64
 	// Raw is opaque. It is empty if there are no rows.
 	Raw []byte
 	// compressed is Raw as another entry compressed it; nil if the rows came from the store.
@@ -174,7 +177,7 @@
 }
 
 func (b BadRow) Error() string {
-	return fmt.Sprintf("decode row %.200q of table %s, revision %d: %s: %v", b.Key, b.Table, b.Revision, b.Cause, b.Err)
+	return fmt.Sprintf("decode row %.200q of table %s, revision %d: %s: %v", b.Key, b.Table, revision.Number(b.Revision), b.Cause, b.Err)
 }
 
 func (b BadRow) Unwrap() error { return b.Err }
--- a/internal/transport/gateway/watch.go
+++ b/internal/transport/gateway/watch.go
@@ -10,6 +10,7 @@
 
 	"github.com/filbertlever/filbertlever/internal/coordination/catalog"
 	"github.com/filbertlever/filbertlever/internal/coordination/retry"
+	"github.com/filbertlever/filbertlever/internal/coordination/revision"
 	"github.com/filbertlever/filbertlever/internal/transport/boottime"
 )
 
@@ -59,8 +60,10 @@
 	// droppedRevision is the newest revision from which the store could no longer send
 	// changes; 0 if there is none.
 	droppedRevision uint64
-	// era is that of the last answer of the store itself; 0 if unknown.
+	// era is that of the view.
 	era uint64
+	// rereadAt is when the whole table is read again after a restoration of the store; 0 if it is not.
+	rereadAt time.Duration
 	// initial is true until rows have been applied.
 	initial bool
 	// unreachable is true while calls fail.
@@ -75,7 +78,7 @@
 		changed, err := w.poll(ctx)
 		switch {
 		case errors.Is(err, ErrRevisionPruned):
-			w.gateway.log.Warn("store dropped its history", zap.String("Table", string(w.table)), zap.Uint64("Revision", w.revision))
+			w.gateway.log.Warn("store dropped its history", w.fields(zap.Error(err))...)
 			w.revision, w.droppedRevision = 0, w.revision
 		case errors.Is(err, errReaderDisconnected):
 			w.noteUnreachable(ctx, err)
@@ -108,6 +111,9 @@
 // poll makes one call, to the region's reader or to the store.
 func (w *tableWatch) poll(ctx context.Context) (changed bool, err error) {
 	g := w.gateway
+	if w.rereadAt != 0 && boottime.Now() >= w.rereadAt {
+		w.revision, w.droppedRevision, w.rereadAt = 0, 0, 0
+	}
 	if w.revision == 0 {
 		if rows, at, ok := g.fetchSnapshot(ctx, w.table, w.droppedRevision); ok {
 			g.feeds.reset(w.table, rows, at)
@@ -178,11 +184,13 @@
 // applyRows applies rows that were complete at a time, and confirms the view.
 func (w *tableWatch) applyRows(rows Rows, at time.Duration, whole bool) error {
 	after := w.revision
-	w.logEra(rows)
 	if err := w.apply(rows, after, whole, w.initial); err != nil {
 		return err
 	}
-	w.initial = false
+	if restored := revision.Era(rows.Revision) > w.era; restored && !w.initial {
+		w.rereadAt = boottime.Now() + restoredGracePeriod
+	}
+	w.initial, w.era = false, revision.Era(rows.Revision)
 	w.revision = max(w.revision, rows.Revision)
 	if w.onConfirmed != nil {
 		w.onConfirmed(at)
@@ -190,18 +198,6 @@
 	return nil
 }
 
-// logEra logs a change of the store's era.
-func (w *tableWatch) logEra(rows Rows) {
-	if rows.Era == 0 || rows.Era == w.era {
-		return
-	}
-	if w.era != 0 {
-		w.gateway.log.Warn("store restored from an older copy", zap.String("Table", string(w.table)), zap.Uint64("Before", w.era), zap.Uint64("Era", rows.Era),
-			zap.Uint64("FollowedFrom", w.revision), zap.Uint64("Revision", rows.Revision))
-	}
-	w.era = rows.Era
-}
-
 // noteUnreachable logs the first of a series of failed calls.
 func (w *tableWatch) noteUnreachable(ctx context.Context, err error) {
 	if !w.unreachable && ctx.Err() == nil {
@@ -214,10 +210,15 @@
 func (w *tableWatch) noteReachable() {
 	if w.unreachable {
 		w.unreachable = false
-		w.gateway.log.Info("store reachable again", zap.String("Table", string(w.table)), zap.Uint64("Revision", w.revision))
+		w.gateway.log.Info("store reachable again", w.fields()...)
 	}
 }
 
+// fields returns log fields with the table and the revision of its view.
+func (w *tableWatch) fields(more ...zap.Field) []zap.Field {
+	return append(append([]zap.Field{zap.String("Table", string(w.table))}, revisionFields(w.revision)...), more...)
+}
+
 // sleepJittered sleeps for half to one and a half times a delay, so that entries do not make
 // their calls at the same time.
 func (g *Gateway) sleepJittered(ctx context.Context, delay time.Duration) {
@@ -243,7 +244,7 @@
 // applyDesired applies changes of the desired state and the named versions.
 //
 // Answers of the store may arrive out of order. Only a state with a higher version replaces
-// the current one.
+// the current one, or one with the same version from a later era of the store.
 func (g *Gateway) applyDesired(rows Rows, after uint64, whole, initial bool) error {
 	desired, err := g.store.DecodeDesired(rows, after)
 	if err != nil {
@@ -252,17 +253,20 @@
 	now := boottime.Now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	old := g.state.Load()
-	if desired.State != nil && (old == nil || desired.State.Version > old.Version) {
+	restored := g.noteEra(TableDesired, rows.Revision)
+	if desired.State != nil && g.supersedesState(desired.State, rows.Revision) {
+		old := g.state.Load()
+		g.stateEra = revision.Era(rows.Revision)
 		g.fleet.SetState(desired.State, now)
 		g.state.Store(desired.State)
 		g.releaseWithheld(desired.State, now)
 		if old == nil {
 			close(g.stateKnown)
 		}
-		g.log.Info("desired state in force", zap.Uint64("Version", desired.State.Version), zap.Uint64("Revision", rows.Revision))
+		g.log.Info("desired state in force", append([]zap.Field{zap.Uint64("Version", desired.State.Version)}, revisionFields(rows.Revision)...)...)
 	}
-	g.setEvacuated(desired, whole, now)
+	// The copy may lack an evacuation that the operator asked for since.
+	g.setEvacuated(desired, whole && !restored, now)
 	g.setNamed(desired.Named, initial, now)
 	g.reportBadRows(desired.Bad)
 	return nil
@@ -291,7 +295,11 @@
 		g.mu.Lock()
 		defer g.mu.Unlock()
 		g.backendsInterval, last = now-last, now
-		if whole || len(rows.Raw) > 0 {
+		restored := g.noteEra(TableBackends, rows.Revision)
+		switch {
+		case restored:
+			g.applyRestoredBackends(backends, now)
+		case whole || len(rows.Raw) > 0:
 			go g.runFetchManifests(g.applyBackends(backends, whole, now))
 		}
 		g.reportBadRows(backends.Bad)
@@ -361,7 +369,9 @@
 		}
 		now := boottime.Now()
 		g.mu.Lock()
-		g.peers.applyRows(entries.Present, entries.Removed, whole, now)
+		// The copy may lack entries that registered since. They register again.
+		restored := g.noteEra(TableEntries, rows.Revision)
+		g.peers.applyRows(entries.Present, entries.Removed, whole && !restored, now)
 		g.resizeRetryBudgets()
 		g.fleet.SetEntries(g.peers.hosts(), now)
 		g.reportBadRows(entries.Bad)
@@ -379,9 +389,22 @@
 // writes of a part a second; at half of that rate the rows of servers are not delayed.
 var registerSpread = retry.Spread{Interval: 10 * time.Millisecond, Initial: initialBackoff, Max: 8 * time.Second}
 
-// runRegister registers this entry in the store, with retries until it succeeds.
+// runRegister registers this entry in the store. It does so again, and saves the quarantine holds
+// again, whenever the store was restored from an older copy.
 func (g *Gateway) runRegister(ctx context.Context) {
 	g.awaitPeers(ctx)
+	for ctx.Err() == nil {
+		g.register(ctx)
+		select {
+		case <-ctx.Done():
+		case <-g.writeAgain:
+			g.saveHoldsAgain()
+		}
+	}
+}
+
+// register registers this entry, with retries until it succeeds.
+func (g *Gateway) register(ctx context.Context) {
 	for failures := 0; ctx.Err() == nil; failures++ {
 		g.mu.Lock()
 		delay := registerSpread.Delay(failures, g.peers.registeredCount(), g.rng)
