A limited server that is listed again after a gap is used again

Its share was set to none while its row was missing and the list of entries changed, and nothing set it again: no entry would have sent it a request, so that it could not lift its limit either. The test failed before.

--- a/internal/coordination/fleet/boots.go
+++ b/internal/coordination/fleet/boots.go
@@ -65,6 +65,9 @@
 	}
 	s.backend = backend
 	f.byAddress[backend.Address] = backend.ID
+	if a, limited := f.rateLimits[backend.ID]; limited && !ok {
+		f.setRateShare(backend.ID, a)
+	}
 	if changed {
 		f.markCold(s, backend.ColdFor, now)
 	}
--- a/internal/coordination/fleet/ratelimit.go
+++ b/internal/coordination/fleet/ratelimit.go
@@ -129,11 +129,14 @@
 
 // setRateShare sets the interval of this entry's requests to a limited server.
 func (f *Fleet) setRateShare(id string, a *announcement) {
+	s, ok := f.servers[id]
+	if !ok {
+		return
+	}
 	l := &a.limit
 	l.interval, l.isSender = 0, false
 	delete(f.rateSenders, id)
-	s, ok := f.servers[id]
-	if !ok || l.perSecond == 0 || len(f.entries) == 0 {
+	if l.perSecond == 0 || len(f.entries) == 0 {
 		// While the other entries are not known yet, there are no senders.
 		return
 	}
--- a/internal/coordination/fleet/ratelimit_test.go
+++ b/internal/coordination/fleet/ratelimit_test.go
@@ -306,6 +306,23 @@
 	c.Assert(f.RateReports(time.Minute), qt.HasLen, 0)
 }
 
+// The row of a limited server expired while the list of entries changed, and no entry sent it a request
+// again when it was back.
+func TestRateLimitedServerIsUsedWhenItIsListedAgain(t *testing.T) {
+	c := qt.New(t)
+	f := newColdFleets(3)[0]
+	f.Apply([]catalog.Backend{limitedServer()}, nil, true, 0)
+	f.RecordRateLimit(limitedServer(), rate(1), 0, 0)
+	f.Apply(nil, nil, true, time.Second)
+	c.Assert(f.Contains(limitedServer().ID), qt.IsFalse)
+	entries := f.entries
+	f.SetEntries(entries[:len(entries)-1], time.Second)
+	f.SetEntries(entries, time.Second)
+	f.Apply([]catalog.Backend{limitedServer()}, nil, true, 2*time.Second)
+	c.Assert(f.Choose(Request{Service: plainService}, 20*time.Second).Found, qt.IsTrue)
+	c.Assert(f.Choose(Request{Service: plainService}, 20*time.Second).Found, qt.IsFalse)
+}
+
 // A request that waited for a connection was sent although the server had announced a limit since.
 func TestRequestPlacedBeforeTheRateLimitIsNotSent(t *testing.T) {
 	c := qt.New(t)
