--- a/internal/transport/gateway/restored.go
+++ b/internal/transport/gateway/restored.go
@@ -20,8 +20,11 @@
 func (g *Gateway) noteEra(table Table, r uint64) bool {
 	era := revision.Era(r)
 	last, known := g.tableEras[table]
+	if known && era <= last {
+		return false
+	}
 	g.tableEras[table] = era
-	if !known || era <= last {
+	if !known {
 		g.storeEra = max(g.storeEra, era)
 		return false
 	}
--- a/internal/transport/gateway/watch.go
+++ b/internal/transport/gateway/watch.go
@@ -187,10 +187,11 @@
 	if err := w.apply(rows, after, whole, w.initial); err != nil {
 		return err
 	}
-	if restored := revision.Era(rows.Revision) > w.era; restored && !w.initial {
+	era := revision.Era(rows.Revision)
+	if !w.initial && era > w.era {
 		w.rereadAt = boottime.Now() + restoredGracePeriod
 	}
-	w.initial, w.era = false, revision.Era(rows.Revision)
+	w.initial, w.era = false, era
 	w.revision = max(w.revision, rows.Revision)
 	if w.onConfirmed != nil {
 		w.onConfirmed(at)
