Tables are read again after a restoration without interrupting followers

The whole read 10 s after a restoration reset the view, so that followers of the entry got 410 and all asked the store, at the same moment; an entry whose source had no whole table would have waited for its turn meanwhile, without changes. Now the view goes on, one attempt at a time asks the entry that reads for the region, spread over 5 s, and the store is read after three. A table that is older than the view is not applied.

--- a/internal/transport/gateway/restored.go
+++ b/internal/transport/gateway/restored.go
@@ -1,6 +1,8 @@
 package gateway
 
 import (
+	"context"
+	"errors"
 	"time"
 
 	"go.uber.org/zap"
@@ -15,6 +17,52 @@
 // that has left has exited by then. Each table is then read again.
 const restoredGracePeriod = 10 * time.Second
 
+const (
+	// rereadSpread spreads the reads after the grace period, which all entries would make at once.
+	rereadSpread = 5 * time.Second
+	// maxRereadsFromEntry is how often another entry is asked for a table before the store is.
+	maxRereadsFromEntry = 3
+)
+
+// reread applies the whole table once more, from the entry that reads the store for this region if
+// possible. Another attempt follows later if it fails, as the table must not wait for its changes
+// meanwhile.
+//
+// The view keeps its revision, so that its followers lack no change in between. It may take changes
+// again that are in the table already.
+func (w *tableWatch) reread(ctx context.Context) error {
+	w.rereadAt = boottime.Now() + w.gateway.jitter(rereadSpread, rereadSpread)
+	w.rereads++
+	rows, err := w.readWhole(ctx)
+	if err != nil {
+		w.gateway.log.Info("table not read again after the store was restored", w.fields(zap.Error(err))...)
+		return nil
+	}
+	if rows.Revision < w.revision || revision.Era(rows.Revision) != w.era {
+		// The other entry is behind, or the store was restored again.
+		return nil
+	}
+	w.rereadAt = 0
+	return w.apply(rows, 0, true, false)
+}
+
+// readWhole returns the whole table.
+func (w *tableWatch) readWhole(ctx context.Context) (Rows, error) {
+	g := w.gateway
+	_, address, remote := g.snapshotSource(boottime.Now())
+	if !remote || w.rereads > maxRereadsFromEntry {
+		return g.store.Read(ctx, w.table)
+	}
+	response, err := g.fetchFeed(ctx, address, w.table, 0, feedTimeout)
+	if err == nil && response.Age > maxAgeOf(w.table) {
+		err = errOldView
+	}
+	return Rows{Revision: response.Revision, Raw: joinRows(response.Raw)}, err
+}
+
+// errOldView means that the view of another entry is too old.
+var errOldView = errors.New("the view of the entry is too old")
+
 // noteEra records the era of a table's rows. It returns true if the store was restored from an older
 // copy since the last rows of that table. The caller holds the lock.
 func (g *Gateway) noteEra(table Table, r uint64) bool {
--- a/internal/transport/gateway/restored_test.go
+++ b/internal/transport/gateway/restored_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net/http"
 	"net/http/httptest"
 	"testing"
@@ -78,3 +79,74 @@
 		})
 	}
 }
+
+// After the grace period an entry applies the whole table again. Its followers would have to read the
+// table too if its view began anew.
+func TestTableIsReadAgainWithoutInterruptingFollowers(t *testing.T) {
+	c := qt.New(t)
+	self := entryAt("e1", "a", "ra")
+	current := revision.New(2, 7)
+	store := fakeStore{
+		follow: func(context.Context, uint64, time.Duration) (Rows, error) { return rows(current, ""), nil },
+		read:   func() Rows { return rows(revision.New(2, 9), `[{"b":2}]`) },
+	}
+	g := &Gateway{crashes: newCrashes(), config: Config{Self: self}, store: store, peers: newPeers(self, 0), feeds: newFeeds(), log: zap.NewNop(), rng: rand.New(rand.NewPCG(1, 2))}
+	g.entriesListed.Store(true)
+	g.feeds.reset(TableDesired, rows(current, `[{"a":1}]`), boottime.Now())
+	var applied []Rows
+	w := &tableWatch{gateway: g, table: TableDesired, wait: time.Millisecond, revision: current, era: 2, rereadAt: 1,
+		apply: func(rows Rows, after uint64, whole, initial bool) error {
+			if whole {
+				c.Check(after, qt.Equals, uint64(0))
+				c.Check(initial, qt.IsFalse)
+				applied = append(applied, rows)
+			}
+			return nil
+		}}
+	for range 3 {
+		_, err := w.poll(context.Background())
+		c.Assert(err, qt.IsNil)
+	}
+	c.Assert(applied, qt.HasLen, 1)
+	c.Assert(w.revision, qt.Equals, current)
+	_, ok := g.feeds.changesSince(context.Background(), TableDesired, current)
+	c.Assert(ok, qt.IsTrue)
+}
+
+// The entry that is asked for the table lacks it, or is behind. The store is read after some attempts,
+// and an older table is not applied.
+func TestTableIsReadAgainFromTheStoreInTheEnd(t *testing.T) {
+	for _, test := range []struct {
+		name string
+		// head is the revision of the other entry's table; 0 if it has none.
+		head uint64
+	}{{"lacks the table", 0}, {"is behind", revision.New(2, 5)}, {"is of an earlier era", revision.New(1, 90)}} {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			other := &Gateway{crashes: newCrashes(), feeds: newFeeds()}
+			if test.head > 0 {
+				other.feeds.reset(TableDesired, rows(test.head, `[{"a":1}]`), boottime.Now())
+			}
+			server := httptest.NewServer(http.HandlerFunc(other.serveFeed))
+			t.Cleanup(server.Close)
+			now, self, peer := boottime.Now(), entryAt("e1", "a", "ra"), entryAt("e2", "a", "ra")
+			peer.Peers = server.Listener.Addr().String()
+			reads := 0
+			store := fakeStore{read: func() Rows { reads++; return rows(revision.New(2, 9), `[{"b":2}]`) }}
+			g := &Gateway{crashes: newCrashes(), config: Config{Self: self}, store: store, peers: newPeers(self, now), feeds: newFeeds(), client: server.Client(), log: zap.NewNop(), rng: rand.New(rand.NewPCG(1, 2))}
+			g.peers.observeHeartbeat(peer, true, false, now)
+			applied := 0
+			w := &tableWatch{gateway: g, table: TableDesired, revision: revision.New(2, 7), era: 2, apply: func(Rows, uint64, bool, bool) error { applied++; return nil }}
+			for range maxRereadsFromEntry {
+				g.peers.observeHeartbeat(peer, true, false, boottime.Now())
+				c.Assert(w.reread(context.Background()), qt.IsNil)
+				c.Assert(w.rereadAt > boottime.Now(), qt.IsTrue)
+			}
+			c.Assert(reads+applied, qt.Equals, 0)
+			c.Assert(w.reread(context.Background()), qt.IsNil)
+			c.Assert(reads, qt.Equals, 1)
+			c.Assert(applied, qt.Equals, 1)
+			c.Assert(w.rereadAt, qt.Equals, time.Duration(0))
+		})
+	}
+}
--- a/internal/transport/gateway/watch.go
+++ b/internal/transport/gateway/watch.go
@@ -63,7 +63,9 @@
 	// era is that of the view.
 	era uint64
 	// rereadAt is when the whole table is read again after a restoration of the store; 0 if it is not.
+	// rereads counts the attempts.
 	rereadAt time.Duration
+	rereads  int
 	// initial is true until rows have been applied.
 	initial bool
 	// unreachable is true while calls fail.
@@ -112,7 +114,7 @@
 func (w *tableWatch) poll(ctx context.Context) (changed bool, err error) {
 	g := w.gateway
 	if w.rereadAt != 0 && boottime.Now() >= w.rereadAt {
-		w.revision, w.droppedRevision, w.rereadAt = 0, 0, 0
+		return false, w.reread(ctx)
 	}
 	if w.revision == 0 {
 		if rows, at, ok := g.fetchSnapshot(ctx, w.table, w.droppedRevision); ok {
@@ -189,7 +191,7 @@
 	}
 	era := revision.Era(rows.Revision)
 	if !w.initial && era > w.era {
-		w.rereadAt = boottime.Now() + restoredGracePeriod
+		w.rereadAt, w.rereads = boottime.Now()+w.gateway.jitter(restoredGracePeriod, rereadSpread), 0
 	}
 	w.initial, w.era = false, era
 	w.revision = max(w.revision, rows.Revision)
@@ -220,6 +222,13 @@
 	return append(append([]zap.Field{zap.String("Table", string(w.table))}, revisionFields(w.revision)...), more...)
 }
 
+// jitter returns a time between base and base + spread.
+func (g *Gateway) jitter(base, spread time.Duration) time.Duration {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return base + time.Duration(g.rng.Int64N(int64(spread)))
+}
+
 // sleepJittered sleeps for half to one and a half times a delay, so that entries do not make
 // their calls at the same time.
 func (g *Gateway) sleepJittered(ctx context.Context, delay time.Duration) {
