--- a/internal/coordination/fleet/restored.go
+++ b/internal/coordination/fleet/restored.go
@@ -12,7 +12,7 @@
 
 // ApplyRestored applies the whole server list of a store that was restored from an older copy.
 //
-// What the copy takes back is not believed: a server that is draining or was removed may exit at any
+// The copy does not revert what is known: a server that is draining or was removed may exit at any
 // moment, and one that the copy lacks registers again. Later rows and lists apply as usual.
 func (f *Fleet) ApplyRestored(present []catalog.Backend, now time.Duration) {
 	var known []catalog.Backend
--- a/internal/coordination/fleet/restored_test.go
+++ b/internal/coordination/fleet/restored_test.go
@@ -29,9 +29,9 @@
 	return ids
 }
 
-// A copy of the store took back what was known of servers: one that was leaving or had been removed
+// A copy of the store reverted what was known of servers: one that was draining or had been removed
 // got requests, and one that had registered since got none.
-func TestRestoredListTakesNothingBack(t *testing.T) {
+func TestRestoredListDoesNotRevertServers(t *testing.T) {
 	const restoredAt = 10 * time.Second
 	row := func(id, address string, number uint64, change func(b *catalog.Backend)) catalog.Backend {
 		b := newBackend(id, plainService, address, 0)
--- a/internal/transport/gateway/restored.go
+++ b/internal/transport/gateway/restored.go
@@ -12,9 +12,9 @@
 	"github.com/filbertlever/filbertlever/internal/transport/boottime"
 )
 
-// restoredGracePeriod is how long what is missing from, or older in, a store that was restored from
-// a copy is not taken from it. The operator and the servers write their changes again, and a server
-// that has left has exited by then. Each table is then read again.
+// restoredGracePeriod is how long a copy from which the store was restored does not revert what is
+// known. The operator and the servers write their changes again, and a server that was draining has
+// exited by then. Each table is then read again and applied as a whole.
 const restoredGracePeriod = 10 * time.Second
 
 const (
