--- a/internal/coordination/fleet/ratelimit.go
+++ b/internal/coordination/fleet/ratelimit.go
@@ -38,7 +38,8 @@
 	// interval is the time between two requests of this entry; 0 if it must not send any.
 	interval time.Duration
 	isSender bool
-	// sentAt is when this entry last sent a request, and previousAt when it sent the one before.
+	// sentAt is when this entry last sent a request, or a random time before it learned of the limit,
+	// and previousAt is the value before the last request. Both are 0 if there has been no limit.
 	sentAt, previousAt time.Duration
 	// heardAt is when the process itself last showed whether it announces a limit.
 	heardAt time.Duration
@@ -98,7 +99,12 @@
 	if old == 0 {
 		// Entries learn of a limit at the same time. Without a random phase they would all send at
 		// the end of the same interval.
-		l.sentAt = max(l.sentAt, now-time.Duration(f.rng.Float64()*float64(l.interval)))
+		phase := now - time.Duration(f.rng.Float64()*float64(l.interval))
+		if l.sentAt != 0 {
+			// The limit was lifted and announced again.
+			phase = max(phase, l.sentAt)
+		}
+		l.sentAt = phase
 	}
 	l.reportAt, l.reports = now, 0
 	if s, ok := f.servers[id]; ok {
--- a/internal/coordination/fleet/ratelimit_test.go
+++ b/internal/coordination/fleet/ratelimit_test.go
@@ -223,6 +223,27 @@
 	}
 }
 
+// All entries that are not senders of a limited server had their turn at the same moment, if they had
+// learned of the limit soon after the start of their clocks.
+func TestOtherEntriesTakeTurnsAtALimitedServer(t *testing.T) {
+	c := qt.New(t)
+	s := newLimitSimulation(30, 7)
+	const perSecond = 1.0
+	s.limit = rate(perSecond)
+	for i, f := range s.fleets {
+		c.Assert(f.ApplyRateReport(RateReport{Backend: limitedServer().ID, PerSecond: perSecond}, time.Second), qt.IsTrue)
+		s.informedAt[i] = time.Second
+	}
+	s.firstAt = time.Second
+	interval := time.Duration(float64(len(s.fleets)-minRateSenders)/(otherEntriesShare*perSecond)) * time.Second
+	for now := time.Second; now < interval+2*time.Second; now += 200 * time.Millisecond {
+		s.step(now, 1)
+	}
+	c.Check(s.mostCounted() <= maxInLimitWindow(perSecond), qt.IsTrue, qt.Commentf("%d requests", s.mostCounted()))
+	perEntry := float64(len(s.counted)) / interval.Seconds()
+	c.Check(perEntry > 0.9*perSecond && perEntry < 1.3*perSecond, qt.IsTrue, qt.Commentf("%v a second", perEntry))
+}
+
 // Answers arrive in another order than the server sent them.
 func TestRateLimitFollowsTheLastAnswer(t *testing.T) {
 	// answer is what arrives at a time: an answer to a request placed at a time, or a report.
