--- a/internal/bench/experiment/engine.go
+++ b/internal/bench/experiment/engine.go
@@ -39,6 +39,8 @@
 	// boot counts the boots of the server, so that the end of a pass of an earlier boot is ignored.
 	boot     int
 	sequence uint64
+	// limit is the rate limit that the answers announce; nil if there is none.
+	limit *float64
 }
 
 // enqueue adds an attempt to the queue.
--- a/internal/bench/experiment/entry.go
+++ b/internal/bench/experiment/entry.go
@@ -44,7 +44,7 @@
 // newEntry returns an entry that has all backends of the simulation.
 func newEntry(sim *simulation, host filbertlever.HostID, region string, regions map[string]string, rng *rand.Rand) *entry {
 	config := fleet.DefaultConfig()
-	config.Site, config.Region, config.Regions = region, region, regions
+	config.Host, config.Site, config.Region, config.Regions = host, region, region, regions
 	e := &entry{simulation: sim, host: host, region: region, fleet: fleet.New(config, rng), admissionGate: sim.policy.admissionGate(),
 		waitingRoom: admission.NewEntryQueue(), waiting: map[uint64]*request{}, rng: rng}
 	promptTokens, answerTokens := sim.meanSizes()
--- a/internal/bench/experiment/file.go
+++ b/internal/bench/experiment/file.go
@@ -23,6 +23,7 @@
 	Kinds   []Kind        `yaml:"Kinds"`
 	Bursts  []Burst       `yaml:"Bursts"`
 	Outages []Outage      `yaml:"Outages"`
+	Limits  []Limit       `yaml:"Limits"`
 	// Policies are the policies to compare. Each one runs with each seed.
 	Policies []Policy `yaml:"Policies"`
 }
@@ -79,6 +80,15 @@
 	For time.Duration `yaml:"For"`
 }
 
+// Limit is an interval in which the first Servers servers of each region limit the requests a second
+// that they take from all entries together.
+type Limit struct {
+	At        time.Duration `yaml:"At"`
+	For       time.Duration `yaml:"For"`
+	Servers   int           `yaml:"Servers"`
+	PerSecond float64       `yaml:"PerSecond"`
+}
+
 // Policy overrides parameters of the entries and callers. Absent fields have the production values.
 type Policy struct {
 	Name string `yaml:"Name"`
@@ -90,6 +100,8 @@
 	// random delay that is added to it.
 	ReturnLeast  time.Duration `yaml:"ReturnLeast"`
 	ReturnSpread time.Duration `yaml:"ReturnSpread"`
+	// IgnoreLimits makes entries ignore the rate limits of servers.
+	IgnoreLimits bool `yaml:"IgnoreLimits"`
 }
 
 // admissionGate returns the admission gate with the overrides of the policy.
@@ -167,6 +179,11 @@
 			return fieldError("Outages", "%+v: expected For above 0", o)
 		}
 	}
+	for _, l := range e.Limits {
+		if l.At < 0 || l.For <= 0 || l.Servers < 0 || l.PerSecond < 0 {
+			return fieldError("Limits", "%+v: expected For above 0 and no negative values", l)
+		}
+	}
 	switch {
 	case e.Length <= 0 || e.Length > maxLength:
 		return fieldError("Length", "%v: expected a duration up to %v", e.Length, maxLength)
--- a/internal/bench/experiment/simulation.go
+++ b/internal/bench/experiment/simulation.go
@@ -133,6 +133,7 @@
 	for i := range sim.Kinds {
 		sim.after(warmUpDuration+sim.nextInterval(&sim.Kinds[i], 0), func() { sim.createRequest(&sim.Kinds[i]) })
 	}
+	sim.scheduleLimits()
 	for _, o := range sim.Outages {
 		for _, s := range sim.engines {
 			sim.after(warmUpDuration+o.At, s.stop)
@@ -234,6 +235,7 @@
 	} else {
 		sim.secondOf(r).Late++
 	}
+	a.recordLimit()
 	a.entry.fleet.RecordProgress(a.server.id, sim.now)
 	a.entry.fleet.RecordLatency(a.server.id, a.predictedDelay, sim.now-a.placedAt, sim.now)
 }
@@ -242,14 +244,14 @@
 func (sim *simulation) completeAttempt(a *attempt) {
 	a.ended = true
 	a.entry.fleet.RecordSuccess(a.server.id, sim.now)
-	a.entry.fleet.Release(a.server.id)
+	a.entry.fleet.ReleaseIfCurrent(catalog.Backend{ID: a.server.id})
 }
 
 // failAttempt ends an attempt whose server has stopped. Unless the answer has begun, the caller may
 // retry immediately.
 func (sim *simulation) failAttempt(a *attempt) {
 	a.ended = true
-	a.entry.fleet.Release(a.server.id)
+	a.entry.fleet.ReleaseIfCurrent(catalog.Backend{ID: a.server.id})
 	a.entry.fleet.RecordModelMissing(a.server.id, sim.now)
 	if a.prefilled {
 		s := sim.secondOf(a.request)
