Routing compares slow hosts by tiers and predicted end

Cause: servers that take 2.5 times as long were chosen like any other, and answers ended at their deadline there. If a candidate is slow (1.25 or more) or lacks memory, candidates are grouped into tiers before their costs are compared. Otherwise costs alone decide, as before.

--- a/internal/coordination/routing/predict.go
+++ b/internal/coordination/routing/predict.go
@@ -15,7 +15,7 @@
 	if owner || r.prefixCached(i, request.Prefix) {
 		prefill *= 1 - r.config.PrefixShare
 	}
-	predicted := time.Duration(prefill * float64(r.config.PrefillPerToken))
+	predicted := h.scale(time.Duration(prefill * float64(r.config.PrefillPerToken)))
 	switch {
 	case h.region != r.region:
 		predicted += r.config.OtherRegionCost
@@ -26,7 +26,7 @@
 		// An engine prefills prompts one at a time and generates no tokens meanwhile.
 		predicted += max(h.prefillUntil-request.Now, 0) + h.currentBias(request.Now)
 	}
-	return predicted + r.config.FirstToken + r.predictWait(h)
+	return predicted + h.scale(r.config.FirstToken+r.predictWait(h))
 }
 
 // predictWait predicts the queueing time from the last report and the requests
@@ -34,7 +34,7 @@
 // since engines batch.
 func (r *Router) predictWait(h *host) time.Duration {
 	concurrency := max(h.load.Concurrency, 1)
-	busy := h.load.Running + h.load.Queued + h.inFlight
+	busy := h.requests()
 	position := h.queuePosition()
 	serviceTime := r.config.ServiceTime
 	if h.load.Queued > 0 && h.load.PredictedWait > 0 {
@@ -51,7 +51,7 @@
 // willInterrupt reports whether host i is predicted to interrupt the answer before its end.
 func (r *Router) willInterrupt(i int32, request *Request, predicted time.Duration) bool {
 	interruptAt := r.hosts[i].interruptAt
-	return interruptAt > request.Now && request.AnswerDuration > 0 && request.Now+predicted+request.AnswerDuration > interruptAt
+	return interruptAt > request.Now && request.AnswerDuration > 0 && request.Now+predicted+r.hosts[i].scale(request.AnswerDuration) > interruptAt
 }
 
 // lastAttemptCostFactor multiplies the cost of an interruption on the last attempt: the answer is
@@ -72,9 +72,12 @@
 // queuePosition returns how many requests above its concurrency the host would
 // have with one more.
 func (h *host) queuePosition() int {
-	return h.load.Running + h.load.Queued + h.inFlight + 1 - max(h.load.Concurrency, 1)
+	return h.requests() + 1 - max(h.load.Concurrency, 1)
 }
 
+// requests returns how many requests the host is known to have.
+func (h *host) requests() int { return h.load.Running + h.load.Queued + h.inFlight }
+
 // prefixCached reports whether a prefix was last sent to host i.
 func (r *Router) prefixCached(i int32, prefix uint64) bool {
 	if prefix == 0 {
@@ -109,7 +112,7 @@
 // addPrefill adds a request's prompt to the prefill backlog of a host.
 func (r *Router) addPrefill(i int32, request *Request) {
 	h := &r.hosts[i]
-	h.prefillUntil = max(h.prefillUntil, request.Now) + time.Duration(request.PromptTokens)*r.config.PrefillPerToken
+	h.prefillUntil = max(h.prefillUntil, request.Now) + h.scale(time.Duration(request.PromptTokens)*r.config.PrefillPerToken)
 }
 
 // batchDivisor is how many times smaller the delay in a full batch is than the delay by one queue
--- a/internal/coordination/routing/routing.go
+++ b/internal/coordination/routing/routing.go
@@ -39,6 +39,21 @@
 	InterruptCost time.Duration
 	// SuspectCost is added for hosts that may have failed.
 	SuspectCost time.Duration
+
+	// The following apply only where a candidate is slow or lacks memory. 0 means unknown and has no
+	// effect.
+
+	// StepTime is the duration of one decoding step, and StepsPerEvent the number of steps between two
+	// events of an answer.
+	StepTime      time.Duration
+	StepsPerEvent int
+	// TypicalDecode is how long the steps of an answer of typical length take, without the prompts that
+	// are prefilled meanwhile.
+	TypicalDecode time.Duration
+	// MaxPrefillWait is the prefill backlog beyond which admission control refuses a request.
+	MaxPrefillWait time.Duration
+	// OtherRegionMargin is how many requests more than known are assumed at a host of another region.
+	OtherRegionMargin int
 }
 
 // DefaultConfig returns the costs used in production.
@@ -85,8 +100,17 @@
 	Avoid []filbertlever.HostID
 	// Regions are the regions of the hosts that may run the request.
 	Regions filbertlever.Regions
-	// AnswerDuration is how long the answer is predicted to take, 0 if unknown.
+	// AnswerDuration is how long the answer is predicted to take at a host that is not slow, 0 if unknown.
 	AnswerDuration time.Duration
+	// AnswerTokens is the expected length of the answer in tokens, 0 if unknown.
+	AnswerTokens int
+	// Remaining is the time until the request's deadline. 0 or less means unknown.
+	Remaining time.Duration
+	// Goal is the time to first token that the caller expects, 0 if none. It does not affect the choice: a
+	// slow host is only preferred to another host of its tier if its first token is predicted earlier.
+	Goal time.Duration
+	// MaxEventGap is the longest gap between events that the caller accepts, 0 if unknown.
+	MaxEventGap time.Duration
 	// LastAttempt is true if the answer cannot resume on another host again.
 	LastAttempt bool
 	// Now is the time on any monotonic clock. If it is 0, prefill backlogs and the
@@ -157,6 +181,11 @@
 	interruptAt time.Duration
 	// suspect is true while the host may have failed.
 	suspect bool
+	// slowdown is the factor by which the host is slower than its engine's description, 0 if unknown.
+	slowdown float64
+	// freeTokens is how many more tokens fit into its memory, if memoryKnown.
+	freeTokens  int
+	memoryKnown bool
 	// targets lists the targets that the host serves.
 	targets []Target
 }
@@ -271,7 +300,7 @@
 	}
 	h := &r.hosts[i]
 	if added := count - h.load.Running; added > 0 && now > 0 {
-		h.prefillUntil = max(h.prefillUntil, now) + time.Duration(added)*r.config.TypicalPrefill
+		h.prefillUntil = max(h.prefillUntil, now) + h.scale(time.Duration(added)*r.config.TypicalPrefill)
 	}
 	h.load = Load{Running: count, Concurrency: concurrency}
 }
@@ -322,29 +351,21 @@
 	if pick, ok := pickFuncs[r.config.Policy]; ok {
 		return r.chooseByPolicy(pick, p, request)
 	}
-	var considered [maxCandidates]int32
-	best, owner := int32(-1), int32(-1)
-	bestCost := time.Duration(0)
+	var considered [maxCandidates]candidate
+	owner := int32(-1)
 	consider := func(i int32) {
 		if choice.CandidateCount == maxCandidates || !r.eligible(i, request) {
 			return
 		}
-		if slices.Contains(considered[:choice.CandidateCount], i) {
-			return
+		for k := range considered[:choice.CandidateCount] {
+			if considered[k].host == i {
+				return
+			}
 		}
-		predicted := r.predict(i, request, i == owner)
-		considered[choice.CandidateCount] = i
-		choice.Candidates[choice.CandidateCount] = Candidate{Host: r.hosts[i].id, Predicted: predicted}
+		c := r.newCandidate(i, request, i == owner)
+		considered[choice.CandidateCount] = c
+		choice.Candidates[choice.CandidateCount] = Candidate{Host: r.hosts[i].id, Predicted: c.predicted}
 		choice.CandidateCount++
-		interrupt := r.willInterrupt(i, request, predicted)
-		cost := predicted + r.interruptCost(interrupt, request)
-		if r.hosts[i].suspect {
-			cost += r.config.SuspectCost
-		}
-		if best < 0 || cost < bestCost {
-			best, bestCost = i, cost
-			choice.Predicted, choice.WillInterrupt = predicted, interrupt
-		}
 	}
 	if request.Prefix != 0 {
 		first, second := p.owners(request.Prefix)
@@ -360,10 +381,13 @@
 			consider(i)
 		}
 	}
-	if best < 0 {
+	if choice.CandidateCount == 0 {
 		choice.Reason = ReasonNoHost
 		return choice
 	}
+	chosen := r.best(considered[:choice.CandidateCount], request)
+	best := chosen.host
+	choice.Predicted, choice.WillInterrupt = chosen.predicted, chosen.willInterrupt
 	choice.Reason = ReasonLeastPredicted
 	if best == owner || r.prefixCached(best, request.Prefix) {
 		choice.Reason = ReasonPrefixCached
@@ -376,6 +400,49 @@
 	return choice
 }
 
+// candidate is the prediction for one host that is considered for a request.
+type candidate struct {
+	host          int32
+	predicted     time.Duration
+	cost          time.Duration
+	willInterrupt bool
+}
+
+// newCandidate predicts a request at host i. owner is true for the first owner of the prompt's prefix.
+func (r *Router) newCandidate(i int32, request *Request, owner bool) candidate {
+	h := &r.hosts[i]
+	predicted := r.predict(i, request, owner)
+	c := candidate{host: i, predicted: predicted, willInterrupt: r.willInterrupt(i, request, predicted)}
+	c.cost = predicted + r.interruptCost(c.willInterrupt, request)
+	if h.suspect {
+		c.cost += r.config.SuspectCost
+	}
+	if h.isSlow() {
+		c.cost += time.Duration(answerCostShare * (h.slowdown - 1) * float64(request.AnswerDuration))
+	}
+	return c
+}
+
+// best returns the candidate with the lowest cost, the first one if several have it. If a candidate is
+// slow or lacks memory, only those in the lowest tier are compared.
+func (r *Router) best(candidates []candidate, request *Request) candidate {
+	uneven := slices.ContainsFunc(candidates, func(c candidate) bool {
+		h := &r.hosts[c.host]
+		return h.isSlow() || h.lacksMemory(request)
+	})
+	best, bestTier := candidate{}, tierQueued+1
+	for _, c := range candidates {
+		t := tierInTime
+		if uneven {
+			t = r.tier(c.host, request, c.predicted)
+		}
+		if t < bestTier || t == bestTier && c.cost < best.cost {
+			best, bestTier = c, t
+		}
+	}
+	return best
+}
+
 // sample considers random hosts until enough new candidates were found.
 func (r *Router) sample(hosts []int32, consider func(int32), count *int) {
 	want := min(*count+r.config.Samples, len(hosts))
