Free memory of engines reaches the router

Cause: engines report kvUsed and kvTotal, and nothing used them. A prompt went to an engine without room for it. Change: agents report the difference as field 13, entries divide it by the engine's layers and drop it once the report is older than ReportTTL. The fields of requests and engines that placement by predicted end needs are filled in.

--- a/internal/coordination/fleet/counts.go
+++ b/internal/coordination/fleet/counts.go
@@ -5,6 +5,7 @@
 
 	"github.com/filbertlever/filbertlever"
 	"github.com/filbertlever/filbertlever/internal/coordination/catalog"
+	"github.com/filbertlever/filbertlever/internal/coordination/routing"
 )
 
 // Report is the state of a server as its agent reports it.
@@ -35,6 +36,8 @@
 	LoadedIn time.Duration `cbor:"11,keyasint,omitempty"`
 	// Leaving is true if the answers of the server indicate that it is draining.
 	Leaving bool `cbor:"12,keyasint,omitempty"`
+	// FreeMemory is the free part of the engine's cache, in tokens times layers; nil if unknown.
+	FreeMemory *int `cbor:"13,keyasint,omitempty"`
 }
 
 // ApplyReport applies the report of a server's agent.
@@ -66,6 +69,17 @@
 	f.syncRouter(s.backend.ID, now)
 }
 
+// syncFreeMemory updates the router's view of the free memory of a server.
+func (f *Fleet) syncFreeMemory(router *routing.Router, s *server) {
+	id := filbertlever.HostID(s.backend.ID)
+	engine := f.state.Services[s.backend.Service].Engine
+	if !s.hasReport || s.report.FreeMemory == nil || engine == nil {
+		router.SetFreeMemory(id, -1)
+		return
+	}
+	router.SetFreeMemoryUntil(id, *s.report.FreeMemory/max(engine.Layers, 1), s.reportedAt+f.config.ReportTTL)
+}
+
 // reportTolerance is the number of requests by which a report may exceed the sum of all known
 // requests before the report takes precedence. It covers the requests that the server received and
 // ended since the report was made.
--- a/internal/coordination/fleet/fleet.go
+++ b/internal/coordination/fleet/fleet.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/filbertlever/filbertlever"
+	"github.com/filbertlever/filbertlever/internal/coordination/admission"
 	"github.com/filbertlever/filbertlever/internal/coordination/catalog"
 	"github.com/filbertlever/filbertlever/internal/coordination/membership"
 	"github.com/filbertlever/filbertlever/internal/coordination/routing"
@@ -32,6 +33,9 @@
 	// Requests that entries of that region send are gossiped here with a delay, and of several such
 	// servers the one that seems least loaded is the one whose load is underestimated most.
 	OtherRegionMargin int
+	// MaxPrefillWait is the prefill backlog beyond which admission control refuses a request; 0 if
+	// there is no bound.
+	MaxPrefillWait time.Duration
 	// PlainServiceTime is the assumed duration of a request of a service without models, until it
 	// is known.
 	PlainServiceTime time.Duration
@@ -66,6 +70,7 @@
 		// requests would queue in this region. Bandwidth between regions is scarce too.
 		OtherRegionPenalty: 90 * time.Millisecond,
 		OtherRegionMargin:  2,
+		MaxPrefillWait:     admission.DefaultEntryGate().MaxPrefillWait,
 		PlainServiceTime:   30 * time.Millisecond,
 		ReportTTL:          2 * time.Second,
 		// Longer than a request in the queue of a full engine waits for its first event, and longer than
@@ -246,7 +251,7 @@
 	if a == nil || b == nil {
 		return a == b
 	}
-	return a.Slots == b.Slots && a.StepTime == b.StepTime && a.PromptTokenTime == b.PromptTokenTime &&
+	return a.Slots == b.Slots && a.StepTime == b.StepTime && a.StepsPerEvent == b.StepsPerEvent && a.PromptTokenTime == b.PromptTokenTime &&
 		a.MeanPromptTokens == b.MeanPromptTokens && a.MeanAnswerTokens == b.MeanAnswerTokens
 }
 
@@ -359,6 +364,7 @@
 	router.SetTargets(host.ID, f.targets(s, now))
 	router.SetInterruptAt(host.ID, s.interruptsAt)
 	router.SetSuspect(host.ID, s.missingSince != 0)
+	f.syncFreeMemory(router, s)
 	f.syncPeerRequests(s, now)
 }
 
@@ -419,6 +425,9 @@
 		config.ServiceTime = serviceTime(e)
 		config.PrefillPerToken = e.PromptTokenTime
 		config.TypicalPrefill = time.Duration(e.MeanPromptTokens) * e.PromptTokenTime
+		config.TypicalDecode = time.Duration(e.MeanAnswerTokens) * e.StepTime
+		config.StepTime, config.StepsPerEvent = e.StepTime, e.StepsPerEvent
+		config.MaxPrefillWait, config.OtherRegionMargin = f.config.MaxPrefillWait, f.config.OtherRegionMargin
 		config.InterruptCost = interruptionCost
 		config.FirstToken = passesBeforeFirstEvent * time.Duration(e.StepsPerEvent) * e.StepTime
 	}
--- a/internal/coordination/routing/routing.go
+++ b/internal/coordination/routing/routing.go
@@ -183,9 +183,9 @@
 	suspect bool
 	// slowdown is the factor by which the host is slower than its engine's description, 0 if unknown.
 	slowdown float64
-	// freeTokens is how many more tokens fit into its memory, if memoryKnown.
+	// freeTokens is how many more tokens fit into its memory. It is unknown from memoryUntil on.
 	freeTokens  int
-	memoryKnown bool
+	memoryUntil time.Duration
 	// targets lists the targets that the host serves.
 	targets []Target
 }
--- a/internal/coordination/routing/slowdown.go
+++ b/internal/coordination/routing/slowdown.go
@@ -33,9 +33,17 @@
 
 // SetFreeMemory sets how many more tokens fit into the memory of a host, negative if it is unknown.
 func (r *Router) SetFreeMemory(id filbertlever.HostID, tokens int) {
+	r.SetFreeMemoryUntil(id, tokens, math.MaxInt64)
+}
+
+// SetFreeMemoryUntil is SetFreeMemory with a time from which the free memory is unknown.
+func (r *Router) SetFreeMemoryUntil(id filbertlever.HostID, tokens int, until time.Duration) {
 	if i, ok := r.index[id]; ok {
-		r.hosts[i].memoryKnown = tokens >= 0
 		r.hosts[i].freeTokens = max(tokens, 0)
+		r.hosts[i].memoryUntil = until
+		if tokens < 0 {
+			r.hosts[i].memoryUntil = 0
+		}
 	}
 }
 
@@ -52,7 +60,7 @@
 
 // lacksMemory reports whether a host is known to have too little free memory for a request.
 func (h *host) lacksMemory(request *Request) bool {
-	return h.memoryKnown && h.freeTokens < request.PromptTokens+request.AnswerTokens
+	return request.Now < h.memoryUntil && h.freeTokens < request.PromptTokens+request.AnswerTokens
 }
 
 // tier groups the candidates of a request. A lower tier is preferred whatever the costs are.
--- a/internal/transport/gateway/decode.go
+++ b/internal/transport/gateway/decode.go
@@ -30,6 +30,9 @@
 	// maxLookahead bounds the predicted times in a load report. A change of weights takes
 	// seconds.
 	maxLookahead = time.Hour
+	// maxFreeMemory bounds the free cache of a server, in tokens times layers. 10 million tokens at a
+	// thousand layers fit.
+	maxFreeMemory = 1 << 40
 	// maxRevision is the limit up to which JSON decoders represent integers exactly.
 	maxRevision = 1 << 53
 )
@@ -151,6 +154,9 @@
 	if !(load.Pace >= 0 && load.Pace <= maxSlowdown) {
 		return fmt.Errorf("load: pace %v: %w", load.Pace, errSlowdown)
 	}
+	if load.FreeMemory != nil && (*load.FreeMemory < 0 || *load.FreeMemory > maxFreeMemory) {
+		return fmt.Errorf("load: free memory %d: %w", *load.FreeMemory, errOutOfRange)
+	}
 	return errors.Join(checkModels(load.Models), checkNamed(l.Named))
 }
 
--- a/internal/transport/gateway/placement.go
+++ b/internal/transport/gateway/placement.go
@@ -162,7 +162,8 @@
 // placementRequest describes the request for placement. The caller holds g.mu.
 func (a *attempts) placementRequest(now time.Duration) fleet.Request {
 	request := fleet.Request{Service: a.service, Regions: a.regions, Model: a.call.Model, PromptTokens: a.call.PromptTokens,
-		AnswerTokens: a.call.AnswerTokens, LastAttempt: a.Sent()+1 >= a.Class.MaxServers, Avoid: a.gateway.fleet.ServersToAvoid(a.tried)}
+		AnswerTokens: a.call.AnswerTokens, LastAttempt: a.Sent()+1 >= a.Class.MaxServers, Avoid: a.gateway.fleet.ServersToAvoid(a.tried),
+		Remaining: a.remaining(), Goal: a.route.FirstByteGoal, MaxEventGap: a.route.MaxEventGap}
 	if a.call.Model != "" {
 		request.MinVersion = a.gateway.minVersion(a.call.Model, now)
 	}
--- a/internal/transport/sidecar/reports.go
+++ b/internal/transport/sidecar/reports.go
@@ -70,7 +70,7 @@
 	load := fleet.Report{
 		Address: s.config.Address, Boot: s.report.Boot, PreviousBoots: s.endedBoots, Sequence: uint64(time.Now().UnixNano()),
 		Running: s.report.Running, Queued: s.report.Queued, Pace: s.report.Slowdown, Switching: s.switching, Models: s.report.Models,
-		Leaving: s.drainDetector.Leaving(),
+		Leaving: s.drainDetector.Leaving(), FreeMemory: s.report.FreeMemory,
 	}
 	now := boottime.Now()
 	for _, m := range s.models {
--- a/internal/transport/sidecar/sidecar.go
+++ b/internal/transport/sidecar/sidecar.go
@@ -35,6 +35,8 @@
 	Running int
 	// Slowdown is above 1 if the server is slower than it should be; 0 if unknown.
 	Slowdown float64
+	// FreeMemory is the free part of the server's cache, in tokens times layers; nil if unknown.
+	FreeMemory *int
 	// ClosesConnection is true if the server closes the connection after the report.
 	ClosesConnection bool
 	// RateLimit is the number of requests a second that the server takes from all entries together;
