--- a/internal/coordination/fleet/fleet_test.go
+++ b/internal/coordination/fleet/fleet_test.go
@@ -44,6 +44,45 @@
 	return b
 }
 
+// A prompt went to a server without memory for it. The free memory counts tokens times layers, and is
+// unknown if the report lacks it, is older than ReportTTL or came from an earlier process.
+func TestReportedFreeMemoryAffectsPlacement(t *testing.T) {
+	c := qt.New(t)
+	f, state, now := newFleet(), testState(), time.Second
+	state.Services[modelService].Engine.Layers = 32
+	f.SetState(state, 0)
+	m1, m2 := newBackend("m1", modelService, "10.0.0.1:1", 1), newBackend("m2", modelService, "10.0.0.2:1", 1)
+	// Servers of another region are used also if their reports are old.
+	m1.Site, m2.Site = "b", "b"
+	f.Apply([]catalog.Backend{m1, m2}, nil, true, now)
+	// m2 is the worse choice if memory does not matter.
+	f.SetPeerCounts("e2", map[string]int{"m2": 8}, now)
+	now += time.Second
+	wanted := Request{Service: modelService, Model: model, PromptTokens: 900, AnswerTokens: 100}
+	usesFullServer := func(free *int, boot catalog.Boot, age time.Duration) bool {
+		f.ApplyReport(Report{Address: m1.Address, Boot: boot, Models: m1.Models, FreeMemory: free}, now)
+		placement := f.Choose(wanted, now+age)
+		f.Release(placement.Backend.ID)
+		now += age + 100*time.Millisecond
+		return placement.Backend.ID == "m1"
+	}
+	for _, test := range []struct {
+		free *int
+		age  time.Duration
+		want bool
+	}{{new(int), 0, false}, {nil, 0, true}, {new(int), f.config.ReportTTL - 1, false}, {new(int), f.config.ReportTTL, true}} {
+		c.Check(usesFullServer(test.free, 1, test.age), qt.Equals, test.want, qt.Commentf("%+v", test))
+	}
+	enough, tooLittle := 32*1000, 32*1000-1
+	c.Check(usesFullServer(&tooLittle, 1, 0), qt.IsFalse)
+	f.SetState(testState(), now)
+	c.Check(usesFullServer(&tooLittle, 1, 0), qt.IsTrue, qt.Commentf("no layers"))
+	f.SetState(state, now)
+	c.Check(usesFullServer(&enough, 1, 0), qt.IsTrue)
+	c.Check(usesFullServer(new(int), 1, 0), qt.IsFalse)
+	c.Check(usesFullServer(nil, 2, 0), qt.IsTrue, qt.Commentf("restarted"))
+}
+
 // A request was refused although three servers were listed. The list arrived after the desired
 // state, and a server was evaluated before the membership table had it and never again.
 func TestChooseUsesServersListedAfterState(t *testing.T) {
--- a/internal/transport/gateway/messages_test.go
+++ b/internal/transport/gateway/messages_test.go
@@ -91,7 +91,7 @@
 			Ready: true, StoreUnreachable: true, Named: []NamedAge{{Model: "d", Version: 2, Age: time.Second, Known: true}}}},
 		{Counts: &Counts{From: "e", Sequence: 1 << 60, Requests: map[string]int{"i-1": 3}, Silent: []string{"i-2"}, Boots: map[string]catalog.Boot{"i-1": 7}}},
 		{Load: &LoadReport{Load: fleet.Report{Address: "10.0.0.1:1", Boot: 5, PreviousBoots: []catalog.Boot{3}, Sequence: 1 << 63, Running: 3, Queued: 1, Pace: 1.5,
-			Switching: true, Models: []catalog.Model{{Name: "d", Version: 2}}, LeavesIn: time.Second, LoadedIn: time.Minute},
+			Switching: true, Models: []catalog.Model{{Name: "d", Version: 2}}, LeavesIn: time.Second, LoadedIn: time.Minute, FreeMemory: new(int)},
 			Named: []NamedAge{{Model: "d", Version: 3}}}},
 	} {
 		data, err := EncodeDatagram(d)
@@ -102,6 +102,16 @@
 	}
 }
 
+// A false report must not make a server look full or as if it had memory without end.
+func TestFreeMemoryOutOfRangeIsRejected(t *testing.T) {
+	for free, ok := range map[int]bool{-1: false, 0: true, maxFreeMemory: true, maxFreeMemory + 1: false} {
+		data, err := EncodeDatagram(Datagram{Load: &LoadReport{Load: fleet.Report{Address: "10.0.0.1:1", FreeMemory: &free}}})
+		qt.Assert(t, err, qt.IsNil)
+		_, err = DecodeDatagram(data)
+		qt.Check(t, err == nil, qt.Equals, ok, qt.Commentf("%d", free))
+	}
+}
+
 // During a rolling upgrade a message may contain fields that this version does not have. They
 // must be ignored, and the other fields decoded.
 func TestUnknownFieldsAreIgnored(t *testing.T) {
