--- a/internal/coordination/fleet/fleet_test.go
+++ b/internal/coordination/fleet/fleet_test.go
@@ -83,6 +83,32 @@
 	c.Check(usesFullServer(nil, 2, 0), qt.IsTrue, qt.Commentf("restarted"))
 }
 
+// The limits of a request and the description of the engine must reach the router: a slow server is used up
+// to 4 requests if events may be 120 ms apart, and only if the answer ends before its deadline.
+func TestSlowServerIsUsedWithinLimits(t *testing.T) {
+	for _, test := range []struct {
+		requests int
+		wanted   Request
+		want     string
+	}{
+		{3, Request{MaxEventGap: 120 * time.Millisecond}, "m1"},
+		{4, Request{MaxEventGap: 120 * time.Millisecond}, "m2"},
+		{4, Request{}, "m1"},
+		{0, Request{AnswerTokens: 10, Remaining: 600 * time.Millisecond}, "m1"},
+		{0, Request{AnswerTokens: 10, Remaining: 500 * time.Millisecond}, "m2"},
+	} {
+		f, now := newFleet(), time.Second
+		f.SetState(testState(), 0)
+		f.Apply([]catalog.Backend{newBackend("m1", modelService, "10.0.0.1:1", 1), newBackend("m2", modelService, "10.0.0.2:1", 1)}, nil, true, now)
+		f.SetPeerCounts("e2", map[string]int{"m1": test.requests}, now)
+		now += time.Second
+		f.RecordLatency("m2", 0, 2*time.Second, now)
+		f.router(modelService).SetSlowdown("m1", 2.5)
+		test.wanted.Service, test.wanted.Model, test.wanted.PromptTokens = modelService, model, 900
+		qt.Check(t, f.Choose(test.wanted, now).Backend.ID, qt.Equals, test.want, qt.Commentf("%+v", test))
+	}
+}
+
 // A request was refused although three servers were listed. The list arrived after the desired
 // state, and a server was evaluated before the membership table had it and never again.
 func TestChooseUsesServersListedAfterState(t *testing.T) {
--- a/internal/coordination/routing/slowdown_test.go
+++ b/internal/coordination/routing/slowdown_test.go
@@ -107,6 +107,7 @@
 		r := newTestRouter("", hosts, rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 1)))
 		for i := range hosts {
 			r.SetOtherRequests(testHost(i).ID, rapid.IntRange(0, 14).Draw(t, "requests"), testSlots, 0)
+			r.Observe(testHost(i).ID, 0, time.Duration(rapid.IntRange(0, 4000).Draw(t, "late"))*time.Millisecond, time.Second)
 			r.SetSlowdown(testHost(i).ID, rapid.SampledFrom([]float64{0, 1, 2.5, 16, math.Inf(1), math.NaN()}).Draw(t, "slowdown"))
 		}
 		request := drawRequest(t, time.Second)
@@ -123,6 +124,45 @@
 	})
 }
 
+// Slow servers were chosen as if they were fast. Each case holds for one rule of the choice between an idle
+// server that is 2.5 times as slow, first token 282 ms, and one whose first tokens came late, 713 ms.
+func TestSlowHostAgainstLateHost(t *testing.T) {
+	second := time.Second
+	for name, test := range map[string]struct {
+		request          Request
+		slowBusy, inline int
+		region, want     string
+	}{
+		"first token":                  {want: "m0"},
+		"half of the additional time":  {request: Request{AnswerDuration: 570 * time.Millisecond}, want: "m0"},
+		"more than half of it":         {request: Request{AnswerDuration: 580 * time.Millisecond}, want: "m1"},
+		"ends before its deadline":     {request: Request{AnswerDuration: second / 2, Remaining: 1532 * time.Millisecond}, want: "m0"},
+		"ends after its deadline":      {request: Request{AnswerDuration: second / 2, Remaining: 1531 * time.Millisecond}, want: "m1"},
+		"deadline, but the other full": {request: Request{AnswerDuration: second / 2, Remaining: second}, inline: 12, want: "m0"},
+		"within its limit":             {request: Request{MaxEventGap: 120 * time.Millisecond}, slowBusy: 3, want: "m0"},
+		"over its limit":               {request: Request{MaxEventGap: 120 * time.Millisecond}, slowBusy: 4, want: "m1"},
+		"limit, the other elsewhere":   {request: Request{MaxEventGap: 120 * time.Millisecond}, slowBusy: 4, inline: 11, region: "rb", want: "m0"},
+	} {
+		r, now := newTestRouter("", 2, rand.New(rand.NewPCG(1, 1))), time.Minute
+		r.config.OtherRegionMargin = 2
+		if test.region != "" {
+			r.hosts[1].region = test.region
+		}
+		r.SetOtherRequests("m0", test.slowBusy, testSlots, 0)
+		r.SetOtherRequests("m1", test.inline, testSlots, 0)
+		r.Observe("m1", 0, 2*time.Second, now)
+		r.SetSlowdown("m0", 2.5)
+		test.request.Target, test.request.PromptTokens, test.request.Now = "m", meanPrompt, now
+		choice := r.Choose(&test.request)
+		qt.Check(t, string(choice.Host), qt.Equals, test.want, qt.Commentf("%s", name))
+		if name == "first token" {
+			qt.Check(t, choice.Predicted, qt.Equals, 282*time.Millisecond)
+			r.SetOtherRequests("m0", 1, testSlots, now)
+			qt.Check(t, r.hosts[0].prefillUntil-now, qt.Equals, 2*72*time.Millisecond)
+		}
+	}
+}
+
 // The gap at an engine like the measured ones (58 to 68 ms, 150 to 190 ms at a slowdown of 2.5) must be
 // predicted, so that a limit neither idles a slow server nor stretches the gaps of its answers.
 func TestSpeedLimit(t *testing.T) {
--- a/internal/transport/sidecar/boots_test.go
+++ b/internal/transport/sidecar/boots_test.go
@@ -117,7 +117,9 @@
 	now := boottime.Now()
 	s.switching, s.models[drafter].switchAt, s.broadcastNext = true, now+time.Second, false
 	s.models[drafter].loading, s.models[drafter].loadedAt = true, now+time.Second
-	s.applyReport(bootReport(2000, 0), now)
+	report, free := bootReport(2000, 0), 49000
+	report.FreeMemory = &free
+	s.applyReport(report, now)
 	c.Assert(s.broadcastNext, qt.IsTrue, qt.Commentf("entries of other sites get the report seconds later"))
 	s.sendReport(true)
 	buffer := make([]byte, 2<<10)
@@ -128,7 +130,7 @@
 	c.Assert(err, qt.IsNil)
 	got := d.Load.Load
 	got.Sequence = 0
-	c.Assert(got, qt.DeepEquals, fleet.Report{Boot: 2000, PreviousBoots: []catalog.Boot{1000}})
+	c.Assert(got, qt.DeepEquals, fleet.Report{Boot: 2000, PreviousBoots: []catalog.Boot{1000}, FreeMemory: &free})
 }
 
 // A response from the previous boot can arrive after one from the new boot, because reports
