The fleet owns the estimator of slowdowns

Engine.EmptyStepTime lets the expected gap follow the size of the batch. Router.SetSlowdown only stores the value so far.

go test ./internal/coordination/... passes.

--- a/internal/coordination/catalog/catalog.go
+++ b/internal/coordination/catalog/catalog.go
@@ -74,6 +74,9 @@
 	// StepTime is the duration of one decoding step of a full batch, which generates
 	// one token per request.
 	StepTime time.Duration
+	// EmptyStepTime is the part of StepTime that does not depend on the size of the
+	// batch. 0 means unknown.
+	EmptyStepTime time.Duration
 	// StepsPerEvent is the number of steps that a server runs between two events.
 	StepsPerEvent int
 	// PromptTokenTime is the prefill time of one prompt token.
--- a/internal/coordination/fleet/boots.go
+++ b/internal/coordination/fleet/boots.go
@@ -159,6 +159,8 @@
 		router.ResetHost(id)
 	}
 	f.members.RecordRestart(id)
+	f.speeds.Forget(b.ID)
+	delete(f.slow, b.ID)
 }
 
 func (f *Fleet) recordEnded(p process, now time.Duration) {
--- a/internal/coordination/fleet/choose.go
+++ b/internal/coordination/fleet/choose.go
@@ -39,8 +39,11 @@
 	RateCounted bool
 	// Version is the version that must answer, if Request.Version or Request.MinVersion was set.
 	Version uint64
-	// Slowdown is the factor by which the server is slower than expected; 0 if unknown.
+	// Slowdown is the factor by which the server is slower than expected, as it reports; 0 if unknown.
 	Slowdown float64
+	// EstimatedSlowdown is the factor by which the server was considered slower than expected for the
+	// placement; 1 if it was not.
+	EstimatedSlowdown float64
 	// HeldVersion is the version of the model that the server holds, as far as known; 0 if none.
 	HeldVersion uint64
 	// PredictedLatency is the predicted time to the first event of the answer.
@@ -107,6 +110,7 @@
 	if s.missingSince != 0 {
 		placement.MissingFor = now - s.missingSince
 	}
+	placement.EstimatedSlowdown = s.routedSlowdown()
 	placement.HeldVersion = f.heldVersion(s, request.Model, now)
 	if request.Version != 0 || request.MinVersion != 0 {
 		placement.Version = placement.HeldVersion
--- a/internal/coordination/fleet/counts.go
+++ b/internal/coordination/fleet/counts.go
@@ -43,6 +43,7 @@
 	if !ok || !f.acceptReport(s, &report, now) {
 		return
 	}
+	f.recordPace(s, &report, now)
 	changed := report.Leaving != s.report.Leaving
 	s.hasReport = true
 	s.report = report
--- a/internal/coordination/fleet/fleet.go
+++ b/internal/coordination/fleet/fleet.go
@@ -14,6 +14,7 @@
 	"github.com/filbertlever/filbertlever/internal/coordination/catalog"
 	"github.com/filbertlever/filbertlever/internal/coordination/membership"
 	"github.com/filbertlever/filbertlever/internal/coordination/routing"
+	"github.com/filbertlever/filbertlever/internal/coordination/speed"
 )
 
 // Config holds the penalties, timeouts and limits of a Fleet.
@@ -138,6 +139,12 @@
 	coldUntil    time.Duration
 	coldInterval time.Duration
 	coldNextAt   time.Duration
+	// slowdown is the value that the router was last given; 0 if none was, which means 1. Servers for
+	// which it is over 1 are in Fleet.slow.
+	slowdown float64
+	// paceSequence is the sequence number of the last report whose pace was used, at paceAt.
+	paceSequence uint64
+	paceAt       time.Duration
 }
 
 // Fleet tracks the backend servers of all services. It is not safe for concurrent use. All times
@@ -195,6 +202,14 @@
 	outageEnd   time.Duration
 	outageKnown bool
 	epoch       time.Time
+	// speeds estimates the slowdowns of the model servers, and slow are those that are considered slow.
+	speeds *speed.Estimator
+	slow   map[string]*server
+	// speedsCheckedAt is when RefreshSpeeds was last called, and slowCheckedAt when it last evaluated slow.
+	speedsCheckedAt time.Duration
+	slowCheckedAt   time.Duration
+	// speedChanges are those that TakeSpeedChanges has not returned yet.
+	speedChanges []SpeedChange
 }
 
 // New returns a fleet without servers.
@@ -221,6 +236,8 @@
 		reportOrder:     list.New(),
 		unusable:        map[string]*server{},
 		epoch:           time.Unix(0, 0),
+		speeds:          speed.New(),
+		slow:            map[string]*server{},
 	}
 }
 
@@ -359,6 +376,9 @@
 	router.SetTargets(host.ID, f.targets(s, now))
 	router.SetInterruptAt(host.ID, s.interruptsAt)
 	router.SetSuspect(host.ID, s.missingSince != 0)
+	if s.slowdown != 0 {
+		router.SetSlowdown(host.ID, s.slowdown)
+	}
 	f.syncPeerRequests(s, now)
 }
 
--- a/internal/coordination/routing/routing.go
+++ b/internal/coordination/routing/routing.go
@@ -157,6 +157,8 @@
 	interruptAt time.Duration
 	// suspect is true while the host may have failed.
 	suspect bool
+	// slowdown is the factor by which the host is slower than expected; 0 if unknown.
+	slowdown float64
 	// targets lists the targets that the host serves.
 	targets []Target
 }
