Entries measure gaps between events and exchange what they observe

Streams collect gaps and record them under the gateway's lock once in 8 events or 0.5 s and at the end. Counts to the region carry field 6, Speeds, at most 16 servers in 500 ms, fewer in large regions: 16 servers to 23 entries twice a second would take 18 KB/s. Entries of other regions do not get it and theirs is ignored. New: log line "server speed changed", a gauge of slow servers, a histogram of slowdowns at placement, and the field Slowdown of a placement.

--- a/internal/coordination/fleet/speeds.go
+++ b/internal/coordination/fleet/speeds.go
@@ -109,9 +109,10 @@
 	return step * time.Duration(e.StepsPerEvent)
 }
 
-// SpeedObservations returns what this entry has newly observed, for the other entries of the region.
-func (f *Fleet) SpeedObservations(now time.Duration) map[string]speed.Observation {
-	return f.speeds.Observations(now)
+// SpeedObservations returns what this entry has newly observed of at most limit servers, for the other
+// entries of the region.
+func (f *Fleet) SpeedObservations(limit int, now time.Duration) map[string]speed.Observation {
+	return f.speeds.NewObservations(limit, now)
 }
 
 // ApplySpeeds applies the observations of another entry. Those of unknown servers are ignored.
--- a/internal/coordination/speed/speed.go
+++ b/internal/coordination/speed/speed.go
@@ -244,6 +244,11 @@
 // Observations returns this entry's own observations of the servers with the most gaps since their
 // last observation was returned, at most MaxObservations.
 func (e *Estimator) Observations(now time.Duration) map[string]Observation {
+	return e.NewObservations(MaxObservations, now)
+}
+
+// NewObservations is Observations for at most limit servers.
+func (e *Estimator) NewObservations(limit int, now time.Duration) map[string]Observation {
 	type candidate struct {
 		id      string
 		newGaps uint32
@@ -267,7 +272,7 @@
 		return cmp.Or(cmp.Compare(b.newGaps, a.newGaps), cmp.Compare(a.id, b.id))
 	})
 	var observations map[string]Observation
-	for _, c := range candidates[:min(len(candidates), MaxObservations)] {
+	for _, c := range candidates[:min(len(candidates), limit)] {
 		if observations == nil {
 			observations = map[string]Observation{}
 		}
--- a/internal/transport/gateway/attempts.go
+++ b/internal/transport/gateway/attempts.go
@@ -31,6 +31,8 @@
 	tried []catalog.Backend
 	// stream is the state of a streamed response; nil before its head has been received.
 	stream *eventStream
+	// gaps are those between the events of the current attempt that were not recorded yet.
+	gaps gapCollector
 	// placement is the server chosen for the current attempt, at placedAt.
 	placement fleet.Placement
 	placedAt  time.Duration
--- a/internal/transport/gateway/counts.go
+++ b/internal/transport/gateway/counts.go
@@ -47,6 +47,8 @@
 		g.mu.Lock()
 		local, remote := g.peers.regionCounts()
 		counts := g.ownCounts(now)
+		g.fleet.RefreshSpeeds(now)
+		g.logSpeedChanges()
 		reports := g.advanceQuarantine(now)
 		g.persistHolds(ctx)
 		var everyone []string
@@ -56,9 +58,12 @@
 		g.mu.Unlock()
 		g.sendCrashReports(reports, everyone)
 		g.sendRateReports(now)
-		if now-localAt >= countsInterval*time.Duration(local/peersPerInterval) && !countsEqual(&lastLocal, &counts) {
-			lastLocal, localAt = counts, now
-			g.sendCounts(&counts, scopeRegion)
+		if now-localAt >= countsInterval*time.Duration(local/peersPerInterval) {
+			regional, hasSpeeds := g.withSpeeds(counts, local, now)
+			if hasSpeeds || !countsEqual(&lastLocal, &counts) {
+				lastLocal, localAt = counts, now
+				g.sendCounts(&regional, scopeRegion)
+			}
 		}
 		if now-remoteAt >= remoteIntervalPerPeer*time.Duration(remote) && !countsEqual(&lastRemote, &counts) {
 			lastRemote, remoteAt = counts, now
--- a/internal/transport/gateway/datagrams.go
+++ b/internal/transport/gateway/datagrams.go
@@ -78,6 +78,7 @@
 	if d.Load != nil {
 		d.Load.Load.AgentAddress = from.String()
 		g.fleet.ApplyReport(d.Load.Load, now)
+		g.logSpeedChanges()
 		g.logRestarts()
 		if g.isAgentOutdated(d.Load, now) {
 			g.reply(Datagram{Changed: true}, from)
@@ -94,6 +95,7 @@
 		counts.Silent = slices.DeleteFunc(counts.Silent, func(id string) bool { return !current(id) })
 		g.fleet.SetPeerCounts(counts.From, counts.Requests, now)
 		g.fleet.MarkSilent(counts.Silent, now)
+		g.applySpeeds(counts, now)
 	}
 }
 
@@ -180,6 +182,7 @@
 	heartbeat := g.ownHeartbeat(now)
 	g.metrics.quarantined.Set(float64(g.crashes.HeldCount(now)))
 	g.metrics.rateLimited.Set(float64(g.fleet.RateLimitedCount()))
+	g.metrics.slowServers.Set(float64(g.fleet.SlowCount()))
 	g.mu.Unlock()
 	g.sendTo(Datagram{Heartbeat: heartbeat}, addresses)
 }
--- a/internal/transport/gateway/gateway.go
+++ b/internal/transport/gateway/gateway.go
@@ -105,6 +105,8 @@
 	uptime           uptime.Uptime
 	// storeAnsweredAt is when the store last answered this entry; 0 if it has not.
 	storeAnsweredAt time.Duration
+	// speedsSentAt is when observations of the servers' speeds were last sent.
+	speedsSentAt time.Duration
 	// tableEras are the eras of the store in the last rows of each table, storeEra is the highest one,
 	// and stateEra that of the desired state in force.
 	tableEras          map[Table]uint64
--- a/internal/transport/gateway/messages.go
+++ b/internal/transport/gateway/messages.go
@@ -11,6 +11,7 @@
 	"github.com/filbertlever/filbertlever/internal/coordination/catalog"
 	"github.com/filbertlever/filbertlever/internal/coordination/fleet"
 	"github.com/filbertlever/filbertlever/internal/coordination/quarantine"
+	"github.com/filbertlever/filbertlever/internal/coordination/speed"
 )
 
 // Datagram is a message between entries, or between an entry and an agent. Delivery is not
@@ -68,6 +69,9 @@
 	// Boots identifies the server processes that the counts refer to, for servers that
 	// restarted recently.
 	Boots map[string]catalog.Boot `cbor:"5,keyasint,omitempty"`
+	// Speeds are what the entry observed of the speed of servers. They are sent to the entry's region
+	// only.
+	Speeds map[string]speed.Observation `cbor:"6,keyasint,omitempty"`
 }
 
 // NamedAge is a version that operators have named, and how long ago.
--- a/internal/transport/gateway/metrics.go
+++ b/internal/transport/gateway/metrics.go
@@ -22,6 +22,8 @@
 	placedMissing        *prometheus.CounterVec
 	badDatagrams         prometheus.Counter
 	badRows              *prometheus.CounterVec
+	slowServers          prometheus.Gauge
+	placedSlowdown       *prometheus.HistogramVec
 }
 
 func newMetrics(registry prometheus.Registerer) *metrics {
@@ -80,7 +82,17 @@
 			Name: "filbertlever_bad_rows_total",
 			Help: "Rows of the store that name nothing, by table and cause, once for each change of a row.",
 		}, []string{"Table", "Cause"}),
+		slowServers: prometheus.NewGauge(prometheus.GaugeOpts{
+			Name: "filbertlever_gateway_slow_servers",
+			Help: "Model servers that are considered slower than their engine's description.",
+		}),
+		placedSlowdown: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Name:    "filbertlever_gateway_placed_slowdown",
+			Help:    "Factor by which the server of a placed request was considered slower than its engine's description, by service.",
+			Buckets: []float64{1, 1.25, 1.5, 2, 2.5, 3, 4, 6, 8, 16},
+		}, []string{"Service"}),
 	}
+	registry.MustRegister(m.slowServers, m.placedSlowdown)
 	registry.MustRegister(m.outcomes, m.retries, m.firstByte, m.startPredictionError, m.cancelledAttempts, m.serverCrashes, m.quarantined, m.announcements, m.rateLimited, m.storeRestored, m.placedMissing, m.badDatagrams, m.badRows)
 	return m
 }
--- a/internal/transport/gateway/peers.go
+++ b/internal/transport/gateway/peers.go
@@ -172,6 +172,12 @@
 	return now-other.heartbeatAt < heartbeatTimeout
 }
 
+// inRegion reports whether an entry is in this entry's region.
+func (p *peers) inRegion(host filbertlever.HostID) bool {
+	other, ok := p.byHost[host]
+	return ok && other.entry.Region == p.self.Region
+}
+
 // isReady reports whether an entry accepts callers, by its last heartbeat.
 func (p *peers) isReady(host filbertlever.HostID) bool {
 	other, ok := p.byHost[host]
--- a/internal/transport/gateway/placement.go
+++ b/internal/transport/gateway/placement.go
@@ -26,6 +26,7 @@
 		zap.Int("Weighed", placement.Candidates), zap.Duration("ReportAge", placement.ReportAge), zap.String("Why", string(placement.Reason)), zap.Bool("Cut", placement.WillInterrupt), zap.Duration("Reading", placement.PrefillWait)}
 	fields = append(fields, a.startFields(placement, now)...)
 	fields = append(fields, g.viewFields(placement, now)...)
+	fields = append(fields, slowdownFields(placement)...)
 	if a.regions != nil {
 		fields = append(fields, zap.Strings("Regions", a.regions))
 	}
@@ -46,6 +47,7 @@
 	}
 	g.log.Info("placed", fields...)
 	g.countMissing(a.service, placement)
+	g.countSlowdown(a.service, placement)
 	return placement, nil
 }
 
--- a/internal/transport/gateway/stream.go
+++ b/internal/transport/gateway/stream.go
@@ -43,6 +43,8 @@
 		a.beginStream(reply)
 	}
 	silence := a.watchSilence(cancel)
+	a.gaps = gapCollector{}
+	defer a.recordLastGaps()
 	reader := bufio.NewReaderSize(reply.Body, 4<<10)
 	for first := true; ; first = false {
 		event, err := readEvent(reader)
@@ -57,7 +59,7 @@
 			return a.endStream(id, reply)
 		}
 		if err == nil {
-			err = a.forwardEvent(event)
+			err = a.forwardTimed(event)
 		}
 		if err != nil {
 			reply.Finish(false)
@@ -78,6 +80,7 @@
 		return
 	}
 	g.fleet.RecordProgress(id, now)
+	a.recordGap(now)
 	if first {
 		late := now - a.placedAt - a.placement.PredictedLatency
 		g.metrics.startPredictionError.WithLabelValues(a.service).Observe(late.Seconds())
