--- a/internal/transport/gateway/badrows_test.go
+++ b/internal/transport/gateway/badrows_test.go
@@ -169,14 +169,14 @@
 func TestDatagramsWithInvalidFieldsAreRejected(t *testing.T) {
 	c := qt.New(t)
 	for _, valid := range []string{`{}`, `{"Changed":true}`, `{"Heartbeat":{` + validEntryJSON + `,"Named":[{"Model":"d","Version":2,"Age":5,"Known":true}]}}`,
-		`{"Counts":{"From":"e","Sequence":-4,"Requests":{"i-1":3}}}`, `{"Load":{"Load":{"Address":"10.0.0.1:1","Running":3,"Models":[{"Name":"d","Version":2}],"LeavesIn":-5},"Named":[{"Model":"d","Version":2,"Age":5}]}}`} {
+		`{"Counts":{"From":"e","Sequence":-4,"Requests":{"i-1":3}}}`, `{"Counts":{"From":"e","Speeds":{"i-1":{"Slowdown":2500,"Gaps":30}}}}`, `{"Load":{"Load":{"Address":"10.0.0.1:1","Running":3,"Models":[{"Name":"d","Version":2}],"LeavesIn":-5},"Named":[{"Model":"d","Version":2,"Age":5}]}}`} {
 		_, err := DecodeDatagram(encodeJSONDatagram(valid))
 		c.Check(err, qt.IsNil, qt.Commentf(valid))
 	}
 	for _, invalid := range []string{``, `7`, `{"Heartbeat":{}}`, `{"Heartbeat":7}`, `{"Heartbeat":{` + strings.Replace(validEntryJSON, "10.0.0.1:3", "", 1) + `}}`,
 		`{"Heartbeat":{` + strings.Replace(validEntryJSON, `"Host":"e"`, `"Host":""`, 1) + `}}`,
 		`{"Heartbeat":{` + validEntryJSON + `,"Named":[{"Age":-5}]}}`, `{"Heartbeat":{` + validEntryJSON + `,"Named":[{"Version":18446744073709551615}]}}`,
-		`{"Counts":{}}`, `{"Counts":{"From":"e","Requests":{"i-1":-3}}}`, `{"Counts":{"From":"e","Requests":{"i-1":1e400}}}`,
+		`{"Counts":{}}`, `{"Counts":{"From":"e","Requests":{"i-1":-3}}}`, `{"Counts":{"From":"e","Requests":{"i-1":1e400}}}`, `{"Counts":{"From":"e","Speeds":{"i-1":{"Slowdown":-1,"Gaps":30}}}}`,
 		`{"Load":{"Load":{"Running":-1}}}`, `{"Load":{"Load":{"Queued":9000000000}}}`, `{"Load":{"Load":{"LoadedIn":9000000000000000000}}}`,
 		`{"Load":{"Load":{"Models":[{"Version":2}]}}}`, `{"Load":{"Named":[{"Age":-5}]}}`, `{"Load":{"Load":{"Pace":-1.5}}}`} {
 		_, err := DecodeDatagram(encodeJSONDatagram(invalid))
--- a/internal/transport/gateway/fuzz_test.go
+++ b/internal/transport/gateway/fuzz_test.go
@@ -27,6 +27,9 @@
 					t.Fatalf("negative count of requests: %d at %s", n, id)
 				}
 			}
+			if checkSpeeds(d.Counts.Speeds) != nil {
+				t.Fatalf("speeds out of range: %+v", d.Counts.Speeds)
+			}
 		}
 	})
 }
