Gaps are compared with those of normal servers of the service

If the description's step is too short or prompts are longer than its mean, the gaps of all servers contradict their true reports of 1: in the test all 21 servers counted as slow.

go test ./internal/coordination/fleet passes; with the factor ignored, TestWrongDescriptionMakesNoServerSlow finds 21 slow servers where none is.

--- a/internal/coordination/fleet/fleet.go
+++ b/internal/coordination/fleet/fleet.go
@@ -208,6 +208,9 @@
 	// speedsCheckedAt is when RefreshSpeeds was last called, and slowCheckedAt when it last evaluated slow.
 	speedsCheckedAt time.Duration
 	slowCheckedAt   time.Duration
+	// gapFactors are, by service, the factors by which gaps of normal servers are longer than expected;
+	// 1 if there is none.
+	gapFactors map[string]float64
 	// speedChanges are those that TakeSpeedChanges has not returned yet.
 	speedChanges []SpeedChange
 }
@@ -238,6 +241,7 @@
 		epoch:           time.Unix(0, 0),
 		speeds:          speed.New(),
 		slow:            map[string]*server{},
+		gapFactors:      map[string]float64{},
 	}
 }
 
@@ -248,6 +252,7 @@
 func (f *Fleet) SetState(state *catalog.State, now time.Duration) {
 	old := f.state
 	f.state = state
+	clear(f.gapFactors)
 	for name := range f.routers {
 		if old != nil && !sameEngine(old.Services[name].Engine, state.Services[name].Engine) {
 			delete(f.routers, name)
--- a/internal/coordination/fleet/speeds.go
+++ b/internal/coordination/fleet/speeds.go
@@ -25,6 +25,12 @@
 	// paceTTL is the time without a newer report after which a report with a lower sequence number is
 	// used. The host's clock may have been set back.
 	paceTTL = 6 * time.Second
+	// gapFactorStep is the factor by which one record of gaps changes the gap factor of its service, so
+	// that it follows the median of the records. It takes about 40 records to follow a change of 1.5.
+	gapFactorStep = 1.01
+	maxGapFactor  = 4
+	// minCalibrationGaps is the number of gaps in a record from which it changes the gap factor.
+	minCalibrationGaps = 4
 	// maxSpeedChanges limits the changes that TakeSpeedChanges returns at once.
 	maxSpeedChanges = 256
 )
@@ -73,13 +79,37 @@
 	if engine == nil {
 		return
 	}
-	expected := expectedGap(engine, f.batchSize(s, engine, now))
+	expected := f.calibrate(s, gaps, expectedGap(engine, f.batchSize(s, engine, now)), now)
 	for _, gap := range gaps {
 		f.speeds.ObserveGap(b.ID, gap.Gap, expected, gap.At)
 	}
 	f.syncSlowdown(s, now)
 }
 
+// calibrate returns the expected gap as corrected by the gap factor of the service, which it updates.
+//
+// If the description is wrong or prompts are longer than the mean, the gaps of all servers are longer
+// than expected, although they truthfully report 1. Only the servers that report this count.
+func (f *Fleet) calibrate(s *server, gaps []EventGap, expected, now time.Duration) time.Duration {
+	factor := max(f.gapFactors[s.backend.Service], 1)
+	corrected := time.Duration(factor * float64(expected))
+	normal := f.hasFreshReport(s, now) && s.report.Pace > 0 && s.report.Pace < minSlow
+	if !normal || len(gaps) < minCalibrationGaps {
+		return corrected
+	}
+	total := time.Duration(0)
+	for _, gap := range gaps {
+		total += gap.Gap
+	}
+	if total > corrected*time.Duration(len(gaps)) {
+		factor *= gapFactorStep
+	} else {
+		factor /= gapFactorStep
+	}
+	f.gapFactors[s.backend.Service] = min(max(factor, 1), maxGapFactor)
+	return corrected
+}
+
 // batchSize returns the known number of requests that a server runs. If neither a report nor a peer
 // shows what other entries send there, it assumes a full batch, so that an entry that is cut off from
 // the others does not consider all servers slow.
--- a/internal/coordination/fleet/speeds_test.go
+++ b/internal/coordination/fleet/speeds_test.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -126,3 +127,41 @@
 	c.Check(expectedGap(engine, 16), qt.Equals, 6*(engine.StepTime+16*900*engine.PromptTokenTime/119))
 	c.Check(expectedGap(engine, 4) < expectedGap(engine, 16)*6/10, qt.IsTrue)
 }
+
+// All servers report 1, and their gaps are 1.5 times as long as the description predicts, as its step
+// is too short or prompts are longer than the mean. None is slower than the others, so none may count
+// as slow; a server that is must still be recognised.
+func TestWrongDescriptionMakesNoServerSlow(t *testing.T) {
+	c := qt.New(t)
+	f := newFleetOfSize(21)
+	lastEventAt := make([]time.Duration, 21)
+	run := func(from, until time.Duration, factors func(i int) float64) {
+		sequence := uint64(from)
+		for now := from; now < until; now += 500 * time.Millisecond {
+			for i := range 21 {
+				sequence++
+				f.ApplyReport(Report{Address: f.servers[sizedServerID(i)].backend.Address, Sequence: sequence, Running: 16, Pace: 1}, now)
+			}
+			for i := range 21 {
+				s := f.servers[sizedServerID(i)]
+				gap := time.Duration(factors(i) * float64(expectedGap(f.engine(s), 16)))
+				var gaps []EventGap
+				for lastEventAt[i] = max(lastEventAt[i], from); lastEventAt[i]+gap <= now+500*time.Millisecond; {
+					lastEventAt[i] += gap
+					gaps = append(gaps, slices.Repeat([]EventGap{{gap, lastEventAt[i]}}, 3)...)
+				}
+				f.RecordGaps(s.backend, gaps, now+500*time.Millisecond)
+			}
+			f.RefreshSpeeds(now)
+		}
+	}
+	run(2*time.Second, 20*time.Second, func(int) float64 { return 1.5 })
+	c.Check(f.SlowCount(), qt.Equals, 0)
+	run(20*time.Second, 30*time.Second, func(i int) float64 {
+		if i < 3 {
+			return 1.5 * 2.5
+		}
+		return 1.5
+	})
+	c.Check(f.SlowCount(), qt.Equals, 3)
+}
