--- a/internal/coordination/fleet/fleet.go
+++ b/internal/coordination/fleet/fleet.go
@@ -15,6 +15,7 @@
 	"github.com/filbertlever/filbertlever/internal/coordination/catalog"
 	"github.com/filbertlever/filbertlever/internal/coordination/membership"
 	"github.com/filbertlever/filbertlever/internal/coordination/routing"
+	"github.com/filbertlever/filbertlever/internal/coordination/speed"
 )
 
 // Config holds the penalties, timeouts and limits of a Fleet.
@@ -143,6 +144,12 @@
 	coldUntil    time.Duration
 	coldInterval time.Duration
 	coldNextAt   time.Duration
+	// slowdown is the value that the router was last given; 0 if none was, which means 1. Servers for
+	// which it is over 1 are in Fleet.slow.
+	slowdown float64
+	// paceSequence is the sequence number of the last report whose pace was used, at paceAt.
+	paceSequence uint64
+	paceAt       time.Duration
 }
 
 // Fleet tracks the backend servers of all services. It is not safe for concurrent use. All times
@@ -200,6 +207,17 @@
 	outageEnd   time.Duration
 	outageKnown bool
 	epoch       time.Time
+	// speeds estimates the slowdowns of the model servers, and slow are those that are considered slow.
+	speeds *speed.Estimator
+	slow   map[string]*server
+	// speedsCheckedAt is when RefreshSpeeds was last called, and slowCheckedAt when it last evaluated slow.
+	speedsCheckedAt time.Duration
+	slowCheckedAt   time.Duration
+	// gapFactors are, by service, the factors by which gaps of normal servers are longer than expected;
+	// 1 if there is none.
+	gapFactors map[string]float64
+	// speedChanges are those that TakeSpeedChanges has not returned yet.
+	speedChanges []SpeedChange
 }
 
 // New returns a fleet without servers.
@@ -226,6 +244,9 @@
 		reportOrder:     list.New(),
 		unusable:        map[string]*server{},
 		epoch:           time.Unix(0, 0),
+		speeds:          speed.New(),
+		slow:            map[string]*server{},
+		gapFactors:      map[string]float64{},
 	}
 }
 
@@ -236,6 +257,7 @@
 func (f *Fleet) SetState(state *catalog.State, now time.Duration) {
 	old := f.state
 	f.state = state
+	clear(f.gapFactors)
 	for name := range f.routers {
 		if old != nil && !sameEngine(old.Services[name].Engine, state.Services[name].Engine) {
 			delete(f.routers, name)
@@ -365,6 +387,9 @@
 	router.SetInterruptAt(host.ID, s.interruptsAt)
 	router.SetSuspect(host.ID, s.missingSince != 0)
 	f.syncFreeMemory(router, s)
+	if s.slowdown != 0 {
+		router.SetSlowdown(host.ID, s.slowdown)
+	}
 	f.syncPeerRequests(s, now)
 }
 
