Urgency levels of a service, from the priorities in the desired state

The organisation's priority replaces the route's, so requests of all routes have the same urgency where all organisations have the same priority. A state now computes the sorted pairs of both priorities for each service with an engine whose routes with keys differ in priority. All other services have 0 levels.

--- a/internal/coordination/catalog/catalog.go
+++ b/internal/coordination/catalog/catalog.go
@@ -167,6 +167,8 @@
 	keys    map[string]Organisation
 	// maxPassByModel holds the longest pass of any engine that may hold a model.
 	maxPassByModel map[string]time.Duration
+	// levels holds the sorted pairs of priorities of each service with urgency levels.
+	levels map[string][]priorities
 }
 
 // New builds a state. The routes of one host are sorted by descending length of
@@ -198,6 +200,7 @@
 			s.maxPassByModel[model] = max(s.maxPassByModel[model], service.Engine.MaxPassTime())
 		}
 	}
+	s.levels = computeLevels(routes, s.Services, organisations)
 	for _, organisation := range organisations {
 		for _, key := range organisation.Keys {
 			s.keys[key] = organisation
