Requests of services with urgency levels are decided by a controller

Each service with levels gets a controller and a table of shares, which follow the desired state. The first placement of a request asks the controller after the gate; a refusal gives the server's place back and is answered as before. Engines get the level as priority. Counts of a region carry the demand for contended services, at most every 200 ms, and usages once a second.

go test ./internal/transport/gateway ./platform passes (7 s and 191 s).

--- a/internal/transport/gateway/counts.go
+++ b/internal/transport/gateway/counts.go
@@ -56,9 +56,12 @@
 		g.mu.Unlock()
 		g.sendCrashReports(reports, everyone)
 		g.sendRateReports(now)
-		if now-localAt >= countsInterval*time.Duration(local/peersPerInterval) && !countsEqual(&lastLocal, &counts) {
-			lastLocal, localAt = counts, now
-			g.sendCounts(&counts, scopeRegion)
+		if now-localAt >= countsInterval*time.Duration(local/peersPerInterval) {
+			demand := g.dueDemand(local, now)
+			if len(demand) > 0 || !countsEqual(&lastLocal, &counts) {
+				lastLocal, localAt = counts, now
+				g.sendRegionCounts(counts, demand)
+			}
 		}
 		if now-remoteAt >= remoteIntervalPerPeer*time.Duration(remote) && !countsEqual(&lastRemote, &counts) {
 			lastRemote, remoteAt = counts, now
--- a/internal/transport/gateway/datagrams.go
+++ b/internal/transport/gateway/datagrams.go
@@ -94,6 +94,7 @@
 		counts.Silent = slices.DeleteFunc(counts.Silent, func(id string) bool { return !current(id) })
 		g.fleet.SetPeerCounts(counts.From, counts.Requests, now)
 		g.fleet.MarkSilent(counts.Silent, now)
+		g.applyDemand(counts.From, counts.Demand, now)
 	}
 }
 
@@ -176,6 +177,7 @@
 	g.mu.Lock()
 	for _, host := range g.peers.timedOut(now) {
 		g.fleet.SetPeerCounts(host, nil, now)
+		g.removeDemand(host)
 	}
 	heartbeat := g.ownHeartbeat(now)
 	g.metrics.quarantined.Set(float64(g.crashes.HeldCount(now)))
--- a/internal/transport/gateway/decode.go
+++ b/internal/transport/gateway/decode.go
@@ -120,7 +120,7 @@
 			return fmt.Errorf("requests: %d at %.200q: %w", n, id, errRequests)
 		}
 	}
-	return nil
+	return checkDemand(c.Demand)
 }
 
 // checkRateReports validates reports about rate limits.
--- a/internal/transport/gateway/gateway.go
+++ b/internal/transport/gateway/gateway.go
@@ -95,6 +95,8 @@
 	// outages are keyed by service.
 	outages map[string]*admission.Outage
 	peers   *peers
+	// levelled are the services with urgency levels.
+	levelled map[string]*levelledService
 	// versionsByModel holds the versions of each model that operators want, oldest first.
 	versionsByModel map[string][]namedVersion
 	// namedChanged receives a value when a version has been named.
@@ -126,12 +128,12 @@
 		stateKnown: make(chan struct{}), started: boottime.Now(), heartbeatNow: make(chan struct{}, 1), writeAgain: make(chan struct{}, 1), tableEras: map[Table]uint64{}, namedChanged: make(chan struct{}, 1),
 		config: config, store: store, codec: codec, sender: sender, log: log, socket: datagrams.New(socket), client: client, feeds: newFeeds(),
 		metrics: newMetrics(registry), rng: rng, fleet: fleet.New(fleetConfig, rng), gate: admission.DefaultEntryGate(),
-		retryBudgets: map[string]*retry.Window{}, outages: map[string]*admission.Outage{}, waitQueue: newWaitQueue(), crashes: newCrashes(), peers: newPeers(config.Self, boottime.Now()), versionsByModel: map[string][]namedVersion{},
+		retryBudgets: map[string]*retry.Window{}, outages: map[string]*admission.Outage{}, waitQueue: newWaitQueue(), levelled: map[string]*levelledService{}, crashes: newCrashes(), peers: newPeers(config.Self, boottime.Now()), versionsByModel: map[string][]namedVersion{},
 		stop: drain.New(drain.Config{GracePeriod: config.DrainGracePeriod, MoveStreamsAfter: config.DrainTimeout}),
 	}
 	g.revocationDelay.Store(int64(config.RevocationDelay))
 	g.relay = relay.New(relays.Entry{Host: config.Self.Host, Site: config.Self.Site}, relayView{g}, origin, client, log, registry)
-	for _, loop := range []func(context.Context){g.runDesired, g.runBackends, g.runEntries, g.runHeartbeat, g.runCounts, g.runSeeds, g.runRestore, g.runVersions} {
+	for _, loop := range []func(context.Context){g.runDesired, g.runBackends, g.runEntries, g.runHeartbeat, g.runCounts, g.runSeeds, g.runRestore, g.runVersions, g.runLevels} {
 		go loop(ctx)
 	}
 	go g.runDatagrams(ctx)
--- a/internal/transport/gateway/messages.go
+++ b/internal/transport/gateway/messages.go
@@ -68,6 +68,9 @@
 	// Boots identifies the server processes that the counts refer to, for servers that
 	// restarted recently.
 	Boots map[string]catalog.Boot `cbor:"5,keyasint,omitempty"`
+	// Demand is the demand at the entry for contended services with urgency levels. It is sent to
+	// the entries of the region only.
+	Demand []ServiceDemand `cbor:"7,keyasint,omitempty"`
 }
 
 // NamedAge is a version that operators have named, and how long ago.
--- a/internal/transport/gateway/metrics.go
+++ b/internal/transport/gateway/metrics.go
@@ -22,6 +22,8 @@
 	placedMissing        *prometheus.CounterVec
 	badDatagrams         prometheus.Counter
 	badRows              *prometheus.CounterVec
+	levelReserve         *prometheus.GaugeVec
+	levelDecisions       *prometheus.CounterVec
 }
 
 func newMetrics(registry prometheus.Registerer) *metrics {
@@ -80,7 +82,16 @@
 			Name: "filbertlever_bad_rows_total",
 			Help: "Rows of the store that name nothing, by table and cause, once for each change of a row.",
 		}, []string{"Table", "Cause"}),
+		levelReserve: prometheus.NewGaugeVec(prometheus.GaugeOpts{
+			Name: "filbertlever_gateway_urgency_reserve",
+			Help: "Slots of the chosen server that requests of an urgency level must leave free, by service and level.",
+		}, []string{"Service", "Level"}),
+		levelDecisions: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "filbertlever_gateway_urgency_decisions_total",
+			Help: "Decisions on requests of services with urgency levels, by service, level and reason.",
+		}, []string{"Service", "Level", "Reason"}),
 	}
+	registry.MustRegister(m.levelReserve, m.levelDecisions)
 	registry.MustRegister(m.outcomes, m.retries, m.firstByte, m.startPredictionError, m.cancelledAttempts, m.serverCrashes, m.quarantined, m.announcements, m.rateLimited, m.storeRestored, m.placedMissing, m.badDatagrams, m.badRows)
 	return m
 }
--- a/internal/transport/gateway/placement.go
+++ b/internal/transport/gateway/placement.go
@@ -39,6 +39,10 @@
 		// queue and refuses requests itself.
 		admitted = true
 	}
+	if decision := a.decideLevel(placement, first, admitted, now); decision != nil {
+		admitted, retryAfter = admitted && decision.Admit, max(retryAfter, decision.RetryAfter)
+		fields = append(fields, decision.fields()...)
+	}
 	if !admitted {
 		g.fleet.Release(placement.Backend.ID)
 		g.log.Info("refused", fields...)
--- a/internal/transport/gateway/serve.go
+++ b/internal/transport/gateway/serve.go
@@ -94,8 +94,11 @@
 	service      string
 	organisation catalog.Organisation
 	// regions are those that both the route and the organisation allow.
-	regions  filbertlever.Regions
+	regions filbertlever.Regions
+	// priority is the urgency level of the request if levels, the number of urgency levels of the
+	// service, is not 0.
 	priority int
+	levels   int
 	deadline time.Time
 	ctx      context.Context
 	cancel   context.CancelFunc
@@ -132,6 +135,9 @@
 	if response := x.checkKey(); response != nil {
 		return response
 	}
+	if x.levels = x.state.Levels(x.service); x.levels > 0 {
+		x.priority = x.state.Level(x.service, x.route, &x.organisation)
+	}
 	x.setDeadline()
 	return x.readBody()
 }
--- a/internal/transport/gateway/watch.go
+++ b/internal/transport/gateway/watch.go
@@ -269,6 +269,7 @@
 		g.stateEra = revision.Era(rows.Revision)
 		g.fleet.SetState(desired.State, now)
 		g.state.Store(desired.State)
+		g.applyLevels(desired.State)
 		g.releaseWithheld(desired.State, now)
 		if old == nil {
 			close(g.stateKnown)
@@ -382,6 +383,7 @@
 		// The copy may lack entries that registered since. They register again.
 		restored := g.noteEra(TableEntries, rows.Revision)
 		g.peers.applyRows(entries.Present, entries.Removed, whole && !restored, now)
+		g.removeAbsentDemand()
 		g.resizeRetryBudgets()
 		g.fleet.SetEntries(g.peers.hosts(), now)
 		g.reportBadRows(entries.Bad)
