--- a/internal/transport/gateway/demand.go
+++ b/internal/transport/gateway/demand.go
@@ -33,15 +33,20 @@
 const (
 	// minDemandInterval and maxDemandInterval bound the time between two messages with the demand for
 	// a service. Within them it grows with the entries of the region, so that the bytes that an entry
-	// sends do not grow with their number. Demand older than a second does not count.
-	minDemandInterval = 200 * time.Millisecond
-	maxDemandInterval = 450 * time.Millisecond
+	// sends do not grow with their number: demandPeersPerInterval other entries add one
+	// minDemandInterval. Two messages fit into the second after which demand no longer counts, in
+	// case one is lost.
+	minDemandInterval      = 200 * time.Millisecond
+	maxDemandInterval      = 450 * time.Millisecond
+	demandPeersPerInterval = 7
 	// usagesInterval is the time between two messages with the usages of organisations, of which the
 	// maxUsages largest are sent.
 	usagesInterval = time.Second
 	maxUsages      = 8
-	// maxDemandServices bounds the services of one message.
+	// maxDemandServices bounds the services of one message, and maxDemandBytes its approximate size,
+	// as a datagram has at most 8 KiB. Other services follow in the next message.
 	maxDemandServices = 16
+	maxDemandBytes    = 4 << 10
 	// maxWorkRate bounds the work of an organisation, in milliseconds of slot time a second.
 	maxWorkRate = 1 << 30
 	// maxDecisions bounds the counts of a process, so that sums over entries do not overflow.
@@ -105,6 +110,16 @@
 	}
 }
 
+// maxSize returns an upper bound of the encoded size.
+func (d *ServiceDemand) maxSize() int {
+	// Each integer takes up to 9 bytes, each list or string up to 3 bytes and a key.
+	size := len(d.Service) + 9*(len(d.Admitted)+len(d.Refused)+len(d.Asked)+len(d.Served)) + 30
+	for _, id := range d.Organisations {
+		size += len(id) + 3
+	}
+	return size
+}
+
 // workRate rounds work to the unit in which it is sent.
 func workRate(work float64) uint32 {
 	if !(work > 0) {
@@ -129,7 +144,7 @@
 
 // demandInterval returns the interval at which demand is sent to a number of other entries.
 func demandInterval(peers int) time.Duration {
-	return min(max(minDemandInterval*time.Duration(peers)/peersPerInterval, minDemandInterval), maxDemandInterval)
+	return min(max(minDemandInterval*time.Duration(peers)/demandPeersPerInterval, minDemandInterval), maxDemandInterval)
 }
 
 // dueDemand returns the demand for contended services that is to be sent now to a number of other
@@ -138,9 +153,10 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	var due []ServiceDemand
+	size := 0
 	for _, name := range slices.Sorted(maps.Keys(g.levelled)) {
 		s := g.levelled[name]
-		if peers == 0 || len(name) > maxNameBytes || len(due) == maxDemandServices || now-s.demand.sentAt < demandInterval(peers) || !s.controller.Contended(now) {
+		if peers == 0 || len(name) > maxNameBytes || len(due) == maxDemandServices || size > maxDemandBytes || now-s.demand.sentAt < demandInterval(peers) || !s.controller.Contended(now) {
 			continue
 		}
 		s.demand.sentAt = now
@@ -151,6 +167,7 @@
 			d.setUsages(s.shares.Top(maxUsages, now))
 		}
 		due = append(due, d)
+		size += d.maxSize()
 	}
 	return due
 }
--- a/internal/transport/gateway/fuzz_test.go
+++ b/internal/transport/gateway/fuzz_test.go
@@ -5,6 +5,8 @@
 	"encoding/json"
 	"net/http"
 	"testing"
+
+	"github.com/filbertlever/filbertlever/internal/coordination/catalog"
 )
 
 // FuzzDatagram checks that arbitrary data is either rejected, or decodes to valid addresses and
@@ -27,6 +29,12 @@
 					t.Fatalf("negative count of requests: %d at %s", n, id)
 				}
 			}
+			for i := range d.Counts.Demand {
+				demand := &d.Counts.Demand[i]
+				if len(demand.Admitted) != len(demand.Refused) || len(demand.Admitted) > catalog.MaxLevels || len(demand.usages()) > maxUsages || len(demand.Service) > maxNameBytes {
+					t.Fatalf("demand out of range: %+v", demand)
+				}
+			}
 		}
 	})
 }
--- a/internal/transport/gateway/messages_test.go
+++ b/internal/transport/gateway/messages_test.go
@@ -15,6 +15,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"github.com/filbertlever/filbertlever"
 	"github.com/filbertlever/filbertlever/internal/coordination/catalog"
 	"github.com/filbertlever/filbertlever/internal/coordination/fleet"
 )
@@ -90,6 +91,8 @@
 		{Heartbeat: &Heartbeat{Entry: Entry{Host: "e", Site: "a", Region: "ra", Callers: "10.0.0.1:1", Peers: "10.0.0.1:2", Datagrams: "10.0.0.1:3", Incarnation: "x"},
 			Ready: true, StoreUnreachable: true, Named: []NamedAge{{Model: "d", Version: 2, Age: time.Second, Known: true}}}},
 		{Counts: &Counts{From: "e", Sequence: 1 << 60, Requests: map[string]int{"i-1": 3}, Silent: []string{"i-2"}, Boots: map[string]catalog.Boot{"i-1": 7}}},
+		{Counts: &Counts{From: "e", Sequence: 1, Demand: []ServiceDemand{{Service: "s", Admitted: []uint64{1 << 40, 0}, Refused: []uint64{0, 3},
+			Organisations: []filbertlever.OrganisationID{"o"}, Asked: []uint32{9000}, Served: []uint32{7}}}}},
 		{Load: &LoadReport{Load: fleet.Report{Address: "10.0.0.1:1", Boot: 5, PreviousBoots: []catalog.Boot{3}, Sequence: 1 << 63, Running: 3, Queued: 1, Pace: 1.5,
 			Switching: true, Models: []catalog.Model{{Name: "d", Version: 2}}, LeavesIn: time.Second, LoadedIn: time.Minute},
 			Named: []NamedAge{{Model: "d", Version: 3}}}},
