--- a/cmd/filbertlever-logs/main.go
+++ b/cmd/filbertlever-logs/main.go
@@ -31,11 +31,11 @@
 	if a.Goal <= 0 {
 		return fmt.Errorf("goal %v: expected a duration above 0", a.Goal)
 	}
-	rows, counts, err := readDirectory(a.Directory, a.Goal)
+	rows, levels, counts, err := readDirectory(a.Directory, a.Goal)
 	if err != nil {
 		return err
 	}
-	if err := printTable(os.Stdout, rows, counts); err != nil {
+	if err := printTable(os.Stdout, rows, levels, counts); err != nil {
 		return err
 	}
 	if a.Plot == "" {
--- a/cmd/filbertlever-logs/main_test.go
+++ b/cmd/filbertlever-logs/main_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"fmt"
 	"os"
 	"path/filepath"
 	"strings"
@@ -9,6 +10,8 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+
+	"github.com/filbertlever/filbertlever/internal/coordination/outcome"
 )
 
 const validLog = `{"Level":"info","Time":"2026-06-07T16:10:17.9Z","Message":"placed","Request":"r1","Ahead":2,"Reading":0,"Cut":false}
@@ -27,17 +30,41 @@
 	c.Assert(os.Mkdir(filepath.Join(dir, "b"), 0o700), qt.IsNil)
 	prefixed := strings.ReplaceAll(strings.TrimSpace(validLog), "{\"Level\"", "  12.1 entry-2 {\"Level\"")
 	c.Assert(os.WriteFile(filepath.Join(dir, "b", "entry-2.log"), []byte(prefixed), 0o600), qt.IsNil)
-	rows, counts, err := readDirectory(dir, 500*time.Millisecond)
+	rows, levels, counts, err := readDirectory(dir, 500*time.Millisecond)
 	c.Assert(err, qt.IsNil)
 	c.Assert(counts, qt.Equals, readCounts{Files: 2, Lines: 12, Bad: 4})
 	var out bytes.Buffer
-	c.Assert(printTable(&out, rows, counts), qt.IsNil)
+	c.Assert(printTable(&out, rows, levels, counts), qt.IsNil)
 	c.Assert(out.String(), qt.Contains, "16:10:17")
 	c.Assert(out.String(), qt.Contains, "Queue 2")
 	c.Assert(out.String(), qt.Contains, "AllBusy 2")
 	c.Assert(out.String(), qt.Contains, "4 of them could not be read")
 }
 
+// The share of refused requests of an urgency level is wrong, because a level is not read, or the
+// severity of a line is taken for it, or requests of services without levels are counted.
+func TestRefusalsAreCountedByUrgencyLevel(t *testing.T) {
+	c := qt.New(t)
+	dir := t.TempDir()
+	var log strings.Builder
+	for i, status := range []int{200, 503, 503} {
+		message := map[int]string{200: "placed", 503: "refused"}[status]
+		fmt.Fprintf(&log, `{"Level":"info","Time":"2026-06-07T16:10:18Z","Message":%q,"Request":"u%d","UrgencyLevel":2}`+"\n", message, i)
+		fmt.Fprintf(&log, `{"Level":"info","Time":"2026-06-07T16:10:19Z","Message":"request ended","Status":%d,"Took":1,"Request":"u%d"}`+"\n", status, i)
+	}
+	log.WriteString(`{"Level":"info","Time":"2026-06-07T16:10:18Z","Message":"placed","Request":"bad","UrgencyLevel":-7}` + "\n")
+	for _, name := range []string{"entry-1.log", "entry-2.log"} {
+		c.Assert(os.WriteFile(filepath.Join(dir, name), []byte(log.String()+validLog), 0o600), qt.IsNil)
+	}
+	rows, levels, counts, err := readDirectory(dir, 500*time.Millisecond)
+	c.Assert(err, qt.IsNil)
+	c.Assert(counts.Bad, qt.Equals, 0)
+	c.Assert(levels, qt.DeepEquals, []outcome.LevelRow{{Level: 2, Requests: 6, Refused: 4}})
+	var out bytes.Buffer
+	c.Assert(printTable(&out, rows, levels, counts), qt.IsNil)
+	c.Assert(out.String(), qt.Contains, "Urgency level 2: 4 of 6 requests refused")
+}
+
 // The --plot flag must write a PNG file.
 func TestPlotFileIsPNG(t *testing.T) {
 	c := qt.New(t)
--- a/cmd/filbertlever-logs/read.go
+++ b/cmd/filbertlever-logs/read.go
@@ -24,9 +24,10 @@
 	Files, Lines, Bad int
 }
 
-// readDirectory reads all files below a directory. A file may hold the lines of
+// readDirectory reads all files below a directory and returns the requests by second and by urgency
+// level. A file may hold the lines of
 // several entries. The lines of each entry must be in order.
-func readDirectory(directory string, goal time.Duration) ([]outcome.Row, readCounts, error) {
+func readDirectory(directory string, goal time.Duration) ([]outcome.Row, []outcome.LevelRow, readCounts, error) {
 	var day outcome.Totals
 	var counts readCounts
 	err := filepath.WalkDir(directory, func(path string, entry fs.DirEntry, err error) error {
@@ -46,7 +47,7 @@
 		day.Add(tally)
 		return nil
 	})
-	return day.Rows(), counts, err
+	return day.Rows(), day.Levels(), counts, err
 }
 
 // readLines adds each line to tally. A line may begin with other text, as log
--- a/cmd/filbertlever-logs/table.go
+++ b/cmd/filbertlever-logs/table.go
@@ -45,8 +45,8 @@
 	return order, seconds
 }
 
-// printTable prints one line per second and a line with the totals.
-func printTable(to io.Writer, rows []outcome.Row, counts readCounts) error {
+// printTable prints one line per second, a line with the totals and one per urgency level.
+func printTable(to io.Writer, rows []outcome.Row, levels []outcome.LevelRow, counts readCounts) error {
 	w := tabwriter.NewWriter(to, 0, 0, 2, ' ', tabwriter.AlignRight)
 	fmt.Fprint(w, "Second\t")
 	for _, kind := range columns {
@@ -66,6 +66,9 @@
 		}
 	}
 	printSecond(w, "All", total)
+	for _, level := range levels {
+		fmt.Fprintf(w, "Urgency level %d: %d of %d requests refused\n", level.Level, level.Refused, level.Requests)
+	}
 	fmt.Fprintf(w, "\n%d files, %d lines, %d of them could not be read\n", counts.Files, counts.Lines, counts.Bad)
 	return w.Flush()
 }
--- a/internal/coordination/outcome/outcome.go
+++ b/internal/coordination/outcome/outcome.go
@@ -39,6 +39,8 @@
 	WillInterrupt bool `json:"Cut"`
 	// EntryQueueTime is how long the request waited at the entry for a slot, in milliseconds.
 	EntryQueueTime float64 `json:"Waited"`
+	// UrgencyLevel is the urgency level of a placed or refused request; nil if its service has none.
+	UrgencyLevel *int
 }
 
 // HTTP status codes that separate kinds.
@@ -52,6 +54,7 @@
 const (
 	messageRequestEnded     = "request ended"
 	messagePlaced           = "placed"
+	messageRefused          = "refused"
 	messageAttemptEnded     = "attempt ended"
 	messageAttemptCancelled = "attempt taken back"
 	messageEntryQueued      = "waited for a place"
@@ -140,6 +143,8 @@
 type openRequest struct {
 	entryQueued, cancelled, refused, retried, willInterrupt, serverQueued bool
 	prefillWait                                                           float64
+	// level is the urgency level; nil if unknown.
+	level *int
 }
 
 // counterKey identifies a counter of requests.
@@ -157,6 +162,7 @@
 	open   map[string]*openRequest
 	order  []string
 	counts map[counterKey]int
+	levels map[int]LevelRow
 	// refusals are the latest maxRefusals refused requests that have a fingerprint.
 	refusals []refusal
 }
@@ -177,7 +183,7 @@
 
 // New returns a tally for a goal.
 func New(goal time.Duration) *Tally {
-	return &Tally{goal: goal, open: map[string]*openRequest{}, counts: map[counterKey]int{}}
+	return &Tally{goal: goal, open: map[string]*openRequest{}, counts: map[counterKey]int{}, levels: map[int]LevelRow{}}
 }
 
 // Add evaluates one log line.
@@ -186,7 +192,10 @@
 		return
 	}
 	switch line.Message {
+	case messageRefused:
+		t.setLevel(line)
 	case messagePlaced:
+		t.setLevel(line)
 		r := t.openRequest(line.Request)
 		r.willInterrupt, r.serverQueued, r.prefillWait = line.WillInterrupt, line.QueuePosition > 0, line.PrefillWait
 	case messageAttemptEnded:
@@ -229,6 +238,7 @@
 	arrived := line.Time.Add(-milliseconds(line.Duration))
 	key := counterKey{second: arrived.Unix(), kind: kind, cause: t.cause(kind, line, r)}
 	t.counts[key]++
+	t.countLevel(r.level, kind == KindRefused)
 	if kind == KindRefused && line.Fingerprint != "" {
 		t.refusals = append(t.refusals, refusal{line.Fingerprint, arrived, key})
 		t.refusals = t.refusals[max(len(t.refusals)-maxRefusals, 0):]
@@ -299,17 +309,21 @@
 // Totals holds the sums over entries. The zero value is empty.
 type Totals struct {
 	counts   map[counterKey]int
+	levels   map[int]LevelRow
 	refusals []refusal
 }
 
 // Add adds the requests of an entry.
 func (d *Totals) Add(t *Tally) {
 	if d.counts == nil {
-		d.counts = map[counterKey]int{}
+		d.counts, d.levels = map[counterKey]int{}, map[int]LevelRow{}
 	}
 	for key, n := range t.counts {
 		d.counts[key] += n
 	}
+	for level, row := range t.levels {
+		d.levels[level] = d.levels[level].add(level, row.Requests, row.Refused)
+	}
 	d.refusals = append(d.refusals, t.refusals...)
 }
 
