--- a/internal/transport/gateway/contention.go
+++ b/internal/transport/gateway/contention.go
@@ -89,6 +89,13 @@
 	}
 }
 
+// logClamped logs the priorities of routes that were limited to their range.
+func (g *Gateway) logClamped(clamped []ClampedPriority) {
+	for _, p := range clamped {
+		g.log.Warn("route priority out of range", zap.String("Route", p.Route), zap.String("Value", p.Value), zap.Int("Used", p.Used))
+	}
+}
+
 // levelDecision is the decision on a request of a service with urgency levels.
 type levelDecision struct {
 	request contention.Request
--- a/internal/transport/gateway/ports.go
+++ b/internal/transport/gateway/ports.go
@@ -191,7 +191,17 @@
 	// evacuation has ended.
 	Evacuated []string
 	Reopened  []string
-	Bad       []BadRow
+	// Clamped are the priorities of State that were out of range.
+	Clamped []ClampedPriority
+	Bad     []BadRow
+}
+
+// ClampedPriority is the priority of a route that was limited to its range.
+type ClampedPriority struct {
+	Route string
+	// Value is the number in the desired state, shortened, and Used the one in force.
+	Value string
+	Used  int
 }
 
 // Backends holds the list of backend servers, or the changes to it.
--- a/internal/transport/gateway/watch.go
+++ b/internal/transport/gateway/watch.go
@@ -270,6 +270,7 @@
 		g.fleet.SetState(desired.State, now)
 		g.state.Store(desired.State)
 		g.applyLevels(desired.State)
+		g.logClamped(desired.Clamped)
 		g.releaseWithheld(desired.State, now)
 		if old == nil {
 			close(g.stateKnown)
