--- a/internal/coordination/contention/contention.go
+++ b/internal/coordination/contention/contention.go
@@ -1,14 +1,16 @@
 // Package contention decides which requests of one service give way while its servers have less room
 // than callers ask for.
 //
-// Requests are ranked from 0 to 1: by urgency level first, within a level by whether the caller can
-// still be answered in time, then by whether its organisation is over its share. While requests find no
-// free slot, only those ranked below a cutoff are served. The cutoff falls while too many of the requests
-// below it find no free slot, and rises otherwise. Each entry computes it from its own counts and those
-// of the other entries of its region.
+// Levels are ranked from 0 to 1 by the part of the requests that is more urgent. Under pressure, a request
+// must leave slots of its server free, the more the higher the rank of its level, so that less urgent
+// requests give way before the slots are taken. Within a level, callers that can still be answered in time
+// go before others, then organisations within their share. The pressure rises while urgent requests find no
+// free slot, and falls otherwise. Each entry computes it from its own counts and those of the entries that
+// use the same servers.
 package contention
 
 import (
+	"math"
 	"math/rand/v2"
 	"time"
 
@@ -57,29 +59,31 @@
 	Admit bool
 	// RetryAfter is when the caller should return; 0 if the request is admitted.
 	RetryAfter time.Duration
-	// Rank is the rank of the request, and Cutoff the rank from which requests are refused.
-	Rank, Cutoff float64
-	Reason       Reason
+	// Reserve is the number of slots that the request had to leave free; its fraction is the probability
+	// of one slot more.
+	Reserve float64
+	Reason  Reason
 }
 
 // Demand counts the requests of each level that a process has decided on since it started.
 type Demand struct {
 	Admitted []uint64 `cbor:"1,keyasint,omitempty"`
 	Refused  []uint64 `cbor:"2,keyasint,omitempty"`
-	// NoRoom counts those of Refused that were ranked below the cutoff and found no free slot.
+	// NoRoom counts those of Refused for which no slot was free at all.
 	NoRoom []uint64 `cbor:"3,keyasint,omitempty"`
 }
 
 // Status describes a controller to operators.
 type Status struct {
-	// Contended is true while a cutoff is in force.
+	// Contended is true while there is pressure or a request recently found no free slot.
 	Contended bool
-	Cutoff    float64
-	// NoRoom is the fraction of the requests below the cutoff that recently found no free slot.
+	// Pressure is from 0 to 1.
+	Pressure float64
+	// NoRoom is the fraction of the urgent requests that recently found no free slot.
 	NoRoom float64
-	// Served is the fraction of the requests of each level that was admitted in the last seconds, and
-	// Passing the fraction of each level that is ranked below the cutoff.
-	Served, Passing []float64
+	// Reserves is the reserve of each level, and Served the fraction of its requests that was
+	// admitted in the last seconds.
+	Reserves, Served []float64
 	// Peers is the number of entries whose counts are used, and OldestPeer the age of the oldest.
 	Peers      int
 	OldestPeer time.Duration
@@ -98,11 +102,9 @@
 	// decay that is short enough to follow a burst of one level, and floor with a longer one.
 	recent       *window
 	asked, floor []counts
-	// cutoff is the rank from which requests are refused, from minCutoff to 1.
-	cutoff float64
-	// ampleRoom is the number of free slots with which a request is admitted whatever its rank.
-	ampleRoom int
-	// calledAt is the time of the last call, and updatedAt that of the last update of the cutoff.
+	// pressure is from 0 to 1, and maxReserve the reserve of a request of rank 1 at a pressure of 1.
+	pressure, maxReserve float64
+	// calledAt is the time of the last call, and updatedAt that of the last update of the pressure.
 	calledAt, updatedAt time.Duration
 }
 
@@ -110,29 +112,28 @@
 func New(levels, slots int, rng *rand.Rand) *Controller {
 	levels = max(levels, 1)
 	return &Controller{
-		rng:       rng,
-		demand:    newDemand(levels),
-		peers:     map[filbertlever.HostID]peer{},
-		recent:    newWindow(recentBuckets, levels),
-		asked:     make([]counts, levels),
-		floor:     make([]counts, levels),
-		cutoff:    1,
-		ampleRoom: max(slots/ampleRoomDivisor, 1),
+		rng:        rng,
+		demand:     newDemand(levels),
+		peers:      map[filbertlever.HostID]peer{},
+		recent:     newWindow(recentBuckets, levels),
+		asked:      make([]counts, levels),
+		floor:      make([]counts, levels),
+		maxReserve: maxReservedShare * float64(max(slots, 0)),
 	}
 }
 
-// advance updates the counts and the cutoff to the current time.
+// advance updates the counts and the pressure to the current time.
 func (c *Controller) advance(now time.Duration) {
 	if now-c.calledAt > maxCallGap {
 		c.recent.clear()
 		clear(c.asked)
 		clear(c.floor)
 		clear(c.peers)
-		c.cutoff, c.updatedAt = 1, now
+		c.pressure, c.updatedAt = 0, now
 	}
 	c.calledAt = max(c.calledAt, now)
 	for ; c.updatedAt+bucketLength <= now; c.updatedAt += bucketLength {
-		c.updateCutoff()
+		c.updatePressure()
 		c.recent.advance()
 		for level := range c.asked {
 			c.asked[level].scale(askedDecay)
@@ -167,22 +168,25 @@
 }
 
 func (c *Controller) decide(r Request, level int, room Room) Decision {
-	d := Decision{Cutoff: c.cutoff, Reason: ReasonAdmitted}
-	hasRoom := room.Admissible && room.Free >= 0
-	if c.cutoff < 1 && !(hasRoom && room.Free >= c.ampleRoom) {
-		var withinShare float64
-		withinShare, d.Rank = c.rank(r, level)
-		if d.Rank >= c.cutoff && !c.exempt(level) {
-			d.Reason = ReasonLessUrgent
-			if withinShare < c.cutoff {
-				d.Reason = ReasonOverShare
-			}
-			return d
-		}
-	}
-	if d.Admit = room.Admissible && room.Free >= c.reserve(level); !d.Admit {
+	d := Decision{Admit: room.Admissible, Reason: ReasonAdmitted}
+	if !room.Admissible {
 		d.Reason = ReasonNoRoom
 	}
+	if c.pressure == 0 || !room.Admissible {
+		return d
+	}
+	withinShare, reserve := c.reserve(r, level)
+	d.Reserve = reserve
+	free, u := float64(room.Free), c.rng.Float64()
+	switch {
+	case free >= math.Floor(d.Reserve+u) || c.exempt(level):
+		return d
+	case free >= math.Floor(withinShare+u):
+		d.Reason = ReasonOverShare
+	default:
+		d.Reason = ReasonLessUrgent
+	}
+	d.Admit = false
 	return d
 }
 
@@ -197,16 +201,16 @@
 	retryAfterJitter = 0.5
 )
 
-// retryAfter returns the retry delay of a request that was refused. The further its rank is from the
-// cutoff, the longer it takes until the cutoff has risen to it.
+// retryAfter returns the retry delay of a request that was refused. The larger its reserve, the longer it
+// takes until enough slots are free.
 func (c *Controller) retryAfter(r Request, d Decision) time.Duration {
 	longest := maxRetryAfter
 	if r.Goal > 0 {
 		longest = max(minRetryAfter, time.Duration(retryAfterGoalShare*float64(r.Goal)))
 	}
 	base := float64(minRetryAfter)
-	if d.Rank > d.Cutoff {
-		base += max(0, float64(longest)/(1+retryAfterJitter)-base) * (d.Rank - d.Cutoff)
+	if d.Reserve > 0 {
+		base += max(0, float64(longest)/(1+retryAfterJitter)-base) * d.Reserve / c.maxReserve
 	}
 	return min(longest, time.Duration(base*(1+retryAfterJitter*c.rng.Float64())))
 }
@@ -220,24 +224,22 @@
 // Demand returns this process's counts.
 func (c *Controller) Demand() Demand { return c.demand.clone() }
 
-// Contended reports whether a cutoff is in force.
+// Contended reports whether there is pressure or a request recently found no free slot.
 func (c *Controller) Contended(now time.Duration) bool {
 	c.advance(now)
-	return c.cutoff < 1
+	return c.contended()
 }
 
+func (c *Controller) contended() bool { return c.pressure > 0 || c.recent.total().noRoom > 0 }
+
 // Status describes the controller.
 func (c *Controller) Status(now time.Duration) Status {
 	c.advance(now)
-	s := Status{Contended: c.cutoff < 1, Cutoff: c.cutoff, NoRoom: c.noRoomShare()}
+	s := Status{Contended: c.contended(), Pressure: c.pressure, NoRoom: c.noRoomShare()}
 	for level := range c.floor {
-		from, width := c.ranks(level)
-		passing := 1.0
-		if c.cutoff < 1 {
-			passing = min(max((c.cutoff-from)/max(width, minWidth), 0), 1)
-		}
+		reserve, _ := c.reserve(Request{}, level)
+		s.Reserves = append(s.Reserves, reserve)
 		s.Served = append(s.Served, servedShare(c.floor[level]))
-		s.Passing = append(s.Passing, passing)
 	}
 	for _, p := range c.peers {
 		if age := now - p.heardAt; age <= peerTTL {
--- a/internal/coordination/contention/counts.go
+++ b/internal/coordination/contention/counts.go
@@ -14,8 +14,9 @@
 	// askedDecay and floorDecay are the decay in each bucket, with time constants of 2 s and 5 s.
 	askedDecay = 1 - 0.05/2
 	floorDecay = 1 - 0.05/5
-	// peerTTL is how long the counts of a peer are used.
-	peerTTL = time.Second
+	// peerTTL is how long the counts of a peer are used. Entries of other regions send theirs less often
+	// than once in half a second.
+	peerTTL = 2 * time.Second
 )
 
 // counts holds decisions. noRoom is part of refused.
--- /dev/null
+++ b/internal/coordination/contention/pressure.go
@@ -0,0 +1,119 @@
+package contention
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// noRoomTarget is the fraction of the urgent requests that may find no free slot. Callers need at
+	// least 95 of 100 urgent requests served at the first attempt.
+	noRoomTarget = 0.03
+	// The pressure rises from 0 to 1 within riseTime if the excess over the target is riseExcess, and
+	// falls from 1 to 0 within fallTime. It rises fast, since each moment without a free slot costs urgent
+	// callers, and falls over several times the duration of an answer.
+	riseTime   = 300 * time.Millisecond
+	riseExcess = 0.1
+	fallTime   = 4 * time.Second
+	// maxReservedShare is the part of a server's slots that a request of rank 1 leaves free at a pressure
+	// of 1.
+	maxReservedShare = 0.25
+	// urgentRank: levels that begin below this rank are urgent.
+	urgentRank = 0.5
+	// minAsked is the number of recent urgent requests without which the pressure does not rise.
+	minAsked = 8
+)
+
+// noRoomShare returns the fraction of the recent urgent requests that found no free slot, less one standard
+// error, so that chance refusals of few requests raise no pressure.
+func (c *Controller) noRoomShare() float64 {
+	var n counts
+	for level, recent := range c.recent.sums {
+		if from, _ := c.ranks(level); level == 0 || from < urgentRank {
+			n.add(recent, 1)
+		}
+	}
+	asked := n.admitted + n.refused
+	if asked < minAsked {
+		return 0
+	}
+	return max(n.noRoom-math.Sqrt(n.noRoom), 0) / asked
+}
+
+// updatePressure moves the pressure by one step of bucketLength.
+func (c *Controller) updatePressure() {
+	if excess := c.noRoomShare() - noRoomTarget; excess > 0 {
+		c.pressure += min(excess/riseExcess, 1) * float64(bucketLength) / float64(riseTime)
+	} else {
+		c.pressure -= float64(bucketLength) / float64(fallTime)
+	}
+	c.pressure = min(max(c.pressure, 0), 1)
+}
+
+// ranks returns the rank at which a level begins and the part of the ranks that it has, which is its part
+// of the recent requests.
+func (c *Controller) ranks(level int) (from, width float64) {
+	total := 0.0
+	for i, n := range c.asked {
+		asked := n.admitted + n.refused
+		total += asked
+		switch {
+		case i < level:
+			from += asked
+		case i == level:
+			width = asked
+		}
+	}
+	if total == 0 {
+		return 0, 1
+	}
+	return from / total, width / total
+}
+
+// adjustment is by how many slots the reserve of a returning or over-share request differs at most from that
+// of its level, at a pressure of 1.
+const adjustment = 0.5
+
+// fullyUnserved is the unserved fraction of a level from which on its organisations are held to their shares
+// with the whole adjustment. A level that is served need not be divided.
+const fullyUnserved = 0.2
+
+// reserve returns the reserve of a request, without and with the addition for an organisation over its
+// share. A level has the rank at which it begins, so that the requests of one level do not give way to each
+// other. A late request has the reserve of the next level; no addition exceeds it.
+func (c *Controller) reserve(r Request, level int) (withinShare, reserve float64) {
+	from, width := c.ranks(level)
+	unit := c.pressure * c.maxReserve
+	reserve, next := unit*from, unit*(from+width)
+	switch {
+	case r.Late:
+		reserve = next
+	case r.Returning:
+		reserve = max(reserve-adjustment*c.pressure, 0)
+	}
+	if !(r.OverShare > 0) {
+		return reserve, reserve
+	}
+	unserved := min((1-servedShare(c.floor[level]))/fullyUnserved, 1)
+	return reserve, max(reserve, min(reserve+adjustment*c.pressure*unserved*min(r.OverShare, 1), next))
+}
+
+// A request needs no reserve while its level is served much less often than all levels together.
+const (
+	// floorShare is the bound, as a part of how often all levels together are served. Callers are
+	// promised a quarter.
+	floorShare = 1.0 / 3
+	// All requests of a level are exempt below fullExemption times the bound, and none above noExemption
+	// times the bound. In a narrower range the level is admitted in bursts, which refuse more urgent
+	// requests.
+	fullExemption = 0.6
+	noExemption   = 1.1
+)
+
+// exempt reports whether a request needs no reserve because its level would starve.
+func (c *Controller) exempt(level int) bool {
+	bound := floorShare * servedShare(c.floor...)
+	excess := servedShare(c.floor[level]) - fullExemption*bound
+	band := (noExemption - fullExemption) * bound
+	return excess <= 0 || excess < band && excess < band*c.rng.Float64()
+}
--- a/internal/coordination/fleet/choose.go
+++ b/internal/coordination/fleet/choose.go
@@ -108,7 +108,7 @@
 		age = now - s.reportedAt
 	}
 	placement := Placement{Backend: s.backend, Found: true, RateCounted: counted, PredictedLatency: choice.Predicted, QueuePosition: choice.QueuePosition, Reason: choice.Reason, Candidates: choice.CandidateCount, ReportAge: age, WillInterrupt: choice.WillInterrupt, PrefillWait: choice.PrefillWait}
-	if f.config.Regions[s.backend.Site] != f.config.Region {
+	if f.config.Regions[s.backend.Site] != f.config.Region && !f.unservedRegions[request.Service][f.config.Region] {
 		placement.QueuePosition += f.config.OtherRegionMargin
 	}
 	if s.hasReport {
--- a/internal/coordination/fleet/fleet.go
+++ b/internal/coordination/fleet/fleet.go
@@ -174,6 +174,8 @@
 	entries []filbertlever.Host
 	// evacuated are the sites whose servers must get no requests.
 	evacuated map[string]bool
+	// unservedRegions are, by service, the regions without a usable server as of the last RefreshRegions.
+	unservedRegions map[string]map[string]bool
 	// namedVersions are the versions of each model that operators have named.
 	namedVersions map[string][]uint64
 	// modelMisses counts, by service, consecutive requests at servers that lacked the model they
@@ -233,6 +235,7 @@
 		rateLimits:      map[string]*announcement{},
 		rateSenders:     map[string]*server{},
 		evacuated:       map[string]bool{},
+		unservedRegions: map[string]map[string]bool{},
 		namedVersions:   map[string][]uint64{},
 		modelMisses:     map[string]int{},
 		recheck:         map[string]bool{},
--- /dev/null
+++ b/internal/transport/gateway/contention_test.go
@@ -0,0 +1,291 @@
+package gateway
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
+
+	"github.com/filbertlever/filbertlever"
+	"github.com/filbertlever/filbertlever/internal/coordination/admission"
+	"github.com/filbertlever/filbertlever/internal/coordination/catalog"
+	"github.com/filbertlever/filbertlever/internal/coordination/contention"
+	"github.com/filbertlever/filbertlever/internal/coordination/fleet"
+	"github.com/filbertlever/filbertlever/internal/coordination/retry"
+	"github.com/filbertlever/filbertlever/internal/coordination/shares"
+	"github.com/filbertlever/filbertlever/internal/transport/boottime"
+)
+
+// fakeController is contended, and requires a reserve of requests less urgent than level 0.
+type fakeController struct {
+	*contention.Controller
+	reserve float64
+	rooms   []contention.Room
+	peers   map[filbertlever.HostID]contention.Demand
+}
+
+func (f *fakeController) Decide(r contention.Request, room contention.Room, _ time.Duration) contention.Decision {
+	f.rooms = append(f.rooms, room)
+	if room.Admissible && (r.Level == 0 || float64(room.Free) >= f.reserve) {
+		return contention.Decision{Admit: true, Reason: contention.ReasonAdmitted}
+	}
+	return contention.Decision{RetryAfter: 90 * time.Millisecond, Reserve: f.reserve, Reason: contention.ReasonLessUrgent}
+}
+func (f *fakeController) Demand() contention.Demand {
+	return contention.Demand{Admitted: []uint64{90_000, 80_000, 70_000}, Refused: []uint64{900, 8_000, 20_000}}
+}
+func (f *fakeController) ApplyPeer(host filbertlever.HostID, d contention.Demand, _ time.Duration) {
+	f.peers[host] = d
+}
+func (f *fakeController) RemovePeer(host filbertlever.HostID) { delete(f.peers, host) }
+func (f *fakeController) Contended(time.Duration) bool        { return true }
+func (f *fakeController) Status(time.Duration) contention.Status {
+	return contention.Status{Reserves: []float64{0, f.reserve / 2, f.reserve}}
+}
+
+// fakeShares has any number of usages, and each organisation exceeds its share.
+type fakeShares struct {
+	*shares.Table
+	recorded []time.Duration
+	peers    map[filbertlever.HostID][]shares.Usage
+}
+
+func (f *fakeShares) Record(_ filbertlever.OrganisationID, work time.Duration, _ bool, _ time.Duration) {
+	f.recorded = append(f.recorded, work)
+}
+func (f *fakeShares) Top(n int, _ time.Duration) []shares.Usage {
+	return slices.Repeat([]shares.Usage{{Organisation: "organisation-1", Asked: 20_000.4, Served: 12_000.7}}, n)
+}
+func (f *fakeShares) ApplyPeer(host filbertlever.HostID, usages []shares.Usage, _ time.Duration) {
+	f.peers[host] = usages
+}
+func (f *fakeShares) RemovePeer(host filbertlever.HostID)                       { delete(f.peers, host) }
+func (f *fakeShares) Excess(filbertlever.OrganisationID, time.Duration) float64 { return 0.5 }
+
+// recordingSender answers each request, and records it by its ID.
+type recordingSender map[string]*Dispatch
+
+func (s recordingSender) Send(_ context.Context, d *Dispatch) (*Reply, error) {
+	s[d.Call.ID] = d
+	return &Reply{Status: http.StatusOK, Body: strings.NewReader("answer"), Verified: true, Finish: func(bool) {}}, nil
+}
+func (recordingSender) ConnectionRefused(catalog.Backend) bool { return false }
+
+// pathCodec takes the ID of a request from its query.
+type pathCodec struct{}
+
+func (pathCodec) Parse(r *http.Request) (*Call, error) {
+	return &Call{ID: r.URL.RawQuery, Host: r.Host, Path: r.URL.Path, Model: switchoverModel, PromptTokens: 100, AnswerTokens: 50}, nil
+}
+
+// levelledState returns a state whose routes to one service have some priorities, and their number as
+// prefix.
+func levelledState(version uint64, slots int, priorities ...int) *catalog.State {
+	var routes []catalog.Route
+	for i, priority := range priorities {
+		routes = append(routes, catalog.Route{Host: "h", Prefix: fmt.Sprintf("/%d", i), Priority: priority, Timeout: 6 * time.Second,
+			FirstByteGoal: 400 * time.Millisecond, MaxAttempts: 1, Shares: []catalog.Share{{Service: switchoverService}}})
+	}
+	engine := newTypicalEngine()
+	engine.Slots = slots
+	return catalog.New(version, routes, []catalog.Service{{Name: switchoverService, Engine: engine}}, nil, catalog.Limits{})
+}
+
+// levelledEntry is an entry of region ra with one server of 12 slots. It knows the entries near and far,
+// the latter of another region. Its loops do not run.
+type levelledEntry struct {
+	*Gateway
+	controller *fakeController
+	shares     *fakeShares
+	sender     recordingSender
+	logs       *observer.ObservedLogs
+}
+
+func newLevelledEntry(t *testing.T, priorities ...int) *levelledEntry {
+	core, logs := observer.New(zap.InfoLevel)
+	e := &levelledEntry{Gateway: newEntryWithServer(t, 1), sender: recordingSender{}, logs: logs, shares: &fakeShares{peers: map[filbertlever.HostID][]shares.Usage{}},
+		controller: &fakeController{peers: map[filbertlever.HostID]contention.Demand{}}}
+	now, state := boottime.Now(), levelledState(1, 12, priorities...)
+	e.log, e.codec, e.feeds, e.peers = zap.New(core), pathCodec{}, newFeeds(), newPeers(Entry{Host: "self", Region: "ra"}, now)
+	e.Gateway.sender, e.levelled, e.retryBudgets, e.waitQueue, e.outages = e.sender, map[string]*levelledService{}, map[string]*retry.Window{}, newWaitQueue(), map[string]*admission.Outage{}
+	e.peers.observeHeartbeat(Entry{Host: "near", Region: "ra"}, true, false, now)
+	e.peers.observeHeartbeat(Entry{Host: "far", Region: "rb"}, true, false, now)
+	e.state.Store(state)
+	e.applyLevels(state)
+	if s := e.levelled[switchoverService]; s != nil {
+		s.controller, s.shares = e.controller, e.shares
+	}
+	return e
+}
+
+// occupy takes slots of the server.
+func (e *levelledEntry) occupy(slots int) {
+	for range slots {
+		e.fleet.Choose(fleet.Request{Service: switchoverService, Model: switchoverModel}, boottime.Now())
+	}
+}
+
+// expect sends a request and checks its status, and that it was sent to the server only if answered.
+func (e *levelledEntry) expect(c *qt.C, id, path string, status int) *httptest.ResponseRecorder {
+	response := httptest.NewRecorder()
+	e.ServeHTTP(response, httptest.NewRequest(http.MethodGet, "http://h"+path+"?"+id, nil))
+	c.Assert(response.Code, qt.Equals, status, qt.Commentf("%s: %s", id, response.Body))
+	c.Assert(e.sender[id] != nil, qt.Equals, status == http.StatusOK)
+	return response
+}
+
+// While a service is contended, a less urgent request takes the slot that an urgent one needs, or one
+// that was refused is sent after all or keeps its slot.
+func TestUrgentRequestIsServedUnderContention(t *testing.T) {
+	c := qt.New(t)
+	e := newLevelledEntry(t, 0, 1, 2)
+	e.controller.reserve = 2
+	e.expect(c, "first", "/2", http.StatusOK)
+	e.occupy(10)
+	for i := range 3 {
+		response := e.expect(c, fmt.Sprint("refused-", i), "/2", http.StatusServiceUnavailable)
+		c.Assert(response.Header().Get("Retry-After"), qt.Equals, "0.090")
+	}
+	e.expect(c, "urgent", "/0", http.StatusOK)
+	e.occupy(2)
+	e.expect(c, "full", "/0", http.StatusServiceUnavailable)
+	c.Assert(e.controller.rooms, qt.DeepEquals, []contention.Room{{Free: 11, Admissible: true}, {Free: 1, Admissible: true}, {Free: 1, Admissible: true}, {Free: 1, Admissible: true}, {Free: 1, Admissible: true}, {Free: -1}})
+	c.Assert(e.shares.recorded, qt.HasLen, len(e.controller.rooms))
+	c.Assert([]int{e.sender["first"].Priority, e.sender["urgent"].Priority}, qt.DeepEquals, []int{2, 0})
+	line := e.logs.FilterMessage("refused").All()[0].ContextMap()
+	c.Assert(fmt.Sprint(line["UrgencyLevel"], line["Reserve"], line["Returning"], line["Late"], line["OverShare"], line["Decision"]), qt.Equals, "2 2 false false 0.5LessUrgent")
+}
+
+// Routes that do not differ in priority get other answers than before.
+func TestEqualPrioritiesAreNotDecidedByLevel(t *testing.T) {
+	c := qt.New(t)
+	e := newLevelledEntry(t, 1, 1, 1)
+	e.occupy(10)
+	e.expect(c, "first", "/2", http.StatusOK)
+	e.occupy(2)
+	c.Assert(e.expect(c, "full", "/0", http.StatusServiceUnavailable).Body.String(), qt.Equals, reasonBusy+"\n")
+	c.Assert(e.levelled, qt.HasLen, 0)
+	c.Assert(e.sender["first"].Priority, qt.Equals, 1)
+	for _, line := range e.logs.All() {
+		c.Assert(line.ContextMap()["UrgencyLevel"], qt.IsNil)
+	}
+}
+
+// Demand of another region, or of an entry with another desired state, changes decisions here; or the
+// demand of an entry that fell silent or left counts for ever, or this entry stops deciding without it.
+func TestDemandOfPeers(t *testing.T) {
+	c := qt.New(t)
+	e, now := newLevelledEntry(t, 0, 1, 2), boottime.Now()
+	sequence := int64(0)
+	apply := func(host filbertlever.HostID, service string, levels int) int {
+		sequence++
+		e.applyCounts(&Counts{From: host, Sequence: sequence, Demand: []ServiceDemand{{Service: service, Admitted: make([]uint64, levels), Refused: make([]uint64, levels),
+			Organisations: []filbertlever.OrganisationID{"o"}, Asked: []uint32{7}, Served: []uint32{5}}}}, now)
+		return len(e.controller.peers) + len(e.shares.peers)
+	}
+	c.Assert(apply("far", switchoverService, 3)+apply("unknown", switchoverService, 3)+apply("near", switchoverService, 2)+apply("near", "other", 3), qt.Equals, 0)
+	c.Assert(apply("near", switchoverService, 3), qt.Equals, 2)
+	c.Assert(e.shares.peers["near"], qt.DeepEquals, []shares.Usage{{Organisation: "o", Asked: 7, Served: 5}})
+	e.sendHeartbeat(now+heartbeatTimeout, nil)
+	c.Assert(len(e.controller.peers)+len(e.shares.peers), qt.Equals, 0)
+	e.expect(c, "alone", "/2", http.StatusOK)
+	e.controller.reserve = 13
+	e.expect(c, "refused-alone", "/2", http.StatusServiceUnavailable)
+	c.Assert(apply("near", switchoverService, 3), qt.Equals, 2)
+	e.peers.applyRows(nil, nil, true, now)
+	e.removeAbsentDemand()
+	c.Assert(len(e.controller.peers)+len(e.shares.peers), qt.Equals, 0)
+}
+
+// A caller that comes back as told has no better chance than a new one, a late one takes the place of
+// one in time, or a caller that states an impossible time counts as returning.
+func TestReturningAndLateCallers(t *testing.T) {
+	c := qt.New(t)
+	e := newLevelledEntry(t, 0, 1, 2)
+	type expected struct{ returning, late bool }
+	for test, want := range map[struct {
+		statedMs, goalMs int
+		states           bool
+	}]expected{
+		{6000, 400, true}: {}, {5990, 400, true}: {}, {9000, 400, true}: {}, {0, 400, false}: {},
+		{5900, 400, true}: {returning: true}, {1000, 0, true}: {returning: true}, {5500, 400, true}: {late: true},
+	} {
+		goal, stated := time.Duration(test.goalMs)*time.Millisecond, time.Duration(test.statedMs)*time.Millisecond
+		x := &exchange{gateway: e.Gateway, route: &catalog.Route{Timeout: 6 * time.Second, FirstByteGoal: goal}, service: switchoverService, call: &Call{HasTimeout: test.states, Timeout: stated},
+			arrived: time.Now(), request: httptest.NewRequest(http.MethodGet, "/", nil), priority: 1, levels: 3}
+		x.setDeadline()
+		a := &attempts{exchange: x}
+		got := a.decideLevel(fleet.Placement{}, true, true, time.Second).request
+		c.Check(got, qt.Equals, contention.Request{Level: 1, Returning: want.returning, Late: want.late, OverShare: 0.5, Goal: goal}, qt.Commentf("%+v", test))
+		c.Check(a.decideLevel(fleet.Placement{}, false, true, time.Second), qt.IsNil)
+		a.stream = &eventStream{}
+		c.Check(a.decideLevel(fleet.Placement{}, true, true, time.Second), qt.IsNil)
+		x.cancel()
+	}
+}
+
+// A change that does not concern a service resets its counts and reserves in the middle of an
+// overload, or a changed one keeps a controller with the wrong number of levels.
+func TestControllersFollowDesiredState(t *testing.T) {
+	c := qt.New(t)
+	e := newLevelledEntry(t, 0, 1, 2)
+	for i, state := range []*catalog.State{levelledState(2, 12, 0, 1, 2), levelledState(3, 16, 0, 1, 2), levelledState(4, 16, 0, 1)} {
+		before := e.levelled[switchoverService].controller
+		e.applyLevels(state)
+		c.Assert(e.levelled[switchoverService].controller == before, qt.Equals, i == 0)
+		c.Assert(e.levelled[switchoverService].shares, qt.Equals, shareTable(e.shares))
+	}
+	e.applyLevels(levelledState(5, 16, 1, 1))
+	c.Assert(e.levelled, qt.HasLen, 0)
+}
+
+// The demand of 14 other entries of a region, with 3 levels and 8 organisations, takes more than 4 KB/s
+// of the control traffic of an entry, or is too old by the time it arrives.
+func TestDemandSize(t *testing.T) {
+	c := qt.New(t)
+	e := newLevelledEntry(t, 0, 1, 2)
+	const peers, seconds = 14, 10
+	counts, size, messages := typicalCounts(15), 0, 0
+	for now := time.Minute; now < time.Minute+seconds*time.Second; now += countsInterval {
+		counts.Demand = e.dueDemand(peers, now)
+		messages += len(counts.Demand)
+		with, err := EncodeDatagram(Datagram{Counts: &counts})
+		c.Assert(err, qt.IsNil)
+		_, err = DecodeDatagram(with)
+		c.Assert(err, qt.IsNil)
+		counts.Demand = nil
+		without, _ := EncodeDatagram(Datagram{Counts: &counts})
+		size += peers * (len(with) - len(without))
+	}
+	t.Logf("%d bytes/s, %d messages in %d s", size/seconds, messages, seconds)
+	c.Assert(size/seconds < 4000 && messages > 2*seconds, qt.IsTrue)
+}
+
+// An operator cannot tell when a reserve took effect, or the log fills with changes of a fraction of
+// a slot.
+func TestReserveChangesAreLogged(t *testing.T) {
+	c := qt.New(t)
+	e, now := newLevelledEntry(t, 0, 1, 2), time.Minute
+	s := e.levelled[switchoverService]
+	s.refusals.add(0, 9, 1, now)
+	s.peers["near"] = peerDemand{at: now - 300*time.Millisecond}
+	for _, reserve := range []float64{0, 0.9, 2.2, 2.9, 0.4} {
+		e.controller.reserve = reserve
+		e.reportReserves(now)
+	}
+	lines := e.logs.FilterMessage("urgency reserve changed").All()
+	c.Assert(lines, qt.HasLen, 3)
+	for i, want := range []string{"1 0 1.1 0.1 1 300ms", "2 0 2.2 0.1 1 300ms", "2 2.2 0.4 0.1 1 300ms"} {
+		m := lines[i].ContextMap()
+		c.Check(fmt.Sprint(m["UrgencyLevel"], m["Before"], m["Reserve"], m["RefusedMoreUrgent"], m["Peers"], m["OldestPeer"]), qt.Equals, want)
+	}
+	c.Assert(s.refusals.moreUrgent(1, now+refusalPeriod), qt.Equals, 0.0)
+}
--- a/internal/transport/gateway/counts.go
+++ b/internal/transport/gateway/counts.go
@@ -60,13 +60,15 @@
 		g.sendRateReports(now)
 		if now-localAt >= countsInterval*time.Duration(local/peersPerInterval) {
 			regional, hasSpeeds := g.withSpeeds(counts, local, now)
-			if hasSpeeds || !countsEqual(&lastLocal, &counts) {
+			demand := g.dueDemand(local, now)
+			if hasSpeeds || len(demand) > 0 || !countsEqual(&lastLocal, &counts) {
 				lastLocal, localAt = counts, now
-				g.sendCounts(&regional, scopeRegion)
+				g.sendRegionCounts(regional, demand)
 			}
 		}
 		if now-remoteAt >= remoteIntervalPerPeer*time.Duration(remote) && !countsEqual(&lastRemote, &counts) {
 			lastRemote, remoteAt = counts, now
+			counts.Demand = g.sharedDemand(now)
 			g.sendCounts(&counts, scopeRemote)
 		}
 	}
--- a/internal/transport/gateway/datagrams.go
+++ b/internal/transport/gateway/datagrams.go
@@ -96,6 +96,7 @@
 		g.fleet.SetPeerCounts(counts.From, counts.Requests, now)
 		g.fleet.MarkSilent(counts.Silent, now)
 		g.applySpeeds(counts, now)
+		g.applyDemand(counts.From, counts.Demand, now)
 	}
 }
 
@@ -178,6 +179,7 @@
 	g.mu.Lock()
 	for _, host := range g.peers.timedOut(now) {
 		g.fleet.SetPeerCounts(host, nil, now)
+		g.removeDemand(host)
 	}
 	heartbeat := g.ownHeartbeat(now)
 	g.metrics.quarantined.Set(float64(g.crashes.HeldCount(now)))
--- a/internal/transport/gateway/decode.go
+++ b/internal/transport/gateway/decode.go
@@ -123,7 +123,7 @@
 			return fmt.Errorf("requests: %d at %.200q: %w", n, id, errRequests)
 		}
 	}
-	return checkSpeeds(c.Speeds)
+	return errors.Join(checkSpeeds(c.Speeds), checkDemand(c.Demand))
 }
 
 // checkRateReports validates reports about rate limits.
--- a/internal/transport/gateway/fuzz_test.go
+++ b/internal/transport/gateway/fuzz_test.go
@@ -30,6 +30,9 @@
 			if checkSpeeds(d.Counts.Speeds) != nil {
 				t.Fatalf("speeds out of range: %+v", d.Counts.Speeds)
 			}
+			for i := range d.Counts.Demand {
+				d.Counts.Demand[i].usages() // fails if the lists differ in length
+			}
 		}
 	})
 }
--- a/internal/transport/gateway/messages.go
+++ b/internal/transport/gateway/messages.go
@@ -72,6 +72,9 @@
 	// Speeds are what the entry observed of the speed of servers. They are sent to the entry's region
 	// only.
 	Speeds map[string]speed.Observation `cbor:"6,keyasint,omitempty"`
+	// Demand is the demand at the entry for contended services with urgency levels. It is sent to
+	// the entries of the region only.
+	Demand []ServiceDemand `cbor:"7,keyasint,omitempty"`
 }
 
 // NamedAge is a version that operators have named, and how long ago.
--- a/internal/transport/gateway/metrics.go
+++ b/internal/transport/gateway/metrics.go
@@ -24,6 +24,9 @@
 	badRows              *prometheus.CounterVec
 	slowServers          prometheus.Gauge
 	placedSlowdown       *prometheus.HistogramVec
+	pressure             *prometheus.GaugeVec
+	levelReserve         *prometheus.GaugeVec
+	levelDecisions       *prometheus.CounterVec
 }
 
 func newMetrics(registry prometheus.Registerer) *metrics {
@@ -91,8 +94,20 @@
 			Help:    "Factor by which the server of a placed request was considered slower than its engine's description, by service.",
 			Buckets: []float64{1, 1.25, 1.5, 2, 2.5, 3, 4, 6, 8, 16},
 		}, []string{"Service"}),
+		pressure: prometheus.NewGaugeVec(prometheus.GaugeOpts{
+			Name: "filbertlever_gateway_service_pressure",
+			Help: "Pressure on a service with urgency levels, from 0 to 1: how far less urgent requests give way.",
+		}, []string{"Service"}),
+		levelReserve: prometheus.NewGaugeVec(prometheus.GaugeOpts{
+			Name: "filbertlever_gateway_urgency_reserve",
+			Help: "Slots of the chosen server that requests of an urgency level must leave free, by service and level.",
+		}, []string{"Service", "Level"}),
+		levelDecisions: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "filbertlever_gateway_urgency_decisions_total",
+			Help: "Decisions on requests of services with urgency levels, by service, level and reason.",
+		}, []string{"Service", "Level", "Reason"}),
 	}
-	registry.MustRegister(m.slowServers, m.placedSlowdown)
+	registry.MustRegister(m.slowServers, m.placedSlowdown, m.pressure, m.levelReserve, m.levelDecisions)
 	registry.MustRegister(m.outcomes, m.retries, m.firstByte, m.startPredictionError, m.cancelledAttempts, m.serverCrashes, m.quarantined, m.announcements, m.rateLimited, m.storeRestored, m.placedMissing, m.badDatagrams, m.badRows)
 	return m
 }
