The simulation of uneven servers has the load that it names

Cause: drawn lengths had means of 971 and 133 tokens, while the load was computed with 900 and 119, so 0.85 was over the capacity. Change: medians that give those means; refused requests are lost; a case with overload. The free memory of a host is tested through the fleet only.

--- a/internal/coordination/routing/slowdown_test.go
+++ b/internal/coordination/routing/slowdown_test.go
@@ -183,25 +183,6 @@
 	}
 }
 
-// A prompt goes to a server that has no memory left for it. Free memory that expired must not matter.
-func TestHostWithoutMemoryIsAvoided(t *testing.T) {
-	c := qt.New(t)
-	r := newTestRouter("", 2, rand.New(rand.NewPCG(1, 1)))
-	r.SetOtherRequests("m1", 6, testSlots, 0)
-	request := &Request{Target: "m", PromptTokens: 900, AnswerTokens: 100, Now: time.Second}
-	for _, test := range []struct {
-		free  int
-		until time.Duration
-		want  string
-	}{{1000, time.Minute, "m0"}, {999, time.Minute, "m1"}, {0, time.Minute, "m1"}, {0, time.Second, "m0"}, {-1, time.Minute, "m0"}} {
-		r.SetFreeMemoryUntil("m0", test.free, test.until)
-		choice := r.Choose(request)
-		c.Check(string(choice.Host), qt.Equals, test.want, qt.Commentf("%+v", test))
-		r.Release(choice.Host)
-		request.Now += 100 * time.Millisecond
-	}
-}
-
 func BenchmarkChooseUneven(b *testing.B) {
 	r := newTestRouter("", 2700, rand.New(rand.NewPCG(1, 1)))
 	for i := range 2700 {
--- a/internal/coordination/routing/uneven_test.go
+++ b/internal/coordination/routing/uneven_test.go
@@ -49,7 +49,6 @@
 // job is a request of the simulation.
 type job struct {
 	entry, prompt, tokens           int
-	retried                         bool
 	prefill, decode, arrived, first time.Duration
 }
 
@@ -57,7 +56,7 @@
 
 // simulation is a load on servers that prefill one prompt at a time and decode no answers meanwhile. Four
 // entries exchange their counts each 100 ms and learn slowdowns each 200 ms. The lengths of prompts and
-// answers are log-normal with sigma 1.5 and known. A refused request is tried once more.
+// answers are log-normal with sigma 1.5 and known. A refused request is lost.
 type simulation struct {
 	// added servers become usable after 5 s.
 	servers, added int
@@ -69,7 +68,7 @@
 
 // run returns the share of requests with the first token within the goal and the end within the deadline.
 func (s simulation) run(policy Policy, seed uint64) float64 {
-	const tick, duration, retryDelay = 5 * time.Millisecond, 12 * time.Second, 50 * time.Millisecond
+	const tick, duration = 5 * time.Millisecond, 12 * time.Second
 	random, all := rand.New(rand.NewPCG(seed, 9)), s.servers+s.added
 	routers, queues, tokens := make([]*Router, 4), make([][]*job, all), make([]int, all)
 	pickFuncs[policyLeastTokens] = func(r *Router, hosts []int32) int32 {
@@ -78,7 +77,6 @@
 	for e := range routers {
 		routers[e] = newTestRouter(policy, all, rand.New(rand.NewPCG(seed, uint64(e))))
 	}
-	retries := map[time.Duration][]*job{}
 	total, inTime, due := 0, 0, 0.0
 	for now := tick; now < duration+testDeadline; now += tick {
 		for _, r := range routers {
@@ -90,7 +88,6 @@
 				}
 			}
 		}
-		arrivals := retries[now]
 		if now < duration {
 			due += s.load * float64(s.servers*testSlots) * tick.Seconds() / fullBatch.Seconds()
 		}
@@ -99,21 +96,14 @@
 			length := func(median, limit float64) int {
 				return 1 + int(min(median*math.Exp(1.5*random.NormFloat64()), limit))
 			}
-			j := &job{entry: random.IntN(len(routers)), prompt: length(480, 4*meanPrompt), tokens: length(60, 600), arrived: now}
+			j := &job{entry: random.IntN(len(routers)), prompt: length(428, 4*meanPrompt), tokens: length(51, 600), arrived: now}
 			j.prefill, j.decode = time.Duration(j.prompt)*promptToken, time.Duration(j.tokens)*testStep
-			arrivals = append(arrivals, j)
-		}
-		for _, j := range arrivals {
 			r := routers[j.entry]
 			choice := r.Choose(&Request{Target: "m", PromptTokens: j.prompt, AnswerTokens: j.tokens, AnswerDuration: fullBatch * time.Duration(j.tokens) / meanAnswer,
 				Remaining: j.arrived + testDeadline - now, Goal: testGoal, MaxEventGap: 300 * time.Millisecond, Now: now})
 			i := r.index[choice.Host]
 			if choice.QueuePosition > 0 || choice.PrefillWait > r.config.MaxPrefillWait {
 				r.Release(choice.Host)
-				if !j.retried {
-					j.retried = true
-					retries[now+retryDelay] = append(retries[now+retryDelay], j)
-				}
 				continue
 			}
 			queues[i], tokens[i] = append(queues[i], j), tokens[i]+j.prompt+j.tokens
@@ -175,15 +165,15 @@
 	}
 	tests := []struct {
 		name string
-		// tolerance is by how much the share may be below that of an alternative. Near capacity it is a
-		// hundredth: placement by end fills slow servers last, so prompts wait longer at the others. The
-		// other ones cover the spread between seeds.
+		// tolerance is by how much the share may be below that of an alternative. It covers the spread
+		// between seeds where no placement can gain much.
 		tolerance float64
 		simulation
 	}{
 		{"15 in 100 servers slow all day, half load", 0, simulation{servers: 40, load: 0.5, slowdown: allDay, reported: allDay}},
 		{"15 in 100 servers slow all day", 0, simulation{servers: 40, load: 0.7, slowdown: allDay, reported: allDay}},
-		{"15 in 100 servers slow all day, near capacity", 0.01, simulation{servers: 40, load: 0.85, slowdown: allDay, reported: allDay}},
+		{"15 in 100 servers slow all day, near capacity", 0.005, simulation{servers: 40, load: 0.85, slowdown: allDay, reported: allDay}},
+		{"15 in 100 servers slow all day, overload", 0.005, simulation{servers: 40, load: 1.1, slowdown: allDay, reported: allDay}},
 		{"periods of 0.6 s, reported 0.2 s later", 0.005, simulation{servers: 40, load: 0.7, slowdown: periods,
 			reported: func(i int, now time.Duration) float64 { return periods(i, now-200*time.Millisecond) }}},
 		{"a slow server reports 1 and a fast one 16", 0.005, simulation{servers: 40, load: 0.7, slowdown: allDay, reported: func(i int, now time.Duration) float64 {
