--- a/internal/coordination/speed/speed.go
+++ b/internal/coordination/speed/speed.go
@@ -315,7 +315,7 @@
 
 // Invalidate discards what this entry and its peers observed before now, for use after the process
 // was suspended. Events that arrived meanwhile are read at once, after one long gap.
-func (e *Estimator) Invalidate(now time.Duration) { e.validFrom = now + resumeMargin }
+func (e *Estimator) Invalidate(now time.Duration) { e.validFrom = max(e.validFrom, now+resumeMargin) }
 
 // update determines which information about a server applies.
 //
