--- a/internal/coordination/fleet/fleet.go
+++ b/internal/coordination/fleet/fleet.go
@@ -252,10 +252,10 @@
 func (f *Fleet) SetState(state *catalog.State, now time.Duration) {
 	old := f.state
 	f.state = state
-	clear(f.gapFactors)
 	for name := range f.routers {
 		if old != nil && !sameEngine(old.Services[name].Engine, state.Services[name].Engine) {
 			delete(f.routers, name)
+			delete(f.gapFactors, name)
 		}
 	}
 	f.updateCold(now)
