A decision by urgency level allocates nothing

The decision was returned by pointer.

go test -race ./internal/transport/gateway -run 'Urgent|EqualPri|Returning|Demand|Controllers|Reserve|Datagram' passes.

--- a/internal/transport/gateway/contention.go
+++ b/internal/transport/gateway/contention.go
@@ -96,19 +96,21 @@
 	}
 }
 
-// levelDecision is the decision on a request of a service with urgency levels.
+// levelDecision is the decision on a request of a service with urgency levels. The zero value means that
+// levels are not used for a request.
 type levelDecision struct {
+	used    bool
 	request contention.Request
 	contention.Decision
 }
 
 // decideLevel decides on a request whose server has been found, before it is sent for the first time.
-// It returns nil if urgency levels are not used for the request: its service has none, it is sent to
-// another server after the first one, or its stream has started. The caller holds g.mu.
-func (a *attempts) decideLevel(placement fleet.Placement, first, admissible bool, now time.Duration) *levelDecision {
+// Levels are not used if the service has none, for further servers of a request, and for a stream that
+// has started. The caller holds g.mu.
+func (a *attempts) decideLevel(placement fleet.Placement, first, admissible bool, now time.Duration) levelDecision {
 	s := a.gateway.levelled[a.service]
 	if s == nil || a.levels == 0 || !first || a.stream != nil {
-		return nil
+		return levelDecision{}
 	}
 	request := contention.Request{Level: min(a.priority, s.levels-1), Late: a.pastGoal(), Goal: a.route.FirstByteGoal}
 	request.Returning = !request.Late && a.statedWait() > minReturningWait
@@ -117,7 +119,7 @@
 	s.shares.Record(a.organisation.ID, s.engine.Work(a.call.PromptTokens, a.call.AnswerTokens), decision.Admit, now)
 	s.refusals.record(request.Level, decision.Admit, now)
 	a.gateway.metrics.levelDecisions.WithLabelValues(s.name, strconv.Itoa(request.Level), string(decision.Reason)).Inc()
-	return &levelDecision{request, decision}
+	return levelDecision{true, request, decision}
 }
 
 // statedWait returns how long the caller had been waiting before this attempt. The time that a caller
@@ -130,10 +132,10 @@
 	return max(a.route.Timeout-a.call.Timeout, 0)
 }
 
-// fields returns log fields with the decision, or none for nil. The urgency level is not called Level,
+// fields returns log fields with the decision; none if levels are not used. The urgency level is not called Level,
 // which is the severity of a log line.
-func (d *levelDecision) fields() []zap.Field {
-	if d == nil {
+func (d levelDecision) fields() []zap.Field {
+	if !d.used {
 		return nil
 	}
 	return []zap.Field{zap.Int("UrgencyLevel", d.request.Level), zap.Float64("Reserve", d.Reserve), zap.Bool("Returning", d.request.Returning),
--- a/internal/transport/gateway/placement.go
+++ b/internal/transport/gateway/placement.go
@@ -39,7 +39,7 @@
 		// queue and refuses requests itself.
 		admitted = true
 	}
-	if decision := a.decideLevel(placement, first, admitted, now); decision != nil {
+	if decision := a.decideLevel(placement, first, admitted, now); decision.used {
 		admitted, retryAfter = admitted && decision.Admit, max(retryAfter, decision.RetryAfter)
 		fields = append(fields, decision.fields()...)
 	}
