Tests of the pressure of a service; ranks count served requests only

A level that has half of an equal part of what is served is not exempt from its reserve. TestReturningAndLateCallers expects that a stated time counts only beyond a sixth of the route's timeout, since first attempts were seen to state 0.85 to 1 of it and nearly all requests counted as late or returning.

--- a/internal/coordination/contention/contention.go
+++ b/internal/coordination/contention/contention.go
@@ -98,10 +98,12 @@
 	rng    *rand.Rand
 	demand Demand
 	peers  map[filbertlever.HostID]peer
-	// recent holds the counts of this entry and its peers in the last 0.5 s. asked holds them with a
-	// decay that is short enough to follow a burst of one level, and floor with a longer one.
-	recent       *window
-	asked, floor []counts
+	// recent holds the counts of this entry and its peers in the last 0.5 s. served holds those of
+	// admitted requests with a decay that is short enough to follow a burst of one level, and floor all
+	// with a longer one.
+	recent *window
+	served []float64
+	floor  []counts
 	// pressure is from 0 to 1, and maxReserve the reserve of a request of rank 1 at a pressure of 1.
 	pressure, maxReserve float64
 	// calledAt is the time of the last call, and updatedAt that of the last update of the pressure.
@@ -116,7 +118,7 @@
 		demand:     newDemand(levels),
 		peers:      map[filbertlever.HostID]peer{},
 		recent:     newWindow(recentBuckets, levels),
-		asked:      make([]counts, levels),
+		served:     make([]float64, levels),
 		floor:      make([]counts, levels),
 		maxReserve: maxReservedShare * float64(max(slots, 0)),
 	}
@@ -126,7 +128,7 @@
 func (c *Controller) advance(now time.Duration) {
 	if now-c.calledAt > maxCallGap {
 		c.recent.clear()
-		clear(c.asked)
+		clear(c.served)
 		clear(c.floor)
 		clear(c.peers)
 		c.pressure, c.updatedAt = 0, now
@@ -135,8 +137,8 @@
 	for ; c.updatedAt+bucketLength <= now; c.updatedAt += bucketLength {
 		c.updatePressure()
 		c.recent.advance()
-		for level := range c.asked {
-			c.asked[level].scale(askedDecay)
+		for level := range c.served {
+			c.served[level] *= servedDecay
 			c.floor[level].scale(floorDecay)
 		}
 	}
@@ -217,7 +219,7 @@
 
 func (c *Controller) record(level int, n counts) {
 	c.recent.add(level, n)
-	c.asked[level].add(n, 1)
+	c.served[level] += n.admitted
 	c.floor[level].add(n, 1)
 }
 
--- a/internal/coordination/contention/counts.go
+++ b/internal/coordination/contention/counts.go
@@ -11,9 +11,9 @@
 	// bucketLength is the resolution of the window, and the interval between updates of the cutoff.
 	bucketLength  = 50 * time.Millisecond
 	recentBuckets = 10
-	// askedDecay and floorDecay are the decay in each bucket, with time constants of 2 s and 5 s.
-	askedDecay = 1 - 0.05/2
-	floorDecay = 1 - 0.05/5
+	// servedDecay and floorDecay are the decay in each bucket, with time constants of 2 s and 5 s.
+	servedDecay = 1 - 0.05/2
+	floorDecay  = 1 - 0.05/5
 	// peerTTL is how long the counts of a peer are used. Entries of other regions send theirs less often
 	// than once in half a second.
 	peerTTL = 2 * time.Second
@@ -33,16 +33,12 @@
 	*n = counts{factor * n.admitted, factor * n.refused, factor * n.noRoom}
 }
 
-// servedShare returns the fraction of the requests of some levels that were admitted; 1 if there were none.
-func servedShare(levels ...counts) float64 {
-	var sum counts
-	for _, n := range levels {
-		sum.add(n, 1)
-	}
-	if sum.admitted+sum.refused == 0 {
+// servedShare returns the fraction of requests that were admitted; 1 if there were none.
+func servedShare(n counts) float64 {
+	if n.admitted+n.refused == 0 {
 		return 1
 	}
-	return sum.admitted / (sum.admitted + sum.refused)
+	return n.admitted / (n.admitted + n.refused)
 }
 
 // window holds the counts of each level over a sliding period. The counts are whole numbers, so that sums
--- a/internal/coordination/contention/pressure.go
+++ b/internal/coordination/contention/pressure.go
@@ -51,17 +51,17 @@
 }
 
 // ranks returns the rank at which a level begins and the part of the ranks that it has, which is its part
-// of the recent requests.
+// of the requests served recently. Refused attempts do not count: callers that return at once and often
+// would lower the rank of their level.
 func (c *Controller) ranks(level int) (from, width float64) {
 	total := 0.0
-	for i, n := range c.asked {
-		asked := n.admitted + n.refused
-		total += asked
+	for i, n := range c.served {
+		total += n
 		switch {
 		case i < level:
-			from += asked
+			from += n
 		case i == level:
-			width = asked
+			width = n
 		}
 	}
 	if total == 0 {
@@ -110,9 +110,18 @@
 	noExemption   = 1.1
 )
 
-// exempt reports whether a request needs no reserve because its level would starve.
+// exempt reports whether a request needs no reserve because its level would starve. Callers that return
+// often make their level look starved, so a level that has half of an equal part of all that is served is not
+// exempt.
 func (c *Controller) exempt(level int) bool {
-	bound := floorShare * servedShare(c.floor...)
+	var all counts
+	for _, n := range c.floor {
+		all.add(n, 1)
+	}
+	if c.floor[level].admitted*float64(2*len(c.floor)) > all.admitted {
+		return false
+	}
+	bound := floorShare * servedShare(all)
 	excess := servedShare(c.floor[level]) - fullExemption*bound
 	band := (noExemption - fullExemption) * bound
 	return excess <= 0 || excess < band && excess < band*c.rng.Float64()
