--- a/internal/coordination/routing/slowdown_test.go
+++ b/internal/coordination/routing/slowdown_test.go
@@ -9,6 +9,8 @@
 
 	qt "github.com/frankban/quicktest"
 	"pgregory.net/rapid"
+
+	"github.com/filbertlever/filbertlever"
 )
 
 // chooseByCost is the choice of a router that knows neither slowdowns nor free memory.
