--- a/cmd/filbertlever-soak/main.go
+++ b/cmd/filbertlever-soak/main.go
@@ -92,8 +92,8 @@
 	if err != nil {
 		return false, err
 	}
-	fmt.Printf("seed=%d faults=%d requests=%d served=%d refused=%d broken=%d\n",
-		seed, result.Faults, result.Requests, result.Served, result.Refused, len(result.Violations))
+	fmt.Printf("seed=%d faults=%d requests=%d served=%d refused=%d routes=%v broken=%d\n",
+		seed, result.Faults, result.Requests, result.Served, result.Refused, result.Routes, len(result.Violations))
 	for i, b := range result.Violations {
 		if i == 8 {
 			break
