--- a/cmd/filbertlever-proof/main.go
+++ b/cmd/filbertlever-proof/main.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"os"
 	"os/signal"
+	"slices"
 	"syscall"
 	"time"
 
@@ -24,7 +25,8 @@
 }
 
 type guardsCommand struct {
-	List string `default:"proof/guards.yaml" help:"File that lists the guards."`
+	List  string   `default:"proof/guards.yaml" help:"File that lists the guards."`
+	Tests []string `help:"Remove only the guards of these tests."`
 }
 
 // Run removes each guard and prints one line per guard.
@@ -36,6 +38,9 @@
 	if err := proof.CheckListed(guards); err != nil {
 		return err
 	}
+	if len(c.Tests) > 0 {
+		guards = slices.DeleteFunc(guards, func(g proof.Guard) bool { return !slices.Contains(c.Tests, g.Test) })
+	}
 	caught, missed := 0, 0
 	for _, result := range proof.RunGuards(ctx, guards) {
 		verdict := "caught"
