--- a/internal/transport/sidecar/reports.go
+++ b/internal/transport/sidecar/reports.go
@@ -69,8 +69,8 @@
 	}
 	load := fleet.Report{
 		Address: s.config.Address, Boot: s.report.Boot, PreviousBoots: s.endedBoots, Sequence: uint64(time.Now().UnixNano()),
-		Running: s.report.Running, Queued: s.report.Queued, Pace: s.report.Slowdown, Switching: s.switching, Models: s.report.Models,
-		Leaving: s.drainDetector.Leaving(), FreeMemory: s.report.FreeMemory,
+		Running: s.report.Running, Queued: s.report.Queued, Pace: s.report.Slowdown, Switching: s.switching, Models: s.report.Models, FreeMemory: s.report.FreeMemory,
+		Leaving: s.drainDetector.Leaving(),
 	}
 	now := boottime.Now()
 	for _, m := range s.models {
