--- a/cmd/filbertlever-logs/read.go
+++ b/cmd/filbertlever-logs/read.go
@@ -25,8 +25,7 @@
 }
 
 // readDirectory reads all files below a directory and returns the requests by second and by urgency
-// level. A file may hold the lines of
-// several entries. The lines of each entry must be in order.
+// level. A file may hold the lines of several entries. The lines of each entry must be in order.
 func readDirectory(directory string, goal time.Duration) ([]outcome.Row, []outcome.LevelRow, readCounts, error) {
 	var day outcome.Totals
 	var counts readCounts
