Log the prompt parts of failed attempts, and whether they had begun

The logs of the incident could not show whether requests in flight at crashes have a part of their prompts in common, nor which of them had got the first event of an answer. Calls now carry the parts that their callers state, and 'attempt failed' names them (Parts) and says whether the answer had begun (Begun). No decision reads either yet.

--- a/internal/transport/gateway/attempts.go
+++ b/internal/transport/gateway/attempts.go
@@ -156,7 +156,8 @@
 func (a *attempts) reportServerFailure(id string, end forward.End, err error) {
 	g := a.gateway
 	g.log.Warn("attempt failed", zap.String("Request", a.call.ID), zap.Stringer("Fingerprint", a.fingerprint()),
-		zap.String("Backend", id), zap.Int64("Boot", int64(a.placement.Backend.Boot)), zap.Stringer("End", end), zap.Error(err))
+		zap.String("Backend", id), zap.Int64("Boot", int64(a.placement.Backend.Boot)), zap.Stringer("End", end),
+		zap.Bool("Begun", a.phase.hasStarted()), zap.Strings("Parts", loggedParts(a.call.PromptParts)), zap.Error(err))
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	switch {
--- a/internal/transport/gateway/crashes.go
+++ b/internal/transport/gateway/crashes.go
@@ -202,6 +202,21 @@
 	delete(g.crashes.inFlight, a)
 }
 
+// Limits of the prompt parts in a line of the log.
+const (
+	maxLoggedParts   = 8
+	maxLoggedPartLen = 32
+)
+
+// loggedParts shortens the parts of a prompt for the log.
+func loggedParts(parts []string) []string {
+	logged := make([]string, 0, min(len(parts), maxLoggedParts))
+	for _, id := range parts[:min(len(parts), maxLoggedParts)] {
+		logged = append(logged, id[:min(len(id), maxLoggedPartLen)])
+	}
+	return logged
+}
+
 // closedByPeer reports whether the server closed the connection.
 func closedByPeer(err error) bool {
 	for _, target := range []error{io.EOF, io.ErrUnexpectedEOF, syscall.ECONNRESET, syscall.EPIPE, errIncompleteEvent} {
--- a/internal/transport/gateway/phase.go
+++ b/internal/transport/gateway/phase.go
@@ -25,6 +25,9 @@
 // isCancelled reports whether the attempt was cancelled.
 func (p *attemptPhase) isCancelled() bool { return p.state.Load() == attemptCancelled }
 
+// hasStarted reports whether the response of the attempt has started.
+func (p *attemptPhase) hasStarted() bool { return p.state.Load() == attemptStarted }
+
 // tryCancel marks the attempt as cancelled unless its response has started.
 func (p *attemptPhase) tryCancel() bool {
 	return p.state.CompareAndSwap(attemptPending, attemptCancelled)
--- a/internal/transport/gateway/ports.go
+++ b/internal/transport/gateway/ports.go
@@ -33,7 +33,10 @@
 	HasTimeout bool
 	Timeout    time.Duration
 	// Model is empty for plain services.
-	Model        string
+	Model string
+	// PromptParts are the IDs of the parts of the prompt, in order. Requests share parts; the last one
+	// usually belongs to the request or to its session.
+	PromptParts  []string
 	PromptTokens int
 	// AnswerTokens is the expected length of the answer: the caller's estimate, whose median is
 	// right but which is often far off, or otherwise the caller's limit. It is 0 if the caller sent
