--- a/internal/coordination/quarantine/answers.go
+++ b/internal/coordination/quarantine/answers.go
@@ -2,32 +2,57 @@
 
 import "time"
 
-// answerLog holds when requests were last answered, for a bounded number of requests.
+// answer is when requests with a feature were last answered.
+type answer struct {
+	// begun is when the first event of an answer last arrived, and whole when an answer last
+	// ended completely.
+	begun, whole time.Duration
+}
+
+// answerLog holds when requests with a feature were last answered, for a bounded number of
+// features.
 type answerLog struct {
-	times map[Fingerprint]time.Duration
-	// order is a ring buffer of the requests by when they were first recorded. The oldest
-	// one is at next.
-	order []Fingerprint
+	times map[Feature]answer
+	// order is a ring buffer of the features by when they were first recorded. The oldest one
+	// is at next.
+	order []Feature
 	next  int
 }
 
+// never is before all times.
+const never = time.Duration(-1 << 62)
+
 func newAnswerLog(maxEntries int) answerLog {
-	return answerLog{times: make(map[Fingerprint]time.Duration, maxEntries), order: make([]Fingerprint, maxEntries)}
+	return answerLog{times: make(map[Feature]answer, maxEntries), order: make([]Feature, maxEntries)}
+}
+
+// last returns when a feature was last answered, which is never if that is not recorded.
+func (l *answerLog) last(f Feature) answer {
+	if a, ok := l.times[f]; ok {
+		return a
+	}
+	return answer{begun: never, whole: never}
+}
+
+// recordBegun records that an answer began. A new feature replaces the one that was recorded first.
+func (l *answerLog) recordBegun(f Feature, at time.Duration) {
+	a := l.last(f)
+	a.begun = max(a.begun, at)
+	l.set(f, a)
 }
 
-// last returns when a request was last answered. It returns false if that is not recorded.
-func (l *answerLog) last(request Fingerprint) (time.Duration, bool) {
-	at, ok := l.times[request]
-	return at, ok
+// recordWhole records that an answer ended completely.
+func (l *answerLog) recordWhole(f Feature, at time.Duration) {
+	a := l.last(f)
+	a.begun, a.whole = max(a.begun, at), max(a.whole, at)
+	l.set(f, a)
 }
 
-// record records an answer. A new request replaces the one that was recorded first.
-func (l *answerLog) record(request Fingerprint, at time.Duration) {
-	if old, ok := l.times[request]; ok {
-		l.times[request] = max(old, at)
-		return
+func (l *answerLog) set(f Feature, a answer) {
+	if _, ok := l.times[f]; !ok {
+		delete(l.times, l.order[l.next])
+		l.order[l.next] = f
+		l.next = (l.next + 1) % len(l.order)
 	}
-	delete(l.times, l.order[l.next])
-	l.times[request], l.order[l.next] = at, request
-	l.next = (l.next + 1) % len(l.order)
+	l.times[f] = a
 }
--- a/internal/coordination/quarantine/config.go
+++ b/internal/coordination/quarantine/config.go
@@ -6,8 +6,8 @@
 
 // Config holds the thresholds and timing settings of a Table.
 type Config struct {
-	// MinCrashes is how many processes must have crashed under a request before it is held.
-	// CertainCrashes are enough even if another request was in flight at each of them.
+	// MinCrashes is how many crashes must count against a feature before it is held.
+	// CertainCrashes are enough even if something else explains them too.
 	MinCrashes     int
 	CertainCrashes int
 	// PropagationDelay is the time after a crash within which all entries have reported the
@@ -20,17 +20,22 @@
 	// detected. It is also the minimum time between two crashes of processes with the same
 	// name.
 	DetectionTimeout time.Duration
-	// AnswerTTL is how long an answer counts in favour of a request. For a request that was
-	// answered within this time, crashes within CorrelationWindow count once and crashes
-	// before its latest answer do not count.
+	// SimultaneousWindow is the time within which crashes count once against a part of prompts.
+	// For a feature that was answered within AnswerTTL, CorrelationWindow is that time.
+	SimultaneousWindow time.Duration
+	// AnswerTTL is how long a feature counts as answered recently.
 	AnswerTTL time.Duration
-	// HoldDuration is how long a request is held the first time. It doubles with each further
+	// HoldDuration is how long a feature is held the first time. It doubles with each further
 	// hold, up to MaxHoldDuration.
 	HoldDuration    time.Duration
 	MaxHoldDuration time.Duration
-	// SuspectTTL is how long after its last crash a request is suspected that was never held.
+	// TrialInterval is the time between the entries' turns to send a request with a feature whose
+	// hold has ended.
+	TrialInterval time.Duration
+	// SuspectTTL is how long after its last crash a feature is suspected that was never held.
 	SuspectTTL time.Duration
-	// MaxEntries bounds the number of suspects, and the number of recorded answers.
+	// MaxEntries bounds the number of suspects, and the number of features whose
+	// answers are recorded, each of requests and of parts.
 	MaxEntries int
 }
 
@@ -42,11 +47,15 @@
 		// Covers datagrams between regions, one of them late.
 		PropagationDelay:  150 * time.Millisecond,
 		CorrelationWindow: time.Second,
+		// Servers that lose their power together are noticed within the delay of a link.
+		SimultaneousWindow: 100 * time.Millisecond,
 		// A process restarts and writes its row within seconds.
 		DetectionTimeout: 6 * time.Second,
 		AnswerTTL:        time.Minute,
 		HoldDuration:     5 * time.Minute, MaxHoldDuration: 24 * time.Hour,
-		SuspectTTL: 10 * time.Minute,
+		// A crash is detected and reported well within it.
+		TrialInterval: 3 * time.Second,
+		SuspectTTL:    10 * time.Minute,
 		// The number of requests that an entry answers in a minute. They take a megabyte in
 		// total.
 		MaxEntries: 4096,
--- a/internal/coordination/quarantine/decisions.go
+++ b/internal/coordination/quarantine/decisions.go
@@ -3,57 +3,125 @@
 import (
 	"slices"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
-// recentlyAnswered reports whether a request was answered within AnswerTTL.
-func (t *Table) recentlyAnswered(request Fingerprint, now time.Duration) bool {
-	at, ok := t.answered.last(request)
-	return ok && now-at < t.config.AnswerTTL
+// Verdict is what holds a request.
+type Verdict struct {
+	Feature Feature
+	Kind    Kind
+	// Left is how much longer the feature is held.
+	Left time.Duration
+	// Crashes is the number of crashes that this entry knows of.
+	Crashes int
 }
 
-// Held reports whether a request is held, and for how much longer.
-func (t *Table) Held(request Fingerprint, now time.Duration) (time.Duration, bool) {
-	s, ok := t.suspects[request]
-	if !ok || !t.held(s, now) {
-		return 0, false
+// Held reports whether a request is held, and by what for the longest time.
+func (t *Table) Held(r *Request, now time.Duration) (Verdict, bool) {
+	var found Verdict
+	for f, kind := range r.features() {
+		if s, ok := t.suspects[f]; ok && t.held(s, now) && t.heldUntil(s)-now > found.Left {
+			found = Verdict{Feature: f, Kind: kind, Left: t.heldUntil(s) - now, Crashes: len(s.crashes)}
+		}
 	}
-	return t.heldUntil(s) - now, true
+	return found, found.Left > 0
+}
+
+// IsHeld reports whether a feature is held.
+func (t *Table) IsHeld(f Feature, now time.Duration) bool {
+	s, ok := t.suspects[f]
+	return ok && t.held(s, now)
 }
 
-// HeldCount returns the number of requests that are held.
-func (t *Table) HeldCount(now time.Duration) int {
+// HeldCount returns the number of features of a kind that are held.
+func (t *Table) HeldCount(kind Kind, now time.Duration) int {
 	n := 0
 	for _, s := range t.suspects {
-		if t.held(s, now) {
+		if s.kind == kind && t.held(s, now) {
 			n++
 		}
 	}
 	return n
 }
 
-// CrashCount returns the number of processes that crashed under a request.
-func (t *Table) CrashCount(request Fingerprint) int {
-	if s, ok := t.suspects[request]; ok {
-		return len(s.crashes)
+// OneCrashFromHold reports whether the next crash of a process under a request causes the
+// request itself to be held. Such a request is sent to one server at a time.
+func (t *Table) OneCrashFromHold(fingerprint Feature, now time.Duration) bool {
+	return t.oneCrashFromHold(fingerprint, now)
+}
+
+// AnyOneCrashFromHold reports whether the next crash of a process under a request causes anything
+// to be held that the request has.
+func (t *Table) AnyOneCrashFromHold(r *Request, now time.Duration) bool {
+	for f := range r.features() {
+		if t.oneCrashFromHold(f, now) {
+			return true
+		}
 	}
-	return 0
+	return false
 }
 
-// OneCrashFromHold reports whether the next crash of a process under a request causes the
-// request to be held. Such a request is sent to one server at a time.
-func (t *Table) OneCrashFromHold(request Fingerprint, now time.Duration) bool {
-	s, ok := t.suspects[request]
-	return ok && !t.recentlyAnswered(request, now) && (s.holdCount > 0 || len(t.countedCrashes(s, now)) >= t.config.MinCrashes-1)
+func (t *Table) oneCrashFromHold(f Feature, now time.Duration) bool {
+	s, ok := t.suspects[f]
+	return ok && !t.recentlyAnswered(f, s.kind, now) && (s.holdCount > 0 || t.evidence(s, now).crashes >= t.config.MinCrashes-1)
+}
+
+// Trial is a feature whose hold has ended. Its next request shows whether it still crashes servers.
+type Trial struct {
+	Feature Feature
+	Kind    Kind
+	// Since is how long ago the hold ended.
+	Since time.Duration
+}
+
+// Trials returns the features of a request that were held and that may crash servers again.
+func (t *Table) Trials(r *Request, now time.Duration) []Trial {
+	var trials []Trial
+	for f, kind := range r.features() {
+		if s, ok := t.suspects[f]; ok && s.holdCount > 0 && !t.held(s, now) {
+			trials = append(trials, Trial{f, kind, now - t.heldUntil(s)})
+		}
+	}
+	return trials
 }
 
+// maxTrialTurns bounds the turns in which entries try, so that a rare request does not wait for
+// hundreds of them. Entries of one turn may try at once.
+const maxTrialTurns = 16
+
+// TrialWait returns how long an entry must wait before it may send a request with a feature whose
+// hold has ended; 0 if it is its turn. Hosts are those of all live entries.
+//
+// If all entries tried at once, each of them would crash a server.
+func (t *Table) TrialWait(trial Trial, self string, hosts []string) time.Duration {
+	before := 0
+	own := turnHash(trial.Feature, self)
+	for _, host := range hosts {
+		if h := turnHash(trial.Feature, host); h < own || h == own && host < self {
+			before++
+		}
+	}
+	turns := max(min(len(hosts), maxTrialTurns), 1)
+	round, start := time.Duration(turns)*t.config.TrialInterval, time.Duration(before%turns)*t.config.TrialInterval
+	wait := (start - trial.Since%round + round) % round
+	if round-wait < t.config.TrialInterval {
+		return 0
+	}
+	return wait
+}
+
+// turnHash orders hosts, for each feature differently.
+func turnHash(f Feature, host string) uint64 { return xxhash.Sum64String(string(f[:]) + host) }
+
 func (t *Table) held(s *suspect, now time.Duration) bool {
 	return s.holdCount > 0 && now < t.heldUntil(s)
 }
 
-// heldUntil returns when a request that was held may be sent again.
+// heldUntil returns when requests with a feature that was held may be sent again.
 //
-// The process that runs a request may have been fixed, or a request may be held that crashes
-// nothing. If the request was refused forever, neither would be detected. The next crash
+// The process that runs a request may have been fixed, or a feature may be held that crashes
+// nothing. If its requests were refused forever, neither would be detected. The next crash
 // under it doubles the duration of its hold.
 func (t *Table) heldUntil(s *suspect) time.Duration {
 	hold := t.config.MaxHoldDuration
@@ -67,114 +135,96 @@
 // overflow.
 const maxDoublings = 16
 
-// countedCrashes returns the crashes up to the time before that count against a request.
-// These are the crashes that are not attributed to a held request and that were not followed
-// by a recent answer to this request.
-//
-// A request that many callers send is in flight at all servers that lose their power at
-// once. If the request was answered recently, such crashes count once.
-func (t *Table) countedCrashes(s *suspect, before time.Duration) []*crash {
-	answeredAt, recent := t.answered.last(s.request)
-	recent = recent && before-answeredAt < t.config.AnswerTTL
-	var counted []*crash
-	for _, c := range s.crashes {
-		switch {
-		case c.attributed || c.at > before || recent && c.at <= answeredAt:
-		case recent && len(counted) > 0 && c.at-counted[len(counted)-1].at < t.config.CorrelationWindow:
-		default:
-			counted = append(counted, c)
-		}
-	}
-	return counted
-}
-
-// hold holds a request and attributes to it each crash at which it was in flight.
+// hold holds a feature and attributes to it each crash at which a request with it was in flight.
 //
 // When a server that runs 16 requests crashes, 15 of them are not the cause. They are retried
 // and may run beside the same cause again. Without the attribution these were refused too.
 func (t *Table) hold(s *suspect, now time.Duration) {
 	s.heldAt, s.holdCount = now, s.holdCount+1
-	for _, c := range s.crashes {
-		c.attributed = true
-	}
+	t.attribute(s)
+	withdrawn := t.withdrawInstances(s, now)
 	if !s.hasLocalCrash() {
 		return
 	}
+	if len(withdrawn) > 0 {
+		t.queue(CrashReport{Withdrawn: withdrawn}, now)
+	}
 	s.reported = true
-	hold := Hold{Request: s.request, At: s.heldAt, Count: s.holdCount}
+	hold := Hold{Feature: s.feature, Kind: s.kind, At: s.heldAt, Count: s.holdCount}
 	t.queue(CrashReport{Holds: []Hold{hold}}, now)
-	if last := s.crashes[len(s.crashes)-1]; slices.Contains(last.local, s.request) {
+	if last := s.crashes[len(s.crashes)-1]; last.hasLocal(s.feature, s.kind) {
 		t.newHolds = append(t.newHolds, hold)
 	}
 }
 
-// Advance removes expired state, makes the decisions that are due, and returns the requests
-// that are newly held.
-func (t *Table) Advance(now time.Duration) []Fingerprint {
+// attribute makes a held feature the cause of its crashes.
+func (t *Table) attribute(s *suspect) {
+	for _, c := range s.crashes {
+		if by := (cause{s.feature, s.kind}); !slices.Contains(c.causes, by) {
+			c.causes = append(c.causes, by)
+		}
+	}
+}
+
+// withdrawInstances ends the holds of narrower features whose crashes are all explained by a wider
+// one that is held, and returns them.
+func (t *Table) withdrawInstances(wide *suspect, now time.Duration) []Clearance {
+	var withdrawn []Clearance
+	for _, s := range t.suspects {
+		if s.holdCount == 0 || s.kind >= wide.kind || !s.explainedBy(wide) {
+			continue
+		}
+		t.remove(s.feature)
+		t.cleared = append(t.cleared, s.feature)
+		withdrawn = append(withdrawn, Clearance{Feature: s.feature, Kind: s.kind, At: now})
+	}
+	return withdrawn
+}
+
+// explainedBy reports whether a wider suspect explains all crashes of this one.
+func (s *suspect) explainedBy(wide *suspect) bool {
+	for _, c := range s.crashes {
+		if !slices.Contains(c.causes, cause{wide.feature, wide.kind}) || !c.isInstance(cause{s.feature, s.kind}, wide.feature, wide.kind) {
+			return false
+		}
+	}
+	return len(s.crashes) > 0
+}
+
+// Advance removes expired state, makes the decisions that are due, and returns what is newly held.
+func (t *Table) Advance(now time.Duration) []Verdict {
 	t.prune(now)
 	if !t.undecided {
 		return nil
 	}
 	t.undecided = now-t.crashAddedAt <= t.config.CorrelationWindow
-	var held []Fingerprint
-	for s := t.nextHold(now); s != nil; s = t.nextHold(now) {
+	var held []Verdict
+	for s, crashes := t.nextHold(now); s != nil; s, crashes = t.nextHold(now) {
 		t.hold(s, now)
-		held = append(held, s.request)
+		held = append(held, Verdict{Feature: s.feature, Kind: s.kind, Left: t.heldUntil(s) - now, Crashes: crashes})
 	}
 	return held
 }
 
-// nextHold returns the request to hold next, or nil. Of the requests that may be the cause
-// and that this entry had in flight at a crash, it is the one with the most crashes.
-func (t *Table) nextHold(now time.Duration) *suspect {
+// nextHold returns the feature to hold next and its number of crashes, or nil. Of the features that
+// may be the cause and that a request of this entry had at a crash, it is the one with the most
+// crashes, and of several the narrowest.
+func (t *Table) nextHold(now time.Duration) (*suspect, int) {
 	var found *suspect
-	highest := 0
+	most := 0
 	for _, s := range t.suspects {
 		if s.holdCount > 0 || len(s.crashes) < t.config.MinCrashes || !s.hasLocalCrash() {
 			continue
 		}
-		before := t.cutoff(s.request, now)
-		n := len(t.countedCrashes(s, before))
-		if n < t.config.MinCrashes || n <= highest || n < t.config.CertainCrashes && t.ambiguous(s, n, before) {
+		before := t.cutoff(s, now)
+		e := t.evidence(s, before)
+		if !t.sufficient(s, e) || e.crashes < most || e.crashes == most && compare(s, found) >= 0 {
 			continue
 		}
-		found, highest = s, n
-	}
-	return found
-}
-
-// cutoff returns the time up to which crashes are considered in a decision. A request that
-// was answered recently gets more time, so that it can be answered once more.
-func (t *Table) cutoff(request Fingerprint, now time.Duration) time.Duration {
-	if t.recentlyAnswered(request, now) {
-		return now - t.config.CorrelationWindow
-	}
-	return now - t.config.PropagationDelay
-}
-
-// hasLocalCrash reports whether this entry had the request in flight at one of its crashes.
-//
-// An entry that only received reports of the crashes may not know that the request was
-// answered since, and its hold would be sent to all entries. Entries that had the request in
-// flight decide, because other entries reply to their reports with the answers.
-func (s *suspect) hasLocalCrash() bool {
-	return slices.ContainsFunc(s.crashes, func(c *crash) bool { return slices.Contains(c.local, s.request) })
-}
-
-// ambiguous reports whether another request may have caused the same crashes.
-//
-// Of two requests that were in flight at the same servers, one may not be a cause of their
-// crashes, and it was refused with the other. The next crash usually shows which one it is.
-func (t *Table) ambiguous(s *suspect, n int, before time.Duration) bool {
-	for _, other := range t.suspects {
-		if other == s || other.holdCount > 0 || len(t.countedCrashes(other, before)) < n {
+		if e.crashes < t.config.CertainCrashes && t.ambiguous(s, e.crashes, before) {
 			continue
 		}
-		for _, c := range s.crashes {
-			if !c.attributed && slices.Contains(other.crashes, c) {
-				return true
-			}
-		}
+		found, most = s, e.crashes
 	}
-	return false
+	return found, most
 }
--- /dev/null
+++ b/internal/coordination/quarantine/evidence.go
@@ -0,0 +1,169 @@
+package quarantine
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// lastAnswer returns when requests with a feature were last answered.
+func (t *Table) lastAnswer(f Feature, kind Kind) answer {
+	if kind == KindRequest {
+		return t.answered.last(f)
+	}
+	// An answer to a part shows that it crashes no server, whoever sends it.
+	return t.answeredParts.last(partFeature(anyOrganisation, f.part()))
+}
+
+// answeredSince reports whether an answer after a crash shows that a feature did not cause it. If
+// the process crashed in the middle of the answer, only a whole answer does.
+func (t *Table) answeredSince(f Feature, kind Kind, c suspectedCrash) bool {
+	a := t.lastAnswer(f, kind)
+	return a.whole >= c.at || !c.begun && a.begun >= c.at
+}
+
+// recentlyAnswered reports whether requests with a feature were answered within AnswerTTL.
+func (t *Table) recentlyAnswered(f Feature, kind Kind, now time.Duration) bool {
+	a := t.lastAnswer(f, kind)
+	at := a.whole
+	if kind != KindRequest {
+		at = a.begun
+	}
+	return at != never && now-at < t.config.AnswerTTL
+}
+
+// evidence is what counts against a feature.
+type evidence struct {
+	// crashes is the number of crashes that count separately, and first the time of the first.
+	crashes int
+	first   time.Duration
+	// varied is true if the crashes occurred under at least two features of the next narrower kind.
+	varied bool
+}
+
+// evidence returns what counts against a suspect up to the time before. These are the crashes that
+// are not explained by something that is held, and that no answer followed.
+//
+// Servers may lose their power together. Crashes of servers at one moment then say nothing of what
+// they ran, and count once for everything that was answered recently, and for all parts.
+func (t *Table) evidence(s *suspect, before time.Duration) evidence {
+	window := time.Duration(0)
+	switch {
+	case t.recentlyAnswered(s.feature, s.kind, before):
+		window = t.config.CorrelationWindow
+	case s.kind != KindRequest:
+		window = t.config.SimultaneousWindow
+	}
+	var e evidence
+	var last time.Duration
+	var narrower Feature
+	for _, c := range s.crashes {
+		if c.at > before || t.answeredSince(s.feature, s.kind, c) || c.explained(s) {
+			continue
+		}
+		if !e.varied {
+			narrower, e.varied = c.vary(s, narrower)
+		}
+		if e.crashes > 0 && c.at-last < window {
+			continue
+		}
+		if e.crashes++; e.crashes == 1 {
+			e.first = c.at
+		}
+		last = c.at
+	}
+	return e
+}
+
+// explained reports whether something that is held explains the crash, other than an instance of
+// the suspect itself.
+//
+// A request that is retried crashes enough servers to be held alone. If that explained the crashes
+// for the part that crashes them too, each request with the part would have to do the same.
+func (c *crash) explained(s *suspect) bool {
+	return slices.ContainsFunc(c.causes, func(by cause) bool {
+		return by.feature != s.feature && !c.isInstance(by, s.feature, s.kind)
+	})
+}
+
+// isInstance reports whether a feature is held more narrowly by a cause of the crash: requests with
+// the cause have the feature too.
+func (c *crash) isInstance(by cause, f Feature, kind Kind) bool {
+	if by.kind >= kind {
+		return false
+	}
+	if by.kind == KindOrganisationPart {
+		return by.feature.part() == f.part()
+	}
+	return slices.ContainsFunc(c.requests, func(r inFlight) bool { return r.Fingerprint == by.feature && r.Has(f, kind) })
+}
+
+// vary reports whether the requests that had the feature at the crash differ from each other, or
+// from an earlier one, in the feature of the next narrower kind. It returns one of those features
+// to compare further crashes with.
+func (c *crash) vary(s *suspect, earlier Feature) (Feature, bool) {
+	for _, r := range c.requests {
+		if !r.mayCause(s.kind) || !r.Has(s.feature, s.kind) {
+			continue
+		}
+		found := r.Fingerprint
+		if s.kind == KindPart {
+			found = partFeature(r.Organisation, s.feature.part())
+		}
+		if earlier != (Feature{}) && found != earlier {
+			return earlier, true
+		}
+		earlier = found
+	}
+	return earlier, false
+}
+
+// sufficient reports whether the evidence suffices to hold a suspect if nothing else explains it.
+//
+// A part is wider than the request that has it. It is held only if different requests, or those of
+// different organisations, crashed servers, and if servers answered other requests meanwhile.
+func (t *Table) sufficient(s *suspect, e evidence) bool {
+	return e.crashes >= t.config.MinCrashes && (s.kind == KindRequest || e.varied && t.lastBegun > e.first)
+}
+
+// cutoff returns the time up to which crashes are considered in a decision. A feature that
+// was answered recently gets more time, so that it can be answered once more.
+func (t *Table) cutoff(s *suspect, now time.Duration) time.Duration {
+	if t.recentlyAnswered(s.feature, s.kind, now) {
+		return now - t.config.CorrelationWindow
+	}
+	return now - t.config.PropagationDelay
+}
+
+// ambiguous reports whether something else may have caused the same crashes. What is wider on the
+// same requests is no alternative: the narrowest feature that explains the crashes is held.
+//
+// Of two requests that were in flight at the same servers, one may not be a cause of their
+// crashes, and it was refused with the other. The next crash usually shows which one it is.
+func (t *Table) ambiguous(s *suspect, crashes int, before time.Duration) bool {
+	for _, other := range t.suspects {
+		if other == s || other.holdCount > 0 || len(other.crashes) < crashes || !other.shares(s) {
+			continue
+		}
+		if t.evidence(other, before).crashes >= crashes {
+			return true
+		}
+	}
+	return false
+}
+
+// shares reports whether a suspect is an alternative to another one at an unexplained crash.
+func (s *suspect) shares(other *suspect) bool {
+	for _, c := range s.crashes {
+		wider := c.isInstance(cause{other.feature, other.kind}, s.feature, s.kind)
+		if !wider && !c.explained(other) && slices.ContainsFunc(other.crashes, func(o suspectedCrash) bool { return o.crash == c.crash }) {
+			return true
+		}
+	}
+	return false
+}
+
+// compare orders suspects of equal evidence, so that all entries decide alike.
+func compare(a, b *suspect) int {
+	return cmp.Or(cmp.Compare(a.kind, b.kind), slices.Compare(a.feature[:], b.feature[:]))
+}
--- a/internal/coordination/quarantine/quarantine.go
+++ b/internal/coordination/quarantine/quarantine.go
@@ -14,49 +14,99 @@
 	Boot catalog.Boot `cbor:"2,keyasint,omitempty"`
 }
 
-// failedAttempt is an attempt that got no complete answer.
+// Attempt is a request at a process that got no complete answer.
+type Attempt struct {
+	Request *Request
+	Process Process
+	// Begun is true if the first event of the answer had arrived.
+	Begun bool
+	// ClosedByServer is true if the server's side closed the connection, and false if this entry
+	// cancelled the attempt.
+	ClosedByServer bool
+}
+
+// failedAttempt is an attempt with the time at which it failed.
 type failedAttempt struct {
-	request Fingerprint
-	at      time.Duration
-	// closedByServer is true if the server's side closed the connection.
-	closedByServer bool
+	Attempt
+	at time.Duration
+}
+
+// inFlight is a request that was in flight at a crash.
+type inFlight struct {
+	*Request
+	// begun is true if its answer had begun. Such a request did not crash the process as it began,
+	// so that its parts are not suspected.
+	begun bool
 }
 
 // crash is a process that ended with requests in flight.
 type crash struct {
 	process Process
 	at      time.Duration
-	// attributed is true if a request that is held was in flight at the crash.
-	attributed bool
-	// local are the requests that this entry had in flight. It reports them to other entries.
-	local []Fingerprint
+	// causes are features that are or were held and that a request in flight had.
+	causes []cause
+	// requests are those that were in flight at all entries, and local those of this entry. It
+	// reports them to the other entries.
+	requests []inFlight
+	local    []inFlight
 }
 
-// localCrash is a request that this entry had in flight at a crash. The field at is when that
-// was recorded, or when it was reported to other entries.
-type localCrash struct {
-	request Fingerprint
-	crash   *crash
-	at      time.Duration
+// cause is a held feature that explains a crash.
+type cause struct {
+	feature Feature
+	kind    Kind
+}
+
+// maxCrashRequests bounds the requests that are kept of one crash. It is more than a process runs.
+const maxCrashRequests = 128
+
+// add adds a request that was in flight.
+func (c *crash) add(f inFlight) {
+	at := slices.IndexFunc(c.requests, func(known inFlight) bool { return known.Fingerprint == f.Fingerprint })
+	if at < 0 {
+		if len(c.requests) < maxCrashRequests {
+			c.requests = append(c.requests, f)
+		}
+		return
+	}
+	known := &c.requests[at]
+	known.begun = known.begun && f.begun
+	if missing := slices.DeleteFunc(slices.Clone(f.Parts), func(id PartID) bool { return slices.Contains(known.Parts, id) }); len(missing) > 0 {
+		known.Request = &Request{Fingerprint: f.Fingerprint, Organisation: f.Organisation, Parts: slices.Concat(known.Parts, missing)}
+	}
+}
+
+// hasLocal reports whether a request of this entry with a feature may have caused the crash.
+func (c *crash) hasLocal(f Feature, kind Kind) bool {
+	return slices.ContainsFunc(c.local, func(r inFlight) bool { return r.mayCause(kind) && r.Has(f, kind) })
 }
 
-// Table tracks, at one entry, requests that crash the processes that run them. It is not
-// safe for concurrent use. Times are read from one monotonic clock.
+// mayCause reports whether the request counts as a cause of the crash by features of a kind.
+func (r inFlight) mayCause(kind Kind) bool { return kind == KindRequest || !r.begun }
+
+// Table tracks, at one entry, what crashes the processes that run requests. It is not safe for
+// concurrent use. Times are read from one monotonic clock.
 //
-// Each entry reports to the others which requests it had in flight at a crash. The request
-// that causes the crashes is in flight at each of them, and others are only by chance. A
-// crash at which a held request was in flight does not count against other requests. All
-// entries reach the same decision.
+// Each entry reports to the others which requests it had in flight at a crash. What causes the
+// crashes is in flight at each of them and is never answered, and everything else only by chance.
+// A crash that a held feature explains does not count against others. All entries reach the same
+// decision.
 type Table struct {
 	config Config
 	// failures holds attempts at processes that may have crashed.
 	failures map[Process][]failedAttempt
 	// crashes holds the latest crash of each process, for DetectionTimeout.
 	crashes  map[Process]*crash
-	suspects map[Fingerprint]*suspect
-	// suspectHashes counts suspects by the metadata hash of their fingerprints.
+	suspects map[Feature]*suspect
+	// suspectHashes counts suspected requests by the metadata hash of their fingerprints, and
+	// suspectParts lists the other suspects by part.
 	suspectHashes map[uint64]int
+	suspectParts  map[PartID][]Feature
+	// answered holds the answers to requests, and answeredParts those to parts of any organisation.
 	answered      answerLog
+	answeredParts answerLog
+	// lastBegun is when an answer to a request with parts last began here.
+	lastBegun time.Duration
 	// crashAddedAt is when a crash was last added to a suspect. The field undecided is true
 	// until a decision was made late enough to include all entries' reports on it.
 	crashAddedAt time.Duration
@@ -68,10 +118,10 @@
 	unsentCrashes []localCrash
 	sent          []sentReport
 	sentCrashes   []localCrash
-	// newHolds are holds of this entry to be written to the store. cleared are requests whose
+	// newHolds are holds of this entry to be written to the store. cleared are features whose
 	// holds are to be deleted from it.
 	newHolds []Hold
-	cleared  []Fingerprint
+	cleared  []Feature
 	// crashTokens is how many crashes may be reported, as of tokensUpdatedAt.
 	crashTokens     float64
 	tokensUpdatedAt time.Duration
@@ -80,50 +130,57 @@
 // New returns a table without suspects.
 func New(config Config) *Table {
 	return &Table{config: config, failures: map[Process][]failedAttempt{}, crashes: map[Process]*crash{},
-		suspects: map[Fingerprint]*suspect{}, suspectHashes: map[uint64]int{}, answered: newAnswerLog(config.MaxEntries)}
+		suspects: map[Feature]*suspect{}, suspectHashes: map[uint64]int{}, suspectParts: map[PartID][]Feature{},
+		answered: newAnswerLog(config.MaxEntries), answeredParts: newAnswerLog(config.MaxEntries), lastBegun: never}
 }
 
-// NoSuspects reports whether no request is suspected.
+// NoSuspects reports whether nothing is suspected.
 func (t *Table) NoSuspects() bool { return len(t.suspects) == 0 }
 
 // MaySuspect reports whether a request with this metadata hash may be suspected. For other
 // requests the fingerprint need not be computed.
 func (t *Table) MaySuspect(metadataHash uint64) bool { return t.suspectHashes[metadataHash] > 0 }
 
+// SuspectsPart reports whether a part is suspected.
+func (t *Table) SuspectsPart(id PartID) bool { return len(t.suspectParts[id]) > 0 }
+
 // maxFailures bounds the failed attempts that are kept of one process. It is more than a
 // process runs and queues.
 const maxFailures = 256
 
-// RecordFailure records that an attempt at a process got no complete answer. The parameter
-// closedByServer is true if the server's side closed the connection, and false if this entry
-// cancelled the attempt.
-func (t *Table) RecordFailure(request Fingerprint, process Process, closedByServer bool, now time.Duration) {
-	if c, ok := t.crashes[process]; ok && now-c.at < t.config.CorrelationWindow {
-		t.addLocalCrash(request, c, now)
+// RecordFailure records an attempt that got no complete answer.
+func (t *Table) RecordFailure(a Attempt, now time.Duration) {
+	if c, ok := t.crashes[a.Process]; ok && now-c.at < t.config.CorrelationWindow {
+		t.addLocalCrash(inFlight{a.Request, a.Begun}, c, now)
 		return
 	}
-	failures := t.failures[process]
+	failures := t.failures[a.Process]
 	if len(failures) >= maxFailures {
 		failures = failures[1:]
 	}
-	t.failures[process] = append(failures, failedAttempt{request, now, closedByServer})
+	t.failures[a.Process] = append(failures, failedAttempt{a, now})
 }
 
 // RecordCrash records that a process was found to have crashed, and returns the requests
 // that this entry had in flight there. The time of the crash is when the server last closed
 // a connection of this entry without a complete answer.
-func (t *Table) RecordCrash(process Process, now time.Duration) []Fingerprint {
+func (t *Table) RecordCrash(process Process, now time.Duration) []Attempt {
 	at, ok := t.lastClose(process, now)
 	if !ok {
 		return nil
 	}
-	return t.crashAt(process, at, now).local
+	c := t.crashAt(process, at, now)
+	attempts := make([]Attempt, 0, len(c.local))
+	for _, r := range c.local {
+		attempts = append(attempts, Attempt{Request: r.Request, Process: process, Begun: r.begun})
+	}
+	return attempts
 }
 
 // lastClose returns when a process last closed a connection without a complete answer.
 func (t *Table) lastClose(process Process, now time.Duration) (time.Duration, bool) {
 	for _, f := range slices.Backward(t.failures[process]) {
-		if f.closedByServer && now-f.at < t.config.DetectionTimeout {
+		if f.ClosedByServer && now-f.at < t.config.DetectionTimeout {
 			return f.at, true
 		}
 	}
@@ -140,7 +197,7 @@
 	}
 	for _, f := range t.failures[process] {
 		if max(f.at-c.at, c.at-f.at) < t.config.CorrelationWindow {
-			t.addLocalCrash(f.request, c, now)
+			t.addLocalCrash(inFlight{f.Request, f.Begun}, c, now)
 		}
 	}
 	delete(t.failures, process)
@@ -148,51 +205,88 @@
 }
 
 // addLocalCrash adds a crash to a request that this entry had in flight there.
-func (t *Table) addLocalCrash(request Fingerprint, c *crash, now time.Duration) {
-	if slices.Contains(c.local, request) {
+func (t *Table) addLocalCrash(r inFlight, c *crash, now time.Duration) {
+	if slices.ContainsFunc(c.local, func(known inFlight) bool { return known.Fingerprint == r.Fingerprint }) {
 		return
 	}
-	c.local = append(c.local, request)
-	t.unsentCrashes = append(t.unsentCrashes, localCrash{request, c, now})
-	t.addCrash(request, c, now)
+	c.local = append(c.local, r)
+	t.queueCrash(r, c, now)
+	t.addCrash(r, c, now)
+}
+
+// addCrash adds a crash to the features of a request that was in flight there.
+func (t *Table) addCrash(r inFlight, c *crash, now time.Duration) {
+	c.add(r)
+	for f, kind := range r.features() {
+		if r.mayCause(kind) {
+			t.suspectCrash(f, kind, suspectedCrash{c, r.begun}, now)
+		}
+	}
 }
 
-// addCrash adds a crash to a request that was in flight there. Crashes before the request's
-// latest answer are ignored.
-func (t *Table) addCrash(request Fingerprint, c *crash, now time.Duration) {
-	if at, ok := t.answered.last(request); ok && at >= c.at {
+// suspectCrash adds a crash to a feature, unless requests with the feature were answered since.
+func (t *Table) suspectCrash(f Feature, kind Kind, c suspectedCrash, now time.Duration) {
+	if t.answeredSince(f, kind, c) {
 		return
 	}
-	s := t.suspectFor(request)
-	if slices.Contains(s.crashes, c) {
+	s := t.suspectFor(f, kind)
+	if !s.addCrash(c.crash, c.begun) {
 		return
 	}
-	s.crashes, s.lastAdded = append(s.crashes, c), now
+	s.lastAdded = now
 	t.crashAddedAt, t.undecided = now, true
 	switch {
 	case t.held(s, now):
-		c.attributed = true
+		c.causes = append(c.causes, cause{f, kind})
 	case s.holdCount > 0:
 		t.hold(s, now)
 	}
 }
 
+// RecordBegun records that the first event of a request's answer arrived, which shows that no part
+// of its prompt crashes servers as they begin to answer.
+//
+// Sound requests have parts in common with those that crash servers, and are in flight at most
+// crashes. Waiting for the ends of their answers would leave them suspected for seconds.
+func (t *Table) RecordBegun(r *Request, now time.Duration) {
+	if r.Fingerprint != (Feature{}) {
+		t.answered.recordBegun(r.Fingerprint, now)
+	}
+	if len(r.Parts) == 0 {
+		return
+	}
+	t.lastBegun = now
+	for _, id := range r.Parts {
+		t.answeredParts.recordBegun(partFeature(anyOrganisation, id), now)
+		for _, f := range slices.Clone(t.suspectParts[id]) {
+			t.clear(f, now)
+		}
+	}
+}
+
 // RecordAnswer records that a server answered a request completely and continued to run,
 // which shows that the request crashes no server.
 //
 // A request that was in flight at several servers that crashed for other reasons was refused
 // although servers answer it. A request that many callers send is in flight at all servers.
-func (t *Table) RecordAnswer(request Fingerprint, now time.Duration) {
-	t.answered.record(request, now)
-	s, ok := t.suspects[request]
+func (t *Table) RecordAnswer(fingerprint Feature, now time.Duration) {
+	t.answered.recordWhole(fingerprint, now)
+	t.clear(fingerprint, now)
+}
+
+// clear removes a suspect that was answered, and reports that to the entries that may suspect it.
+func (t *Table) clear(f Feature, now time.Duration) {
+	s, ok := t.suspects[f]
 	if !ok {
 		return
 	}
-	t.remove(request)
+	t.remove(f)
 	if s.holdCount > 0 {
-		t.cleared = append(t.cleared, request)
+		t.cleared = append(t.cleared, f)
 	}
-	if s.reported {
-		t.queue(CrashReport{Cleared: []Clearance{{Request: request, At: now}}}, now)
+	// Entries learn of the answers to a part from their own requests, or by a reply to their
+	// report. A message for each part of each answer would fill the links.
+	if s.reported && (s.kind == KindRequest || s.holdCount > 0 || len(s.crashes) >= t.config.MinCrashes-1) {
+		t.queue(CrashReport{Cleared: []Clearance{{Feature: f, Kind: s.kind, At: now}}}, now)
 	}
 }
--- a/internal/coordination/quarantine/quarantine_test.go
+++ b/internal/coordination/quarantine/quarantine_test.go
@@ -16,10 +16,18 @@
 
 // request returns the fingerprint of request number n. Different numbers have different
 // fingerprints.
-func request(n int) quarantine.Fingerprint {
+func request(n int) quarantine.Feature {
 	return (&quarantine.Identity{Organisation: "hauler-1", Method: "POST", Host: "portal.example", Target: fmt.Sprint("/draft/", n)}).Fingerprint()
 }
 
+// whole returns a request that has nothing in common with others.
+func whole(f quarantine.Feature) *quarantine.Request { return &quarantine.Request{Fingerprint: f} }
+
+// attempt returns a failed attempt at such a request.
+func attempt(f quarantine.Feature, p quarantine.Process, closedByServer bool) quarantine.Attempt {
+	return quarantine.Attempt{Request: whole(f), Process: p, ClosedByServer: closedByServer}
+}
+
 func process(n int) quarantine.Process { return quarantine.Process{Server: fmt.Sprint("i-", n)} }
 
 // cluster is several entries that send each other crash reports.
@@ -38,12 +46,23 @@
 }
 
 // crash crashes a process with requests of several entries in flight.
-func (c *cluster) crash(p quarantine.Process, requests map[int][]quarantine.Fingerprint, now time.Duration) {
+func (c *cluster) crash(p quarantine.Process, requests map[int][]quarantine.Feature, now time.Duration) {
+	attempts := map[int][]quarantine.Attempt{}
+	for at, features := range requests {
+		for _, f := range features {
+			attempts[at] = append(attempts[at], attempt(f, p, true))
+		}
+	}
+	c.crashAttempts(p, attempts, now)
+}
+
+// crashAttempts crashes a process with attempts of several entries in flight.
+func (c *cluster) crashAttempts(p quarantine.Process, attempts map[int][]quarantine.Attempt, now time.Duration) {
 	for at, t := range c.tables {
-		for _, r := range requests[at] {
-			t.RecordFailure(r, p, true, now)
+		for _, a := range attempts[at] {
+			t.RecordFailure(a, now)
 		}
-		if len(requests[at]) > 0 {
+		if len(attempts[at]) > 0 {
 			t.RecordCrash(p, now+30*ms)
 		}
 	}
@@ -81,10 +100,10 @@
 }
 
 // held returns how many entries hold the request.
-func (c *cluster) held(r quarantine.Fingerprint, now time.Duration) int {
+func (c *cluster) held(r quarantine.Feature, now time.Duration) int {
 	n := 0
 	for _, t := range c.tables {
-		if _, ok := t.Held(r, now); ok {
+		if _, ok := t.Held(whole(r), now); ok {
 			n++
 		}
 	}
@@ -100,9 +119,9 @@
 	now := time.Second
 	for n := range 3 {
 		qt.Assert(t, c.held(bad, now), qt.Equals, 0)
-		requests := map[int][]quarantine.Fingerprint{n: {bad}}
+		requests := map[int][]quarantine.Feature{n: {bad}}
 		if n == 1 {
-			requests[4] = []quarantine.Fingerprint{good}
+			requests[4] = []quarantine.Feature{good}
 		}
 		c.crash(process(n), requests, now)
 		now += time.Second
@@ -121,20 +140,22 @@
 		name string
 		run  func(c *cluster, n int, now time.Duration)
 	}{
-		{"answers are lost and the servers keep running", func(c *cluster, n int, now time.Duration) { c.tables[0].RecordFailure(bad, process(n), true, now) }},
+		{"answers are lost and the servers keep running", func(c *cluster, n int, now time.Duration) {
+			c.tables[0].RecordFailure(attempt(bad, process(n), true), now)
+		}},
 		{"servers crash long after", func(c *cluster, n int, now time.Duration) {
-			c.tables[0].RecordFailure(bad, process(n), true, now)
+			c.tables[0].RecordFailure(attempt(bad, process(n), true), now)
 			c.tables[0].RecordCrash(process(n), now+10*time.Second)
 		}},
 		{"all entries report the same crash", func(c *cluster, _ int, now time.Duration) {
-			c.crash(process(0), map[int][]quarantine.Fingerprint{0: {bad}, 1: {bad}, 2: {bad}}, now)
+			c.crash(process(0), map[int][]quarantine.Feature{0: {bad}, 1: {bad}, 2: {bad}}, now)
 		}},
 		{"attempts are cancelled and no connection breaks", func(c *cluster, n int, now time.Duration) {
-			c.tables[0].RecordFailure(bad, process(n), false, now)
+			c.tables[0].RecordFailure(attempt(bad, process(n), false), now)
 			c.tables[0].RecordCrash(process(n), now+30*ms)
 		}},
 		{"servers answer the request between crashes", func(c *cluster, n int, now time.Duration) {
-			c.crash(process(n), map[int][]quarantine.Fingerprint{0: {bad}}, now)
+			c.crash(process(n), map[int][]quarantine.Feature{0: {bad}}, now)
 			c.tables[1].RecordAnswer(bad, now+100*ms)
 		}},
 	}
@@ -162,12 +183,12 @@
 	bad, good := request(0), request(1)
 	now := time.Second
 	for n := range 3 {
-		c.crash(process(n), map[int][]quarantine.Fingerprint{0: {bad}, 1: {good}}, now)
+		c.crash(process(n), map[int][]quarantine.Feature{0: {bad}, 1: {good}}, now)
 		now += time.Second
 		c.advance(now)
 	}
 	qt.Assert(t, c.held(bad, now)+c.held(good, now), qt.Equals, 0)
-	c.crash(process(3), map[int][]quarantine.Fingerprint{0: {bad}}, now)
+	c.crash(process(3), map[int][]quarantine.Feature{0: {bad}}, now)
 	c.advance(now + time.Second)
 	qt.Assert(t, c.held(bad, now+time.Second), qt.Equals, 2)
 	qt.Assert(t, c.held(good, now+time.Second), qt.Equals, 0)
@@ -181,13 +202,13 @@
 	bad := request(0)
 	now := time.Second
 	for n := range 3 {
-		table.RecordFailure(bad, process(n), false, now)
-		table.RecordFailure(request(n+1), process(n), true, now+200*ms)
+		table.RecordFailure(attempt(bad, process(n), false), now)
+		table.RecordFailure(attempt(request(n+1), process(n), true), now+200*ms)
 		table.RecordCrash(process(n), now+230*ms)
 		now += time.Second
 		table.Advance(now)
 	}
-	_, held := table.Held(bad, now)
+	_, held := table.Held(whole(bad), now)
 	qt.Assert(t, held, qt.IsTrue)
 }
 
@@ -200,23 +221,23 @@
 	bad := request(0)
 	now := time.Second
 	for n := range 3 {
-		c.crash(process(n), map[int][]quarantine.Fingerprint{0: {bad}}, now)
+		c.crash(process(n), map[int][]quarantine.Feature{0: {bad}}, now)
 		now += time.Second
 		c.advance(now)
 	}
-	first, ok := c.tables[0].Held(bad, now)
-	qt.Assert(t, ok && first <= config.HoldDuration, qt.IsTrue, qt.Commentf("%v", first))
-	now += first
+	first, ok := c.tables[0].Held(whole(bad), now)
+	qt.Assert(t, ok && first.Left <= config.HoldDuration, qt.IsTrue, qt.Commentf("%v", first.Left))
+	now += first.Left
 	c.advance(now)
 	qt.Assert(t, c.held(bad, now), qt.Equals, 0)
 	qt.Assert(t, c.tables[1].OneCrashFromHold(bad, now), qt.IsTrue)
-	c.crash(process(9), map[int][]quarantine.Fingerprint{1: {bad}}, now)
+	c.crash(process(9), map[int][]quarantine.Feature{1: {bad}}, now)
 	now += time.Second
 	c.advance(now)
 	qt.Assert(t, c.held(bad, now), qt.Equals, 2)
-	second, _ := c.tables[0].Held(bad, now)
-	qt.Assert(t, second > config.HoldDuration, qt.IsTrue)
-	now += second
+	second, _ := c.tables[0].Held(whole(bad), now)
+	qt.Assert(t, second.Left > config.HoldDuration, qt.IsTrue)
+	now += second.Left
 	c.advance(now)
 	c.tables[0].RecordAnswer(bad, now)
 	c.sendNew(now)
@@ -232,21 +253,21 @@
 	table := quarantine.New(config)
 	now := time.Second
 	stored := []quarantine.Hold{
-		{Request: request(0), Age: time.Minute, Count: 1},
-		{Request: request(1), Age: config.HoldDuration + time.Second, Count: 1},
-		{Request: request(2), Age: config.HoldDuration + time.Second, Count: 2},
+		{Feature: request(0), Age: time.Minute, Count: 1},
+		{Feature: request(1), Age: config.HoldDuration + time.Second, Count: 1},
+		{Feature: request(2), Age: config.HoldDuration + time.Second, Count: 2},
 	}
 	expired := table.Restore(stored, now)
-	qt.Assert(t, expired, qt.DeepEquals, []quarantine.Fingerprint{request(1)})
-	remaining, held := table.Held(request(0), now)
+	qt.Assert(t, expired, qt.DeepEquals, []quarantine.Feature{request(1)})
+	remaining, held := table.Held(whole(request(0)), now)
 	qt.Assert(t, held, qt.IsTrue)
-	qt.Assert(t, remaining, qt.Equals, config.HoldDuration-time.Minute)
-	remaining, held = table.Held(request(2), now)
+	qt.Assert(t, remaining.Left, qt.Equals, config.HoldDuration-time.Minute)
+	remaining, held = table.Held(whole(request(2)), now)
 	qt.Assert(t, held, qt.IsTrue)
-	qt.Assert(t, remaining, qt.Equals, config.HoldDuration-time.Second)
+	qt.Assert(t, remaining.Left, qt.Equals, config.HoldDuration-time.Second)
 	table.RecordAnswer(request(0), now)
 	_, cleared := table.TakeStoreChanges()
-	qt.Assert(t, cleared, qt.DeepEquals, []quarantine.Fingerprint{request(0)})
+	qt.Assert(t, cleared, qt.DeepEquals, []quarantine.Feature{request(0)})
 }
 
 // A rack fails with a request in flight at five of its servers, which other servers answered
@@ -260,7 +281,7 @@
 	c.tables[1].RecordAnswer(popular, now)
 	now += 10 * time.Second
 	for n := range 5 {
-		c.crash(process(n), map[int][]quarantine.Fingerprint{0: {popular}}, now)
+		c.crash(process(n), map[int][]quarantine.Feature{0: {popular}}, now)
 	}
 	for range 20 {
 		now += 100 * ms
@@ -280,7 +301,7 @@
 	for n := range 5 {
 		c.tables[0].RecordAnswer(popular, now)
 		now += 100 * ms
-		c.crash(process(n), map[int][]quarantine.Fingerprint{1: {popular}}, now)
+		c.crash(process(n), map[int][]quarantine.Feature{1: {popular}}, now)
 		for range 15 {
 			now += 100 * ms
 			c.tables[0].RecordAnswer(popular, now)
@@ -297,7 +318,7 @@
 	bad := request(0)
 	now := time.Second
 	for n := range 3 {
-		c.crash(process(n), map[int][]quarantine.Fingerprint{0: {bad}}, now)
+		c.crash(process(n), map[int][]quarantine.Feature{0: {bad}}, now)
 		now += time.Second
 		c.advance(now)
 	}
@@ -322,7 +343,7 @@
 	bad := request(0)
 	now := time.Second
 	for n := range 3 {
-		c.crash(process(n), map[int][]quarantine.Fingerprint{n: {bad}}, now)
+		c.crash(process(n), map[int][]quarantine.Feature{n: {bad}}, now)
 		for range 5 {
 			now += 400 * ms
 			c.advance(now)
@@ -351,16 +372,16 @@
 	table := quarantine.New(quarantine.DefaultConfig())
 	bad := request(0)
 	now := time.Second
-	table.RecordFailure(bad, process(0), true, now)
+	table.RecordFailure(attempt(bad, process(0), true), now)
 	table.RecordCrash(process(0), now)
 	table.NewReports(now)
 	now += 10 * time.Second
 	for n := range 100 {
 		for k := range 3 {
-			table.RecordFailure(request(1+3*n+k), process(1+n), true, now)
+			table.RecordFailure(attempt(request(1+3*n+k), process(1+n), true), now)
 		}
 		if n == 99 {
-			table.RecordFailure(bad, process(1+n), true, now)
+			table.RecordFailure(attempt(bad, process(1+n), true), now)
 		}
 		table.RecordCrash(process(1+n), now)
 	}
@@ -393,8 +414,8 @@
 	table := quarantine.New(config)
 	bad := request(0)
 	now := time.Second
-	crash := func(n int, r quarantine.Fingerprint) {
-		table.RecordFailure(r, process(n), true, now)
+	crash := func(n int, r quarantine.Feature) {
+		table.RecordFailure(attempt(r, process(n), true), now)
 		table.RecordCrash(process(n), now+30*ms)
 		now += 200 * ms
 		table.Advance(now)
@@ -405,7 +426,7 @@
 	for n := range 1000 {
 		crash(10+n, request(10+n))
 	}
-	_, held := table.Held(bad, now)
+	_, held := table.Held(whole(bad), now)
 	qt.Assert(t, held, qt.IsTrue)
 	suspected := 0
 	for n := range 1010 {
@@ -424,14 +445,14 @@
 		c := newCluster(3)
 		c.dropped = func(int, int) bool { return rapid.Bool().Draw(t, "lost") }
 		now := time.Second
-		failedAt := map[quarantine.Fingerprint]map[quarantine.Process]bool{}
+		failedAt := map[quarantine.Feature]map[quarantine.Process]bool{}
 		for range rapid.IntRange(1, 60).Draw(t, "events") {
 			now += time.Duration(rapid.IntRange(0, 500).Draw(t, "pause")) * ms
 			entry := rapid.IntRange(0, 2).Draw(t, "entry")
 			r, p := request(rapid.IntRange(0, 3).Draw(t, "request")), process(rapid.IntRange(0, 9).Draw(t, "process"))
 			switch rapid.IntRange(0, 3).Draw(t, "event") {
 			case 0:
-				c.tables[entry].RecordFailure(r, p, rapid.Bool().Draw(t, "by peer"), now)
+				c.tables[entry].RecordFailure(attempt(r, p, rapid.Bool().Draw(t, "by peer")), now)
 				if failedAt[r] == nil {
 					failedAt[r] = map[quarantine.Process]bool{}
 				}
@@ -440,7 +461,7 @@
 				c.tables[entry].RecordCrash(p, now)
 			case 2:
 				c.tables[entry].RecordAnswer(r, now)
-				if _, held := c.tables[entry].Held(r, now); held {
+				if _, held := c.tables[entry].Held(whole(r), now); held {
 					t.Fatalf("the request is held although it was just answered")
 				}
 			case 3:
--- a/internal/coordination/quarantine/reports.go
+++ b/internal/coordination/quarantine/reports.go
@@ -15,54 +15,78 @@
 	Crashes []Crash     `cbor:"1,keyasint,omitempty"`
 	Holds   []Hold      `cbor:"2,keyasint,omitempty"`
 	Cleared []Clearance `cbor:"3,keyasint,omitempty"`
+	// Withdrawn are features whose holds something wider explains.
+	Withdrawn []Clearance `cbor:"4,keyasint,omitempty"`
 }
 
 // Crash is the crash of a process with the requests that the sender had in flight there.
 type Crash struct {
-	Process  Process       `cbor:"1,keyasint"`
-	Age      time.Duration `cbor:"2,keyasint"`
-	Requests []Fingerprint `cbor:"3,keyasint"`
-	At       time.Duration `cbor:"-"`
+	Process Process       `cbor:"1,keyasint"`
+	Age     time.Duration `cbor:"2,keyasint"`
+	// Requests are the fingerprints of the requests.
+	Requests []Feature `cbor:"3,keyasint"`
+	// Pending are those requests whose answers had not begun.
+	Pending []Pending     `cbor:"4,keyasint,omitempty"`
+	At      time.Duration `cbor:"-"`
+}
+
+// Pending is a request whose answer had not begun at a crash.
+type Pending struct {
+	// Index is the position of the request in the crash's Requests.
+	Index        int      `cbor:"1,keyasint"`
+	Organisation uint64   `cbor:"2,keyasint"`
+	Parts        []PartID `cbor:"3,keyasint,omitempty"`
 }
 
-// Hold is a request that must be sent to no server.
+// Hold is a feature whose requests must be sent to no server.
 type Hold struct {
-	Request Fingerprint   `cbor:"1,keyasint"`
+	Feature Feature       `cbor:"1,keyasint"`
 	Age     time.Duration `cbor:"2,keyasint"`
-	// Count is how often the request has been held, at least 1.
+	// Count is how often the feature has been held, at least 1.
 	Count int           `cbor:"3,keyasint"`
+	Kind  Kind          `cbor:"4,keyasint,omitempty"`
 	At    time.Duration `cbor:"-"`
 }
 
-// Clearance is a request that was answered and that the receivers may suspect.
+// Clearance is a feature whose requests were answered, or whose hold was withdrawn, and that the
+// receivers may suspect.
 type Clearance struct {
-	Request Fingerprint   `cbor:"1,keyasint"`
+	Feature Feature       `cbor:"1,keyasint"`
 	Age     time.Duration `cbor:"2,keyasint"`
+	Kind    Kind          `cbor:"3,keyasint,omitempty"`
 	At      time.Duration `cbor:"-"`
 }
 
 // Empty reports whether the report has no items.
 func (r *CrashReport) Empty() bool {
-	return len(r.Crashes) == 0 && len(r.Holds) == 0 && len(r.Cleared) == 0
+	return len(r.Crashes) == 0 && len(r.Holds) == 0 && len(r.Cleared) == 0 && len(r.Withdrawn) == 0
 }
 
 // Limits of what is sent.
 const (
-	// maxRequestsPerMessage bounds the requests in one message so that it fits in one packet.
-	maxRequestsPerMessage = 18
+	// maxMessageBytes bounds a message so that it fits in one packet. requestBytes and partBytes
+	// are upper limits of what one request, hold or clearance, and one part, add to it.
+	maxMessageBytes = 1200
+	requestBytes    = 66
+	partBytes       = 18
 	// maxCrashesPerSecond bounds how many requests that were in flight at crashes are reported
 	// in a second. maxQueueTime is how long such a request is queued before it is dropped.
 	maxCrashesPerSecond = 18
 	maxQueueTime        = 3 * time.Second
+	// answeredPartDelay is how long the report of a part is delayed that this entry got answers
+	// to. Most parts are answered again before that, and are not reported.
+	answeredPartDelay = 300 * time.Millisecond
 	// resendDuration is how long a report is sent again, with each heartbeat that goes to all
 	// entries.
 	//
 	// Datagrams are lost, one in some hundreds and more on a full link. An entry that missed
 	// one continued to send requests that all others refuse.
 	resendDuration = 5 * time.Second
-	// maxSentReports bounds the reports of holds and clearances that are sent again.
+	// maxResent bounds the requests that are sent again with one heartbeat, and maxSentReports
+	// the reports of holds and clearances.
+	maxResent      = 18
 	maxSentReports = 64
-	// maxHoldCount bounds how often a request can have been held in the lifetime of a process.
+	// maxHoldCount bounds how often a feature can have been held in the lifetime of a process.
 	maxHoldCount = 1 << 16
 )
 
@@ -75,22 +99,29 @@
 		if c.Age < 0 || c.Process.Server == "" {
 			return fmt.Errorf("crash of process %q with age %v: expected a server name and an age of at least 0", c.Process.Server, c.Age)
 		}
+		for _, p := range c.Pending {
+			if p.Index < 0 || p.Index >= len(c.Requests) || len(p.Parts) > MaxParts {
+				return fmt.Errorf("pending request %d of %d with %d parts: expected one of the requests and at most %d parts", p.Index, len(c.Requests), len(p.Parts), MaxParts)
+			}
+		}
 	}
 	for _, h := range r.Holds {
-		if h.Age < 0 || h.Count < 1 || h.Count > maxHoldCount {
-			return fmt.Errorf("request held %d times, last with age %v: expected 1 to %d times and an age of at least 0", h.Count, h.Age, maxHoldCount)
+		if h.Age < 0 || h.Count < 1 || h.Count > maxHoldCount || !h.Kind.valid() {
+			return fmt.Errorf("feature of kind %d held %d times, last with age %v: expected a known kind, 1 to %d times and an age of at least 0", h.Kind, h.Count, h.Age, maxHoldCount)
 		}
 	}
-	for _, c := range r.Cleared {
-		if c.Age < 0 {
-			return fmt.Errorf("request cleared with age %v: expected an age of at least 0", c.Age)
+	for _, c := range slices.Concat(r.Cleared, r.Withdrawn) {
+		if c.Age < 0 || !c.Kind.valid() {
+			return fmt.Errorf("feature of kind %d cleared with age %v: expected a known kind and an age of at least 0", c.Kind, c.Age)
 		}
 	}
 	return nil
 }
 
+func (k Kind) valid() bool { return k >= KindRequest && k <= KindPart }
+
 // Merge adds another entry's report. It returns the clearances that the sender lacks, for
-// those of its requests that were in flight at a crash and that were answered here recently.
+// those of its features that were in flight at a crash and that were answered here recently.
 //
 // An entry that was partitioned from the others comes back with outdated state, and a request
 // that was answered in the meantime would be refused again. Crashes and holds from before the
@@ -99,21 +130,21 @@
 	for _, c := range report.Cleared {
 		t.mergeClearance(c, now-c.Age)
 	}
+	for _, w := range report.Withdrawn {
+		if s, ok := t.suspects[w.Feature]; ok && s.holdCount > 0 && s.heldAt <= now-w.Age {
+			t.remove(w.Feature)
+		}
+	}
 	var reply CrashReport
 	for _, received := range report.Crashes {
 		if received.Age >= t.config.DetectionTimeout {
 			continue
 		}
 		c := t.crashAt(received.Process, now-received.Age, now)
-		for _, request := range received.Requests {
-			if t.recentlyAnswered(request, now) {
-				at, _ := t.answered.last(request)
-				reply.Cleared = append(reply.Cleared, Clearance{Request: request, At: at})
-			}
-			t.addCrash(request, c, now)
-			if s, ok := t.suspects[request]; ok {
-				s.reported = true
-			}
+		for _, r := range received.inFlight() {
+			reply.Cleared = append(reply.Cleared, t.clearancesFor(r, c, now)...)
+			t.addCrash(r, c, now)
+			t.markReported(r.Request)
 		}
 	}
 	for _, h := range report.Holds {
@@ -122,36 +153,90 @@
 	return reply.split(now)
 }
 
-// mergeClearance records that a request was answered at another entry. A request that was
-// held after the answer stays held: the entry that held it had received the answer, or the
-// request crashed servers after it.
+// inFlight returns the requests of a received crash.
+func (c *Crash) inFlight() []inFlight {
+	requests := make([]inFlight, 0, len(c.Requests))
+	for _, f := range c.Requests {
+		requests = append(requests, inFlight{&Request{Fingerprint: f}, true})
+	}
+	for _, p := range c.Pending {
+		requests[p.Index] = inFlight{&Request{Fingerprint: c.Requests[p.Index], Organisation: p.Organisation, Parts: p.Parts}, false}
+	}
+	return requests
+}
+
+// clearancesFor returns the features of a request in flight at another entry that were answered
+// here: the request recently, or a part since the crash.
+func (t *Table) clearancesFor(r inFlight, c *crash, now time.Duration) []Clearance {
+	var cleared []Clearance
+	if t.recentlyAnswered(r.Fingerprint, KindRequest, now) {
+		cleared = append(cleared, Clearance{Feature: r.Fingerprint, At: t.answered.last(r.Fingerprint).whole})
+	}
+	for _, id := range r.Parts {
+		f := partFeature(anyOrganisation, id)
+		if at := t.answeredParts.last(f).begun; at >= c.at {
+			cleared = append(cleared, Clearance{Feature: f, Kind: KindPart, At: at})
+		}
+	}
+	return cleared
+}
+
+// markReported records that other entries may suspect what a request has.
+func (t *Table) markReported(r *Request) {
+	for f := range r.features() {
+		if s, ok := t.suspects[f]; ok {
+			s.reported = true
+		}
+	}
+}
+
+// mergeClearance records that a feature was answered at another entry. A feature that was
+// held after the answer stays held: the entry that held it had received the answer, or its
+// requests crashed servers after it.
 func (t *Table) mergeClearance(c Clearance, at time.Duration) {
-	t.answered.record(c.Request, at)
-	s, ok := t.suspects[c.Request]
+	if c.Kind == KindRequest {
+		t.answered.recordWhole(c.Feature, at)
+		t.removeAnswered(c.Feature, at)
+		return
+	}
+	id := c.Feature.part()
+	t.answeredParts.recordBegun(partFeature(anyOrganisation, id), at)
+	for _, f := range slices.Clone(t.suspectParts[id]) {
+		t.removeAnswered(f, at)
+	}
+}
+
+// removeAnswered removes a suspect whose crashes and holds are from before an answer.
+func (t *Table) removeAnswered(f Feature, at time.Duration) {
+	s, ok := t.suspects[f]
 	if ok && s.heldAt <= at && (s.holdCount > 0 || s.lastAdded <= at) {
-		t.remove(c.Request)
+		t.remove(f)
 	}
 }
 
 // mergeHold applies another entry's hold.
 func (t *Table) mergeHold(h Hold, at time.Duration) {
-	if answeredAt, ok := t.answered.last(h.Request); ok && answeredAt >= at {
+	a := t.lastAnswer(h.Feature, h.Kind)
+	answeredAt := a.whole
+	if h.Kind != KindRequest {
+		answeredAt = a.begun
+	}
+	if answeredAt >= at {
 		return
 	}
-	s := t.suspectFor(h.Request)
+	s := t.suspectFor(h.Feature, h.Kind)
 	if s.holdCount >= h.Count {
 		return
 	}
 	s.heldAt, s.holdCount, s.reported = at, h.Count, true
-	for _, c := range s.crashes {
-		c.attributed = true
-	}
+	t.attribute(s)
+	t.withdrawInstances(s, at)
 }
 
 // TakeStoreChanges returns the holds to write to the store and the requests whose holds are
 // to be deleted from it, and resets both. If several entries make the same hold, those that
 // had the request in flight at its last crash write it.
-func (t *Table) TakeStoreChanges() (newHolds []Hold, cleared []Fingerprint) {
+func (t *Table) TakeStoreChanges() (newHolds []Hold, cleared []Feature) {
 	newHolds, cleared = t.newHolds, t.cleared
 	t.newHolds, t.cleared = nil, nil
 	return newHolds, cleared
@@ -160,27 +245,31 @@
 // StoreAgain queues all current holds to be written to the store, which may have lost them.
 func (t *Table) StoreAgain(now time.Duration) {
 	t.newHolds = nil
-	for request, s := range t.suspects {
+	for _, s := range t.suspects {
 		if t.held(s, now) {
-			t.newHolds = append(t.newHolds, Hold{Request: request, At: s.heldAt, Count: s.holdCount})
+			t.newHolds = append(t.newHolds, s.toHold())
 		}
 	}
 }
 
 // Restore adds holds that were read from the store, and returns the requests whose holds
 // have expired.
-func (t *Table) Restore(stored []Hold, now time.Duration) []Fingerprint {
-	var expired []Fingerprint
+func (t *Table) Restore(stored []Hold, now time.Duration) []Feature {
+	var expired []Feature
 	for _, h := range stored {
 		t.mergeHold(h, now-h.Age)
-		if s, ok := t.suspects[h.Request]; ok && s.heldAt == now-h.Age && !t.held(s, now) {
-			t.remove(h.Request)
-			expired = append(expired, h.Request)
+		if s, ok := t.suspects[h.Feature]; ok && s.heldAt == now-h.Age && !t.held(s, now) {
+			t.remove(h.Feature)
+			expired = append(expired, h.Feature)
 		}
 	}
 	return expired
 }
 
+func (s *suspect) toHold() Hold {
+	return Hold{Feature: s.feature, Kind: s.kind, At: s.heldAt, Count: s.holdCount}
+}
+
 // sentReport is a report of holds or clearances that this entry queued for sending, and when.
 type sentReport struct {
 	report CrashReport
@@ -199,18 +288,69 @@
 	for _, c := range more.Crashes {
 		at := slices.IndexFunc(r.Crashes, func(known Crash) bool { return known.Process == c.Process && known.At == c.At })
 		if at < 0 {
-			r.Crashes = append(r.Crashes, Crash{Process: c.Process, At: c.At, Requests: slices.Clone(c.Requests)})
-			continue
+			r.Crashes = append(r.Crashes, Crash{Process: c.Process, At: c.At})
+			at = len(r.Crashes) - 1
+		}
+		known := &r.Crashes[at]
+		offset := len(known.Requests)
+		known.Requests = append(known.Requests, c.Requests...)
+		for _, p := range c.Pending {
+			p.Index += offset
+			known.Pending = append(known.Pending, p)
 		}
-		r.Crashes[at].Requests = append(r.Crashes[at].Requests, c.Requests...)
 	}
 	r.Holds = append(r.Holds, more.Holds...)
 	r.Cleared = append(r.Cleared, more.Cleared...)
+	r.Withdrawn = append(r.Withdrawn, more.Withdrawn...)
+}
+
+// localCrash is a request that this entry had in flight at a crash. The field at is when that
+// was recorded, or when it was reported to other entries.
+type localCrash struct {
+	inFlight
+	crash *crash
+	at    time.Duration
+	// after is when it may be reported.
+	after time.Duration
+}
+
+// queueCrash queues a request that was in flight at a crash to be reported. The parts that this entry
+// got answers to are reported later, unless they are answered meanwhile.
+//
+// Most parts of a request are shared by many others. If each of them was reported at each crash,
+// reports would be several times as large, and each entry would reply with its answers.
+func (t *Table) queueCrash(r inFlight, c *crash, now time.Duration) {
+	if r.begun {
+		t.unsentCrashes = append(t.unsentCrashes, localCrash{inFlight{&Request{Fingerprint: r.Fingerprint}, true}, c, now, now})
+		return
+	}
+	early, late := *r.Request, *r.Request
+	early.Parts, late.Parts = nil, nil
+	for _, id := range r.Parts {
+		if t.recentlyAnswered(partFeature(anyOrganisation, id), KindPart, now) {
+			late.Parts = append(late.Parts, id)
+		} else {
+			early.Parts = append(early.Parts, id)
+		}
+	}
+	t.unsentCrashes = append(t.unsentCrashes, localCrash{inFlight{&early, false}, c, now, now})
+	if len(late.Parts) > 0 {
+		t.unsentCrashes = append(t.unsentCrashes, localCrash{inFlight{&late, false}, c, now, now + answeredPartDelay})
+	}
+}
+
+// report returns the message part for a request in flight at a crash.
+func (l *localCrash) report() CrashReport {
+	c := Crash{Process: l.crash.process, At: l.crash.at, Requests: []Feature{l.Fingerprint}}
+	if !l.begun {
+		c.Pending = []Pending{{Organisation: l.Organisation, Parts: l.Parts}}
+	}
+	return CrashReport{Crashes: []Crash{c}}
 }
 
 func (r *CrashReport) addLocal(all []localCrash) {
 	for _, l := range all {
-		r.add(CrashReport{Crashes: []Crash{{Process: l.crash.process, At: l.crash.at, Requests: []Fingerprint{l.request}}}})
+		r.add(l.report())
 	}
 }
 
@@ -231,29 +371,44 @@
 func (t *Table) nextCrashes(now time.Duration) []localCrash {
 	t.crashTokens = min(t.crashTokens+maxCrashesPerSecond*(now-t.tokensUpdatedAt).Seconds(), maxCrashesPerSecond)
 	t.tokensUpdatedAt = now
-	t.unsentCrashes = slices.DeleteFunc(t.unsentCrashes, func(l localCrash) bool { return now-l.at >= maxQueueTime || t.suspects[l.request] == nil })
+	t.unsentCrashes = slices.DeleteFunc(t.unsentCrashes, func(l localCrash) bool { return now-l.at >= maxQueueTime || t.crashCount(l.Request) == 0 })
 	t.sortByCrashCount(t.unsentCrashes)
-	n := min(int(t.crashTokens), len(t.unsentCrashes))
-	next := slices.Clone(t.unsentCrashes[:n])
-	t.unsentCrashes = t.unsentCrashes[n:]
-	t.crashTokens -= float64(n)
-	for i := range next {
-		next[i].at = now
-		t.suspects[next[i].request].reported = true
-	}
+	var next []localCrash
+	t.unsentCrashes = slices.DeleteFunc(t.unsentCrashes, func(l localCrash) bool {
+		if l.after > now || t.crashTokens < 1 {
+			return false
+		}
+		if l.after > l.at {
+			// Only the parts that were not answered meanwhile are still suspected.
+			l.Parts = slices.DeleteFunc(l.Parts, func(id PartID) bool { return !t.SuspectsPart(id) })
+			if len(l.Parts) == 0 {
+				return true
+			}
+		}
+		t.crashTokens--
+		l.at = now
+		t.markReported(l.Request)
+		next = append(next, l)
+		return true
+	})
 	t.sentCrashes = append(t.sentCrashes, next...)
 	return next
 }
 
-// sortByCrashCount sorts requests by their number of crashes, highest first.
-func (t *Table) sortByCrashCount(all []localCrash) {
-	count := func(l localCrash) int {
-		if s, ok := t.suspects[l.request]; ok {
-			return len(s.crashes)
+// crashCount returns the most crashes of any suspect that a request has.
+func (t *Table) crashCount(r *Request) int {
+	most := 0
+	for f := range r.features() {
+		if s, ok := t.suspects[f]; ok {
+			most = max(most, len(s.crashes))
 		}
-		return 0
 	}
-	slices.SortStableFunc(all, func(a, b localCrash) int { return cmp.Compare(count(b), count(a)) })
+	return most
+}
+
+// sortByCrashCount sorts requests by their number of crashes, highest first.
+func (t *Table) sortByCrashCount(all []localCrash) {
+	slices.SortStableFunc(all, func(a, b localCrash) int { return cmp.Compare(t.crashCount(b.Request), t.crashCount(a.Request)) })
 }
 
 // RecentReports returns what this entry sent within resendDuration, in messages.
@@ -266,16 +421,16 @@
 	}
 	resend := slices.Clone(t.sentCrashes)
 	t.sortByCrashCount(resend)
-	all.addLocal(resend[:min(len(resend), maxRequestsPerMessage)])
+	all.addLocal(resend[:min(len(resend), maxResent)])
 	return all.split(now)
 }
 
 // HoldReports returns all requests that are held, in messages.
 func (t *Table) HoldReports(now time.Duration) []CrashReport {
 	var all CrashReport
-	for request, s := range t.suspects {
+	for _, s := range t.suspects {
 		if t.held(s, now) {
-			all.Holds = append(all.Holds, Hold{Request: request, At: s.heldAt, Count: s.holdCount})
+			all.Holds = append(all.Holds, s.toHold())
 		}
 	}
 	return all.split(now)
@@ -285,9 +440,9 @@
 // if no request is held.
 func (t *Table) Digest(now time.Duration) uint64 {
 	sum := uint64(0)
-	for request, s := range t.suspects {
+	for f, s := range t.suspects {
 		if t.held(s, now) {
-			sum ^= bits.RotateLeft64(request.MetadataHash(), 1) ^ uint64(request[metadataHashBytes])
+			sum ^= bits.RotateLeft64(f.MetadataHash(), 1) ^ uint64(f[tagBytes])
 		}
 	}
 	return sum
@@ -297,26 +452,35 @@
 func (r *CrashReport) split(now time.Duration) []CrashReport {
 	var all []CrashReport
 	current, size := CrashReport{}, 0
-	reserve := func() {
-		if size == maxRequestsPerMessage {
+	add := func(item CrashReport, bytes int) {
+		if size > 0 && size+bytes > maxMessageBytes {
 			all, current, size = append(all, current), CrashReport{}, 0
 		}
-		size++
+		size += bytes
+		current.add(item)
 	}
 	for _, c := range r.Crashes {
-		for _, request := range c.Requests {
-			reserve()
-			c.Age = now - c.At
-			current.add(CrashReport{Crashes: []Crash{{Process: c.Process, At: c.At, Requests: []Fingerprint{request}}}})
+		parts := make(map[int]Pending, len(c.Pending))
+		for _, p := range c.Pending {
+			parts[p.Index] = p
+		}
+		for i, f := range c.Requests {
+			one := Crash{Process: c.Process, At: c.At, Requests: []Feature{f}}
+			if p, ok := parts[i]; ok {
+				p.Index = 0
+				one.Pending = []Pending{p}
+			}
+			add(CrashReport{Crashes: []Crash{one}}, requestBytes+partBytes*len(parts[i].Parts))
 		}
 	}
 	for _, h := range r.Holds {
-		reserve()
-		current.Holds = append(current.Holds, h)
+		add(CrashReport{Holds: []Hold{h}}, requestBytes)
 	}
 	for _, c := range r.Cleared {
-		reserve()
-		current.Cleared = append(current.Cleared, c)
+		add(CrashReport{Cleared: []Clearance{c}}, requestBytes)
+	}
+	for _, c := range r.Withdrawn {
+		add(CrashReport{Withdrawn: []Clearance{c}}, requestBytes)
 	}
 	if !current.Empty() {
 		all = append(all, current)
@@ -337,4 +501,7 @@
 	for i := range r.Cleared {
 		r.Cleared[i].Age = max(now-r.Cleared[i].At, 0)
 	}
+	for i := range r.Withdrawn {
+		r.Withdrawn[i].Age = max(now-r.Withdrawn[i].At, 0)
+	}
 }
--- a/internal/coordination/quarantine/simulation_test.go
+++ b/internal/coordination/quarantine/simulation_test.go
@@ -20,6 +20,11 @@
 	// processes and next are the numbers of the last process and of the next request.
 	processes int
 	next      int
+	// nextRequest returns the next request that crashes no server.
+	nextRequest func() *quarantine.Request
+	// onSent and onCrash are called when a request that crashes servers is sent to one, and when it
+	// crashes it. They may be nil.
+	onSent, onCrash func(r *modelRequest)
 	// crashes counts the crashes that requests caused, and sent how often these requests were
 	// sent to servers. refused counts the other requests that were refused.
 	crashes, sent, refused int
@@ -33,8 +38,11 @@
 }
 
 type modelRequest struct {
-	fingerprint quarantine.Fingerprint
-	entry       int
+	*quarantine.Request
+	entry int
+	// begins is when the first event of the answer arrives, of requests with parts.
+	begins time.Duration
+	begun  bool
 	// crashes is true if the request crashes its server 100 ms after it started.
 	crashes  bool
 	until    time.Duration
@@ -54,6 +62,7 @@
 
 func newSimulation(seed uint64, servers int) *simulation {
 	sim := &simulation{cluster: newCluster(8), rng: rand.New(rand.NewPCG(seed, 1)), now: time.Second, next: 1}
+	sim.nextRequest = func() *quarantine.Request { return whole(request(sim.next)) }
 	for range servers {
 		s := &modelServer{}
 		sim.start(s)
@@ -69,7 +78,7 @@
 
 // dispatch sends a request to a server, unless its entry refuses it or no server is up.
 func (sim *simulation) dispatch(r *modelRequest) {
-	if _, held := sim.tables[r.entry].Held(r.fingerprint, sim.now); held {
+	if _, held := sim.tables[r.entry].Held(r.Request, sim.now); held {
 		if !r.crashes {
 			sim.refused++
 		}
@@ -81,9 +90,15 @@
 			continue
 		}
 		r.attempts++
+		if len(r.Parts) > 0 {
+			r.begun, r.begins = false, sim.now+2*step+time.Duration(sim.rng.Int64N(int64(answerDuration/4)))
+		}
 		r.until = sim.now + answerDuration/2 + time.Duration(sim.rng.Int64N(int64(answerDuration)))
 		if r.crashes {
 			sim.sent++
+			if sim.onSent != nil {
+				sim.onSent(r)
+			}
 			r.until = sim.now + 2*step
 		}
 		s.running = append(s.running, r)
@@ -93,11 +108,11 @@
 
 // crash crashes a server. The requests that it ran are retried.
 func (sim *simulation) crash(s *modelServer) {
-	inFlight := map[int][]quarantine.Fingerprint{}
+	inFlight := map[int][]quarantine.Attempt{}
 	for _, r := range s.running {
-		inFlight[r.entry] = append(inFlight[r.entry], r.fingerprint)
+		inFlight[r.entry] = append(inFlight[r.entry], quarantine.Attempt{Request: r.Request, Process: s.process, Begun: r.begun, ClosedByServer: true})
 	}
-	sim.cluster.crash(s.process, inFlight, sim.now)
+	sim.crashAttempts(s.process, inFlight, sim.now)
 	failed := s.running
 	sim.start(s)
 	s.downUntil = sim.now + restartDuration
@@ -119,7 +134,7 @@
 			inFlight += len(s.running)
 		}
 		for ; inFlight < perServer*len(sim.servers); inFlight++ {
-			sim.dispatch(&modelRequest{fingerprint: request(sim.next), entry: sim.rng.IntN(len(sim.tables))})
+			sim.dispatch(&modelRequest{Request: sim.nextRequest(), entry: sim.rng.IntN(len(sim.tables))})
 			sim.next++
 		}
 		for _, s := range sim.servers {
@@ -133,13 +148,20 @@
 	remaining := s.running[:0]
 	crashed := false
 	for _, r := range s.running {
+		if len(r.Parts) > 0 && !r.begun && !r.crashes && sim.now >= r.begins {
+			r.begun = true
+			sim.tables[r.entry].RecordBegun(r.Request, sim.now)
+		}
 		switch {
 		case sim.now < r.until:
 			remaining = append(remaining, r)
 		case r.crashes:
 			remaining, crashed = append(remaining, r), true
+			if sim.onCrash != nil {
+				sim.onCrash(r)
+			}
 		default:
-			sim.tables[r.entry].RecordAnswer(r.fingerprint, sim.now)
+			sim.tables[r.entry].RecordAnswer(r.Fingerprint, sim.now)
 		}
 	}
 	s.running = remaining
@@ -191,7 +213,7 @@
 func (sim *simulation) repeatCrash(perServer, otherCrashes int) {
 	sim.run(3*time.Second, perServer)
 	for n := range 15 {
-		sim.dispatch(&modelRequest{fingerprint: request(0), entry: sim.rng.IntN(8), crashes: true})
+		sim.dispatch(&modelRequest{Request: whole(request(0)), entry: sim.rng.IntN(8), crashes: true})
 		for range otherCrashes * (n % 5 / 4) {
 			sim.crash(sim.servers[sim.rng.IntN(len(sim.servers))])
 			sim.run(sim.now+100*ms, perServer)
@@ -210,10 +232,10 @@
 		sim.run(2*time.Second, 4)
 		for n := range 40 {
 			for range 8 {
-				sim.dispatch(&modelRequest{fingerprint: popular, entry: sim.rng.IntN(8)})
+				sim.dispatch(&modelRequest{Request: whole(popular), entry: sim.rng.IntN(8)})
 			}
 			if n%3 == 0 {
-				sim.dispatch(&modelRequest{fingerprint: request(0), entry: sim.rng.IntN(8), crashes: true})
+				sim.dispatch(&modelRequest{Request: whole(request(0)), entry: sim.rng.IntN(8), crashes: true})
 			}
 			if n == 20 {
 				for _, s := range sim.servers[:6] {
@@ -238,7 +260,7 @@
 		sim.run(2*time.Second, 8)
 		for range 15 {
 			for n := range 2 {
-				sim.dispatch(&modelRequest{fingerprint: request(1_000_000 + n), entry: sim.rng.IntN(8), crashes: true})
+				sim.dispatch(&modelRequest{Request: whole(request(1_000_000 + n)), entry: sim.rng.IntN(8), crashes: true})
 			}
 			sim.run(sim.now+400*ms, 8)
 		}
--- a/internal/transport/gateway/crashes.go
+++ b/internal/transport/gateway/crashes.go
@@ -4,6 +4,7 @@
 	"errors"
 	"io"
 	"net"
+	"slices"
 	"syscall"
 	"time"
 
@@ -60,7 +61,7 @@
 }
 
 // fingerprint identifies the request across all its attempts.
-func (x *exchange) fingerprint() quarantine.Fingerprint {
+func (x *exchange) fingerprint() quarantine.Feature {
 	if cached := x.cachedFingerprint.Load(); cached != nil {
 		return *cached
 	}
@@ -69,6 +70,24 @@
 	return f
 }
 
+// parts identifies the parts of the request's prompt.
+func (x *exchange) parts() []quarantine.PartID {
+	if cached := x.cachedParts.Load(); cached != nil {
+		return *cached
+	}
+	parts := make([]quarantine.PartID, 0, len(x.call.PromptParts))
+	for _, name := range x.call.PromptParts[:min(len(x.call.PromptParts), quarantine.MaxParts)] {
+		parts = append(parts, quarantine.NewPartID(x.call.Model, name))
+	}
+	x.cachedParts.Store(&parts)
+	return parts
+}
+
+// features returns what the request has in common with others.
+func (x *exchange) features() *quarantine.Request {
+	return &quarantine.Request{Fingerprint: x.fingerprint(), Organisation: quarantine.OrganisationTag(string(x.organisation.ID)), Parts: x.parts()}
+}
+
 // maybeSuspected reports whether the request may be suspected. It is decided without hashing the
 // body.
 func (a *attempts) maybeSuspected() bool {
@@ -79,50 +98,88 @@
 	if noSuspects {
 		return false
 	}
-	head := a.identity().MetadataHash()
+	head, parts := a.identity().MetadataHash(), a.parts()
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.crashes.MaySuspect(head)
+	return g.crashes.MaySuspect(head) || slices.ContainsFunc(parts, g.crashes.SuspectsPart)
 }
 
 // checkQuarantine returns the error response for a quarantined request; nil if the request may be
 // sent.
 //
-// The same request returns under another ID and crashes its server together with everything that
-// the server runs. After three crashes, neither a caller's retry nor this entry's next attempt is
-// sent.
+// The same request returns under another ID, or others with the same part in their prompts, and
+// crash their servers together with everything that these run. Once that is known, neither a
+// caller's retry nor this entry's next attempt is sent.
 func (a *attempts) checkQuarantine() *errorResponse {
 	if !a.maybeSuspected() {
 		return nil
 	}
-	g, f := a.gateway, a.fingerprint()
+	g, r := a.gateway, a.features()
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	left, held := g.crashes.Held(f, boottime.Now())
-	switch {
-	case held:
-		return unavailable(reasonQuarantined, left)
-	case g.crashes.OneCrashFromHold(f, boottime.Now()) && a.duplicateInFlight(f):
+	now := boottime.Now()
+	if verdict, held := g.crashes.Held(r, now); held {
+		response := unavailable(reasonOf(verdict.Kind), verdict.Left)
+		response.fields = []zap.Field{zap.Stringer("Kind", verdict.Kind), zap.String("Part", a.heldPart(verdict)), zap.Int("Ends", verdict.Crashes)}
+		return response
+	}
+	if wait := a.trialWait(r, now); wait > 0 {
+		return unavailable(reasonAlreadyInFlight, wait)
+	}
+	if g.crashes.OneCrashFromHold(r.Fingerprint, now) && a.duplicateInFlight(r.Fingerprint, quarantine.KindRequest) {
 		return unavailable(reasonAlreadyInFlight, retryAfterSuspected)
 	}
 	return nil
 }
 
-// duplicateInFlight reports whether the same request is running at a server for another caller
-// attempt. The caller holds g.mu.
-func (a *attempts) duplicateInFlight(f quarantine.Fingerprint) bool {
+// trialWait returns how long the request must wait because the hold of something that it has has
+// just ended, and another entry or another request tries first. The caller holds g.mu.
+func (a *attempts) trialWait(r *quarantine.Request, now time.Duration) time.Duration {
+	g := a.gateway
+	trials := g.crashes.Trials(r, now)
+	if len(trials) == 0 {
+		return 0
+	}
+	var hosts []string
+	for _, entry := range g.peers.alive(now) {
+		hosts = append(hosts, string(entry.Host))
+	}
+	wait := time.Duration(0)
+	for _, trial := range trials {
+		wait = max(wait, g.crashes.TrialWait(trial, string(g.config.Self.Host), hosts))
+		if a.duplicateInFlight(trial.Feature, trial.Kind) {
+			wait = max(wait, retryAfterSuspected)
+		}
+	}
+	return wait
+}
+
+// reasonOf returns the reason for refusing what is quarantined.
+func reasonOf(kind quarantine.Kind) string {
+	if kind == quarantine.KindRequest {
+		return reasonQuarantined
+	}
+	return reasonPartQuarantined
+}
+
+// duplicateInFlight reports whether a request with the same feature is running at a server for
+// another caller attempt. The caller holds g.mu.
+func (a *attempts) duplicateInFlight(f quarantine.Feature, kind quarantine.Kind) bool {
 	for other := range a.gateway.crashes.inFlight {
-		if other != a && other.cancelAttempt != nil && other.matches(f) {
+		if other != a && other.cancelAttempt != nil && other.matches(f, kind) {
 			return true
 		}
 	}
 	return false
 }
 
-// matches reports whether the request has the fingerprint f. The body is hashed only if everything
-// else is the same.
-func (a *attempts) matches(f quarantine.Fingerprint) bool {
-	return a.identity().MetadataHash() == f.MetadataHash() && a.fingerprint() == f
+// matches reports whether the request has a feature. The body is hashed only if everything else is
+// the same.
+func (a *attempts) matches(f quarantine.Feature, kind quarantine.Kind) bool {
+	if kind == quarantine.KindRequest {
+		return a.identity().MetadataHash() == f.MetadataHash() && a.fingerprint() == f
+	}
+	return (&quarantine.Request{Organisation: quarantine.OrganisationTag(string(a.organisation.ID)), Parts: a.parts()}).Has(f, kind)
 }
 
 // awaitDecision delays the retry of a request that one more crash would quarantine, until it is
@@ -134,9 +191,9 @@
 	if !a.maybeSuspected() {
 		return
 	}
-	g, f := a.gateway, a.fingerprint()
+	g, r := a.gateway, a.features()
 	g.mu.Lock()
-	suspected := g.crashes.OneCrashFromHold(f, boottime.Now())
+	suspected := g.crashes.AnyOneCrashFromHold(r, boottime.Now())
 	g.mu.Unlock()
 	if !suspected {
 		return
@@ -159,12 +216,12 @@
 // noteIncomplete records an attempt without a complete response, and checks whether its server has
 // crashed.
 func (a *attempts) noteIncomplete(err error) {
-	g, f, backend := a.gateway, a.fingerprint(), a.placement.Backend
+	g, r, backend := a.gateway, a.features(), a.placement.Backend
 	process, now := processOf(backend), boottime.Now()
 	byPeer := closedByPeer(err) && !errors.Is(err, errWriteToCaller)
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.crashes.RecordFailure(f, process, byPeer, now)
+	g.crashes.RecordFailure(quarantine.Attempt{Request: r, Process: process, Begun: a.phase.hasStarted(), ClosedByServer: byPeer}, now)
 	if at, ok := g.crashes.probedAt[process]; byPeer && (!ok || now-at > probeInterval) {
 		if len(g.crashes.probedAt) >= maxProbedProcesses {
 			clear(g.crashes.probedAt)
@@ -189,6 +246,18 @@
 	g.crashes.RecordAnswer(f, boottime.Now())
 }
 
+// noteBegun records that a server began to answer the request.
+func (a *attempts) noteBegun() {
+	r := &quarantine.Request{Parts: a.parts()}
+	if len(a.call.Body) <= maxHashedBody || a.maybeSuspected() {
+		r.Fingerprint = a.fingerprint()
+	}
+	g := a.gateway
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.crashes.RecordBegun(r, boottime.Now())
+}
+
 // track adds a request to those in flight, and untrack removes it.
 func (g *Gateway) track(a *attempts) {
 	g.mu.Lock()
@@ -246,40 +315,70 @@
 // noteServerCrash records that a server's process has ended. The caller holds g.mu.
 func (g *Gateway) noteServerCrash(backend catalog.Backend, evidence string) {
 	now := boottime.Now()
-	requests := g.crashes.RecordCrash(processOf(backend), now)
-	if len(requests) == 0 {
+	attempts := g.crashes.RecordCrash(processOf(backend), now)
+	if len(attempts) == 0 {
 		return
 	}
-	names := make([]string, 0, len(requests))
-	for _, f := range requests {
-		names = append(names, f.String())
+	names := make([]string, 0, len(attempts))
+	var pending []string
+	for _, a := range attempts {
+		names = append(names, a.Request.Fingerprint.String())
+		if !a.Begun {
+			pending = append(pending, a.Request.Fingerprint.String())
+		}
 	}
 	g.metrics.serverCrashes.WithLabelValues(backend.Service).Inc()
 	g.log.Warn("backend server process ended with requests in flight", zap.String("Backend", backend.ID), zap.Int64("Boot", int64(backend.Boot)),
-		zap.String("Seen", evidence), zap.Strings("Fingerprints", names))
+		zap.String("Seen", evidence), zap.Strings("Fingerprints", names), zap.Strings("Pending", pending))
 }
 
-// advanceQuarantine decides which requests are quarantined, cancels their attempts, and returns the
-// reports for the other entries. The caller holds g.mu.
+// advanceQuarantine decides which features of requests are quarantined, cancels the attempts at
+// requests that have them, and returns the reports for the other entries. The caller holds g.mu.
 func (g *Gateway) advanceQuarantine(now time.Duration) []quarantine.CrashReport {
 	for _, replaced := range g.fleet.TakeReplaced() {
 		g.noteServerCrash(replaced, "Replaced")
 	}
-	for _, f := range g.crashes.Advance(now) {
-		g.log.Warn("request quarantined", zap.Stringer("Fingerprint", f), zap.Int("Ends", g.crashes.CrashCount(f)))
-		g.cancelAttempts(f)
+	for _, v := range g.crashes.Advance(now) {
+		g.log.Warn("request quarantined", zap.Stringer("Kind", v.Kind), zap.Stringer("Fingerprint", v.Feature), zap.Int("Ends", v.Crashes),
+			zap.Duration("For", v.Left), zap.String("Part", g.partName(v)), zap.Int("Withdrawn", g.cancelAttempts(v.Feature, v.Kind)))
 	}
 	return g.crashes.NewReports(now)
 }
 
-// cancelAttempts cancels the attempts at a request whose responses have not started. The caller
+// partName returns the name of a quarantined part if a request in flight here has it. The caller
 // holds g.mu.
-func (g *Gateway) cancelAttempts(f quarantine.Fingerprint) {
+func (g *Gateway) partName(v quarantine.Verdict) string {
+	for a := range g.crashes.inFlight {
+		if name := a.heldPart(v); name != "" {
+			return name
+		}
+	}
+	return ""
+}
+
+// heldPart returns the name of the part by which the request is quarantined; empty if it is not
+// quarantined by a part.
+func (a *attempts) heldPart(v quarantine.Verdict) string {
+	for i, id := range a.parts() {
+		r := quarantine.Request{Organisation: quarantine.OrganisationTag(string(a.organisation.ID)), Parts: []quarantine.PartID{id}}
+		if v.Kind != quarantine.KindRequest && r.Has(v.Feature, v.Kind) {
+			return loggedParts(a.call.PromptParts[i : i+1])[0]
+		}
+	}
+	return ""
+}
+
+// cancelAttempts cancels the attempts at requests with a feature whose responses have not started,
+// and returns their number. The caller holds g.mu.
+func (g *Gateway) cancelAttempts(f quarantine.Feature, kind quarantine.Kind) int {
+	n := 0
 	for a := range g.crashes.inFlight {
-		if a.cancelAttempt != nil && a.matches(f) && a.phase.tryCancel() {
+		if a.cancelAttempt != nil && a.matches(f, kind) && a.phase.tryCancel() {
 			a.cancelAttempt()
+			n++
 		}
 	}
+	return n
 }
 
 // applyCrashReports applies another entry's reports of crashes and holds. The caller holds g.mu.
@@ -288,8 +387,8 @@
 		g.reply(Datagram{Crashes: &reply}, from)
 	}
 	for _, hold := range reports.Holds {
-		if _, held := g.crashes.Held(hold.Request, now); held {
-			g.cancelAttempts(hold.Request)
+		if g.crashes.IsHeld(hold.Feature, now) {
+			g.cancelAttempts(hold.Feature, hold.Kind)
 		}
 	}
 }
--- a/internal/transport/gateway/crashreports_test.go
+++ b/internal/transport/gateway/crashreports_test.go
@@ -21,7 +21,7 @@
 	for n := range 200 {
 		process := quarantine.Process{Server: fmt.Sprintf("i-%012d", n), Boot: 1764723093000}
 		request := quarantine.Identity{Organisation: "hauler-1", Target: fmt.Sprint("/draft/", n)}
-		table.RecordFailure(request.Fingerprint(), process, true, now)
+		table.RecordFailure(quarantine.Attempt{Request: &quarantine.Request{Fingerprint: request.Fingerprint()}, Process: process, ClosedByServer: true}, now)
 		table.RecordCrash(process, now+time.Millisecond)
 	}
 	sent := 0
@@ -46,7 +46,7 @@
 	process := quarantine.Process{Server: "i-0b0818ed14"}
 	for n := range 2 {
 		request := quarantine.Identity{Organisation: "hauler-1", Target: fmt.Sprint("/draft/", n)}
-		table.RecordFailure(request.Fingerprint(), process, true, time.Second)
+		table.RecordFailure(quarantine.Attempt{Request: &quarantine.Request{Fingerprint: request.Fingerprint()}, Process: process, ClosedByServer: true}, time.Second)
 	}
 	table.RecordCrash(process, time.Second)
 	reports := table.NewReports(time.Second)
--- a/internal/transport/gateway/datagrams.go
+++ b/internal/transport/gateway/datagrams.go
@@ -182,7 +182,8 @@
 		g.removeDemand(host)
 	}
 	heartbeat := g.ownHeartbeat(now)
-	g.metrics.quarantined.Set(float64(g.crashes.HeldCount(now)))
+	g.metrics.quarantined.Set(float64(g.crashes.HeldCount(quarantine.KindRequest, now)))
+	g.metrics.quarantinedParts.Set(float64(g.crashes.HeldCount(quarantine.KindOrganisationPart, now) + g.crashes.HeldCount(quarantine.KindPart, now)))
 	g.metrics.rateLimited.Set(float64(g.fleet.RateLimitedCount()))
 	g.metrics.slowServers.Set(float64(g.fleet.SlowCount()))
 	g.mu.Unlock()
--- a/internal/transport/gateway/holds.go
+++ b/internal/transport/gateway/holds.go
@@ -86,7 +86,7 @@
 }
 
 // deleteHolds deletes expired holds from the store.
-func (g *Gateway) deleteHolds(ctx context.Context, requests []quarantine.Fingerprint) {
+func (g *Gateway) deleteHolds(ctx context.Context, requests []quarantine.Feature) {
 	if err := g.store.DeleteHolds(ctx, requests); err != nil {
 		// The next entry that reads the holds deletes them.
 		g.log.Warn("could not delete expired quarantine holds", zap.Error(err))
@@ -101,7 +101,7 @@
 		if err == nil {
 			return
 		}
-		g.log.Warn("could not save a quarantine hold", zap.Stringer("Fingerprint", hold.Request), zap.Error(err))
+		g.log.Warn("could not save a quarantine hold", zap.Stringer("Fingerprint", hold.Feature), zap.Error(err))
 		select {
 		case <-ctx.Done():
 			return
--- a/internal/transport/gateway/metrics.go
+++ b/internal/transport/gateway/metrics.go
@@ -16,6 +16,7 @@
 	cancelledAttempts    *prometheus.CounterVec
 	serverCrashes        *prometheus.CounterVec
 	quarantined          prometheus.Gauge
+	quarantinedParts     prometheus.Gauge
 	announcements        *prometheus.CounterVec
 	rateLimited          prometheus.Gauge
 	storeRestored        prometheus.Counter
@@ -61,6 +62,10 @@
 			Name: "filbertlever_gateway_quarantined",
 			Help: "Requests that are kept from all servers, as servers end under them.",
 		}),
+		quarantinedParts: prometheus.NewGauge(prometheus.GaugeOpts{
+			Name: "filbertlever_gateway_quarantined_parts",
+			Help: "Parts of prompts whose requests are kept from all servers, as servers end under them.",
+		}),
 		announcements: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "filbertlever_gateway_server_announcements_total",
 			Help: "Answers in which a server announces that it is draining, wants no requests for a while, or limits their rate.",
@@ -108,7 +113,7 @@
 		}, []string{"Service", "Level", "Reason"}),
 	}
 	registry.MustRegister(m.slowServers, m.placedSlowdown, m.pressure, m.levelReserve, m.levelDecisions)
-	registry.MustRegister(m.outcomes, m.retries, m.firstByte, m.startPredictionError, m.cancelledAttempts, m.serverCrashes, m.quarantined, m.announcements, m.rateLimited, m.storeRestored, m.placedMissing, m.badDatagrams, m.badRows)
+	registry.MustRegister(m.outcomes, m.retries, m.firstByte, m.startPredictionError, m.cancelledAttempts, m.serverCrashes, m.quarantined, m.quarantinedParts, m.announcements, m.rateLimited, m.storeRestored, m.placedMissing, m.badDatagrams, m.badRows)
 	return m
 }
 
--- a/internal/transport/gateway/ports.go
+++ b/internal/transport/gateway/ports.go
@@ -249,11 +249,11 @@
 	DecodeEntries(rows Rows, after uint64) (Entries, error)
 	Register(ctx context.Context, entry Entry) error
 	Unregister(ctx context.Context, entry Entry) error
-	// Holds returns the quarantined requests and the rows that cannot be read. SaveHold writes one
+	// Holds returns what is quarantined and the rows that cannot be read. SaveHold writes one
 	// hold, and DeleteHolds removes those that have expired.
 	Holds(ctx context.Context) ([]quarantine.Hold, []BadRow, error)
 	SaveHold(ctx context.Context, hold quarantine.Hold) error
-	DeleteHolds(ctx context.Context, requests []quarantine.Fingerprint) error
+	DeleteHolds(ctx context.Context, features []quarantine.Feature) error
 	// SaveVersions records when a host learned of the named versions. Versions returns what hosts
 	// have recorded, as ages at the time of the call or slightly more, and the rows that cannot be
 	// read.
--- a/internal/transport/gateway/serve.go
+++ b/internal/transport/gateway/serve.go
@@ -39,6 +39,8 @@
 	reason string
 	// retryAfter is when the caller should retry; only set for requests that did not run.
 	retryAfter time.Duration
+	// fields are added to the log of the request's outcome.
+	fields []zap.Field
 	// closeConnection is set if the rest of the caller's connection cannot be parsed reliably.
 	closeConnection bool
 }
@@ -61,10 +63,12 @@
 	reasonTimeout            = "time ran out"
 	reasonCallerDisconnected = "the caller left"
 	reasonTruncated          = "the answer broke off"
-	// reasonQuarantined refuses a request that servers crashed under. reasonAlreadyInFlight refuses
+	// reasonQuarantined refuses a request that servers crashed under, and reasonPartQuarantined one
+	// with a part in its prompt that servers crashed under. reasonAlreadyInFlight refuses
 	// a suspected request while the same request is running at a server, because the next crash
 	// decides whether it is quarantined.
 	reasonQuarantined     = "servers end under this request"
+	reasonPartQuarantined = "servers end under requests with a part of this prompt"
 	reasonAlreadyInFlight = "this request is being tried at one server"
 )
 
@@ -103,7 +107,9 @@
 	ctx      context.Context
 	cancel   context.CancelFunc
 	// cachedFingerprint is set once the request's fingerprint has been computed.
-	cachedFingerprint atomic.Pointer[quarantine.Fingerprint]
+	cachedFingerprint atomic.Pointer[quarantine.Feature]
+	// cachedParts is set once the IDs of the parts of the prompt have been computed.
+	cachedParts atomic.Pointer[[]quarantine.PartID]
 	// firstByteAt is when the first byte of the response was forwarded.
 	firstByteAt time.Time
 }
@@ -271,7 +277,7 @@
 		header.Set("Connection", "close")
 	}
 	http.Error(x.writer, response.reason, response.status)
-	fields := []zap.Field{zap.Duration("RetryAfter", response.retryAfter)}
+	fields := append(response.fields, zap.Duration("RetryAfter", response.retryAfter))
 	if response.status == http.StatusServiceUnavailable && x.call != nil && len(x.call.Body) <= maxHashedBody {
 		// The caller retries under another ID. The fingerprint stays the same.
 		fields = append(fields, zap.Stringer("Fingerprint", x.fingerprint()))
@@ -315,7 +321,7 @@
 		return "CallerLeft"
 	case reason == reasonTruncated:
 		return "BrokenOff"
-	case reason == reasonQuarantined, reason == reasonAlreadyInFlight:
+	case reason == reasonQuarantined, reason == reasonPartQuarantined, reason == reasonAlreadyInFlight:
 		return "Quarantined"
 	case status < http.StatusBadRequest:
 		return "Answered"
--- a/internal/transport/gateway/stream.go
+++ b/internal/transport/gateway/stream.go
@@ -51,6 +51,9 @@
 		if err == nil {
 			a.markStarted()
 			a.recordProgress(id, first)
+			if first {
+				a.noteBegun()
+			}
 		}
 		if silence != nil {
 			silence.Reset(a.silenceTimeout())
