Recognise crashes at the end of answers without length

What callers saw: a stream with neither a length nor chunks that ended between two events as its server crashed was passed on as complete, with events missing; a plain answer likewise. For the quarantine, such a crash was an answer that cleared the request.

Cause: an answer of this form ends with its connection, and an orderly end was taken for the end of the answer. The class is the same as with requests that crash servers: an event that has two causes was attributed to one of them.

Change: at the end of an answer of this form the entry checks, after 30 ms, whether the server still listens. If it does not, the answer broke off: it is resumed or sent again where it may be, and otherwise its connection is aborted. An answer of this form without events counts for nothing.

Before: TestStreamWithoutLengthIsNotCutOffByACrash fails (both cases), and 15 servers run a request with a crashing part where 8 are allowed if its crashes look like ends. After: both pass. Cost: 30 ms and a connection at the end of each answer of this form.

--- a/internal/transport/gateway/attempts.go
+++ b/internal/transport/gateway/attempts.go
@@ -302,6 +302,9 @@
 // read completely first, so that a truncated one is never started.
 func (a *attempts) relayResponse(id string, reply *Reply) forward.End {
 	body, err := io.ReadAll(io.LimitReader(reply.Body, maxBufferedResponse+1))
+	if err == nil && reply.UntilClose && a.serverCrashed() {
+		err = errCrashed
+	}
 	if err != nil {
 		reply.Finish(false)
 		a.noteIncomplete(err)
@@ -330,6 +333,9 @@
 	if err == nil {
 		_, err = io.Copy(a.writer, reply.Body)
 	}
+	if err == nil && reply.UntilClose && a.serverCrashed() {
+		err = errCrashed
+	}
 	reply.Finish(err == nil)
 	if err != nil {
 		a.recordOutcome(reply.Status, reasonTruncated, zap.String("Backend", id), zap.Error(err))
--- a/internal/transport/gateway/crashes.go
+++ b/internal/transport/gateway/crashes.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"slices"
@@ -296,6 +297,18 @@
 	return false
 }
 
+// errCrashed means that a response ended because the process of its server did.
+var errCrashed = fmt.Errorf("the server crashed at the end of its response: %w", io.ErrUnexpectedEOF)
+
+// serverCrashed reports whether the process that sent a response has ended since.
+//
+// A response with neither a length nor chunks ends with its connection. If its server crashes, it
+// looks complete.
+func (a *attempts) serverCrashed() bool {
+	time.Sleep(firstProbeDelay)
+	return a.gateway.sender.ConnectionRefused(a.placement.Backend)
+}
+
 // probeServer checks whether the process of a server that truncated a response has ended.
 //
 // Responses are lost and connections are reset while servers keep running. If that counted as a
--- a/internal/transport/gateway/ports.go
+++ b/internal/transport/gateway/ports.go
@@ -77,6 +77,9 @@
 	Body   io.Reader
 	// Length is negative if the server did not send a length.
 	Length int64
+	// UntilClose is true if the body has neither a length nor chunks. It ends with its connection, so
+	// that its end does not show that it is complete.
+	UntilClose bool
 	// Verified is true if the response carries the server's receipt and was not altered in transit.
 	Verified bool
 	// Stream is true if the body is an event stream.
--- a/internal/transport/gateway/stream.go
+++ b/internal/transport/gateway/stream.go
@@ -58,8 +58,11 @@
 		if silence != nil {
 			silence.Reset(a.silenceTimeout())
 		}
+		if err == io.EOF && reply.UntilClose && a.serverCrashed() {
+			err = errCrashed
+		}
 		if err == io.EOF {
-			return a.endStream(id, reply)
+			return a.endStream(id, reply, !first)
 		}
 		if err == nil {
 			err = a.forwardTimed(event)
@@ -101,10 +104,12 @@
 	_ = a.stream.flusher.SetWriteDeadline(a.deadline.Add(writeGracePeriod))
 }
 
-// endStream ends a stream that was forwarded completely.
-func (a *attempts) endStream(id string, reply *Reply) forward.End {
+// endStream ends a stream that was forwarded completely. The parameter begun is true if it had events.
+func (a *attempts) endStream(id string, reply *Reply, begun bool) forward.End {
 	reply.Finish(true)
-	a.noteAnswered()
+	if begun || !reply.UntilClose {
+		a.noteAnswered()
+	}
 	_ = a.stream.flusher.SetWriteDeadline(time.Time{})
 	a.recordOutcome(reply.Status, "", zap.String("Backend", id), zap.String("LastEvent", a.stream.lastEvent), zap.Int("Servers", a.Sent()+1))
 	return 0
