Date crashes by the last sign of life, and exclude requests sent after them

Cause: the time of a crash was that of the last connection that broke. Until a crash is known, requests go on being written to the connections that the process has left open, or to whatever accepts them; these break too, and were counted as in flight at the crash, at times instead of its cause, which had failed over a second earlier.

Change: answers and their parts are signs of life of a process. A crash is dated by the first connection that broke after the last of these, and requests that were sent later than that are not its cause.

Before: TestRequestSentAfterACrashIsNotItsCause fails.

--- a/internal/coordination/quarantine/quarantine.go
+++ b/internal/coordination/quarantine/quarantine.go
@@ -18,6 +18,8 @@
 type Attempt struct {
 	Request *Request
 	Process Process
+	// Sent is when the request was sent.
+	Sent time.Duration
 	// Begun is true if the first event of the answer had arrived.
 	Begun bool
 	// ClosedByServer is true if the server's side closed the connection, and false if this entry
@@ -95,6 +97,8 @@
 	config Config
 	// failures holds attempts at processes that may have crashed.
 	failures map[Process][]failedAttempt
+	// alive is when an answer, or a part of one, last arrived from a process.
+	alive map[Process]time.Duration
 	// crashes holds the latest crash of each process, for DetectionTimeout.
 	crashes  map[Process]*crash
 	suspects map[Feature]*suspect
@@ -129,7 +133,7 @@
 
 // New returns a table without suspects.
 func New(config Config) *Table {
-	return &Table{config: config, failures: map[Process][]failedAttempt{}, crashes: map[Process]*crash{},
+	return &Table{config: config, failures: map[Process][]failedAttempt{}, alive: map[Process]time.Duration{}, crashes: map[Process]*crash{},
 		suspects: map[Feature]*suspect{}, suspectHashes: map[uint64]int{}, suspectParts: map[PartID][]Feature{},
 		answered: newAnswerLog(config.MaxEntries), answeredParts: newAnswerLog(config.MaxEntries), lastBegun: never}
 }
@@ -151,7 +155,9 @@
 // RecordFailure records an attempt that got no complete answer.
 func (t *Table) RecordFailure(a Attempt, now time.Duration) {
 	if c, ok := t.crashes[a.Process]; ok && now-c.at < t.config.CorrelationWindow {
-		t.addLocalCrash(inFlight{a.Request, a.Begun}, c, now)
+		if a.sentBefore(c.at) {
+			t.addLocalCrash(inFlight{a.Request, a.Begun}, c, now)
+		}
 		return
 	}
 	failures := t.failures[a.Process]
@@ -161,11 +167,24 @@
 	t.failures[a.Process] = append(failures, failedAttempt{a, now})
 }
 
+// crashTimeTolerance is the difference between the times at which the connections to a process that
+// crashed are seen to break, at one entry and at others.
+const crashTimeTolerance = 20 * time.Millisecond
+
+// sentBefore reports whether a request can have caused a crash at a time.
+//
+// Until a crash is known, requests are written to connections that the process has left open. They
+// break off too, and were taken for its cause.
+func (a *Attempt) sentBefore(crash time.Duration) bool { return a.Sent < crash+crashTimeTolerance }
+
+// RecordAlive records that an answer, or a part of one, arrived from a process.
+func (t *Table) RecordAlive(process Process, now time.Duration) { t.alive[process] = now }
+
 // RecordCrash records that a process was found to have crashed, and returns the requests
-// that this entry had in flight there. The time of the crash is when the server last closed
-// a connection of this entry without a complete answer.
+// that this entry had in flight there. The time of the crash is when the server first closed a
+// connection of this entry without a complete answer and sent nothing more.
 func (t *Table) RecordCrash(process Process, now time.Duration) []Attempt {
-	at, ok := t.lastClose(process, now)
+	at, ok := t.firstClose(process, now)
 	if !ok {
 		return nil
 	}
@@ -177,10 +196,15 @@
 	return attempts
 }
 
-// lastClose returns when a process last closed a connection without a complete answer.
-func (t *Table) lastClose(process Process, now time.Duration) (time.Duration, bool) {
-	for _, f := range slices.Backward(t.failures[process]) {
-		if f.ClosedByServer && now-f.at < t.config.DetectionTimeout {
+// firstClose returns when a process first closed a connection without a complete answer, after the
+// last sign of life from it.
+func (t *Table) firstClose(process Process, now time.Duration) (time.Duration, bool) {
+	alive, ok := t.alive[process]
+	if !ok {
+		alive = never
+	}
+	for _, f := range t.failures[process] {
+		if f.ClosedByServer && now-f.at < t.config.DetectionTimeout && f.at > alive-t.config.SimultaneousWindow {
 			return f.at, true
 		}
 	}
@@ -196,7 +220,7 @@
 		t.crashes[process] = c
 	}
 	for _, f := range t.failures[process] {
-		if max(f.at-c.at, c.at-f.at) < t.config.CorrelationWindow {
+		if max(f.at-c.at, c.at-f.at) < t.config.CorrelationWindow && f.sentBefore(c.at) {
 			t.addLocalCrash(inFlight{f.Request, f.Begun}, c, now)
 		}
 	}
--- a/internal/coordination/quarantine/quarantine_test.go
+++ b/internal/coordination/quarantine/quarantine_test.go
@@ -212,6 +212,39 @@
 	qt.Assert(t, held, qt.IsTrue)
 }
 
+// Until a crash is known, requests are written to connections that the process has left open, and
+// break off at once. None of them may be held for the crash.
+func TestRequestSentAfterACrashIsNotItsCause(t *testing.T) {
+	table := quarantine.New(quarantine.DefaultConfig())
+	bad, good := request(0), request(1)
+	now := time.Second
+	for n := range 3 {
+		table.RecordAlive(process(n), now)
+		now += 100 * ms
+		table.RecordFailure(attempt(bad, process(n), true), now)
+		late := attempt(good, process(n), true)
+		late.Sent = now + 200*ms
+		table.RecordFailure(late, now+201*ms)
+		qt.Assert(t, table.RecordCrash(process(n), now+500*ms), qt.HasLen, 1)
+		now += time.Second
+		table.Advance(now)
+	}
+	_, held := table.Held(whole(bad), now)
+	qt.Assert(t, held, qt.IsTrue)
+	_, held = table.Held(whole(good), now)
+	qt.Assert(t, held, qt.IsFalse)
+}
+
+// A connection that broke before a process answered again does not tell when it crashed.
+func TestCrashIsDatedAfterTheLastSignOfLife(t *testing.T) {
+	table := quarantine.New(quarantine.DefaultConfig())
+	table.RecordFailure(attempt(request(0), process(0), true), time.Second)
+	table.RecordAlive(process(0), 2*time.Second)
+	qt.Assert(t, table.RecordCrash(process(0), 2500*ms), qt.HasLen, 0)
+	table.RecordFailure(attempt(request(1), process(0), true), 3*time.Second)
+	qt.Assert(t, table.RecordCrash(process(0), 3500*ms), qt.HasLen, 1)
+}
+
 // A hold must expire after some minutes, because the server may have been fixed and nobody
 // would notice while the request is refused. The next crash holds it for twice as long, and
 // an answer clears it at all entries.
--- a/internal/coordination/quarantine/suspects.go
+++ b/internal/coordination/quarantine/suspects.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 )
@@ -126,6 +127,7 @@
 			delete(t.failures, process)
 		}
 	}
+	maps.DeleteFunc(t.alive, func(_ Process, at time.Duration) bool { return now-at >= t.config.DetectionTimeout })
 	for process, c := range t.crashes {
 		if now-c.at >= t.config.DetectionTimeout {
 			delete(t.crashes, process)
--- a/internal/transport/gateway/announcements.go
+++ b/internal/transport/gateway/announcements.go
@@ -125,5 +125,6 @@
 	if !g.fleet.WithinRateLimit(a.placement) {
 		return errRateLimited
 	}
+	a.sentAt = boottime.Now()
 	return nil
 }
--- a/internal/transport/gateway/attempts.go
+++ b/internal/transport/gateway/attempts.go
@@ -39,6 +39,8 @@
 	// placement is the server chosen for the current attempt, at placedAt.
 	placement fleet.Placement
 	placedAt  time.Duration
+	// sentAt is when the request of the current attempt was written; 0 before that.
+	sentAt time.Duration
 	// startDeadline is when the current attempt is cancelled if its response has not started,
 	// because its server holds a version that soon may not response any more; 0 if there is no
 	// deadline.
@@ -71,7 +73,7 @@
 			a.fail(response)
 			return
 		}
-		a.placement, a.placedAt = placement, boottime.Now()
+		a.placement, a.placedAt, a.sentAt = placement, boottime.Now(), 0
 		a.tried = append(a.tried, placement.Backend)
 		end, reply := a.try(placement)
 		if end == 0 {
@@ -106,6 +108,9 @@
 	if err != nil {
 		return a.handleSendError(id, err), nil
 	}
+	g.mu.Lock()
+	g.crashes.RecordAlive(processOf(placement.Backend), boottime.Now())
+	g.mu.Unlock()
 	a.recordAnnouncements(placement.Backend, reply)
 	if end := a.classifyReply(id, reply); end != 0 {
 		if end != forward.EndFailed {
--- a/internal/transport/gateway/crashes.go
+++ b/internal/transport/gateway/crashes.go
@@ -222,7 +222,7 @@
 	byPeer := closedByPeer(err) && !errors.Is(err, errWriteToCaller)
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.crashes.RecordFailure(quarantine.Attempt{Request: r, Process: process, Begun: a.phase.hasStarted(), ClosedByServer: byPeer}, now)
+	g.crashes.RecordFailure(quarantine.Attempt{Request: r, Process: process, Sent: a.sentAt, Begun: a.phase.hasStarted(), ClosedByServer: byPeer}, now)
 	if at, ok := g.crashes.probedAt[process]; byPeer && (!ok || now-at > probeInterval) {
 		if len(g.crashes.probedAt) >= maxProbedProcesses {
 			clear(g.crashes.probedAt)
--- a/internal/transport/gateway/stream.go
+++ b/internal/transport/gateway/stream.go
@@ -82,6 +82,7 @@
 	now := boottime.Now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	g.crashes.RecordAlive(processOf(a.placement.Backend), now)
 	if g.fleet.Superseded(a.placement.Backend) {
 		return
 	}
