--- a/internal/coordination/outcome/outcome.go
+++ b/internal/coordination/outcome/outcome.go
@@ -122,6 +122,7 @@
 	{"time ran out", "TimeRanOut"},
 	{"the answer broke off", "BrokeOff"},
 	{"body did not arrive", "SlowBody"},
+	{"servers end under requests with a part", "QuarantinedPart"},
 	{"servers end under", "Quarantined"},
 	{"this request is being tried", "Quarantined"},
 }
--- a/internal/transport/gateway/attempts.go
+++ b/internal/transport/gateway/attempts.go
@@ -323,6 +323,9 @@
 	if len(body) <= maxBufferedResponse {
 		reply.Finish(true)
 		a.noteAnswered()
+		if len(a.call.PromptParts) > 0 && reply.Status < http.StatusInternalServerError {
+			a.noteBegun()
+		}
 		a.writer.Header().Set("Content-Length", strconv.Itoa(len(body)))
 		a.writer.WriteHeader(reply.Status)
 		// The HTTP server notices a caller that does not read its response.
