--- a/internal/coordination/quarantine/parts_test.go
+++ b/internal/coordination/quarantine/parts_test.go
@@ -23,12 +23,22 @@
 	otherPart = partID("other", 0)
 )
 
+// badPartOfAny is the feature of all requests with badPart, whoever sends them.
+var badPartOfAny = func() quarantine.Feature {
+	d := newPartDay()
+	d.crashUnder(withParts(1, 1, badPart), withParts(2, 2, badPart), withParts(3, 3, badPart))
+	verdict, _ := d.tables[0].Held(withParts(4, 4, badPart), d.now)
+	return verdict.Feature
+}()
+
 // partDay is a series of crashes, one in 300 ms, with answers to other requests between them.
 type partDay struct {
 	*cluster
 	now time.Duration
 	// silent is true if no server answers anything.
 	silent bool
+	// processes is the number of processes that have crashed.
+	processes int
 }
 
 func newPartDay() *partDay { return &partDay{cluster: newCluster(3), now: time.Second} }
@@ -36,7 +46,8 @@
 // crashUnder crashes one process under each request, which entry 0 sent.
 func (d *partDay) crashUnder(requests ...*quarantine.Request) {
 	for _, r := range requests {
-		p := process(int(d.now / ms))
+		p := process(d.processes)
+		d.processes++
 		d.crashAttempts(p, map[int][]quarantine.Attempt{0: {{Request: r, Process: p, ClosedByServer: true}}}, d.now)
 		d.now += 300 * ms
 		if !d.silent {
@@ -135,6 +146,26 @@
 	}
 }
 
+// An answer between two crashes may become known after the second. The first must then not count.
+func TestLateNewsOfAnAnswerClearsEarlierCrashes(t *testing.T) {
+	d := newPartDay()
+	var answered time.Duration
+	for n := range 3 {
+		d.crashUnder(withParts(n, 1, badPart))
+		switch n {
+		case 0:
+			answered = d.now - 150*ms
+		case 1:
+			d.tables[0].Merge(&quarantine.CrashReport{Cleared: []quarantine.Clearance{{
+				Feature: badPartOfAny, Kind: quarantine.KindPart, Age: d.now - answered}}}, d.now)
+		}
+		// Long enough for crashes to count separately.
+		d.now += quarantine.DefaultConfig().CorrelationWindow
+	}
+	d.advance(d.now)
+	qt.Assert(t, d.heldBy(withParts(9, 1, badPart)), qt.Equals, 0)
+}
+
 // A request that was held before the part that it has was known must not stay held on its own once
 // servers answer the part again.
 func TestHoldOfRequestIsWithdrawnForItsPart(t *testing.T) {
