--- a/internal/coordination/quarantine/parts_simulation_test.go
+++ b/internal/coordination/quarantine/parts_simulation_test.go
@@ -34,8 +34,7 @@
 type partsRun struct {
 	*simulation
 	partsScenario
-	// fifth is when a part crashed its fifth server, and late are the tries sent contactDelay after
-	// it, in total and for each bad part.
+	// crashed and tries are when requests with a bad part crashed a server and were sent to one.
 	crashed map[quarantine.PartID][]time.Duration
 	tries   map[quarantine.PartID][]time.Duration
 	// heldSince is when a sound part was first seen held at some entry, and longest the longest time.
@@ -54,6 +53,8 @@
 	contactDelay       = 3 * time.Second
 	maxTriesAfterwards = 3
 	crashesToKnow      = 5
+	heartbeatInterval  = 400 * ms
+	heartbeatTurns     = 5
 )
 
 func organisationTag(n int) uint64 { return quarantine.OrganisationTag(fmt.Sprint("hauler-", n)) }
@@ -144,11 +145,25 @@
 			p.others(p)
 		}
 		p.run(p.now+step, p.perServer)
+		p.resend()
 		p.observe()
 	}
 	return p
 }
 
+// resend sends the recent reports of each entry to a fifth of the others, as with each heartbeat.
+func (p *partsRun) resend() {
+	if p.now%heartbeatInterval != 0 {
+		return
+	}
+	turn := int(p.now/heartbeatInterval) % heartbeatTurns
+	for from, t := range p.tables {
+		for _, report := range t.RecentReports(p.now) {
+			p.sendTo(from, report, p.now, func(to int) bool { return to%heartbeatTurns == turn })
+		}
+	}
+}
+
 // observe records which parts are held.
 func (p *partsRun) observe() {
 	held := map[quarantine.PartID]bool{}
@@ -269,3 +284,55 @@
 		})
 	}
 }
+
+// BenchmarkCrashingParts measures what a part that crashes servers costs until it is held, and what
+// sound requests pay, over seeds: servers crashed for each part, sound requests refused and sound parts
+// held of a million requests, the time from the fifth crash until all entries hold the part, and bytes
+// that an entry sends.
+func BenchmarkCrashingParts(b *testing.B) {
+	base := partsScenario{entries: 8, perServer: 8, parts: 4, bad: 1, pause: 300 * ms, lost: 0.05, others: rackFailures}
+	with := func(change func(*partsScenario)) partsScenario {
+		s := base
+		change(&s)
+		return s
+	}
+	for _, s := range []partsScenario{
+		with(func(s *partsScenario) { s.perServer = 1 }), base, with(func(s *partsScenario) { s.perServer = 16 }), with(func(s *partsScenario) { s.perServer = 32 }),
+		with(func(s *partsScenario) { s.parts = 1 }), with(func(s *partsScenario) { s.parts = 8 }),
+		with(func(s *partsScenario) { s.bad = 2 }), with(func(s *partsScenario) { s.organisations = 5 }),
+		with(func(s *partsScenario) { s.entries = 45 }), with(func(s *partsScenario) { s.entries = 98 }), with(func(s *partsScenario) { s.entries = 460 }),
+	} {
+		b.Run(fmt.Sprintf("%dEntries/%dPerServer/%dParts/%dBad/%dOrganisations", s.entries, s.perServer, s.parts, s.bad, max(s.organisations, 1)), func(b *testing.B) {
+			var delays []time.Duration
+			crashes, refused, held, sent, late, bytes, seed := 0, 0, 0, 0, 0, 0, uint64(0)
+			longest := time.Duration(0)
+			for b.Loop() {
+				s.seed, s.servers = seed, 24
+				seed++
+				p := newPartsRun(s)
+				p.countBytes = true
+				p.play(12 * time.Second)
+				crashes, refused, held, sent, late, bytes = crashes+p.crashes, refused+p.refused, held+p.soundHeld, sent+p.next, max(late, p.lateTries()), bytes+p.bytes
+				longest = max(longest, p.longest)
+				for n := range s.bad {
+					at, ok := p.decided[partID("bad", n)]
+					if !ok {
+						at = p.now
+					}
+					if c := p.crashed[partID("bad", n)]; len(c) > 0 {
+						delays = append(delays, at-c[min(len(c), crashesToKnow)-1])
+					}
+				}
+			}
+			slices.Sort(delays)
+			b.ReportMetric(float64(crashes)/float64(int(seed)*s.bad), "crashes/part")
+			b.ReportMetric(1e6*float64(refused)/float64(sent), "refused/M")
+			b.ReportMetric(1e6*float64(held)/float64(sent), "held/M")
+			b.ReportMetric(longest.Seconds(), "s/longest-hold")
+			b.ReportMetric(float64(late), "late")
+			b.ReportMetric(delays[len(delays)/2].Seconds(), "s/half")
+			b.ReportMetric(delays[len(delays)*99/100].Seconds(), "s/99")
+			b.ReportMetric(float64(bytes)/float64(seed)/float64(s.entries)/12, "B/s")
+		})
+	}
+}
--- a/internal/coordination/quarantine/quarantine_test.go
+++ b/internal/coordination/quarantine/quarantine_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"github.com/fxamacker/cbor/v2"
 	"pgregory.net/rapid"
 
 	"github.com/filbertlever/filbertlever/internal/coordination/quarantine"
@@ -35,6 +36,9 @@
 	tables []*quarantine.Table
 	// dropped reports whether a message is dropped.
 	dropped func(from, to int) bool
+	// bytes is the size of all reports that were sent, if countBytes is true.
+	bytes      int
+	countBytes bool
 }
 
 func newCluster(n int) *cluster {
@@ -79,8 +83,22 @@
 }
 
 func (c *cluster) send(from int, report quarantine.CrashReport, now time.Duration) {
+	c.sendTo(from, report, now, func(int) bool { return true })
+}
+
+// sendTo sends a report to the entries that are selected.
+func (c *cluster) sendTo(from int, report quarantine.CrashReport, now time.Duration, selected func(to int) bool) {
+	size := 0
+	if c.countBytes {
+		data, _ := cbor.Marshal(report) // always encodes
+		size = len(data)
+	}
 	for to, t := range c.tables {
-		if to == from || c.dropped(from, to) {
+		if to == from || !selected(to) {
+			continue
+		}
+		c.bytes += size
+		if c.dropped(from, to) {
 			continue
 		}
 		for _, reply := range t.Merge(&report, now) {
