A part is held for all organisations after five crashes; answer outdated holds

Change: what is held for all organisations takes five crashes, as the evidence must be clearer the more requests are refused. An entry that gets a hold of what it has answered since says so to the sender; until now an entry that had been cut off for longer than reports are sent again kept an outdated hold for minutes.

--- a/internal/coordination/quarantine/config.go
+++ b/internal/coordination/quarantine/config.go
@@ -7,7 +7,8 @@
 // Config holds the thresholds and timing settings of a Table.
 type Config struct {
 	// MinCrashes is how many crashes must count against a feature before it is held.
-	// CertainCrashes are enough even if something else explains them too.
+	// CertainCrashes are enough even if something else explains them too, and hold a part for
+	// all organisations.
 	MinCrashes     int
 	CertainCrashes int
 	// PropagationDelay is the time after a crash within which all entries have reported the
--- a/internal/coordination/quarantine/evidence.go
+++ b/internal/coordination/quarantine/evidence.go
@@ -121,9 +121,14 @@
 // sufficient reports whether the evidence suffices to hold a suspect if nothing else explains it.
 //
 // A part is wider than the request that has it. It is held only if different requests, or those of
-// different organisations, crashed servers, and if servers answered other requests meanwhile.
+// different organisations, crashed servers, and if servers answered other requests meanwhile. To hold
+// it for all organisations takes more crashes, as thousands of sound requests may have it.
 func (t *Table) sufficient(s *suspect, e evidence) bool {
-	return e.crashes >= t.config.MinCrashes && (s.kind == KindRequest || e.varied && t.lastBegun > e.first)
+	least := t.config.MinCrashes
+	if s.kind == KindPart {
+		least = t.config.CertainCrashes
+	}
+	return e.crashes >= least && (s.kind == KindRequest || e.varied && t.lastBegun > e.first)
 }
 
 // cutoff returns the time up to which crashes are considered in a decision. A feature that
--- a/internal/coordination/quarantine/reports.go
+++ b/internal/coordination/quarantine/reports.go
@@ -148,7 +148,9 @@
 		}
 	}
 	for _, h := range report.Holds {
-		t.mergeHold(h, now-h.Age)
+		if answeredAt, ok := t.mergeHold(h, now-h.Age); !ok {
+			reply.Cleared = append(reply.Cleared, Clearance{Feature: h.Feature, Kind: h.Kind, At: answeredAt})
+		}
 	}
 	return reply.split(now)
 }
@@ -214,23 +216,25 @@
 	}
 }
 
-// mergeHold applies another entry's hold.
-func (t *Table) mergeHold(h Hold, at time.Duration) {
+// mergeHold applies another entry's hold. If requests with the feature were answered since, it
+// returns when, and false.
+func (t *Table) mergeHold(h Hold, at time.Duration) (time.Duration, bool) {
 	a := t.lastAnswer(h.Feature, h.Kind)
 	answeredAt := a.whole
 	if h.Kind != KindRequest {
 		answeredAt = a.begun
 	}
 	if answeredAt >= at {
-		return
+		return answeredAt, false
 	}
 	s := t.suspectFor(h.Feature, h.Kind)
 	if s.holdCount >= h.Count {
-		return
+		return 0, true
 	}
 	s.heldAt, s.holdCount, s.reported = at, h.Count, true
 	t.attribute(s)
 	t.withdrawInstances(s, at)
+	return 0, true
 }
 
 // TakeStoreChanges returns the holds to write to the store and the requests whose holds are
