--- a/internal/coordination/quarantine/parts_simulation_test.go
+++ b/internal/coordination/quarantine/parts_simulation_test.go
@@ -285,10 +285,8 @@
 	}
 }
 
-// BenchmarkCrashingParts measures what a part that crashes servers costs until it is held, and what
-// sound requests pay, over seeds: servers crashed for each part, sound requests refused and sound parts
-// held of a million requests, the time from the fifth crash until all entries hold the part, and bytes
-// that an entry sends.
+// BenchmarkCrashingParts measures what a part that crashes servers costs until all entries hold it,
+// and what sound requests pay, per million of them.
 func BenchmarkCrashingParts(b *testing.B) {
 	base := partsScenario{entries: 8, perServer: 8, parts: 4, bad: 1, pause: 300 * ms, lost: 0.05, others: rackFailures}
 	with := func(change func(*partsScenario)) partsScenario {
--- a/internal/coordination/quarantine/parts_test.go
+++ b/internal/coordination/quarantine/parts_test.go
@@ -320,6 +320,25 @@
 			}
 		})
 	}
+	table, now := quarantine.New(quarantine.DefaultConfig()), time.Second
+	b.Run("Begun/NoParts", func(b *testing.B) {
+		r := withParts(1, 1)
+		for b.Loop() {
+			table.RecordBegun(r, now)
+		}
+	})
+	b.Run("Answer/NoParts", func(b *testing.B) {
+		r := withParts(1, 1)
+		for b.Loop() {
+			table.RecordAnswer(r.Fingerprint, now)
+		}
+	})
+	b.Run("Alive", func(b *testing.B) {
+		p := process(1)
+		for b.Loop() {
+			table.RecordAlive(p, now)
+		}
+	})
 	b.Run("PartID", func(b *testing.B) {
 		for b.Loop() {
 			quarantine.NewPartID("drafter", "5c1e07a2")
