Log who ended an attempt and count requests without an answer

"attempt failed" named an error of the connection, so that an attempt that the entry cancelled itself could not be told from a failure of its server. Attempts now end with a cause: the server, one of the entry's own cancellations (head timeout, stall, silence, replacement, start deadline, quarantine, rate limit), the deadline or the caller. "attempt failed", "attempt ended" and "request ended" carry it as EndedBy, with how long the server had been silent. The new counter filbertlever_gateway_unanswered_total counts requests whose connection the entry closed, by stage (NoStatus, Cut) and cause.

No decision changes.

--- a/internal/transport/gateway/attempts.go
+++ b/internal/transport/gateway/attempts.go
@@ -51,7 +51,16 @@
 	phase attemptPhase
 	// cancelAttempt cancels the current attempt; nil if there is none. It is guarded by the
 	// gateway's mu.
-	cancelAttempt func()
+	cancelAttempt func(by forward.EndedBy)
+	// attemptCtx is the context of the current attempt.
+	attemptCtx context.Context
+	// lastProgressAt is when the server of the current attempt last sent a part of its answer, or when
+	// the attempt began.
+	lastProgressAt time.Duration
+	// lastEndedBy is who ended the last failed attempt, and silence how long its server had sent nothing by
+	// then.
+	lastEndedBy forward.EndedBy
+	silence     time.Duration
 }
 
 // run sends the request until it has a final response.
@@ -75,6 +84,7 @@
 		}
 		a.placement, a.placedAt, a.sentAt = placement, boottime.Now(), 0
 		a.tried = append(a.tried, placement.Backend)
+		a.lastProgressAt, a.lastEndedBy, a.silence = a.placedAt, forward.EndedByServer, 0
 		end, reply := a.try(placement)
 		if end == 0 {
 			return
@@ -96,8 +106,10 @@
 		a.cancelAttempt = nil
 		g.mu.Unlock()
 	}()
-	ctx, cancel := context.WithCancel(a.ctx)
-	defer cancel()
+	ctx, cancelCause := context.WithCancelCause(a.ctx)
+	defer cancelCause(nil)
+	cancel := func(by forward.EndedBy) { cancelCause(&cancelError{by}) }
+	a.attemptCtx = ctx
 	watch := a.watchHead(placement.Backend, cancel)
 	defer a.watchStart(cancel)()
 	g.mu.Lock()
@@ -162,7 +174,8 @@
 	g := a.gateway
 	g.log.Warn("attempt failed", zap.String("Request", a.call.ID), zap.Stringer("Fingerprint", a.fingerprint()),
 		zap.String("Backend", id), zap.Int64("Boot", int64(a.placement.Backend.Boot)), zap.Stringer("End", end),
-		zap.Bool("Begun", a.phase.hasStarted()), zap.Strings("Parts", loggedParts(a.call.PromptParts)), zap.Error(err))
+		zap.Bool("Begun", a.phase.hasStarted()), zap.String("EndedBy", string(a.lastEndedBy)), zap.Duration("Silent", a.silence),
+		zap.Strings("Parts", loggedParts(a.call.PromptParts)), zap.Error(err))
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	switch {
@@ -240,7 +253,8 @@
 	step := a.NextStep(end, g.retryBudget(a.service), a.remaining(), boottime.Now(), true)
 	g.mu.Unlock()
 	g.log.Info("attempt ended", zap.String("Request", a.call.ID), zap.String("Backend", a.placement.Backend.ID),
-		zap.Stringer("End", end), zap.Stringer("Step", step), zap.Int("Sent", a.Sent()), zap.Duration("Left", a.remaining()))
+		zap.Stringer("End", end), zap.Stringer("Step", step), zap.Int("Sent", a.Sent()),
+		zap.String("EndedBy", string(a.lastEndedBy)), zap.Duration("Silent", a.silence), zap.Duration("Left", a.remaining()))
 	if step == forward.StepRetry {
 		a.discardFailure(failure)
 		if end == forward.EndLost {
@@ -294,12 +308,14 @@
 // must not claim that it did not run.
 func (a *attempts) fail(response *errorResponse) {
 	if a.stream != nil {
-		a.recordOutcome(http.StatusOK, reasonTruncated, zap.String("LastEvent", a.stream.lastEvent))
-		panic(http.ErrAbortHandler)
+		a.abort(http.StatusOK, a.lastEndedBy, zap.String("Instead", response.reason), zap.Duration("Silent", a.silence), zap.String("LastEvent", a.stream.lastEvent))
 	}
 	if a.MayHaveRun() && response.retryAfter > 0 {
 		response = a.errorFor(forward.StepUnknown)
 	}
+	if len(a.tried) > 0 {
+		a.endFields = []zap.Field{zap.String("EndedBy", string(a.lastEndedBy)), zap.Duration("Silent", a.silence)}
+	}
 	a.refuse(response)
 }
 
@@ -312,6 +328,7 @@
 	}
 	if err != nil {
 		reply.Finish(false)
+		a.noteEnd(err)
 		a.noteIncomplete(err)
 		if !a.callerDisconnected() && a.remaining() > 0 {
 			a.reportServerFailure(id, forward.EndLost, err)
@@ -346,8 +363,7 @@
 	}
 	reply.Finish(err == nil)
 	if err != nil {
-		a.recordOutcome(reply.Status, reasonTruncated, zap.String("Backend", id), zap.Error(err))
-		panic(http.ErrAbortHandler)
+		a.abort(reply.Status, a.endedBy(a.attemptCtx, err), zap.String("Backend", id), zap.Error(err))
 	}
 	a.recordOutcome(reply.Status, "", zap.String("Backend", id))
 	return 0
--- a/internal/transport/gateway/boots_test.go
+++ b/internal/transport/gateway/boots_test.go
@@ -137,7 +137,10 @@
 	other := bootRow(1000, 2)
 	other.ID, other.Address = "i-2", "10.0.0.2:1"
 	g.applyBackends(Backends{Present: []catalog.Backend{other}}, false, now)
-	c.Assert(w.shouldReroute(500*time.Millisecond), qt.IsFalse)
+	_, reroute := w.shouldReroute(500 * time.Millisecond)
+	c.Assert(reroute, qt.IsFalse)
 	g.applyBackends(Backends{Present: []catalog.Backend{bootRow(2000, 3)}}, false, now)
-	c.Assert(w.shouldReroute(500*time.Millisecond), qt.IsTrue)
+	by, reroute := w.shouldReroute(500 * time.Millisecond)
+	c.Assert(reroute, qt.IsTrue)
+	c.Assert(by, qt.Equals, forward.EndedByReplacement)
 }
--- a/internal/transport/gateway/headwatch.go
+++ b/internal/transport/gateway/headwatch.go
@@ -6,6 +6,7 @@
 
 	"github.com/filbertlever/filbertlever/internal/coordination/catalog"
 	"github.com/filbertlever/filbertlever/internal/coordination/fleet"
+	"github.com/filbertlever/filbertlever/internal/coordination/forward"
 	"github.com/filbertlever/filbertlever/internal/transport/boottime"
 )
 
@@ -31,13 +32,13 @@
 	backend catalog.Backend
 	// request is the request as another server would have to accept it.
 	request fleet.Request
-	cancel  func()
+	cancel  func(by forward.EndedBy)
 	done    chan struct{}
 }
 
 // watchHead cancels the attempt if its server does not begin its answer in time. It returns
 // nil if no other server may run the request.
-func (a *attempts) watchHead(backend catalog.Backend, cancel func()) *headWatch {
+func (a *attempts) watchHead(backend catalog.Backend, cancel func(by forward.EndedBy)) *headWatch {
 	if !a.Class.Repeatable || a.Sent()+1 >= a.Class.MaxServers || a.route.FirstByteGoal <= 0 {
 		return nil
 	}
@@ -62,8 +63,8 @@
 			return
 		case <-timer.C:
 		}
-		if w.shouldReroute(time.Since(start)) {
-			w.cancel()
+		if by, ok := w.shouldReroute(time.Since(start)); ok {
+			w.cancel(by)
 			return
 		}
 		timer.Reset(checkInterval)
@@ -78,15 +79,20 @@
 //
 // If no other server has a free place the attempt continues, since the server may only be
 // slow and the request would fail.
-func (w *headWatch) shouldReroute(waited time.Duration) bool {
+func (w *headWatch) shouldReroute(waited time.Duration) (forward.EndedBy, bool) {
 	g, now := w.gateway, boottime.Now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	abandoned := g.fleet.Superseded(w.backend) || g.fleet.Stalled(w.backend.ID, now)
-	if waited < max(headTimeoutFactor*w.goal, minHeadTimeout) && !abandoned {
-		return false
+	by := forward.EndedByHeadTimeout
+	switch {
+	case g.fleet.Superseded(w.backend):
+		by = forward.EndedByReplacement
+	case g.fleet.Stalled(w.backend.ID, now):
+		by = forward.EndedByStall
+	case waited < max(headTimeoutFactor*w.goal, minHeadTimeout):
+		return "", false
 	}
-	return g.fleet.HasAlternative(w.request, g.gate.MaxQueuePosition, now)
+	return by, g.fleet.HasAlternative(w.request, g.gate.MaxQueuePosition, now)
 }
 
 // end stops the watch. The receiver may be nil.
--- a/internal/transport/gateway/metrics.go
+++ b/internal/transport/gateway/metrics.go
@@ -10,6 +10,7 @@
 // metrics do not learn which organisations send requests.
 type metrics struct {
 	outcomes             *prometheus.CounterVec
+	unanswered           *prometheus.CounterVec
 	retries              *prometheus.CounterVec
 	firstByte            *prometheus.HistogramVec
 	startPredictionError *prometheus.HistogramVec
@@ -36,6 +37,10 @@
 			Name: "filbertlever_gateway_outcomes_total",
 			Help: "Callers' requests by service and outcome.",
 		}, []string{"Service", "Outcome"}),
+		unanswered: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "filbertlever_gateway_unanswered_total",
+			Help: "Requests that were read whole and whose connection the entry closed before or after a status, by who ended the last attempt.",
+		}, []string{"Service", "Stage", "EndedBy"}),
 		retries: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "filbertlever_gateway_retries_total",
 			Help: "Attempts after the first of a request, by service and how the one before ended.",
@@ -113,7 +118,7 @@
 		}, []string{"Service", "Level", "Reason"}),
 	}
 	registry.MustRegister(m.slowServers, m.placedSlowdown, m.pressure, m.levelReserve, m.levelDecisions)
-	registry.MustRegister(m.outcomes, m.retries, m.firstByte, m.startPredictionError, m.cancelledAttempts, m.serverCrashes, m.quarantined, m.quarantinedParts, m.announcements, m.rateLimited, m.storeRestored, m.placedMissing, m.badDatagrams, m.badRows)
+	registry.MustRegister(m.outcomes, m.unanswered, m.retries, m.firstByte, m.startPredictionError, m.cancelledAttempts, m.serverCrashes, m.quarantined, m.quarantinedParts, m.announcements, m.rateLimited, m.storeRestored, m.placedMissing, m.badDatagrams, m.badRows)
 	return m
 }
 
--- a/internal/transport/gateway/named_test.go
+++ b/internal/transport/gateway/named_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/filbertlever/filbertlever/internal/coordination/catalog"
 	"github.com/filbertlever/filbertlever/internal/coordination/fleet"
+	"github.com/filbertlever/filbertlever/internal/coordination/forward"
 	"github.com/filbertlever/filbertlever/internal/coordination/relays"
 	"github.com/filbertlever/filbertlever/internal/transport/boottime"
 	"github.com/filbertlever/filbertlever/internal/transport/relay"
@@ -81,11 +82,11 @@
 		if starts {
 			a.startDeadline = 1 << 62
 		}
-		end := a.watchStart(cancel)
+		end := a.watchStart(func(forward.EndedBy) { cancel() })
 		if starts {
 			// Another attempt, with a late deadline too.
 			end()
-			end = a.watchStart(cancel)
+			end = a.watchStart(func(forward.EndedBy) { cancel() })
 			a.markStarted()
 			c.Check(ctx.Err(), qt.IsNil)
 			c.Check(a.phase.isCancelled(), qt.IsFalse)
@@ -107,14 +108,14 @@
 	c := qt.New(t)
 	cancelled := 0
 	a := &attempts{startDeadline: 1 << 62}
-	end := a.watchStart(func() { cancelled++ })
+	end := a.watchStart(func(forward.EndedBy) { cancelled++ })
 	a.markStarted()
 	c.Assert(a.phase.tryCancel(), qt.IsFalse)
 	c.Assert(a.phase.isCancelled(), qt.IsFalse)
 	end()
 	// The next attempt is cancelled independently.
 	a.startDeadline = 1
-	a.watchStart(func() { cancelled++ })()
+	a.watchStart(func(forward.EndedBy) { cancelled++ })()
 	c.Assert(a.phase.isCancelled(), qt.IsTrue)
 	c.Assert(cancelled, qt.Equals, 1)
 }
--- a/internal/transport/gateway/phase.go
+++ b/internal/transport/gateway/phase.go
@@ -39,14 +39,14 @@
 // A request that waits at its server longer than predicted would start on a version that may not
 // answer any more, and its caller would get a response from old weights after the switchover
 // timeout. The connection is closed early enough for the server to drop the request before that.
-func (a *attempts) watchStart(cancel func()) func() {
+func (a *attempts) watchStart(cancel func(by forward.EndedBy)) func() {
 	a.phase.state.Store(attemptPending)
 	if a.startDeadline == 0 {
 		return func() {}
 	}
 	expire := func() {
 		if a.phase.tryCancel() {
-			cancel()
+			cancel(forward.EndedByStartDeadline)
 		}
 	}
 	left := a.startDeadline - boottime.Now()
@@ -71,9 +71,15 @@
 	}
 }
 
+// noteEnd records who ended the current attempt and how long its server had been silent.
+func (a *attempts) noteEnd(err error) {
+	a.lastEndedBy, a.silence = a.endedBy(a.attemptCtx, err), boottime.Now()-a.lastProgressAt
+}
+
 // handleFailedAttempt handles an attempt that got no response, or an incomplete one. If the attempt
 // was cancelled or its caller disconnected, the server is not at fault.
 func (a *attempts) handleFailedAttempt(id string, end forward.End, err error) {
+	a.noteEnd(err)
 	if end == forward.EndLost {
 		a.noteIncomplete(err)
 	}
@@ -82,7 +88,7 @@
 	case a.phase.isCancelled():
 		a.gateway.metrics.cancelledAttempts.WithLabelValues(a.service).Inc()
 		a.gateway.log.Info("attempt taken back", zap.String("Request", a.call.ID), zap.String("Backend", id),
-			zap.Uint64("Holds", a.placement.HeldVersion), zap.Duration("Predicted", a.placement.PredictedLatency), zap.Duration("Waited", boottime.Now()-a.placedAt))
+			zap.Uint64("Holds", a.placement.HeldVersion), zap.Duration("Predicted", a.placement.PredictedLatency), zap.Duration("Waited", boottime.Now()-a.placedAt), zap.String("EndedBy", string(a.lastEndedBy)))
 	case a.remaining() > 0:
 		a.reportServerFailure(id, end, err)
 	}
--- a/internal/transport/gateway/quarantine.go
+++ b/internal/transport/gateway/quarantine.go
@@ -6,6 +6,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/filbertlever/filbertlever/internal/coordination/forward"
 	"github.com/filbertlever/filbertlever/internal/coordination/quarantine"
 	"github.com/filbertlever/filbertlever/internal/transport/boottime"
 )
@@ -143,7 +144,7 @@
 	n := 0
 	for a := range g.crashes.inFlight {
 		if a.cancelAttempt != nil && a.matches(f, kind) && a.phase.tryCancel() {
-			a.cancelAttempt()
+			a.cancelAttempt(forward.EndedByQuarantine)
 			n++
 		}
 	}
--- a/internal/transport/gateway/serve.go
+++ b/internal/transport/gateway/serve.go
@@ -110,6 +110,8 @@
 	cachedFingerprint atomic.Pointer[quarantine.Feature]
 	// cachedParts is set once the IDs of the parts of the prompt have been computed.
 	cachedParts atomic.Pointer[[]quarantine.PartID]
+	// endFields say in the log who ended the last attempt.
+	endFields []zap.Field
 	// firstByteAt is when the first byte of the response was forwarded.
 	firstByteAt time.Time
 }
@@ -277,7 +279,8 @@
 		header.Set("Connection", "close")
 	}
 	http.Error(x.writer, response.reason, response.status)
-	fields := append(response.fields, zap.Duration("RetryAfter", response.retryAfter))
+	fields := append(response.fields, x.endFields...)
+	fields = append(fields, zap.Duration("RetryAfter", response.retryAfter))
 	if response.status == http.StatusServiceUnavailable && x.call != nil && len(x.call.Body) <= maxHashedBody {
 		// The caller retries under another ID. The fingerprint stays the same.
 		fields = append(fields, zap.Stringer("Fingerprint", x.fingerprint()))
--- a/internal/transport/gateway/stream.go
+++ b/internal/transport/gateway/stream.go
@@ -38,7 +38,7 @@
 }
 
 // relayStream forwards the events of a response as they arrive, complete events only.
-func (a *attempts) relayStream(id string, reply *Reply, cancel func()) forward.End {
+func (a *attempts) relayStream(id string, reply *Reply, cancel func(by forward.EndedBy)) forward.End {
 	if a.stream == nil {
 		a.beginStream(reply)
 	}
@@ -50,6 +50,7 @@
 		event, err := readEvent(reader)
 		if err == nil {
 			a.markStarted()
+			a.lastProgressAt = boottime.Now()
 			a.recordProgress(id, first)
 			if first {
 				a.noteBegun()
@@ -143,11 +144,11 @@
 
 // watchSilence cancels an attempt whose server stops sending, if another server may resume the
 // stream.
-func (a *attempts) watchSilence(cancel func()) *time.Timer {
+func (a *attempts) watchSilence(cancel func(by forward.EndedBy)) *time.Timer {
 	if !a.Class.Repeatable || a.Sent()+1 >= a.Class.MaxServers || a.route.MaxEventGap <= 0 {
 		return nil
 	}
-	return time.AfterFunc(a.silenceTimeout(), cancel)
+	return time.AfterFunc(a.silenceTimeout(), func() { cancel(forward.EndedBySilence) })
 }
 
 // silenceTimeout is how long a server may send nothing before its stream is resumed on another
