--- a/internal/bench/experiment/engine.go
+++ b/internal/bench/experiment/engine.go
@@ -7,14 +7,20 @@
 
 // attempt is one attempt to run a request on an engine.
 type attempt struct {
-	entry    *entry
-	request  *request
+	entry   *entry
+	request *request
+	// call is the caller's try that the attempt belongs to; nil if entries do not retry.
+	call     *call
 	server   *engine
 	placedAt time.Duration
 	// predictedDelay is the predicted time from the placement to the first token.
 	predictedDelay time.Duration
 	// prefilled is true once the prompt has been processed.
 	prefilled bool
+	// promptTokens is the length of the prompt, with the part of the answer that was already sent.
+	promptTokens int
+	// lastEventAt is when the server last sent an event, or when the attempt was placed.
+	lastEventAt time.Duration
 	// remainingTokens is the number of tokens that are still to be generated.
 	remainingTokens int
 	// ended is true once the attempt has completed or failed.
@@ -32,6 +38,12 @@
 	queued     []*attempt
 	// passRunning is true during a pass.
 	passRunning bool
+	// passEnd is when the current pass ends.
+	passEnd time.Duration
+	// pausedUntil is when the server continues after a pause.
+	pausedUntil time.Duration
+	// slowdown is the factor by which passes take longer than usual.
+	slowdown float64
 	// loadedVersion is the version of the loaded weights, or 0.
 	loadedVersion uint64
 	// loadEnd is the time at which loading ends, or 0.
@@ -60,15 +72,17 @@
 	}
 	tokens := 0
 	for _, a := range next {
-		tokens += a.request.promptTokens
+		tokens += a.promptTokens
 	}
 	s.running = append(s.running, next...)
 	s.queued = slices.Clone(s.queued[len(next):])
 	pass := time.Duration(s.simulation.Engine.Stride)*s.simulation.Engine.Step +
 		time.Duration(tokens)*time.Second/time.Duration(s.simulation.Engine.PromptsPerSecond)
+	pass = time.Duration(float64(pass) * s.slowdown)
 	s.passRunning = true
+	s.passEnd = max(s.simulation.now, s.pausedUntil) + pass
 	boot := s.boot
-	s.simulation.after(pass, func() { s.endPass(boot) })
+	s.simulation.after(s.passEnd-s.simulation.now, func() { s.endPass(boot) })
 }
 
 // endPass processes the end of a pass and starts the next one.
@@ -76,8 +90,16 @@
 	if boot != s.boot {
 		return
 	}
+	if s.simulation.now < s.passEnd {
+		s.simulation.after(s.passEnd-s.simulation.now, func() { s.endPass(boot) })
+		return
+	}
 	s.passRunning = false
 	for _, a := range s.running {
+		if a.call != nil {
+			a.advance()
+			continue
+		}
 		if !a.prefilled {
 			a.prefilled = true
 			s.simulation.recordFirstToken(a)
@@ -94,6 +116,7 @@
 func (s *engine) stop() {
 	failed := slices.Concat(s.running, s.queued)
 	s.running, s.queued, s.passRunning, s.loadedVersion, s.loadEnd = nil, nil, false, 0, 0
+	s.pausedUntil = 0
 	s.boot++
 	for _, a := range failed {
 		s.simulation.failAttempt(a)
--- a/internal/bench/experiment/entry.go
+++ b/internal/bench/experiment/entry.go
@@ -8,6 +8,7 @@
 	"github.com/filbertlever/filbertlever/internal/coordination/admission"
 	"github.com/filbertlever/filbertlever/internal/coordination/catalog"
 	"github.com/filbertlever/filbertlever/internal/coordination/fleet"
+	"github.com/filbertlever/filbertlever/internal/coordination/retry"
 )
 
 // Names of the service and model in the simulated installation.
@@ -38,6 +39,7 @@
 	waitingRoom   *admission.EntryQueue
 	waiting       map[uint64]*request
 	outage        admission.Outage
+	budget        *retry.Window
 	rng           *rand.Rand
 }
 
@@ -46,7 +48,7 @@
 	config := fleet.DefaultConfig()
 	config.Host, config.Site, config.Region, config.Regions = host, region, region, regions
 	e := &entry{simulation: sim, host: host, region: region, fleet: fleet.New(config, rng), admissionGate: sim.policy.admissionGate(),
-		waitingRoom: admission.NewEntryQueue(), waiting: map[uint64]*request{}, rng: rng}
+		waitingRoom: admission.NewEntryQueue(), waiting: map[uint64]*request{}, rng: rng, budget: sim.newBudget()}
 	promptTokens, answerTokens := sim.meanSizes()
 	engine := &catalog.Engine{Slots: sim.Engine.Slots, StepTime: sim.Engine.Step, StepsPerEvent: sim.Engine.Stride,
 		PromptTokenTime: time.Second / time.Duration(sim.Engine.PromptsPerSecond), MeanPromptTokens: promptTokens, MeanAnswerTokens: answerTokens,
@@ -64,6 +66,9 @@
 func (e *entry) handle(r *request) {
 	now := e.simulation.now
 	remaining := r.arrivedAt + r.spec.Limit - now
+	if r.spec.MaxServers > 0 {
+		e.startCall(r)
+	}
 	placement := e.chooseBackend(r)
 	if !placement.Found {
 		outageDuration := e.outage.RecordRefusal(now)
@@ -91,13 +96,22 @@
 
 // chooseBackend chooses a backend server and reserves a slot there.
 func (e *entry) chooseBackend(r *request) fleet.Placement {
-	return e.fleet.Choose(fleet.Request{Service: serviceName, Model: modelName, PromptTokens: r.promptTokens, AnswerTokens: r.answerTokens}, e.simulation.now)
+	request := fleet.Request{Service: serviceName, Model: modelName, PromptTokens: r.promptTokens, AnswerTokens: r.answerTokens, MaxEventGap: r.spec.MaxEventGap}
+	if c := r.call; c != nil {
+		request.Avoid, request.LastAttempt = c.tried, c.serversLeft() <= 1
+	}
+	return e.fleet.Choose(request, e.simulation.now)
 }
 
 // place sends a request to the chosen engine, or refuses it if the engine has no weights.
 func (e *entry) place(r *request, p *fleet.Placement) {
 	s := e.simulation.byID[p.Backend.ID]
-	r.current = &attempt{entry: e, request: r, server: s, placedAt: e.simulation.now, predictedDelay: p.PredictedLatency, remainingTokens: r.answerTokens}
+	if r.call != nil {
+		r.call.place(s, p)
+		return
+	}
+	r.current = &attempt{entry: e, request: r, server: s, placedAt: e.simulation.now, predictedDelay: p.PredictedLatency,
+		promptTokens: r.promptTokens, remainingTokens: r.answerTokens}
 	if s.loadedVersion == 0 {
 		e.fleet.RecordModelMissing(s.id, e.simulation.now)
 		e.fleet.Release(s.id)
@@ -117,6 +131,9 @@
 		e.simulation.after(waitingRoomInterval, e.placeWaiting)
 	}
 	e.waiting[id] = r
+	if r.call != nil {
+		r.call.waitingID = id
+	}
 	return true
 }
 
@@ -124,7 +141,11 @@
 // requests wait.
 func (e *entry) placeWaiting() {
 	expired := e.waitingRoom.Dispatch(e.simulation.now, func(id uint64) bool {
-		r := e.waiting[id]
+		r, ok := e.waiting[id]
+		if !ok {
+			// Its caller has left.
+			return true
+		}
 		p := e.chooseBackend(r)
 		if !p.Found {
 			return false
@@ -139,7 +160,10 @@
 		return true
 	})
 	for _, id := range expired {
-		r := e.waiting[id]
+		r, ok := e.waiting[id]
+		if !ok {
+			continue
+		}
 		delete(e.waiting, id)
 		e.simulation.refuseAttempt(r, admission.RetryAfter(0, e.rng))
 	}
@@ -155,6 +179,9 @@
 	for _, other := range e.simulation.entries {
 		if other != e && (other.region == e.region) == local {
 			other.fleet.SetPeerCounts(e.host, counts, e.simulation.now)
+			if e.simulation.entriesRetry() {
+				other.fleet.MarkSilent(e.fleet.SilentServers(e.simulation.now), e.simulation.now)
+			}
 		}
 	}
 	e.simulation.after(interval, func() { e.gossip(local, interval) })
--- a/internal/bench/experiment/file.go
+++ b/internal/bench/experiment/file.go
@@ -6,6 +6,7 @@
 import (
 	"bytes"
 	"fmt"
+	"slices"
 	"time"
 
 	"go.yaml.in/yaml/v3"
@@ -24,6 +25,10 @@
 	Bursts  []Burst       `yaml:"Bursts"`
 	Outages []Outage      `yaml:"Outages"`
 	Limits  []Limit       `yaml:"Limits"`
+	// Scenarios are disturbances. Each runs with each policy, load and seed.
+	Scenarios []Scenario `yaml:"Scenarios"`
+	// Loads are factors of the arrival rates; empty means 1.
+	Loads []float64 `yaml:"Loads"`
 	// Policies are the policies to compare. Each one runs with each seed.
 	Policies []Policy `yaml:"Policies"`
 }
@@ -63,6 +68,12 @@
 	Limit time.Duration `yaml:"Limit"`
 	// Retries is the number of retries of a caller.
 	Retries int `yaml:"Retries"`
+	// MaxServers is the number of servers that an entry sends a request to, one after the other or
+	// hedged. 0 means one server, without the model of what callers receive afterwards. It is 0 for all
+	// kinds or for none.
+	MaxServers int `yaml:"MaxServers"`
+	// MaxEventGap is the time between two events after which an answer counts as interrupted.
+	MaxEventGap time.Duration `yaml:"MaxEventGap"`
 }
 
 // Burst is an interval in which the arrival rate is multiplied by Factor.
@@ -102,8 +113,33 @@
 	ReturnSpread time.Duration `yaml:"ReturnSpread"`
 	// IgnoreLimits makes entries ignore the rate limits of servers.
 	IgnoreLimits bool `yaml:"IgnoreLimits"`
+	// Silence is what entries do about an attempt whose server is silent.
+	Silence Silence `yaml:"Silence"`
+	// Stall, Head and Gap are the times of silence after which they do it: before the answer has begun
+	// at a stalled server and at any other, and after it has begun.
+	Stall time.Duration `yaml:"Stall"`
+	Head  time.Duration `yaml:"Head"`
+	Gap   time.Duration `yaml:"Gap"`
 }
 
+// Silence is what entries do about an attempt whose server is silent.
+type Silence string
+
+// The ways to treat silence.
+const (
+	// SilenceIgnore never ends an attempt.
+	SilenceIgnore Silence = ""
+	// SilenceCancel cancels the attempt and then looks for another server. Before the answer has begun,
+	// it first checks that there is one.
+	SilenceCancel Silence = "Cancel"
+	// SilenceFailover cancels the attempt once another server, a free slot there and a retry of the
+	// budget are reserved.
+	SilenceFailover Silence = "Failover"
+	// SilenceHedge starts a second attempt once those are reserved, and keeps the first one until
+	// either goes on.
+	SilenceHedge Silence = "Hedge"
+)
+
 // admissionGate returns the admission gate with the overrides of the policy.
 func (p *Policy) admissionGate() admission.EntryGate {
 	gate := admission.DefaultEntryGate()
@@ -137,6 +173,7 @@
 const (
 	maxLength   = 10 * time.Minute
 	maxRequests = 5_000_000
+	maxLoad     = 10
 )
 
 // FieldError reports an invalid field of an experiment.
@@ -162,7 +199,25 @@
 			return fieldError("Regions", "%+v: expected a name and numbers of 0 or more", r)
 		}
 	}
+	for i := range e.Scenarios {
+		if err := e.Scenarios[i].validate(); err != nil {
+			return err
+		}
+	}
+	for _, load := range e.Loads {
+		if load <= 0 || load > maxLoad {
+			return fieldError("Loads", "%v: expected values above 0, up to %v", load, maxLoad)
+		}
+	}
+	for i := range e.Policies {
+		if p := &e.Policies[i]; !slices.Contains([]Silence{SilenceIgnore, SilenceCancel, SilenceFailover, SilenceHedge}, p.Silence) {
+			return fieldError("Policies", "%s: Silence %q: expected Cancel, Failover, Hedge or nothing", p.Name, p.Silence)
+		}
+	}
 	for _, k := range e.Kinds {
+		if k.MaxServers < 0 || k.MaxServers > 0 && k.MaxEventGap <= 0 || (k.MaxServers > 0) != (e.Kinds[0].MaxServers > 0) {
+			return fieldError("Kinds", "%s: expected MaxEventGap with MaxServers, and MaxServers for all kinds or none", k.Name)
+		}
 		if k.PerSecond <= 0 || k.Prompt <= 0 || k.Answer <= 0 || k.Goal <= 0 || k.Limit <= 0 || k.Retries < 0 {
 			return fieldError("Kinds", "%s: expected values above 0, and Retries of 0 or more", k.Name)
 		}
@@ -174,6 +229,9 @@
 		}
 		requests *= max(b.Factor, 1)
 	}
+	if len(e.Loads) > 0 {
+		requests *= slices.Max(e.Loads)
+	}
 	for _, o := range e.Outages {
 		if o.At < 0 || o.For <= 0 {
 			return fieldError("Outages", "%+v: expected For above 0", o)
@@ -193,6 +251,8 @@
 		return fieldError("Regions", "expected an entry and a server or more")
 	case len(e.Kinds) == 0:
 		return fieldError("Kinds", "expected one or more")
+	case len(e.Scenarios) > 0 && e.Kinds[0].MaxServers == 0:
+		return fieldError("Scenarios", "expected kinds with MaxServers")
 	case len(e.Policies) == 0:
 		return fieldError("Policies", "expected one or more")
 	case e.Engine.Slots <= 0 || e.Engine.Step <= 0 || e.Engine.Stride <= 0 || e.Engine.PromptsPerSecond <= 0:
--- a/internal/bench/experiment/outcome.go
+++ b/internal/bench/experiment/outcome.go
@@ -28,6 +28,11 @@
 	Seconds []Second
 	// FirstTokens are the times from the first attempt to the first token.
 	FirstTokens []time.Duration
+	// Ends counts the tries of callers by how they ended, if entries retry.
+	Ends [endCount]int
+	Work Work
+	// RetryShare is the largest share of the allowed retries of all entries that was used in a window.
+	RetryShare float64
 }
 
 // Total returns the sum over all seconds.
@@ -65,22 +70,34 @@
 	return sorted[min(int(share*float64(len(sorted))), len(sorted)-1)]
 }
 
-// Row holds the outcomes of one policy, one for each seed.
+// Row holds the outcomes of one policy in one scenario, one for each seed.
 type Row struct {
+	// Scenario and Load are "None" and 1 if the experiment has no scenarios and loads.
+	Scenario string
+	Load     float64
 	Policy   string
 	Outcomes []Outcome
 }
 
-// Run simulates each policy with each seed. It calls progress before each run.
+// Run simulates each policy with each seed, in each scenario and at each load. It calls progress
+// before each run.
 func (e *Experiment) Run(progress func(policy string, seed uint64)) []Row {
 	var rows []Row
-	for i := range e.Policies {
-		row := Row{Policy: e.Policies[i].Name}
-		for _, seed := range e.Seeds {
-			progress(row.Policy, seed)
-			row.Outcomes = append(row.Outcomes, e.Simulate(&e.Policies[i], seed))
+	loads := e.Loads
+	if len(loads) == 0 {
+		loads = []float64{1}
+	}
+	for _, d := range e.disturbances() {
+		for _, load := range loads {
+			for i := range e.Policies {
+				row := Row{Scenario: d.String(), Load: load, Policy: e.Policies[i].Name}
+				for _, seed := range e.Seeds {
+					progress(row.Policy, seed)
+					row.Outcomes = append(row.Outcomes, e.simulate(&e.Policies[i], d, load, seed))
+				}
+				rows = append(rows, row)
+			}
 		}
-		rows = append(rows, row)
 	}
 	return rows
 }
@@ -97,6 +114,9 @@
 
 // Print writes a table with the median, minimum and maximum of each metric over the seeds.
 func Print(w io.Writer, rows []Row) error {
+	if len(rows) > 0 && len(rows[0].Outcomes) > 0 && rows[0].Outcomes[0].Ends != [endCount]int{} {
+		return printAnswers(w, rows)
+	}
 	table := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
 	share := func(count func(s Second) int) func(o *Outcome) float64 {
 		return func(o *Outcome) float64 {
--- a/internal/bench/experiment/simulation.go
+++ b/internal/bench/experiment/simulation.go
@@ -23,6 +23,8 @@
 	attempts int
 	// current is the current attempt.
 	current *attempt
+	// call is the current try if entries retry; nil if they do not.
+	call *call
 }
 
 // event is a scheduled event. Events with the same time run in the order of scheduling.
@@ -51,43 +53,64 @@
 // simulation is one run of an experiment.
 type simulation struct {
 	*Experiment
-	policy    *Policy
-	now       time.Duration
-	events    eventQueue
-	nextOrder uint64
-	entries   []*entry
-	engines   []*engine
-	byID      map[string]*engine
+	policy *Policy
+	// load is the factor of the arrival rates.
+	load        float64
+	disturbance *disturbance
+	now         time.Duration
+	events      eventQueue
+	nextOrder   uint64
+	entries     []*entry
+	engines     []*engine
+	byID        map[string]*engine
 	// arrivals generates the requests, which are the same for every policy. rng generates all
 	// other random values.
 	arrivals *rand.Rand
 	rng      *rand.Rand
-	outcome  Outcome
+	// callTimes and retryTimes are when entries received requests and retried them.
+	callTimes  []time.Duration
+	retryTimes []time.Duration
+	outcome    Outcome
 }
 
 // warmUpDuration is the time before the first request. By then, entries have received reports of all
 // servers.
 const warmUpDuration = time.Second
 
-// Simulate runs the experiment with one policy and seed.
+// Simulate runs the experiment with one policy and seed, without disturbances.
 func (e *Experiment) Simulate(policy *Policy, seed uint64) Outcome {
-	sim := &simulation{Experiment: e, policy: policy, byID: map[string]*engine{},
+	return e.simulate(policy, nil, 1, seed)
+}
+
+// simulate runs the experiment with one policy, disturbance, load and seed.
+func (e *Experiment) simulate(policy *Policy, d *disturbance, load float64, seed uint64) Outcome {
+	sim := &simulation{Experiment: e, policy: policy, disturbance: d, load: load, byID: map[string]*engine{},
 		arrivals: rand.New(rand.NewPCG(seed, 0)), rng: rand.New(rand.NewPCG(seed, 1))}
 	sim.outcome = Outcome{Seconds: make([]Second, int(math.Ceil(e.Length.Seconds())))}
 	sim.createHosts(seed)
 	sim.scheduleInitialEvents()
-	end := warmUpDuration + e.Length
-	for _, k := range e.Kinds {
-		end = max(end, warmUpDuration+e.Length+k.Limit)
-	}
+	end := sim.end()
 	for len(sim.events) > 0 && sim.events[0].at <= end {
 		next := heap.Pop(&sim.events).(event)
 		sim.now = next.at
 		next.run()
 	}
+	sim.outcome.RetryShare = sim.retryShare()
 	return sim.outcome
 }
 
+// end returns the time at which the simulation ends. All callers have disconnected by then.
+func (sim *simulation) end() time.Duration {
+	end := warmUpDuration + sim.Length
+	for _, k := range sim.Kinds {
+		end = max(end, warmUpDuration+sim.Length+k.Limit)
+	}
+	return end
+}
+
+// entriesRetry reports whether entries send requests to more than one server.
+func (sim *simulation) entriesRetry() bool { return sim.Kinds[0].MaxServers > 0 }
+
 // after schedules a function to run after a delay.
 func (sim *simulation) after(d time.Duration, run func()) {
 	sim.nextOrder++
@@ -100,7 +123,7 @@
 	for _, r := range sim.Regions {
 		regions[r.Name] = r.Name
 		for n := range r.Servers {
-			s := &engine{simulation: sim, id: fmt.Sprintf("%s-server-%d", r.Name, n), region: r.Name, loadedVersion: 1}
+			s := &engine{simulation: sim, id: fmt.Sprintf("%s-server-%d", r.Name, n), region: r.Name, loadedVersion: 1, slowdown: 1}
 			s.address = s.id + ":1"
 			sim.engines, sim.byID[s.id] = append(sim.engines, s), s
 		}
@@ -134,6 +157,7 @@
 		sim.after(warmUpDuration+sim.nextInterval(&sim.Kinds[i], 0), func() { sim.createRequest(&sim.Kinds[i]) })
 	}
 	sim.scheduleLimits()
+	sim.scheduleDisturbance()
 	for _, o := range sim.Outages {
 		for _, s := range sim.engines {
 			sim.after(warmUpDuration+o.At, s.stop)
@@ -150,7 +174,7 @@
 // nextInterval returns the time to the next request of a kind. elapsed is the time since the end
 // of the warm-up.
 func (sim *simulation) nextInterval(k *Kind, elapsed time.Duration) time.Duration {
-	rate := k.PerSecond
+	rate := k.PerSecond * sim.load
 	for _, b := range sim.Bursts {
 		if elapsed >= b.At && elapsed < b.At+b.For && (b.Kind == "" || b.Kind == k.Name) {
 			rate *= b.Factor
@@ -202,7 +226,9 @@
 
 // reportPeriodically sends the reports of a server.
 func (sim *simulation) reportPeriodically(s *engine) {
-	sim.report(s)
+	if sim.now >= s.pausedUntil {
+		sim.report(s)
+	}
 	sim.after(reportInterval, func() { sim.reportPeriodically(s) })
 }
 
@@ -250,6 +276,10 @@
 // failAttempt ends an attempt whose server has stopped. Unless the answer has begun, the caller may
 // retry immediately.
 func (sim *simulation) failAttempt(a *attempt) {
+	if a.call != nil {
+		a.call.lose(a)
+		return
+	}
 	a.ended = true
 	a.entry.fleet.ReleaseIfCurrent(catalog.Backend{ID: a.server.id})
 	a.entry.fleet.RecordModelMissing(a.server.id, sim.now)
@@ -263,6 +293,10 @@
 
 // refuseAttempt ends a refused attempt and schedules a retry if the caller has retries and time left.
 func (sim *simulation) refuseAttempt(r *request, retryAfter time.Duration) {
+	if r.call != nil {
+		r.call.refuse(retryAfter)
+		return
+	}
 	s := sim.secondOf(r)
 	s.RefusedAttempts++
 	remaining := r.arrivedAt + r.spec.Limit - sim.now
