--- a/internal/bench/experiment/call.go
+++ b/internal/bench/experiment/call.go
@@ -160,7 +160,7 @@
 	e, sim := c.entry, c.entry.simulation
 	for _, other := range slices.Clone(c.open) {
 		if other != a {
-			c.cancel(other, other.placedAt < a.placedAt)
+			c.cancel(other, other.placedAt < a.placedAt && !sim.policy.Trust)
 			c.recordEnd(forward.EndLost)
 		}
 	}
@@ -295,7 +295,7 @@
 	e, sim := c.entry, c.entry.simulation
 	if sim.policy.Silence == SilenceCancel {
 		if c.begun() || c.hasAlternative() {
-			c.cancel(a, true)
+			c.cancel(a, !sim.policy.Trust)
 			c.next(forward.EndLost)
 		}
 		return
@@ -310,7 +310,7 @@
 		return
 	}
 	if sim.policy.Silence == SilenceFailover {
-		c.cancel(a, true)
+		c.cancel(a, !sim.policy.Trust)
 		c.recordEnd(forward.EndLost)
 	}
 	c.place(sim.byID[p.Backend.ID], &p)
--- a/internal/bench/experiment/file.go
+++ b/internal/bench/experiment/file.go
@@ -120,6 +120,9 @@
 	Stall time.Duration `yaml:"Stall"`
 	Head  time.Duration `yaml:"Head"`
 	Gap   time.Duration `yaml:"Gap"`
+	// Trust keeps a server in use although an attempt there was cancelled because of its silence.
+	// Otherwise it counts as failed.
+	Trust bool `yaml:"Trust"`
 }
 
 // Silence is what entries do about an attempt whose server is silent.
