Keep attempts at silent servers until another one goes on; every request ends with a status if one can be sent

What callers saw: streams cut in the middle, requests answered 502 and connections closed without a status, while their servers paused for a second and then went on.

Cause: an attempt was given up before its successor was certain. The entry cancelled it after a silence (4 pauses, at least 0.8 s) or without a head in time, and then looked for a server, a place and retry budget; if any was missing, a sound answer had been ended. Besides, the head of a stream was taken for an answer: from then on each failure closed the connection, although nothing had been sent yet.

Ruled out: changes of the desired state alone (38 changes, no answer cut).

Change: one pure decision, forward.Patience.Decide, for all that end a running attempt. Silence only starts a second attempt, with a server, a free slot and the budget in hand; the first one stays open and whichever goes on first completes the answer. An attempt is cancelled only if its answer may not begin any more (quarantine, start deadline) or if another attempt has gone on. The head of a stream is sent with its first event. Requests end in ending.go: with a status if nothing was sent, else by closing the connection, counted by stage and cause. A caller that cannot be written to is no failure of the server any more, a caller that left gets no empty success, and a panic ends with a status.

Both faults are one commit, as the second attempt needs the state of an attempt apart from that of its request.

--- a/internal/coordination/forward/endedby.go
+++ b/internal/coordination/forward/endedby.go
@@ -7,13 +7,14 @@
 const (
 	// EndedByServer: the server closed the connection, could not be reached or sent an invalid answer.
 	EndedByServer EndedBy = "Server"
-	// EndedByHeadTimeout, EndedByStall and EndedBySilence: this entry cancelled the attempt because the
-	// server had not begun its answer in time, made no progress on any request, or paused in the middle
-	// of the answer.
+	// EndedByHedge: another attempt went on with the answer first.
+	EndedByHedge EndedBy = "Hedge"
+	// EndedByHeadTimeout, EndedByStall, EndedBySilence and EndedByReplacement are the reasons for a
+	// second attempt: the server had not begun its answer in time, made no progress on any request,
+	// paused in the middle of the answer, or was replaced by another process.
 	EndedByHeadTimeout EndedBy = "HeadTimeout"
 	EndedByStall       EndedBy = "Stall"
 	EndedBySilence     EndedBy = "Silence"
-	// EndedByReplacement: another process runs in place of the one that the attempt was sent to.
 	EndedByReplacement EndedBy = "Replacement"
 	// EndedByStartDeadline: the server's version of the weights would have begun the answer too late.
 	EndedByStartDeadline EndedBy = "StartDeadline"
@@ -21,6 +22,10 @@
 	EndedByQuarantine EndedBy = "Quarantine"
 	// EndedByRateLimit: the server stopped accepting requests before this one was written.
 	EndedByRateLimit EndedBy = "RateLimit"
+	// EndedByPanic: the entry failed.
+	EndedByPanic EndedBy = "Panic"
+	// EndedByShutdown: the entry stops.
+	EndedByShutdown EndedBy = "Shutdown"
 	// EndedByDeadline: the deadline of the request passed.
 	EndedByDeadline EndedBy = "Deadline"
 	// EndedByCaller: the caller disconnected. EndedByCallerWrite: the caller did not read its answer.
--- a/internal/coordination/forward/forward.go
+++ b/internal/coordination/forward/forward.go
@@ -86,7 +86,7 @@
 // it, since it would otherwise be executed twice. StepNotRun is returned only if
 // no attempt may have run, also for repeatable requests.
 func (a *Attempts) NextStep(end End, budget Budget, remaining, now time.Duration, hasAlternative bool) Step {
-	a.record(end)
+	a.Record(end)
 	if remaining <= 0 {
 		if a.mayHaveRun {
 			return StepTimeout
@@ -105,8 +105,8 @@
 	return StepNotRun
 }
 
-// record counts an attempt.
-func (a *Attempts) record(end End) {
+// Record counts an attempt that is not followed by a decision.
+func (a *Attempts) Record(end End) {
 	switch end {
 	case EndUnsent:
 		a.unsent++
--- a/internal/transport/gateway/announcements.go
+++ b/internal/transport/gateway/announcements.go
@@ -8,7 +8,6 @@
 
 	"go.uber.org/zap"
 
-	"github.com/filbertlever/filbertlever/internal/coordination/catalog"
 	"github.com/filbertlever/filbertlever/internal/coordination/fleet"
 	"github.com/filbertlever/filbertlever/internal/transport/boottime"
 )
@@ -24,8 +23,8 @@
 
 // recordAnnouncements records the announcements in the head of an answer, before any part of
 // the answer is forwarded. They are ignored if a different server answered at the address.
-func (a *attempts) recordAnnouncements(backend catalog.Backend, reply *Reply) {
-	g := a.gateway
+func (t *attempt) recordAnnouncements(reply *Reply) {
+	g, backend := t.gateway, t.Backend
 	if reply.ActualServer != "" {
 		return
 	}
@@ -33,25 +32,25 @@
 	defer g.mu.Unlock()
 	now := boottime.Now()
 	if reply.Draining {
-		a.reportAnnouncement(backend, announcedDraining, reply, g.fleet.RecordDraining(backend, now))
+		t.reportAnnouncement(announcedDraining, reply, g.fleet.RecordDraining(backend, now))
 	}
 	if reply.ConnectionClose && g.fleet.RecordConnectionClose(backend, now) {
-		a.reportAnnouncement(backend, announcedClose, reply, true)
+		t.reportAnnouncement(announcedClose, reply, true)
 	}
-	a.recordRateLimit(backend, reply, now)
+	t.recordRateLimit(reply, now)
 	if reply.RetryAfter > 0 {
-		a.reportAnnouncement(backend, announcedRetryAfter, reply, g.fleet.RecordRetryAfter(backend, reply.RetryAfter, now))
+		t.reportAnnouncement(announcedRetryAfter, reply, g.fleet.RecordRetryAfter(backend, reply.RetryAfter, now))
 	}
 }
 
 // reportAnnouncement counts an announcement, and logs it if first is true.
-func (a *attempts) reportAnnouncement(backend catalog.Backend, kind string, reply *Reply, first bool) {
-	g := a.gateway
+func (t *attempt) reportAnnouncement(kind string, reply *Reply, first bool) {
+	g, backend := t.gateway, t.Backend
 	g.metrics.announcements.WithLabelValues(backend.Service, kind).Inc()
 	if !first {
 		return
 	}
-	fields := []zap.Field{zap.String("Request", a.call.ID), zap.String("Backend", backend.ID),
+	fields := []zap.Field{zap.String("Request", t.call.ID), zap.String("Backend", backend.ID),
 		zap.String("What", kind), zap.Int("Status", reply.Status), zap.Duration("For", reply.RetryAfter)}
 	if reply.RateLimit != nil {
 		fields = append(fields, zap.Float64("PerSecond", *reply.RateLimit))
@@ -61,21 +60,21 @@
 
 // recordRateLimit records the rate limit in the head of an answer. Only a success without a limit
 // lifts it, as it is not known whether refusals carry the limit too. The caller holds g.mu.
-func (a *attempts) recordRateLimit(backend catalog.Backend, reply *Reply, now time.Duration) {
-	g := a.gateway
+func (t *attempt) recordRateLimit(reply *Reply, now time.Duration) {
+	g, backend := t.gateway, t.Backend
 	if reply.RateLimitErr != nil {
-		g.log.Warn("unreadable rate limit of a backend server", zap.String("Request", a.call.ID), zap.String("Backend", backend.ID), zap.Error(reply.RateLimitErr))
+		g.log.Warn("unreadable rate limit of a backend server", zap.String("Request", t.call.ID), zap.String("Backend", backend.ID), zap.Error(reply.RateLimitErr))
 		return
 	}
 	if reply.RateLimit == nil && (!reply.Verified || reply.Status >= http.StatusMultipleChoices) {
 		return
 	}
-	changed := g.fleet.RecordRateLimit(backend, reply.RateLimit, a.placedAt, now)
+	changed := g.fleet.RecordRateLimit(backend, reply.RateLimit, t.placedAt, now)
 	switch {
 	case reply.RateLimit != nil:
-		a.reportAnnouncement(backend, announcedRateLimit, reply, changed)
+		t.reportAnnouncement(announcedRateLimit, reply, changed)
 	case changed:
-		a.reportAnnouncement(backend, announcedNoLimit, reply, true)
+		t.reportAnnouncement(announcedNoLimit, reply, true)
 	}
 }
 
@@ -112,19 +111,19 @@
 
 // checkBeforeSend returns an error if the request must no longer be sent to its server. It is
 // called when a connection is available, which may be some time after placement.
-func (a *attempts) checkBeforeSend() error {
-	if a.checkQuarantine() != nil {
+func (t *attempt) checkBeforeSend() error {
+	if t.checkQuarantine() != nil {
 		return errQuarantined
 	}
-	g := a.gateway
+	g := t.gateway
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if !g.fleet.Accepts(a.placement.Backend, boottime.Now()) {
+	if !g.fleet.Accepts(t.Backend, boottime.Now()) {
 		return errNotAccepting
 	}
-	if !g.fleet.WithinRateLimit(a.placement) {
+	if !g.fleet.WithinRateLimit(t.Placement) {
 		return errRateLimited
 	}
-	a.sentAt = boottime.Now()
+	t.sentAt = boottime.Now()
 	return nil
 }
--- a/internal/transport/gateway/boots_test.go
+++ b/internal/transport/gateway/boots_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"math/rand/v2"
 	"net"
 	"testing"
@@ -11,10 +12,11 @@
 	"go.uber.org/zap"
 	"go.uber.org/zap/zaptest/observer"
 
-	"github.com/filbertlever/filbertlever"
+	"github.com/filbertlever/filbertlever/internal/coordination/admission"
 	"github.com/filbertlever/filbertlever/internal/coordination/catalog"
 	"github.com/filbertlever/filbertlever/internal/coordination/fleet"
 	"github.com/filbertlever/filbertlever/internal/coordination/forward"
+	"github.com/filbertlever/filbertlever/internal/coordination/retry"
 	"github.com/filbertlever/filbertlever/internal/transport/boottime"
 	"github.com/filbertlever/filbertlever/internal/transport/datagrams"
 )
@@ -89,15 +91,15 @@
 	c := qt.New(t)
 	g, _ := newEntryWithBoot(t)
 	now := boottime.Now()
-	a := &attempts{exchange: &exchange{gateway: g, call: &Call{ID: "o1"}}}
-	a.placement = g.fleet.Choose(fleet.Request{Service: "orders"}, now)
+	a := &attempt{attempts: &attempts{exchange: &exchange{gateway: g, call: &Call{ID: "o1"}}}}
+	a.Placement = g.fleet.Choose(fleet.Request{Service: "orders"}, now)
 	movedRow := bootRow(2000, 2)
 	movedRow.Address = "10.0.0.2:1"
 	g.applyBackends(Backends{Present: []catalog.Backend{movedRow}}, false, now)
-	a.handleMisdirected("i-1", &Reply{ActualServer: "i-9"})
+	a.handleMisdirected(&Reply{ActualServer: "i-9"})
 	c.Assert(g.fleet.Contains("i-1"), qt.IsTrue)
-	a.placement = g.fleet.Choose(fleet.Request{Service: "orders"}, now)
-	a.handleMisdirected("i-1", &Reply{ActualServer: "i-9"})
+	a.Placement = g.fleet.Choose(fleet.Request{Service: "orders"}, now)
+	a.handleMisdirected(&Reply{ActualServer: "i-9"})
 	c.Assert(g.fleet.Contains("i-1"), qt.IsFalse)
 }
 
@@ -106,22 +108,22 @@
 func TestLateAnswerOfPreviousBootIsNotProgress(t *testing.T) {
 	c := qt.New(t)
 	g, _ := newEntryWithBoot(t)
-	a := &attempts{exchange: &exchange{gateway: g, call: &Call{ID: "o1"}}}
+	a := &attempt{attempts: &attempts{exchange: &exchange{gateway: g, call: &Call{ID: "o1"}}}}
 	for range 2 {
 		// The first request to an idle server starts the time without progress.
-		a.placement = g.fleet.Choose(fleet.Request{Service: "orders"}, boottime.Now()-time.Second)
+		a.Placement = g.fleet.Choose(fleet.Request{Service: "orders"}, boottime.Now()-time.Second)
 	}
-	before := a.placement
+	before := a.Placement
 	g.applyBackends(Backends{Present: []catalog.Backend{bootRow(2000, 2)}}, false, boottime.Now()-time.Second)
 	after := g.fleet.Choose(fleet.Request{Service: "orders"}, boottime.Now()-time.Second)
 	c.Assert(after.Found, qt.IsTrue)
 	c.Assert(g.fleet.Stalled("i-1", boottime.Now()), qt.IsTrue)
-	a.placement = before
-	c.Assert(a.classifyReply("i-1", &Reply{Verified: true, Status: 200}), qt.Equals, forward.End(0))
-	a.recordProgress("i-1", true)
+	a.Placement = before
+	c.Assert(a.classifyReply(&Reply{Verified: true, Status: 200}), qt.Equals, forward.End(0))
+	a.recordProgress(true)
 	c.Assert(g.fleet.Stalled("i-1", boottime.Now()), qt.IsTrue)
-	a.placement = after
-	a.recordProgress("i-1", true)
+	a.Placement = after
+	a.recordProgress(true)
 	c.Assert(g.fleet.Stalled("i-1", boottime.Now()), qt.IsFalse)
 }
 
@@ -131,16 +133,21 @@
 	c := qt.New(t)
 	g, _ := newEntryWithBoot(t)
 	now := boottime.Now()
-	wanted := fleet.Request{Service: "orders"}
-	w := &headWatch{gateway: g, goal: time.Second, backend: g.fleet.Choose(wanted, now).Backend, request: wanted}
-	w.request.Avoid = []filbertlever.HostID{"i-1"}
+	a := &attempts{exchange: &exchange{gateway: g, call: &Call{ID: "o1"}, service: "orders", route: &catalog.Route{Kind: catalog.KindIdempotent, MaxAttempts: 2, FirstByteGoal: time.Second},
+		ctx: context.Background(), deadline: time.Now().Add(time.Minute)}, Attempts: forward.Attempts{Class: forward.Class{Repeatable: true, MaxServers: 2}}}
+	w := &attemptWatch{attempts: a, watched: a.newAttempt(chosenServer{Placement: g.fleet.Choose(fleet.Request{Service: "orders"}, now)})}
 	other := bootRow(1000, 2)
 	other.ID, other.Address = "i-2", "10.0.0.2:1"
 	g.applyBackends(Backends{Present: []catalog.Backend{other}}, false, now)
-	_, reroute := w.shouldReroute(500 * time.Millisecond)
-	c.Assert(reroute, qt.IsFalse)
+	action, _ := a.patience().Decide(w.status())
+	c.Assert(action, qt.Equals, forward.ActionWait)
 	g.applyBackends(Backends{Present: []catalog.Backend{bootRow(2000, 3)}}, false, now)
-	by, reroute := w.shouldReroute(500 * time.Millisecond)
-	c.Assert(reroute, qt.IsTrue)
-	c.Assert(by, qt.Equals, forward.EndedByReplacement)
+	action, reason := a.patience().Decide(w.status())
+	c.Assert(action, qt.Equals, forward.ActionHedge)
+	c.Assert(reason, qt.Equals, forward.EndedByReplacement)
+	g.config.RetrySlack, g.config.RetryWindow = 2, time.Second
+	g.retryBudgets, g.gate = map[string]*retry.Window{}, admission.DefaultEntryGate()
+	server, ok := a.reserveSecond()
+	c.Assert(ok, qt.IsTrue)
+	c.Assert(processOf(server.Backend), qt.Not(qt.Equals), processOf(w.watched.Backend))
 }
--- a/internal/transport/gateway/contention.go
+++ b/internal/transport/gateway/contention.go
@@ -121,7 +121,7 @@
 // has started. The caller holds g.mu.
 func (a *attempts) decideLevel(placement fleet.Placement, first, admissible bool, now time.Duration) levelDecision {
 	s := a.gateway.levelled[a.service]
-	if s == nil || a.levels == 0 || !first || a.stream != nil {
+	if s == nil || a.levels == 0 || !first || a.begun() {
 		return levelDecision{}
 	}
 	request := contention.Request{Level: min(a.priority, s.levels-1), Goal: a.route.FirstByteGoal}
--- a/internal/transport/gateway/contention_test.go
+++ b/internal/transport/gateway/contention_test.go
@@ -229,7 +229,7 @@
 		got := a.decideLevel(fleet.Placement{}, true, true, time.Second).request
 		c.Check(got, qt.Equals, contention.Request{Level: 1, Returning: want.returning, Late: want.late, OverShare: 0.5, Goal: goal}, qt.Commentf("%+v", test))
 		c.Check(a.decideLevel(fleet.Placement{}, false, true, time.Second).used, qt.IsFalse)
-		a.stream = &eventStream{}
+		a.delivered.begun = true
 		c.Check(a.decideLevel(fleet.Placement{}, true, true, time.Second).used, qt.IsFalse)
 		x.cancel()
 	}
--- a/internal/transport/gateway/crashes.go
+++ b/internal/transport/gateway/crashes.go
@@ -112,13 +112,13 @@
 
 // noteIncomplete records an attempt without a complete response, and checks whether its server has
 // crashed.
-func (a *attempts) noteIncomplete(err error) {
-	g, r, backend := a.gateway, a.features(), a.placement.Backend
+func (t *attempt) noteIncomplete(err error) {
+	g, r, backend := t.gateway, t.features(), t.Backend
 	process, now := processOf(backend), boottime.Now()
 	byPeer := closedByPeer(err) && !errors.Is(err, errWriteToCaller)
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.crashes.RecordFailure(quarantine.Attempt{Request: r, Process: process, Sent: a.sentAt, Begun: a.phase.hasStarted(), ClosedByServer: byPeer}, now)
+	g.crashes.RecordFailure(quarantine.Attempt{Request: r, Process: process, Sent: t.sentAt, Begun: t.phase.hasStarted(), ClosedByServer: byPeer}, now)
 	if at, ok := g.crashes.probedAt[process]; byPeer && (!ok || now-at > probeInterval) {
 		if len(g.crashes.probedAt) >= maxProbedProcesses {
 			clear(g.crashes.probedAt)
@@ -200,9 +200,9 @@
 //
 // A response with neither a length nor chunks ends with its connection. If its server crashes, it
 // looks complete.
-func (a *attempts) serverCrashed() bool {
+func (t *attempt) serverCrashed() bool {
 	time.Sleep(firstProbeDelay)
-	return a.gateway.sender.ConnectionRefused(a.placement.Backend)
+	return t.gateway.sender.ConnectionRefused(t.Backend)
 }
 
 // probeServer checks whether the process of a server that truncated a response has ended.
--- a/internal/transport/gateway/deadline_test.go
+++ b/internal/transport/gateway/deadline_test.go
@@ -55,7 +55,7 @@
 	defer g.mu.Unlock()
 	a := newSwitchoverAttempt(g, 900, false)
 	placement := a.choose(now)
-	return placement.Found, a.startDeadline
+	return placement.Found, placement.startDeadline
 }
 
 // Two versions were named 2 s apart, and an entry that started afterwards read only the newest from
--- a/internal/transport/gateway/metrics.go
+++ b/internal/transport/gateway/metrics.go
@@ -11,6 +11,7 @@
 type metrics struct {
 	outcomes             *prometheus.CounterVec
 	unanswered           *prometheus.CounterVec
+	hedges               *prometheus.CounterVec
 	retries              *prometheus.CounterVec
 	firstByte            *prometheus.HistogramVec
 	startPredictionError *prometheus.HistogramVec
@@ -41,6 +42,10 @@
 			Name: "filbertlever_gateway_unanswered_total",
 			Help: "Requests that were read whole and whose connection the entry closed before or after a status, by who ended the last attempt.",
 		}, []string{"Service", "Stage", "EndedBy"}),
+		hedges: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "filbertlever_gateway_hedges_total",
+			Help: "Second attempts beside a silent first one, by service, why they were started and what became of them (Won, Lost, Failed).",
+		}, []string{"Service", "Why", "Result"}),
 		retries: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "filbertlever_gateway_retries_total",
 			Help: "Attempts after the first of a request, by service and how the one before ended.",
@@ -118,7 +123,7 @@
 		}, []string{"Service", "Level", "Reason"}),
 	}
 	registry.MustRegister(m.slowServers, m.placedSlowdown, m.pressure, m.levelReserve, m.levelDecisions)
-	registry.MustRegister(m.outcomes, m.unanswered, m.retries, m.firstByte, m.startPredictionError, m.cancelledAttempts, m.serverCrashes, m.quarantined, m.quarantinedParts, m.announcements, m.rateLimited, m.storeRestored, m.placedMissing, m.badDatagrams, m.badRows)
+	registry.MustRegister(m.outcomes, m.unanswered, m.hedges, m.retries, m.firstByte, m.startPredictionError, m.cancelledAttempts, m.serverCrashes, m.quarantined, m.quarantinedParts, m.announcements, m.rateLimited, m.storeRestored, m.placedMissing, m.badDatagrams, m.badRows)
 	return m
 }
 
--- a/internal/transport/gateway/named_test.go
+++ b/internal/transport/gateway/named_test.go
@@ -78,15 +78,19 @@
 	c := qt.New(t)
 	for _, starts := range []bool{false, true} {
 		ctx, cancel := context.WithCancel(context.Background())
-		a := &attempts{startDeadline: 1}
+		newAttempt := func(startDeadline time.Duration) *attempt {
+			return &attempt{chosenServer: chosenServer{startDeadline: startDeadline}, cancel: func(forward.EndedBy) { cancel() }}
+		}
+		a := newAttempt(1)
 		if starts {
-			a.startDeadline = 1 << 62
+			a = newAttempt(1 << 62)
 		}
-		end := a.watchStart(func(forward.EndedBy) { cancel() })
+		a.watchStart()
 		if starts {
 			// Another attempt, with a late deadline too.
-			end()
-			end = a.watchStart(func(forward.EndedBy) { cancel() })
+			a.markStarted()
+			a = newAttempt(1 << 62)
+			a.watchStart()
 			a.markStarted()
 			c.Check(ctx.Err(), qt.IsNil)
 			c.Check(a.phase.isCancelled(), qt.IsFalse)
@@ -97,7 +101,7 @@
 			}
 			c.Check(a.phase.isCancelled(), qt.IsTrue)
 		}
-		end()
+		a.markStarted()
 		cancel()
 	}
 }
@@ -107,15 +111,18 @@
 func TestStartedAnswerIsNotCancelled(t *testing.T) {
 	c := qt.New(t)
 	cancelled := 0
-	a := &attempts{startDeadline: 1 << 62}
-	end := a.watchStart(func(forward.EndedBy) { cancelled++ })
+	newAttempt := func(startDeadline time.Duration) *attempt {
+		return &attempt{chosenServer: chosenServer{startDeadline: startDeadline}, cancel: func(forward.EndedBy) { cancelled++ }}
+	}
+	a := newAttempt(1 << 62)
+	a.watchStart()
 	a.markStarted()
 	c.Assert(a.phase.tryCancel(), qt.IsFalse)
 	c.Assert(a.phase.isCancelled(), qt.IsFalse)
-	end()
 	// The next attempt is cancelled independently.
-	a.startDeadline = 1
-	a.watchStart(func(forward.EndedBy) { cancelled++ })()
+	a = newAttempt(1)
+	a.watchStart()
+	a.markStarted()
 	c.Assert(a.phase.isCancelled(), qt.IsTrue)
 	c.Assert(cancelled, qt.Equals, 1)
 }
@@ -135,7 +142,7 @@
 		comment := qt.Commentf("slowdown %v", slowdown)
 		c.Check(placement.Found, qt.Equals, slowdown < 3, comment)
 		if placement.Found {
-			c.Check(a.startDeadline+pass < switchoverNamedAt+switchoverBound, qt.IsTrue, comment)
+			c.Check(placement.startDeadline+pass < switchoverNamedAt+switchoverBound, qt.IsTrue, comment)
 		}
 	}
 }
--- a/internal/transport/gateway/placement.go
+++ b/internal/transport/gateway/placement.go
@@ -13,7 +13,7 @@
 )
 
 // place chooses a server, or returns the error response if none can serve the request.
-func (a *attempts) place(first bool) (fleet.Placement, *errorResponse) {
+func (a *attempts) place(first bool) (chosenServer, *errorResponse) {
 	g := a.gateway
 	now := boottime.Now()
 	g.mu.Lock()
@@ -25,9 +25,9 @@
 	fields := []zap.Field{zap.String("Request", a.call.ID), zap.String("Service", a.service),
 		zap.String("Backend", placement.Backend.ID), zap.Duration("Predicted", placement.PredictedLatency), zap.Int("Ahead", placement.QueuePosition),
 		zap.Int("Weighed", placement.Candidates), zap.Duration("ReportAge", placement.ReportAge), zap.String("Why", string(placement.Reason)), zap.Bool("Cut", placement.WillInterrupt), zap.Duration("Reading", placement.PrefillWait)}
-	fields = append(fields, a.startFields(placement, now)...)
-	fields = append(fields, g.viewFields(placement, now)...)
-	fields = append(fields, slowdownFields(placement)...)
+	fields = append(fields, placement.startFields(now)...)
+	fields = append(fields, g.viewFields(placement.Placement, now)...)
+	fields = append(fields, slowdownFields(placement.Placement)...)
 	if a.regions != nil {
 		fields = append(fields, zap.Strings("Regions", a.regions))
 	}
@@ -35,13 +35,13 @@
 		g.log.Info("no server available", append(fields, zap.Duration("ReadyIn", placement.ReadyIn))...)
 		return placement, unavailable(reasonNoServer, g.retryDelayUntilReady(a.service, placement.ReadyIn, a.remaining(), now))
 	}
-	admitted, retryAfter := g.gate.Admit(forecast(placement), admission.Caller{Remaining: a.remaining(), Goal: a.route.FirstByteGoal}, g.rng)
-	if a.stream != nil || g.isPlain(a.service) {
+	admitted, retryAfter := g.gate.Admit(forecast(placement.Placement), admission.Caller{Remaining: a.remaining(), Goal: a.route.FirstByteGoal}, g.rng)
+	if a.begun() || g.isPlain(a.service) {
 		// A stream that has started is resumed on any server. A plain service has its own short
 		// queue and refuses requests itself.
 		admitted = true
 	}
-	decision := a.decideLevel(placement, first, admitted, now)
+	decision := a.decideLevel(placement.Placement, first, admitted, now)
 	if decision.used {
 		admitted, retryAfter = admitted && decision.Admit, max(retryAfter, decision.RetryAfter)
 		fields = append(fields, decision.fields()...)
@@ -57,8 +57,8 @@
 		return placement, unavailable(reasonBusy, retryAfter)
 	}
 	g.log.Info("placed", fields...)
-	g.countMissing(a.service, placement)
-	g.countSlowdown(a.service, placement)
+	g.countMissing(a.service, placement.Placement)
+	g.countSlowdown(a.service, placement.Placement)
 	return placement, nil
 }
 
@@ -89,29 +89,27 @@
 
 // startFields returns log fields with the version that the server is assumed to hold, and the time
 // within which the response must start.
-func (a *attempts) startFields(placement fleet.Placement, now time.Duration) []zap.Field {
-	fields := []zap.Field{zap.Uint64("Holds", placement.HeldVersion)}
-	if a.startDeadline != 0 {
-		fields = append(fields, zap.Duration("BeginIn", a.startDeadline-now))
+func (s *chosenServer) startFields(now time.Duration) []zap.Field {
+	fields := []zap.Field{zap.Uint64("Holds", s.HeldVersion)}
+	if s.startDeadline != 0 {
+		fields = append(fields, zap.Duration("BeginIn", s.startDeadline-now))
 	}
 	return fields
 }
 
-// choose picks a server and sets startDeadline for the attempt. The caller holds g.mu.
-func (a *attempts) choose(now time.Duration) fleet.Placement {
+// choose picks a server and the time by which it must have begun its answer. The caller holds g.mu.
+func (a *attempts) choose(now time.Duration) chosenServer {
 	g := a.gateway
 	placement := a.pickServer(now)
-	a.startDeadline = 0
 	if !placement.Found {
-		return placement
+		return chosenServer{Placement: placement}
 	}
 	at, ok := g.cancelDeadline(a.call.Model, now, placement)
 	if !ok {
 		g.fleet.Release(placement.Backend.ID)
-		return fleet.Placement{Reason: routing.ReasonNoHost, Candidates: placement.Candidates, ReadyIn: g.fleet.ReadyIn(a.placementRequest(now), now)}
+		return chosenServer{Placement: fleet.Placement{Reason: routing.ReasonNoHost, Candidates: placement.Candidates, ReadyIn: g.fleet.ReadyIn(a.placementRequest(now), now)}}
 	}
-	a.startDeadline = at
-	return placement
+	return chosenServer{placement, at}
 }
 
 // pickServer picks a server. The caller holds g.mu.
@@ -180,8 +178,8 @@
 	if a.call.Model != "" {
 		request.MinVersion = a.gateway.minVersion(a.call.Model, now)
 	}
-	if a.stream != nil && a.stream.version >= request.MinVersion {
-		request.Version = a.stream.version
+	if at := a.delivered.snapshot(); at.begun && at.version >= request.MinVersion {
+		request.Version = at.version
 	}
 	return request
 }
--- a/internal/transport/gateway/quarantine.go
+++ b/internal/transport/gateway/quarantine.go
@@ -73,7 +73,7 @@
 // another caller attempt. The caller holds g.mu.
 func (a *attempts) duplicateInFlight(f quarantine.Feature, kind quarantine.Kind) bool {
 	for other := range a.gateway.crashes.inFlight {
-		if other != a && other.cancelAttempt != nil && other.matches(f, kind) {
+		if other != a && len(other.running) > 0 && other.matches(f, kind) {
 			return true
 		}
 	}
@@ -95,14 +95,7 @@
 // Without the delay, the entry would retry a truncated request at another server within a
 // millisecond, before a crash of the first server can be detected.
 func (a *attempts) awaitDecision() {
-	if !a.maybeSuspected() {
-		return
-	}
-	g, r := a.gateway, a.features()
-	g.mu.Lock()
-	suspected := g.crashes.AnyOneCrashFromHold(r, boottime.Now())
-	g.mu.Unlock()
-	if !suspected {
+	if !a.oneCrashFromHold() {
 		return
 	}
 	timer := time.NewTimer(decisionTimeout)
@@ -113,6 +106,17 @@
 	}
 }
 
+// oneCrashFromHold reports whether one more crash would quarantine the request.
+func (a *attempts) oneCrashFromHold() bool {
+	if !a.maybeSuspected() {
+		return false
+	}
+	g, r := a.gateway, a.features()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.crashes.AnyOneCrashFromHold(r, boottime.Now())
+}
+
 var errQuarantined = errors.New("the request has been quarantined")
 
 // partName returns the name of a quarantined part if a request in flight here has it. The caller
@@ -143,9 +147,14 @@
 func (g *Gateway) cancelAttempts(f quarantine.Feature, kind quarantine.Kind) int {
 	n := 0
 	for a := range g.crashes.inFlight {
-		if a.cancelAttempt != nil && a.matches(f, kind) && a.phase.tryCancel() {
-			a.cancelAttempt(forward.EndedByQuarantine)
-			n++
+		if len(a.running) == 0 || !a.matches(f, kind) {
+			continue
+		}
+		for _, t := range a.running {
+			if t.phase.tryCancel() {
+				t.cancel(forward.EndedByQuarantine)
+				n++
+			}
 		}
 	}
 	return n
--- a/internal/transport/gateway/serve.go
+++ b/internal/transport/gateway/serve.go
@@ -5,7 +5,6 @@
 	"errors"
 	"io"
 	"net/http"
-	"strconv"
 	"sync/atomic"
 	"time"
 
@@ -77,6 +76,7 @@
 	g.inFlight.Add(1)
 	defer g.inFlight.Add(-1)
 	x := &exchange{gateway: g, writer: w, request: r, arrived: time.Now()}
+	defer x.recoverPanic()
 	if response := x.prepare(); response != nil {
 		x.refuse(response)
 		return
@@ -110,8 +110,6 @@
 	cachedFingerprint atomic.Pointer[quarantine.Feature]
 	// cachedParts is set once the IDs of the parts of the prompt have been computed.
 	cachedParts atomic.Pointer[[]quarantine.PartID]
-	// endFields say in the log who ended the last attempt.
-	endFields []zap.Field
 	// firstByteAt is when the first byte of the response was forwarded.
 	firstByteAt time.Time
 }
@@ -269,75 +267,6 @@
 	return nil
 }
 
-// refuse sends an error response to the caller.
-func (x *exchange) refuse(response *errorResponse) {
-	header := x.writer.Header()
-	if response.retryAfter > 0 {
-		header.Set("Retry-After", strconv.FormatFloat(response.retryAfter.Seconds(), 'f', 3, 64))
-	}
-	if response.closeConnection {
-		header.Set("Connection", "close")
-	}
-	http.Error(x.writer, response.reason, response.status)
-	fields := append(response.fields, x.endFields...)
-	fields = append(fields, zap.Duration("RetryAfter", response.retryAfter))
-	if response.status == http.StatusServiceUnavailable && x.call != nil && len(x.call.Body) <= maxHashedBody {
-		// The caller retries under another ID. The fingerprint stays the same.
-		fields = append(fields, zap.Stringer("Fingerprint", x.fingerprint()))
-	}
-	x.recordOutcome(response.status, response.reason, fields...)
-}
-
-// recordOutcome logs the final response of a request and updates the metrics.
-func (x *exchange) recordOutcome(status int, reason string, more ...zap.Field) {
-	g := x.gateway
-	g.metrics.outcomes.WithLabelValues(x.service, outcomeName(status, reason)).Inc()
-	now := time.Now()
-	fields := []zap.Field{
-		zap.Int("Status", status), zap.Duration("Took", now.Sub(x.arrived)),
-	}
-	if x.call != nil {
-		fields = append(fields, zap.String("Request", x.call.ID), zap.String("Model", x.call.Model))
-	}
-	if x.state != nil {
-		age, _ := g.stateAge(boottime.Now())
-		fields = append(fields, zap.Uint64("StateVersion", x.state.Version), zap.Duration("StateAge", age))
-	}
-	if x.route != nil {
-		fields = append(fields, zap.String("Route", x.route.Name), zap.String("Service", x.service),
-			zap.String("Organisation", string(x.organisation.ID)))
-	}
-	if !x.firstByteAt.IsZero() {
-		g.metrics.firstByte.WithLabelValues(x.service).Observe(x.firstByteAt.Sub(x.arrived).Seconds())
-		fields = append(fields, zap.Duration("First", x.firstByteAt.Sub(x.arrived)))
-	}
-	if reason != "" {
-		fields = append(fields, zap.String("Reason", reason))
-	}
-	g.log.Info("request ended", append(fields, more...)...)
-}
-
-// outcomeName groups final responses for the outcome metric.
-func outcomeName(status int, reason string) string {
-	switch {
-	case reason == reasonCallerDisconnected:
-		return "CallerLeft"
-	case reason == reasonTruncated:
-		return "BrokenOff"
-	case reason == reasonQuarantined, reason == reasonPartQuarantined, reason == reasonAlreadyInFlight:
-		return "Quarantined"
-	case status < http.StatusBadRequest:
-		return "Answered"
-	case status == http.StatusServiceUnavailable:
-		return "NotRun"
-	case status == http.StatusBadGateway, status == http.StatusGatewayTimeout:
-		return "Unknown"
-	case status < http.StatusInternalServerError:
-		return "Refused"
-	}
-	return "ServerFailed"
-}
-
 // callerDisconnected reports whether the caller itself has cancelled the request.
 func (x *exchange) callerDisconnected() bool {
 	return errors.Is(x.request.Context().Err(), context.Canceled)
--- a/internal/transport/gateway/speeds.go
+++ b/internal/transport/gateway/speeds.go
@@ -78,31 +78,31 @@
 }
 
 // recordGap records the arrival of an event. The caller holds the gateway's lock.
-func (a *attempts) recordGap(now time.Duration) {
-	if a.gaps.add(now) {
-		a.gateway.fleet.RecordGaps(a.placement.Backend, a.gaps.take(), now)
-		a.gateway.logSpeedChanges()
+func (t *attempt) recordGap(now time.Duration) {
+	if t.gaps.add(now) {
+		t.gateway.fleet.RecordGaps(t.Backend, t.gaps.take(), now)
+		t.gateway.logSpeedChanges()
 	}
 }
 
 // recordLastGaps records the gaps at the end of a stream.
-func (a *attempts) recordLastGaps() {
-	if a.gaps.count == 0 {
+func (t *attempt) recordLastGaps() {
+	if t.gaps.count == 0 {
 		return
 	}
-	g := a.gateway
+	g := t.gateway
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.fleet.RecordGaps(a.placement.Backend, a.gaps.take(), boottime.Now())
+	g.fleet.RecordGaps(t.Backend, t.gaps.take(), boottime.Now())
 	g.logSpeedChanges()
 }
 
 // forwardTimed forwards one event. If the caller reads it late, the next gap is not counted.
-func (a *attempts) forwardTimed(event event) error {
+func (t *attempt) forwardTimed(reply *Reply, event event) error {
 	startedAt := time.Now()
-	err := a.forwardEvent(event)
+	err := t.forwardEvent(reply, event)
 	if time.Since(startedAt) > maxForwardTime {
-		a.gaps.lastAt = 0
+		t.gaps.lastAt = 0
 	}
 	return err
 }
--- a/internal/transport/gateway/speeds_test.go
+++ b/internal/transport/gateway/speeds_test.go
@@ -115,10 +115,10 @@
 // BenchmarkRecordGap measures what the gap of one event costs, recorded 8 at a time.
 func BenchmarkRecordGap(b *testing.B) {
 	g := newSwitchoverEntry(newTypicalEngine(), 1)
-	a := newSwitchoverAttempt(g, 900, false)
+	a := &attempt{attempts: newSwitchoverAttempt(g, 900, false)}
 	now := switchoverNamedAt
 	g.fleet.Apply([]catalog.Backend{{ID: switchoverBackend, Boot: 1, Service: switchoverService, Address: "10.0.0.1:1", Site: "a", Slots: 12}}, nil, true, now)
-	a.placement.Backend = catalog.Backend{ID: switchoverBackend, Boot: 1}
+	a.Backend = catalog.Backend{ID: switchoverBackend, Boot: 1}
 	b.ReportAllocs()
 	for b.Loop() {
 		now += 50 * time.Millisecond
--- a/internal/transport/gateway/stream.go
+++ b/internal/transport/gateway/stream.go
@@ -17,146 +17,153 @@
 	"github.com/filbertlever/filbertlever/internal/transport/boottime"
 )
 
-// Timeouts and limits of streams.
-const (
-	// maxSilentPauses is how many times the longest pause that callers accept a server may be
-	// silent before its stream is resumed on another server. Callers themselves disconnect after
-	// eight. minSilenceTimeout is the lower limit of that timeout.
-	maxSilentPauses   = 4
-	minSilenceTimeout = 800 * time.Millisecond
-	maxEventBytes     = 1 << 20
-)
+// maxEventBytes limits the size of one event.
+const maxEventBytes = 1 << 20
+
+// receiveStream waits for the first event of a stream.
+func (t *attempt) receiveStream(reply *Reply) (beginning, forward.End) {
+	received := beginning{reply: reply, reader: bufio.NewReaderSize(reply.Body, 4<<10)}
+	first, err := t.nextEvent(received, true)
+	if err == io.EOF {
+		received.empty = true
+		return received, 0
+	}
+	if err != nil {
+		reply.Finish(false)
+		return beginning{}, t.handleFailure(forward.EndLost, err)
+	}
+	received.event = first
+	return received, 0
+}
 
-// eventStream is what the caller has received of a streamed response.
-type eventStream struct {
-	stream.Events
-	// lastEvent is the ID of the last event that was forwarded.
-	lastEvent string
-	// version is the version of the weights that started the response.
-	version uint64
-	flusher *http.ResponseController
+// nextEvent reads the next event of a stream. It returns io.EOF only if the stream ended completely.
+func (t *attempt) nextEvent(received beginning, first bool) (event, error) {
+	e, err := readEvent(received.reader)
+	if err == nil {
+		t.markStarted()
+		t.progressAt.Store(int64(boottime.Now()))
+		t.recordProgress(first)
+		if first {
+			t.noteBegun()
+		}
+	}
+	if err == io.EOF && received.reply.UntilClose && t.serverCrashed() {
+		err = errCrashed
+	}
+	return e, err
 }
 
 // relayStream forwards the events of a response as they arrive, complete events only.
-func (a *attempts) relayStream(id string, reply *Reply, cancel func(by forward.EndedBy)) forward.End {
-	if a.stream == nil {
-		a.beginStream(reply)
-	}
-	silence := a.watchSilence(cancel)
-	a.gaps = gapCollector{}
-	defer a.recordLastGaps()
-	reader := bufio.NewReaderSize(reply.Body, 4<<10)
-	for first := true; ; first = false {
-		event, err := readEvent(reader)
-		if err == nil {
-			a.markStarted()
-			a.lastProgressAt = boottime.Now()
-			a.recordProgress(id, first)
-			if first {
-				a.noteBegun()
-			}
-		}
-		if silence != nil {
-			silence.Reset(a.silenceTimeout())
-		}
-		if err == io.EOF && reply.UntilClose && a.serverCrashed() {
-			err = errCrashed
-		}
-		if err == io.EOF {
-			return a.endStream(id, reply, !first)
-		}
-		if err == nil {
-			err = a.forwardTimed(event)
-		}
-		if err != nil {
+func (t *attempt) relayStream(received beginning) forward.End {
+	reply := received.reply
+	defer t.recordLastGaps()
+	e, err := received.event, error(nil)
+	if received.empty {
+		err = io.EOF
+	}
+	for ; err == nil; e, err = t.nextEvent(received, false) {
+		if !t.goesOn() {
 			reply.Finish(false)
-			a.handleFailedAttempt(id, forward.EndLost, err)
 			return forward.EndLost
 		}
+		if err = t.forwardTimed(reply, e); err != nil {
+			break
+		}
+	}
+	switch {
+	case err == io.EOF && t.goesOn():
+		return t.endStream(reply, !received.empty)
+	case errors.Is(err, errWriteToCaller):
+		reply.Finish(false)
+		t.endUnread(err)
+	}
+	reply.Finish(false)
+	return t.handleFailure(forward.EndLost, err)
+}
+
+// endUnread ends a stream that could not be written to the caller.
+func (t *attempt) endUnread(err error) {
+	if t.callerDisconnected() {
+		t.disconnect(zap.String("Backend", t.Backend.ID))
 	}
+	t.abort(http.StatusOK, forward.EndedByCallerWrite, zap.String("LastEvent", t.delivered.snapshot().lastEvent), zap.Error(err))
 }
 
 // recordProgress reports to the fleet that an event arrived and, for the first event, how long it
 // took.
-func (a *attempts) recordProgress(id string, first bool) {
-	g := a.gateway
+func (t *attempt) recordProgress(first bool) {
+	g, id := t.gateway, t.Backend.ID
 	now := boottime.Now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.crashes.RecordAlive(processOf(a.placement.Backend), now)
-	if g.fleet.Superseded(a.placement.Backend) {
+	g.crashes.RecordAlive(processOf(t.Backend), now)
+	if g.fleet.Superseded(t.Backend) {
 		return
 	}
 	g.fleet.RecordProgress(id, now)
-	a.recordGap(now)
+	t.recordGap(now)
 	if first {
-		late := now - a.placedAt - a.placement.PredictedLatency
-		g.metrics.startPredictionError.WithLabelValues(a.service).Observe(late.Seconds())
-		g.fleet.RecordLatency(id, a.placement.PredictedLatency, now-a.placedAt, now)
+		late := now - t.placedAt - t.PredictedLatency
+		g.metrics.startPredictionError.WithLabelValues(t.service).Observe(late.Seconds())
+		g.fleet.RecordLatency(id, t.PredictedLatency, now-t.placedAt, now)
 	}
 }
 
 // beginStream sends the head of the first server's response, which is kept when another server
-// resumes the stream.
-func (a *attempts) beginStream(reply *Reply) {
-	a.stream = &eventStream{version: reply.Version, lastEvent: a.call.LastEvent, flusher: http.NewResponseController(a.writer)}
-	a.stream.ResumeAfter(eventNumber(a.call.LastEvent))
-	copyHeader(a.writer.Header(), reply.Header)
-	a.writer.WriteHeader(reply.Status)
-	_ = a.stream.flusher.SetWriteDeadline(a.deadline.Add(writeGracePeriod))
+// resumes the stream. It is sent with the first event, as a request that fails before can still get a
+// status.
+func (t *attempt) beginStream(reply *Reply) {
+	copyHeader(t.writer.Header(), reply.Header)
+	t.writer.WriteHeader(reply.Status)
+	_ = http.NewResponseController(t.writer).SetWriteDeadline(t.deadline.Add(writeGracePeriod))
 }
 
 // endStream ends a stream that was forwarded completely. The parameter begun is true if it had events.
-func (a *attempts) endStream(id string, reply *Reply, begun bool) forward.End {
+func (t *attempt) endStream(reply *Reply, begun bool) forward.End {
+	if !t.begun() {
+		t.beginStream(reply)
+	}
 	reply.Finish(true)
 	if begun || !reply.UntilClose {
-		a.noteAnswered()
+		t.noteAnswered()
 	}
-	_ = a.stream.flusher.SetWriteDeadline(time.Time{})
-	a.recordOutcome(reply.Status, "", zap.String("Backend", id), zap.String("LastEvent", a.stream.lastEvent), zap.Int("Servers", a.Sent()+1))
+	_ = http.NewResponseController(t.writer).SetWriteDeadline(time.Time{})
+	t.gateway.mu.Lock()
+	servers := t.Sent() + 1
+	t.gateway.mu.Unlock()
+	t.recordOutcome(reply.Status, "", zap.String("Backend", t.Backend.ID), zap.String("LastEvent", t.delivered.snapshot().lastEvent), zap.Int("Servers", servers))
 	return 0
 }
 
 // forwardEvent forwards one event unless the caller already has it.
-func (a *attempts) forwardEvent(event event) error {
+func (t *attempt) forwardEvent(reply *Reply, event event) error {
+	part := t.delivered.snapshot()
 	if event.id != "" {
-		switch a.stream.Check(eventNumber(event.id)) {
+		switch t.events.Check(eventNumber(event.id)) {
 		case stream.VerdictDrop:
 			return nil
 		case stream.VerdictBroken:
-			return fmt.Errorf("event %s is out of order after event %s", event.id, a.stream.lastEvent)
+			return fmt.Errorf("event %s is out of order after event %s", event.id, part.lastEvent)
 		}
 	}
-	if a.firstByteAt.IsZero() {
-		a.firstByteAt = time.Now()
+	if !part.begun {
+		t.beginStream(reply)
+		t.firstByteAt = time.Now()
+		part.begun, part.version = true, reply.Version
 	}
-	if _, err := a.writer.Write(event.raw); err != nil {
+	if _, err := t.writer.Write(event.raw); err != nil {
 		return fmt.Errorf("%w: %w", errWriteToCaller, err)
 	}
-	if err := a.stream.flusher.Flush(); err != nil {
+	if err := http.NewResponseController(t.writer).Flush(); err != nil {
 		return fmt.Errorf("%w: %w", errWriteToCaller, err)
 	}
 	if event.id != "" {
-		a.stream.lastEvent = event.id
+		part.lastEvent = event.id
 	}
+	t.delivered.set(part)
 	return nil
 }
 
-// watchSilence cancels an attempt whose server stops sending, if another server may resume the
-// stream.
-func (a *attempts) watchSilence(cancel func(by forward.EndedBy)) *time.Timer {
-	if !a.Class.Repeatable || a.Sent()+1 >= a.Class.MaxServers || a.route.MaxEventGap <= 0 {
-		return nil
-	}
-	return time.AfterFunc(a.silenceTimeout(), func() { cancel(forward.EndedBySilence) })
-}
-
-// silenceTimeout is how long a server may send nothing before its stream is resumed on another
-// server.
-func (a *attempts) silenceTimeout() time.Duration {
-	return max(maxSilentPauses*a.route.MaxEventGap, minSilenceTimeout)
-}
-
 // event is one event of a stream as it was received.
 type event struct {
 	id  string
--- a/internal/transport/gateway/switchover_test.go
+++ b/internal/transport/gateway/switchover_test.go
@@ -116,7 +116,7 @@
 	a := &attempts{exchange: &exchange{gateway: g, route: route, service: switchoverService,
 		call: &Call{Model: switchoverModel, PromptTokens: prompt, AnswerTokens: 121}}}
 	if resumed {
-		a.stream = &eventStream{version: 2}
+		a.delivered.set(deliveredPart{begun: true, version: 2})
 	}
 	return a
 }
@@ -134,8 +134,8 @@
 		return nil
 	}
 	r := &simulatedRequest{prompt: prompt, arrivesAt: now + delay}
-	if a.startDeadline != 0 {
-		r.closedAt = a.startDeadline + delay
+	if placement.startDeadline != 0 {
+		r.closedAt = placement.startDeadline + delay
 	}
 	m.requests = append(m.requests, r)
 	return r
--- a/internal/transport/gateway/waitqueue.go
+++ b/internal/transport/gateway/waitqueue.go
@@ -27,7 +27,7 @@
 // value when the waiting time is over.
 type queuedRequest struct {
 	attempts *attempts
-	placed   chan fleet.Placement
+	placed   chan chosenServer
 }
 
 func newWaitQueue() *waitQueue {
@@ -47,7 +47,7 @@
 	switch {
 	case a.gateway.isPlain(a.service), a.gaveWay:
 		return false
-	case a.stream != nil:
+	case a.begun():
 		// Servers that switch their weights at the same time may leave no server for a moment.
 		// Without waiting, every stream in progress would be truncated.
 		return !placement.Found
@@ -67,15 +67,15 @@
 }
 
 // waitForServer waits until a server is free. It returns false if none became free in time.
-func (a *attempts) waitForServer() (fleet.Placement, bool) {
+func (a *attempts) waitForServer() (chosenServer, bool) {
 	g := a.gateway
 	start := boottime.Now()
-	queued := &queuedRequest{attempts: a, placed: make(chan fleet.Placement, 1)}
+	queued := &queuedRequest{attempts: a, placed: make(chan chosenServer, 1)}
 	g.mu.Lock()
 	id, ok := g.waitQueue.Add(a.service, start+min(admission.EntryQueueTimeout, a.remaining()/2))
 	if !ok {
 		g.mu.Unlock()
-		return fleet.Placement{}, false
+		return chosenServer{}, false
 	}
 	g.waitQueue.requests[id] = queued
 	if !g.waitQueue.running {
@@ -83,7 +83,7 @@
 		go g.runQueue()
 	}
 	g.mu.Unlock()
-	var placement fleet.Placement
+	var placement chosenServer
 	select {
 	case placement, ok = <-queued.placed:
 	case <-a.ctx.Done():
@@ -93,14 +93,14 @@
 	fields := []zap.Field{zap.String("Request", a.call.ID), zap.Bool("Placed", ok),
 		zap.Duration("Waited", now-start), zap.String("Backend", placement.Backend.ID)}
 	if ok {
-		fields = append(fields, a.startFields(placement, now)...)
+		fields = append(fields, placement.startFields(now)...)
 	}
 	g.log.Info("waited for a place", fields...)
 	return placement, ok
 }
 
 // cancelQueued removes a request whose caller has disconnected or whose deadline has passed.
-func (g *Gateway) cancelQueued(id uint64, queued *queuedRequest) (fleet.Placement, bool) {
+func (g *Gateway) cancelQueued(id uint64, queued *queuedRequest) (chosenServer, bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.waitQueue.Remove(id)
@@ -109,7 +109,7 @@
 	case placement, ok := <-queued.placed:
 		return placement, ok
 	default:
-		return fleet.Placement{}, false
+		return chosenServer{}, false
 	}
 }
 
@@ -135,7 +135,7 @@
 		if !placement.Found {
 			return false
 		}
-		if queued.attempts.stream == nil && !g.gate.AdmitQueued(forecast(placement), queued.attempts.route.FirstByteGoal) {
+		if !queued.attempts.begun() && !g.gate.AdmitQueued(forecast(placement.Placement), queued.attempts.route.FirstByteGoal) {
 			g.fleet.Release(placement.Backend.ID)
 			return false
 		}
@@ -153,10 +153,10 @@
 
 // placeAfterWait waits for a server for a request that found none, if one is likely to become free.
 // Otherwise it returns the placement and the error that it was given.
-func (a *attempts) placeAfterWait(found fleet.Placement, refusal *errorResponse) (fleet.Placement, *errorResponse) {
+func (a *attempts) placeAfterWait(found chosenServer, refusal *errorResponse) (chosenServer, *errorResponse) {
 	g := a.gateway
 	g.mu.Lock()
-	wait := a.mayWait(found, boottime.Now())
+	wait := a.mayWait(found.Placement, boottime.Now())
 	g.mu.Unlock()
 	if !wait || a.ctx.Err() != nil && a.ctx.Err() != context.DeadlineExceeded {
 		return found, refusal
--- a/internal/transport/gateway/waitqueue_test.go
+++ b/internal/transport/gateway/waitqueue_test.go
@@ -42,7 +42,7 @@
 		x := &exchange{gateway: g, route: route, service: test.service, call: &Call{HasTimeout: true}, deadline: time.Now().Add(test.left)}
 		a := &attempts{exchange: x}
 		if test.started {
-			a.stream = &eventStream{}
+			a.delivered.begun = true
 		}
 		now := 2 * admission.RecoveryPeriod
 		g.outages = map[string]*admission.Outage{"models": {}}
