--- a/internal/bench/experiment/answers_test.go
+++ b/internal/bench/experiment/answers_test.go
@@ -10,7 +10,7 @@
 )
 
 // hedge is a policy that starts a second attempt after 0.6 s.
-var hedge = Policy{Name: "hedge", Silence: SilenceHedge, Trust: true, Stall: 600 * time.Millisecond, Gap: 600 * time.Millisecond}
+var hedge = Policy{Name: "hedge", Silence: SilenceHedge, Stall: 600 * time.Millisecond, Gap: 600 * time.Millisecond}
 
 // silentServers returns an experiment with entries that retry, and the disturbance of its only scenario.
 func silentServers(fault Fault, scope Scope, duration time.Duration) (*Experiment, *disturbance) {
@@ -32,7 +32,7 @@
 	}{
 		{"short silence ends no answer", FaultSilent, ScopeAll, time.Second, Policy{}, func(o *Outcome) bool { return o.Ends[EndLeft]+o.Ends[EndCut]+o.Ends[EndNoStatus] == 0 }},
 		{"callers leave dark servers", FaultDark, ScopeOne, time.Second, Policy{}, func(o *Outcome) bool { return o.Ends[EndLeft] > 0 && o.Ends[EndNoStatus] > 0 }},
-		{"cancelled attempts have no successor if all servers are silent", FaultSilent, ScopeAll, 3 * time.Second, Policy{Silence: SilenceCancel}, func(o *Outcome) bool { return o.Ends[EndCut]+o.Ends[EndFailed] > 0 }},
+		{"cancelled attempts have no successor if all servers are silent", FaultSilent, ScopeAll, 3 * time.Second, Policy{Silence: SilenceCancel, Suspect: true}, func(o *Outcome) bool { return o.Ends[EndCut]+o.Ends[EndFailed] > 0 }},
 		{"failover cancels only with a successor", FaultSilent, ScopeAll, 3 * time.Second, Policy{Silence: SilenceFailover}, func(o *Outcome) bool { return o.Ends[EndCut]+o.Ends[EndFailed] == 0 }},
 		{"hedging completes answers of a dark server", FaultDark, ScopeOne, time.Second, hedge, func(o *Outcome) bool {
 			return o.Ends[EndLeft]+o.Ends[EndCut]+o.Ends[EndNoStatus] == 0 && o.RetryShare > 0
@@ -51,7 +51,7 @@
 
 // A try is counted twice or not at all, or the retries of a policy exceed their bound.
 func TestTriesAndRetriesAreCounted(t *testing.T) {
-	for _, policy := range []Policy{{Name: "never"}, {Name: "cancel", Silence: SilenceCancel}, {Name: "failover", Silence: SilenceFailover}, hedge} {
+	for _, policy := range []Policy{{Name: "never"}, {Name: "cancel", Silence: SilenceCancel, Suspect: true}, {Name: "failover", Silence: SilenceFailover}, hedge} {
 		for _, fault := range []Fault{FaultSilent, FaultDark, FaultDead} {
 			t.Run(policy.Name+" "+string(fault), func(t *testing.T) {
 				c := qt.New(t)
--- a/internal/bench/experiment/call.go
+++ b/internal/bench/experiment/call.go
@@ -129,8 +129,9 @@
 		promptTokens: r.promptTokens + c.delivered, remainingTokens: r.answerTokens - c.delivered}
 	c.open = append(c.open, a)
 	s.enqueue(a)
-	if patience := sim.policy.patience(r.spec); sim.policy.Silence != SilenceIgnore {
-		sim.after(patience.checkIn(running{begun: c.begun()}, checkInterval), func() { c.checkAttempt(a) })
+	if sim.policy.Silence != SilenceIgnore {
+		patience := sim.policy.patience(r.spec)
+		sim.after(patience.CheckIn(forward.Running{Begun: c.begun()}, checkInterval), func() { c.checkAttempt(a) })
 	}
 }
 
@@ -160,8 +161,8 @@
 	e, sim := c.entry, c.entry.simulation
 	for _, other := range slices.Clone(c.open) {
 		if other != a {
-			c.cancel(other, other.placedAt < a.placedAt && !sim.policy.Trust)
-			c.recordEnd(forward.EndLost)
+			c.cancel(other, other.placedAt < a.placedAt && sim.policy.Suspect)
+			c.history.Record(forward.EndLost)
 		}
 	}
 	e.fleet.RecordProgress(a.server.id, sim.now)
@@ -203,13 +204,10 @@
 	c.next(forward.EndLost)
 }
 
-// recordEnd records the end of an attempt that is followed by none.
-func (c *call) recordEnd(end forward.End) { c.history.NextStep(end, nil, 0, 0, false) }
-
 // next decides what follows an attempt that has ended.
 func (c *call) next(end forward.End) {
 	if len(c.open) > 0 {
-		c.recordEnd(end)
+		c.history.Record(end)
 		return
 	}
 	e := c.entry
@@ -281,12 +279,13 @@
 		return
 	}
 	patience := sim.policy.patience(c.request.spec)
-	state := running{begun: c.begun(), silent: sim.now - a.lastEventAt, stalled: e.fleet.Stalled(a.server.id, sim.now)}
-	if len(c.open) == 1 && c.serversLeft() > 0 && patience.due(state) {
+	state := forward.Running{Begun: c.begun(), Silent: sim.now - a.lastEventAt, Stalled: e.fleet.Stalled(a.server.id, sim.now)}
+	action, _ := patience.Decide(state)
+	if action == forward.ActionHedge && len(c.open) == 1 && c.serversLeft() > 0 {
 		c.replace(a)
 	}
 	if !a.ended {
-		sim.after(patience.checkIn(state, checkInterval), func() { c.checkAttempt(a) })
+		sim.after(patience.CheckIn(state, checkInterval), func() { c.checkAttempt(a) })
 	}
 }
 
@@ -295,7 +294,7 @@
 	e, sim := c.entry, c.entry.simulation
 	if sim.policy.Silence == SilenceCancel {
 		if c.begun() || c.hasAlternative() {
-			c.cancel(a, !sim.policy.Trust)
+			c.cancel(a, sim.policy.Suspect)
 			c.next(forward.EndLost)
 		}
 		return
@@ -305,13 +304,14 @@
 		return
 	}
 	lost := retry.Attempt{End: retry.EndLost, Number: c.sent}
-	if p.QueuePosition > e.admissionGate.MaxQueuePosition || !e.budget.Allow(lost, c.remaining(), sim.now) {
+	needsSlot := !c.begun() || sim.policy.FreeSlot
+	if needsSlot && p.QueuePosition > e.admissionGate.MaxQueuePosition || !e.budget.Allow(lost, c.remaining(), sim.now) {
 		e.fleet.Withdraw(p.Backend.ID, c.request.promptTokens)
 		return
 	}
 	if sim.policy.Silence == SilenceFailover {
-		c.cancel(a, !sim.policy.Trust)
-		c.recordEnd(forward.EndLost)
+		c.cancel(a, sim.policy.Suspect)
+		c.history.Record(forward.EndLost)
 	}
 	c.place(sim.byID[p.Backend.ID], &p)
 }
@@ -337,20 +337,20 @@
 )
 
 // patience returns the times of silence of the policy for a kind of request.
-func (p *Policy) patience(k *Kind) patience {
-	times := patience{
-		stall: max(time.Duration(stallGoals*float64(k.Goal)), minHead),
-		head:  max(headGoals*k.Goal, minHead),
-		gap:   max(silentGaps*k.MaxEventGap, minSilence),
+func (p *Policy) patience(k *Kind) forward.Patience {
+	times := forward.Patience{
+		Stall: max(time.Duration(stallGoals*float64(k.Goal)), minHead),
+		Head:  max(headGoals*k.Goal, minHead),
+		Gap:   max(silentGaps*k.MaxEventGap, minSilence),
 	}
 	if p.Stall > 0 {
-		times.stall = p.Stall
+		times.Stall = p.Stall
 	}
 	if p.Head > 0 {
-		times.head = p.Head
+		times.Head = p.Head
 	}
 	if p.Gap > 0 {
-		times.gap = p.Gap
+		times.Gap = p.Gap
 	}
 	return times
 }
--- a/internal/bench/experiment/file.go
+++ b/internal/bench/experiment/file.go
@@ -120,9 +120,11 @@
 	Stall time.Duration `yaml:"Stall"`
 	Head  time.Duration `yaml:"Head"`
 	Gap   time.Duration `yaml:"Gap"`
-	// Trust keeps a server in use although an attempt there was cancelled because of its silence.
-	// Otherwise it counts as failed.
-	Trust bool `yaml:"Trust"`
+	// Suspect counts a server as failed if an attempt there is cancelled because of its silence.
+	Suspect bool `yaml:"Suspect"`
+	// FreeSlot requires a free slot for the second attempt also if the answer has begun. Otherwise such
+	// an attempt may wait in the server's queue.
+	FreeSlot bool `yaml:"FreeSlot"`
 }
 
 // Silence is what entries do about an attempt whose server is silent.
@@ -135,8 +137,8 @@
 	// SilenceCancel cancels the attempt and then looks for another server. Before the answer has begun,
 	// it first checks that there is one.
 	SilenceCancel Silence = "Cancel"
-	// SilenceFailover cancels the attempt once another server, a free slot there and a retry of the
-	// budget are reserved.
+	// SilenceFailover cancels the attempt once another server and a retry of the budget are reserved,
+	// and a free slot if the answer has not begun.
 	SilenceFailover Silence = "Failover"
 	// SilenceHedge starts a second attempt once those are reserved, and keeps the first one until
 	// either goes on.
