--- a/internal/bench/experiment/answers_test.go
+++ b/internal/bench/experiment/answers_test.go
@@ -124,7 +124,7 @@
 		{"no start", "At: [5s]", "At: []", `check experiment: Scenarios: Dark: expected .*`},
 		{"slow by no factor", ", Factor: 8", "", `check experiment: Scenarios: Slow: Factor 0: expected .*`},
 		{"no load", "Loads: [0.6", "Loads: [0", `check experiment: Loads: 0: expected .*`},
-		{"unknown policy", "Silence: Failover", "Silence: Wait", `check experiment: Policies: failover: Silence "Wait": expected .*`},
+		{"unknown policy", "Silence: Failover", "Silence: Wait", `check experiment: Policies: failover.*: Silence "Wait": expected .*`},
 		{"scenarios without retries", ", MaxServers: 2", "", `check experiment: Scenarios: expected kinds with MaxServers`},
 		{"no gap", ", MaxEventGap: 200ms", "", `check experiment: Kinds: lookup: expected MaxEventGap .*`},
 	}
--- a/internal/bench/experiment/entry.go
+++ b/internal/bench/experiment/entry.go
@@ -47,6 +47,9 @@
 func newEntry(sim *simulation, host filbertlever.HostID, region string, regions map[string]string, rng *rand.Rand) *entry {
 	config := fleet.DefaultConfig()
 	config.Host, config.Site, config.Region, config.Regions = host, region, region, regions
+	if sim.policy.StalledAfter > 0 {
+		config.EngineStallTimeout = sim.policy.StalledAfter
+	}
 	e := &entry{simulation: sim, host: host, region: region, fleet: fleet.New(config, rng), admissionGate: sim.policy.admissionGate(),
 		waitingRoom: admission.NewEntryQueue(), waiting: map[uint64]*request{}, rng: rng, budget: sim.newBudget()}
 	promptTokens, answerTokens := sim.meanSizes()
--- a/internal/bench/experiment/file.go
+++ b/internal/bench/experiment/file.go
@@ -120,6 +120,8 @@
 	Stall time.Duration `yaml:"Stall"`
 	Head  time.Duration `yaml:"Head"`
 	Gap   time.Duration `yaml:"Gap"`
+	// StalledAfter is the time without progress after which a server counts as stalled.
+	StalledAfter time.Duration `yaml:"StalledAfter"`
 	// Suspect counts a server as failed if an attempt there is cancelled because of its silence.
 	Suspect bool `yaml:"Suspect"`
 	// FreeSlot requires a free slot for the second attempt also if the answer has begun. Otherwise such
