Tests: limits of callers' connections beside a request

TestLoweredLimitsDoNotCutARequest passes: limits that are lowered while a request is served do not close its connection.

TestExpiredTimerDoesNotCloseAnActiveConnection fails on the current code: of 1,500 connections whose request arrives as the idle timer expires, 44 to 90 were closed after they had become active (6 runs; 276 and 285 with -race). closeConn closes the connection without checking, under the lock, that its timer still applies.

--- a/internal/transport/installation/conn_limits_test.go
+++ b/internal/transport/installation/conn_limits_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"runtime"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -88,3 +89,69 @@
 	c.Assert(err, qt.IsNotNil)
 	c.Assert(time.Since(startedAt) < time.Second, qt.IsTrue)
 }
+
+// Lowered limits must not close a connection whose request is being served.
+func TestLoweredLimitsDoNotCutARequest(t *testing.T) {
+	c := qt.New(t)
+	var limits atomic.Pointer[catalog.Limits]
+	limits.Store(&catalog.Limits{HeaderTimeout: 100 * time.Millisecond, IdleTimeout: 100 * time.Millisecond})
+	started, finish := make(chan struct{}), make(chan struct{})
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	server := &http.Server{
+		Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			close(started)
+			<-finish
+			_, _ = io.WriteString(w, "ok")
+		}),
+		ConnState: newConnLimits(func() catalog.Limits { return *limits.Load() }).onStateChange,
+	}
+	go func() { _ = server.Serve(listener) }()
+	t.Cleanup(func() { _ = server.Close() })
+	conn, err := net.Dial("tcp4", listener.Addr().String())
+	c.Assert(err, qt.IsNil)
+	defer func() { _ = conn.Close() }()
+	time.AfterFunc(300*time.Millisecond, func() { close(finish) })
+	go func() {
+		<-started
+		limits.Store(&catalog.Limits{HeaderTimeout: time.Millisecond, IdleTimeout: time.Millisecond})
+	}()
+	c.Assert(sendRequest(conn, bufio.NewReader(conn)), qt.IsTrue)
+}
+
+// closeRecorder is a connection that records whether it was closed while it was active.
+type closeRecorder struct {
+	net.Conn
+	active, closedWhileActive atomic.Bool
+}
+
+func (r *closeRecorder) Close() error {
+	if r.active.Load() {
+		r.closedWhileActive.Store(true)
+	}
+	return nil
+}
+
+// A timer that expired while a request arrived closed the connection after the request had been read.
+func TestExpiredTimerDoesNotCloseAnActiveConnection(t *testing.T) {
+	const attempts, idleTimeout = 1500, 20 * time.Microsecond
+	limits := newConnLimits(func() catalog.Limits {
+		return catalog.Limits{HeaderTimeout: idleTimeout / 2, IdleTimeout: idleTimeout / 2}
+	})
+	closed := 0
+	for range attempts {
+		conn := &closeRecorder{}
+		limits.onStateChange(conn, http.StateIdle)
+		// Sleeping would miss the moment at which the timer expires.
+		for startedAt := time.Now(); time.Since(startedAt) < idleTimeout; {
+			runtime.Gosched()
+		}
+		limits.onStateChange(conn, http.StateActive)
+		conn.active.Store(true)
+		time.Sleep(10 * time.Microsecond)
+		if conn.closedWhileActive.Load() {
+			closed++
+		}
+	}
+	qt.Assert(t, closed, qt.Equals, 0, qt.Commentf("of %d connections", attempts))
+}
