Connection limits: a timer that was stopped too late closed a request

A limit's timer that had fired but not yet got the lock closed its connection after the connection had become active: the request was read whole, was passed on, and its caller got a closed connection. A connection closed just before its request became active had the same end.

Whether a wait is over is decided under the lock, by the number of the wait. A request whose connection was closed by a limit before it became active is dropped before it reaches the handler.

--- a/internal/transport/installation/conn_limits.go
+++ b/internal/transport/installation/conn_limits.go
@@ -1,6 +1,7 @@
 package installation
 
 import (
+	"context"
 	"net"
 	"net/http"
 	"sync"
@@ -32,42 +33,104 @@
 	// limits returns the active limits; zero values mean that none are set.
 	limits func() catalog.Limits
 
-	mu     sync.Mutex
-	timers map[net.Conn]*time.Timer
+	mu    sync.Mutex
+	conns map[net.Conn]*limitedConn
+}
+
+// limitedConn is the state of one connection.
+type limitedConn struct {
+	// timer runs while the connection waits for a request's header; nil otherwise.
+	timer *time.Timer
+	// waits counts the timers that were started.
+	waits uint64
+	// expired is set once the connection has been closed by a limit.
+	expired bool
 }
 
 func newConnLimits(limits func() catalog.Limits) *connLimits {
-	return &connLimits{limits: limits, timers: map[net.Conn]*time.Timer{}}
+	return &connLimits{limits: limits, conns: map[net.Conn]*limitedConn{}}
 }
 
-// onStateChange is the server's ConnState hook. It starts the timer for a connection's new
-// state.
-func (l *connLimits) onStateChange(c net.Conn, state http.ConnState) {
+// active returns the active timeouts.
+func (l *connLimits) active() (headerTimeout, idleTimeout time.Duration) {
 	limits := l.limits()
-	headerTimeout, idleTimeout := limits.HeaderTimeout, limits.IdleTimeout
+	headerTimeout, idleTimeout = limits.HeaderTimeout, limits.IdleTimeout
 	if headerTimeout <= 0 {
 		headerTimeout = defaultHeaderTimeout
 	}
 	if idleTimeout <= 0 {
 		idleTimeout = defaultIdleTimeout
 	}
+	return headerTimeout, idleTimeout
+}
+
+// onStateChange is the server's ConnState hook. It starts the timer for a connection's new
+// state.
+func (l *connLimits) onStateChange(c net.Conn, state http.ConnState) {
+	headerTimeout, idleTimeout := l.active()
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if timer, ok := l.timers[c]; ok {
-		timer.Stop()
-		delete(l.timers, c)
+	conn, ok := l.conns[c]
+	if !ok {
+		conn = &limitedConn{}
+		l.conns[c] = conn
+	}
+	if conn.timer != nil {
+		conn.timer.Stop()
+		conn.timer = nil
 	}
 	switch state {
 	case http.StateNew:
-		l.timers[c] = time.AfterFunc(headerTimeout, func() { l.closeConn(c) })
+		l.startTimer(c, conn, headerTimeout)
 	case http.StateIdle:
-		l.timers[c] = time.AfterFunc(idleTimeout+headerTimeout, func() { l.closeConn(c) })
+		l.startTimer(c, conn, idleTimeout+headerTimeout)
+	case http.StateClosed, http.StateHijacked:
+		delete(l.conns, c)
 	}
 }
 
-func (l *connLimits) closeConn(c net.Conn) {
+// startTimer starts the timer of a wait. The caller holds mu.
+func (l *connLimits) startTimer(c net.Conn, conn *limitedConn, timeout time.Duration) {
+	conn.waits++
+	wait := conn.waits
+	conn.timer = time.AfterFunc(timeout, func() { l.expire(c, wait) })
+}
+
+// expire closes a connection unless the wait has ended since its timer fired.
+func (l *connLimits) expire(c net.Conn, wait uint64) {
 	l.mu.Lock()
-	delete(l.timers, c)
-	l.mu.Unlock()
+	defer l.mu.Unlock()
+	conn, ok := l.conns[c]
+	if !ok || conn.timer == nil || conn.waits != wait {
+		return
+	}
+	conn.timer, conn.expired = nil, true
 	_ = c.Close()
 }
+
+// connKey is the key of a request's connection in its context.
+type connKey struct{}
+
+// connContext is the server's ConnContext hook.
+func (l *connLimits) connContext(ctx context.Context, c net.Conn) context.Context {
+	return context.WithValue(ctx, connKey{}, c)
+}
+
+// guard drops requests whose connection was closed by a limit after their header had been read. They
+// must not be passed on, because their callers cannot be answered.
+func (l *connLimits) guard(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if c, ok := r.Context().Value(connKey{}).(net.Conn); ok && l.isExpired(c) {
+			panic(http.ErrAbortHandler)
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+// isExpired reports whether a connection was closed by a limit.
+func (l *connLimits) isExpired(c net.Conn) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	conn, ok := l.conns[c]
+	return ok && conn.expired
+}
--- a/internal/transport/installation/conn_limits_test.go
+++ b/internal/transport/installation/conn_limits_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"io"
 	"net"
 	"net/http"
@@ -88,3 +89,63 @@
 	c.Assert(err, qt.IsNotNil)
 	c.Assert(time.Since(startedAt) < time.Second, qt.IsTrue)
 }
+
+// closeRecorder is a connection that records whether it was closed.
+type closeRecorder struct {
+	net.Conn
+	closed atomic.Bool
+}
+
+func (c *closeRecorder) Close() error {
+	c.closed.Store(true)
+	return nil
+}
+
+// A timer that expires while a request arrives must not close the connection once the request is
+// being served.
+func TestConnectionWithRequestIsNotClosedByEarlierTimer(t *testing.T) {
+	const idleTimeout, headerTimeout = 200 * time.Microsecond, 100 * time.Microsecond
+	limits := newConnLimits(func() catalog.Limits {
+		return catalog.Limits{HeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
+	})
+	for range 100 {
+		conn := &closeRecorder{}
+		limits.onStateChange(conn, http.StateIdle)
+		// The timer expires and waits for the lock, which the request gets first.
+		limits.mu.Lock()
+		time.Sleep(4 * (idleTimeout + headerTimeout))
+		limits.mu.Unlock()
+		limits.onStateChange(conn, http.StateActive)
+		before := conn.closed.Load()
+		time.Sleep(time.Millisecond)
+		qt.Assert(t, conn.closed.Load(), qt.Equals, before, qt.Commentf("closed while its request is served"))
+		limits.onStateChange(conn, http.StateClosed)
+	}
+}
+
+// A request whose connection has been closed by a limit must not be passed on.
+func TestRequestOnClosedConnectionIsNotServed(t *testing.T) {
+	c := qt.New(t)
+	limits := newConnLimits(func() catalog.Limits {
+		return catalog.Limits{HeaderTimeout: time.Millisecond, IdleTimeout: time.Millisecond}
+	})
+	served := 0
+	handler := limits.guard(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { served++ }))
+	serve := func(conn net.Conn) (err any) {
+		defer func() { err = recover() }()
+		ctx := limits.connContext(context.Background(), conn)
+		handler.ServeHTTP(nil, (&http.Request{}).WithContext(ctx))
+		return nil
+	}
+	conn := &closeRecorder{}
+	limits.onStateChange(conn, http.StateActive)
+	c.Assert(serve(conn), qt.IsNil)
+	c.Assert(served, qt.Equals, 1)
+	limits.onStateChange(conn, http.StateIdle)
+	for !conn.closed.Load() {
+		time.Sleep(time.Millisecond)
+	}
+	limits.onStateChange(conn, http.StateActive)
+	c.Assert(serve(conn), qt.Equals, http.ErrAbortHandler)
+	c.Assert(served, qt.Equals, 1)
+}
--- a/internal/transport/installation/installation.go
+++ b/internal/transport/installation/installation.go
@@ -105,10 +105,11 @@
 	if err != nil {
 		return fmt.Errorf("listen on %s: %w", address, err)
 	}
+	connLimits := newConnLimits(limits)
 	server := &http.Server{
-		Handler: handler, ReadHeaderTimeout: maxHeaderTimeout, IdleTimeout: maxIdleTimeout, MaxHeaderBytes: maxHeaderBytes,
-		ConnState: newConnLimits(limits).onStateChange,
-		ErrorLog:  zap.NewStdLog(p.log.WithOptions(zap.IncreaseLevel(zap.ErrorLevel))),
+		Handler: connLimits.guard(handler), ReadHeaderTimeout: maxHeaderTimeout, IdleTimeout: maxIdleTimeout, MaxHeaderBytes: maxHeaderBytes,
+		ConnState: connLimits.onStateChange, ConnContext: connLimits.connContext,
+		ErrorLog: zap.NewStdLog(p.log.WithOptions(zap.IncreaseLevel(zap.ErrorLevel))),
 	}
 	p.servers = append(p.servers, server)
 	go (&serveTask{server: server, listener: listener, errs: p.serveErrs}).run()
