Connection limits: changed idle timeouts closed connections that callers still used

A connection kept the idle timeout that was in force when it became idle. After the timeout had been extended, a caller that reused the connection for up to four fifths of the new one found it closed; after it had been shortened, so did a caller that still went by the old one.

An idle connection stays open for the longest of the timeouts in force when it last became idle, when it became idle the time before, and when its timer expires.

--- a/internal/transport/installation/conn_limits.go
+++ b/internal/transport/installation/conn_limits.go
@@ -43,6 +43,10 @@
 	timer *time.Timer
 	// waits counts the timers that were started.
 	waits uint64
+	// idleTimeout was in force when the connection last became idle, at idleSince; 0 if it was
+	// never idle.
+	idleTimeout time.Duration
+	idleSince   time.Time
 	// expired is set once the connection has been closed by a limit.
 	expired bool
 }
@@ -83,7 +87,9 @@
 	case http.StateNew:
 		l.startTimer(c, conn, headerTimeout)
 	case http.StateIdle:
-		l.startTimer(c, conn, idleTimeout+headerTimeout)
+		longest := max(conn.idleTimeout, idleTimeout)
+		conn.idleTimeout, conn.idleSince = idleTimeout, time.Now()
+		l.startTimer(c, conn, longest+headerTimeout)
 	case http.StateClosed, http.StateHijacked:
 		delete(l.conns, c)
 	}
@@ -96,14 +102,20 @@
 	conn.timer = time.AfterFunc(timeout, func() { l.expire(c, wait) })
 }
 
-// expire closes a connection unless the wait has ended since its timer fired.
+// expire closes a connection unless the wait has ended since its timer fired. An idle connection
+// stays open if the idle timeout has been extended meanwhile.
 func (l *connLimits) expire(c net.Conn, wait uint64) {
+	headerTimeout, idleTimeout := l.active()
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	conn, ok := l.conns[c]
 	if !ok || conn.timer == nil || conn.waits != wait {
 		return
 	}
+	if left := idleTimeout + headerTimeout - time.Since(conn.idleSince); conn.idleTimeout > 0 && left > 0 {
+		l.startTimer(c, conn, left)
+		return
+	}
 	conn.timer, conn.expired = nil, true
 	_ = c.Close()
 }
--- a/internal/transport/installation/conn_limits_test.go
+++ b/internal/transport/installation/conn_limits_test.go
@@ -149,3 +149,31 @@
 	c.Assert(serve(conn), qt.Equals, http.ErrAbortHandler)
 	c.Assert(served, qt.Equals, 1)
 }
+
+// Operators change the idle timeout while connections are idle. Callers reuse a connection for up to
+// four fifths of the timeout that they know, which may be the one before or after the change.
+func TestIdleConnectionsStayOpenForLongestKnownTimeout(t *testing.T) {
+	const headerTimeout, short, long = 50 * time.Millisecond, 100 * time.Millisecond, time.Second
+	for _, test := range []struct {
+		name          string
+		before, after time.Duration
+	}{
+		{"shortened", long, short},
+		{"extended", short, long},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			server := newLimitedServer(t, catalog.Limits{HeaderTimeout: headerTimeout, IdleTimeout: test.before})
+			conn, err := net.Dial("tcp4", server.address)
+			c.Assert(err, qt.IsNil)
+			defer func() { _ = conn.Close() }()
+			reader := bufio.NewReader(conn)
+			c.Assert(sendRequest(conn, reader), qt.IsTrue)
+			server.limits.Store(&catalog.Limits{HeaderTimeout: headerTimeout, IdleTimeout: test.after})
+			time.Sleep(long * 4 / 5)
+			c.Assert(sendRequest(conn, reader), qt.IsTrue)
+			time.Sleep(long * 4 / 5)
+			c.Assert(sendRequest(conn, reader), qt.IsTrue)
+		})
+	}
+}
