Stop of an entry: running requests end with a status before the process ends

A stop waited for running requests until half a second before the platform kills the process, then for their responses, and then closed their connections: callers whose servers were still at work got no status, and the log said that they had left.

Half a second before the end, requests whose callers have received nothing are ended: attempts are cancelled (EndedBy Shutdown), waits are given up, and no further server is tried. The status is 503 if no server can have run the request, else 502. Responses that have begun are cut 150 ms before the end, with the cause in the log and the counter.

--- a/internal/coordination/forward/endedby.go
+++ b/internal/coordination/forward/endedby.go
@@ -26,4 +26,6 @@
 	// EndedByCaller: the caller disconnected. EndedByCallerWrite: the caller did not read its answer.
 	EndedByCaller      EndedBy = "Caller"
 	EndedByCallerWrite EndedBy = "CallerWrite"
+	// EndedByShutdown: the process of this entry ends.
+	EndedByShutdown EndedBy = "Shutdown"
 )
--- a/internal/transport/gateway/crashes.go
+++ b/internal/transport/gateway/crashes.go
@@ -41,7 +41,8 @@
 // crashes tracks requests that crash servers. It is guarded by the gateway's mu.
 type crashes struct {
 	*quarantine.Table
-	// inFlight are the requests being served.
+	// inFlight are the requests being served. The value is true once the caller may have received a
+	// part of the response.
 	inFlight map[*attempts]bool
 	// probedAt is when a process was last checked for still listening.
 	probedAt map[quarantine.Process]time.Duration
@@ -153,13 +154,14 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.crashes.RecordBegun(r, boottime.Now())
+	a.noteAnswering()
 }
 
 // track adds a request to those in flight, and untrack removes it.
 func (g *Gateway) track(a *attempts) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.crashes.inFlight[a] = true
+	g.crashes.inFlight[a] = false
 }
 
 func (g *Gateway) untrack(a *attempts) {
--- a/internal/transport/gateway/gateway.go
+++ b/internal/transport/gateway/gateway.go
@@ -118,6 +118,8 @@
 	// heartbeatNow requests an immediate heartbeat to the region.
 	heartbeatNow chan struct{}
 	stop         *drain.Stop
+	// ending is which requests are ended because the process ends.
+	ending endStage
 }
 
 // New returns a gateway whose loops run until ctx ends. The socket receives heartbeats and load
--- a/internal/transport/gateway/placement.go
+++ b/internal/transport/gateway/placement.go
@@ -18,6 +18,9 @@
 	now := boottime.Now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	if response := a.endedByStop(); response != nil {
+		return fleet.Placement{}, response
+	}
 	if first {
 		g.retryBudget(a.service).RecordRequest(now)
 	}
--- a/internal/transport/installation/installation.go
+++ b/internal/transport/installation/installation.go
@@ -129,9 +129,12 @@
 	}
 }
 
-// shutdown waits until responses in flight are written, for at most shutdownTimeout.
-func (p *process) shutdown() {
-	ctx, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
+// shutdown waits until responses in flight are written, for at most shutdownTimeout and not beyond
+// deadline.
+func (p *process) shutdown(deadline time.Time) {
+	deadlineCtx, cancelDeadline := context.WithDeadline(context.Background(), deadline)
+	defer cancelDeadline()
+	ctx, cancel := context.WithTimeout(deadlineCtx, shutdownTimeout)
 	defer cancel()
 	for _, server := range p.servers {
 		_ = server.Shutdown(ctx)
--- a/internal/transport/installation/roles.go
+++ b/internal/transport/installation/roles.go
@@ -48,8 +48,12 @@
 	// acceptShare is the part of the drain timeout in which new requests are still accepted
 	// while callers switch to other entries. The rest is for requests in flight.
 	acceptShare = 0.2
-	// stopMargin is the time reserved before the platform kills the process.
-	stopMargin = 500 * time.Millisecond
+	// Running requests without a response end with a status statusMargin before the platform kills
+	// the process, and responses in progress are cut cutMargin before that. exitMargin is reserved for
+	// the end of the process itself.
+	statusMargin = 500 * time.Millisecond
+	cutMargin    = 150 * time.Millisecond
+	exitMargin   = 50 * time.Millisecond
 	// dialTimeout limits connection attempts between processes.
 	dialTimeout = 700 * time.Millisecond
 )
@@ -82,14 +86,22 @@
 	case err := <-p.serveErrs:
 		return err
 	}
-	drainCtx, cancel := context.WithTimeout(context.Background(), time.Duration(s.Bounds.Stop)-stopMargin)
-	defer cancel()
-	g.Shutdown(drainCtx)
-	p.shutdown()
+	p.stopEntry(g, time.Now().Add(time.Duration(s.Bounds.Stop)))
 	p.log.Info("stopped")
 	return nil
 }
 
+// stopEntry drains an entry whose process is killed at killAt.
+func (p *process) stopEntry(g *gateway.Gateway, killAt time.Time) {
+	drainCtx, cancelDrain := context.WithDeadline(context.Background(), killAt.Add(-statusMargin))
+	defer cancelDrain()
+	g.Shutdown(drainCtx)
+	endCtx, cancelEnd := context.WithDeadline(context.Background(), killAt.Add(-cutMargin))
+	defer cancelEnd()
+	g.EndRequests(endCtx)
+	p.shutdown(killAt.Add(-exitMargin))
+}
+
 // listenEntry opens an entry's listeners. The Ready and Locate handlers share a listener
 // if their addresses are equal.
 func (p *process) listenEntry(s *settings.Installation, g *gateway.Gateway, ports EntryDependencies) error {
