A caller that closed its sending side got an empty 200

Cause. net/http cancels a request's context when its connection's sending side is closed. The entry takes that for a caller that left and returns without a response, for which net/http sends an empty 200 without a server's receipt. A panic before the response closed the connection without a status.

Callers' requests pass through a guard: a handler that returns without a response, or panics before one, leads to a 502, which leaves open whether the request has run. A panic after that closes the connection as before. Both panics are logged with the stack.

--- a/internal/transport/installation/roles.go
+++ b/internal/transport/installation/roles.go
@@ -109,7 +109,7 @@
 	ports.Routes(platform, g)
 	peers := http.NewServeMux()
 	g.PeerRoutes(peers)
-	if err := p.listenWithLimits(s.Listen.Callers, g, g.Limits); err != nil {
+	if err := p.listenWithLimits(s.Listen.Callers, newAnswerGuard(g, p.log), g.Limits); err != nil {
 		return err
 	}
 	if err := p.listen(s.Listen.Peers, peers); err != nil {
