OPTIONS * got an empty 200 of the HTTP library

Cause. net/http answers OPTIONS * itself, with an empty 200 without a server's receipt.

Such requests reach the entry, which has no route for them: 404.

TestServerWideOptionsRequestGetsNoEmptySuccess got 200 before and gets 404 in 3 of 3 runs with the race detector.

--- a/internal/transport/installation/installation.go
+++ b/internal/transport/installation/installation.go
@@ -107,7 +107,7 @@
 	}
 	connLimits := newConnLimits(limits)
 	server := &http.Server{
-		Handler: connLimits.guard(handler), ReadHeaderTimeout: maxHeaderTimeout, IdleTimeout: maxIdleTimeout, MaxHeaderBytes: maxHeaderBytes,
+		Handler: connLimits.guard(handler), DisableGeneralOptionsHandler: true, ReadHeaderTimeout: maxHeaderTimeout, IdleTimeout: maxIdleTimeout, MaxHeaderBytes: maxHeaderBytes,
 		ConnState: connLimits.onStateChange, ConnContext: connLimits.connContext,
 		ErrorLog: zap.NewStdLog(p.log.WithOptions(zap.IncreaseLevel(zap.ErrorLevel))),
 	}
