filbertlever-logs: who ended a request without an answer, and the story of one request

The log states EndedBy, Silent and Stage for broken requests, but the summary ignored them, and an engineer had to collect the lines of a request by hand.

--- a/cmd/filbertlever-logs/main.go
+++ b/cmd/filbertlever-logs/main.go
@@ -13,6 +13,7 @@
 type arguments struct {
 	Directory string        `arg:"" type:"existingdir" help:"Directory with the logs of entries, one or more files per entry."`
 	Goal      time.Duration `default:"500ms" help:"Time to the first byte from which an answer counts as late."`
+	Request   string        `placeholder:"ID" help:"Print the log lines of one request, what its caller received and who ended it."`
 	Plot      string        `placeholder:"FILE" help:"Also plot the causes by second, as a PNG file."`
 }
 
@@ -31,11 +32,15 @@
 	if a.Goal <= 0 {
 		return fmt.Errorf("goal %v: expected a duration above 0", a.Goal)
 	}
-	rows, levels, counts, err := readDirectory(a.Directory, a.Goal)
+	if a.Request != "" {
+		return a.printStory()
+	}
+	day, counts, err := readDirectory(a.Directory, a.Goal)
 	if err != nil {
 		return err
 	}
-	if err := printTable(os.Stdout, rows, levels, counts); err != nil {
+	rows := day.Rows()
+	if err := printTable(os.Stdout, rows, day, counts); err != nil {
 		return err
 	}
 	if a.Plot == "" {
@@ -43,3 +48,16 @@
 	}
 	return writePlot(a.Plot, rows)
 }
+
+// printStory prints the log lines of one request.
+func (a *arguments) printStory() error {
+	s := &story{request: a.Request}
+	counts, err := readFiles(a.Directory, s.add, func() {})
+	if err != nil {
+		return err
+	}
+	if len(s.lines) == 0 {
+		return fmt.Errorf("request %q: not found in %d files, %d lines", a.Request, counts.Files, counts.Lines)
+	}
+	return s.print(os.Stdout, a.Goal)
+}
--- a/cmd/filbertlever-logs/main_test.go
+++ b/cmd/filbertlever-logs/main_test.go
@@ -29,11 +29,11 @@
 	c.Assert(os.Mkdir(filepath.Join(dir, "b"), 0o700), qt.IsNil)
 	prefixed := strings.ReplaceAll(strings.TrimSpace(validLog), "{\"Level\"", "  12.1 entry-2 {\"Level\"")
 	c.Assert(os.WriteFile(filepath.Join(dir, "b", "entry-2.log"), []byte(prefixed), 0o600), qt.IsNil)
-	rows, levels, counts, err := readDirectory(dir, 500*time.Millisecond)
+	day, counts, err := readDirectory(dir, 500*time.Millisecond)
 	c.Assert(err, qt.IsNil)
 	c.Assert(counts, qt.Equals, readCounts{Files: 2, Lines: 14, Bad: 4})
 	var out bytes.Buffer
-	c.Assert(printTable(&out, rows, levels, counts), qt.IsNil)
+	c.Assert(printTable(&out, day.Rows(), day, counts), qt.IsNil)
 	c.Assert(out.String(), qt.Contains, "16:10:17")
 	c.Assert(out.String(), qt.Contains, "Queue 2")
 	c.Assert(out.String(), qt.Contains, "AllBusy 2")
--- a/cmd/filbertlever-logs/read.go
+++ b/cmd/filbertlever-logs/read.go
@@ -24,10 +24,21 @@
 	Files, Lines, Bad int
 }
 
-// readDirectory reads all files below a directory and returns the requests by second and by urgency
-// level. A file may hold the lines of several entries. The lines of each entry must be in order.
-func readDirectory(directory string, goal time.Duration) ([]outcome.Row, []outcome.LevelRow, readCounts, error) {
-	var day outcome.Totals
+// readDirectory reads all files below a directory. A file may hold the lines of several entries. The
+// lines of each entry must be in order.
+func readDirectory(directory string, goal time.Duration) (*outcome.Totals, readCounts, error) {
+	day := &outcome.Totals{}
+	tally := outcome.New(goal)
+	counts, err := readFiles(directory, func(data []byte) bool { return addLine(data, tally) }, func() {
+		day.Add(tally)
+		tally = outcome.New(goal)
+	})
+	return day, counts, err
+}
+
+// readFiles calls add for each line of all files below a directory, and done after each file. Add reports
+// whether the line could be parsed.
+func readFiles(directory string, add func(data []byte) bool, done func()) (readCounts, error) {
 	var counts readCounts
 	err := filepath.WalkDir(directory, func(path string, entry fs.DirEntry, err error) error {
 		if err != nil || !entry.Type().IsRegular() {
@@ -39,19 +50,17 @@
 		}
 		defer func() { _ = file.Close() }()
 		counts.Files++
-		tally := outcome.New(goal)
-		if err := readLines(file, tally, &counts); err != nil {
+		if err := readLines(file, add, &counts); err != nil {
 			return fmt.Errorf("read %s: %w", path, err)
 		}
-		day.Add(tally)
+		done()
 		return nil
 	})
-	return day.Rows(), day.Levels(), counts, err
+	return counts, err
 }
 
-// readLines adds each line to tally. A line may begin with other text, as log
-// collectors add prefixes.
-func readLines(from io.Reader, tally *outcome.Tally, counts *readCounts) error {
+// readLines calls add for each line.
+func readLines(from io.Reader, add func(data []byte) bool, counts *readCounts) error {
 	reader := bufio.NewReaderSize(from, maxLineLength)
 	for {
 		data, err := reader.ReadSlice('\n')
@@ -65,7 +74,7 @@
 		}
 		if len(bytes.TrimSpace(data)) > 0 {
 			counts.Lines++
-			if !addLine(data, tally) {
+			if !add(data) {
 				counts.Bad++
 			}
 		}
@@ -96,14 +105,24 @@
 // addLine parses a line and adds it to tally. It reports whether the line could
 // be parsed.
 func addLine(data []byte, tally *outcome.Tally) bool {
-	start := bytes.IndexByte(data, '{')
-	if start < 0 {
+	data, ok := trimPrefix(data)
+	if !ok {
 		return false
 	}
 	var line outcome.Line
-	if json.Unmarshal(data[start:], &line) != nil || line.Time.IsZero() || line.Message == "" {
+	if json.Unmarshal(data, &line) != nil || line.Time.IsZero() || line.Message == "" {
 		return false
 	}
 	tally.Add(&line)
 	return true
 }
+
+// trimPrefix returns the JSON object of a line, before which log collectors add text. It returns false if
+// there is none.
+func trimPrefix(data []byte) ([]byte, bool) {
+	start := bytes.IndexByte(data, '{')
+	if start < 0 {
+		return nil, false
+	}
+	return data[start:], true
+}
--- a/cmd/filbertlever-logs/table.go
+++ b/cmd/filbertlever-logs/table.go
@@ -45,8 +45,9 @@
 	return order, seconds
 }
 
-// printTable prints one line per second, a line with the totals and one per urgency level.
-func printTable(to io.Writer, rows []outcome.Row, levels []outcome.LevelRow, counts readCounts) error {
+// printTable prints one line per second, a line with the totals, one per urgency level, and who ended
+// broken requests.
+func printTable(to io.Writer, rows []outcome.Row, day *outcome.Totals, counts readCounts) error {
 	w := tabwriter.NewWriter(to, 0, 0, 2, ' ', tabwriter.AlignRight)
 	fmt.Fprint(w, "Second\t")
 	for _, kind := range columns {
@@ -66,10 +67,48 @@
 		}
 	}
 	printSecond(w, "All", total)
-	for _, level := range levels {
+	for _, level := range day.Levels() {
 		fmt.Fprintf(w, "Urgency level %d: %d of %d requests refused\n", level.Level, level.Refused, level.Requests)
 	}
-	fmt.Fprintf(w, "\n%d files, %d lines, %d of them could not be read\n", counts.Files, counts.Lines, counts.Bad)
+	if err := w.Flush(); err != nil {
+		return err
+	}
+	if err := printBroken(to, day.Broken()); err != nil {
+		return err
+	}
+	_, err := fmt.Fprintf(to, "\n%d files, %d lines, %d of them could not be read\n", counts.Files, counts.Lines, counts.Bad)
+	return err
+}
+
+// received are the columns of the table of broken requests.
+var received = []outcome.Received{outcome.ReceivedNothing, outcome.ReceivedPart, outcome.ReceivedStatus}
+
+// printBroken prints one line for each value of EndedBy, with what the callers received.
+func printBroken(to io.Writer, rows []outcome.BrokenRow) error {
+	if len(rows) == 0 {
+		return nil
+	}
+	var order []string
+	counts := map[string]map[outcome.Received]int{}
+	for _, row := range rows {
+		if counts[row.EndedBy] == nil {
+			order = append(order, row.EndedBy)
+			counts[row.EndedBy] = map[outcome.Received]int{}
+		}
+		counts[row.EndedBy][row.Received] += row.Requests
+	}
+	w := tabwriter.NewWriter(to, 0, 0, 2, ' ', 0)
+	fmt.Fprint(w, "\nBroken requests by what their callers received and who ended them\n")
+	for _, column := range received {
+		fmt.Fprintf(w, "%s\t", column)
+	}
+	fmt.Fprint(w, "EndedBy\t\n")
+	for _, endedBy := range order {
+		for _, column := range received {
+			fmt.Fprintf(w, "%d\t", counts[endedBy][column])
+		}
+		fmt.Fprintf(w, "%s\t%s\n", endedBy, explain(endedBy))
+	}
 	return w.Flush()
 }
 
--- a/internal/coordination/outcome/outcome.go
+++ b/internal/coordination/outcome/outcome.go
@@ -39,6 +39,12 @@
 	WillInterrupt bool `json:"Cut"`
 	// EntryQueueTime is how long the request waited at the entry for a slot, in milliseconds.
 	EntryQueueTime float64 `json:"Waited"`
+	// EndedBy is who ended an attempt, or the last attempt of a request, and why.
+	EndedBy string
+	// Stage is how much of the answer had been sent when the entry closed the connection.
+	Stage string
+	// Silence is how long the server had sent nothing when the attempt ended, in milliseconds.
+	Silence float64 `json:"Silent"`
 	// UrgencyLevel is the urgency level of a placed or refused request; nil if its service has none.
 	UrgencyLevel *int
 }
@@ -50,9 +56,11 @@
 	statusUnavailable = 503
 )
 
-// Messages of the log lines that are evaluated.
+// MessageRequestEnded is the message of a request's last line.
+const MessageRequestEnded = "request ended"
+
+// Messages of the other log lines that are evaluated.
 const (
-	messageRequestEnded     = "request ended"
 	messagePlaced           = "placed"
 	messageRefused          = "refused"
 	messageAttemptEnded     = "attempt ended"
@@ -107,6 +115,9 @@
 	CauseOther Cause = "Other"
 )
 
+// reasonBrokeOff is the reason of answers that the entry cut.
+const reasonBrokeOff = "the answer broke off"
+
 // reasonCauses maps the beginning of an entry's reason to a cause.
 var reasonCauses = []struct {
 	reason string
@@ -120,7 +131,7 @@
 	{"this entry is leaving", "Leaving"},
 	{"the request may have run", "AnswerLost"},
 	{"time ran out", "TimeRanOut"},
-	{"the answer broke off", "BrokeOff"},
+	{reasonBrokeOff, "BrokeOff"},
 	{"body did not arrive", "SlowBody"},
 	{"servers end under requests with a part", "QuarantinedPart"},
 	{"servers end under", "Quarantined"},
@@ -144,6 +155,8 @@
 type openRequest struct {
 	entryQueued, cancelled, refused, retried, willInterrupt, serverQueued bool
 	prefillWait                                                           float64
+	// endedBy is who ended the last attempt.
+	endedBy string
 	// level is the urgency level; nil if unknown.
 	level *int
 }
@@ -164,6 +177,7 @@
 	order  []string
 	counts map[counterKey]int
 	levels map[int]LevelRow
+	broken map[brokenKey]int
 	// refusals are the latest maxRefusals refused requests that have a fingerprint.
 	refusals []refusal
 }
@@ -184,12 +198,12 @@
 
 // New returns a tally for a goal.
 func New(goal time.Duration) *Tally {
-	return &Tally{goal: goal, open: map[string]*openRequest{}, counts: map[counterKey]int{}, levels: map[int]LevelRow{}}
+	return &Tally{goal: goal, open: map[string]*openRequest{}, counts: map[counterKey]int{}, levels: map[int]LevelRow{}, broken: map[brokenKey]int{}}
 }
 
 // Add evaluates one log line.
 func (t *Tally) Add(line *Line) {
-	if line.Request == "" && line.Message != messageRequestEnded {
+	if line.Request == "" && line.Message != MessageRequestEnded {
 		return
 	}
 	switch line.Message {
@@ -203,12 +217,13 @@
 		r := t.openRequest(line.Request)
 		refused := line.End == "Refused" || line.End == "Moved" || line.End == "Unsent"
 		r.refused, r.retried = r.refused || refused, r.retried || !refused
+		r.endedBy = line.EndedBy
 	case messageAttemptCancelled:
 		t.openRequest(line.Request).cancelled = true
 	case messageEntryQueued:
 		r := t.openRequest(line.Request)
 		r.entryQueued = r.entryQueued || line.EntryQueueTime > 0
-	case messageRequestEnded:
+	case MessageRequestEnded:
 		t.endRequest(line)
 	}
 }
@@ -240,6 +255,9 @@
 	key := counterKey{second: arrived.Unix(), kind: kind, cause: t.cause(kind, line, r)}
 	t.counts[key]++
 	t.countLevel(r.level, kind == KindRefused)
+	if kind == KindBroken {
+		t.countBroken(line, r)
+	}
 	if kind == KindRefused && line.Fingerprint != "" {
 		t.refusals = append(t.refusals, refusal{line.Fingerprint, arrived, key})
 		t.refusals = t.refusals[max(len(t.refusals)-maxRefusals, 0):]
@@ -253,7 +271,7 @@
 	switch {
 	case strings.HasPrefix(line.Reason, "the caller left"):
 		return KindCallerDisconnected
-	case strings.HasPrefix(line.Reason, "the answer broke off"):
+	case strings.HasPrefix(line.Reason, reasonBrokeOff):
 		return KindBroken
 	case line.Status == statusUnavailable:
 		return KindRefused
@@ -311,13 +329,14 @@
 type Totals struct {
 	counts   map[counterKey]int
 	levels   map[int]LevelRow
+	broken   map[brokenKey]int
 	refusals []refusal
 }
 
 // Add adds the requests of an entry.
 func (d *Totals) Add(t *Tally) {
 	if d.counts == nil {
-		d.counts, d.levels = map[counterKey]int{}, map[int]LevelRow{}
+		d.counts, d.levels, d.broken = map[counterKey]int{}, map[int]LevelRow{}, map[brokenKey]int{}
 	}
 	for key, n := range t.counts {
 		d.counts[key] += n
@@ -325,6 +344,9 @@
 	for level, row := range t.levels {
 		d.levels[level] = d.levels[level].add(level, row.Requests, row.Refused)
 	}
+	for key, n := range t.broken {
+		addBroken(d.broken, key, n)
+	}
 	d.refusals = append(d.refusals, t.refusals...)
 }
 
--- a/internal/coordination/outcome/outcome_test.go
+++ b/internal/coordination/outcome/outcome_test.go
@@ -17,7 +17,7 @@
 }
 
 func ended(request string, status int, firstByte float64, reason string) Line {
-	return Line{Time: at.Add(800 * time.Millisecond), Message: messageRequestEnded, Request: request, Status: status, Duration: 700, FirstByte: firstByte, Reason: reason}
+	return Line{Time: at.Add(800 * time.Millisecond), Message: MessageRequestEnded, Request: request, Status: status, Duration: 700, FirstByte: firstByte, Reason: reason}
 }
 
 // A user reports slow answers, and the log does not show why. Of several causes, the one that came
