--- a/internal/coordination/forward/endedby.go
+++ b/internal/coordination/forward/endedby.go
@@ -22,13 +22,11 @@
 	EndedByQuarantine EndedBy = "Quarantine"
 	// EndedByRateLimit: the server stopped accepting requests before this one was written.
 	EndedByRateLimit EndedBy = "RateLimit"
-	// EndedByPanic: the entry failed.
-	EndedByPanic EndedBy = "Panic"
-	// EndedByShutdown: the entry stops.
-	EndedByShutdown EndedBy = "Shutdown"
 	// EndedByDeadline: the deadline of the request passed.
 	EndedByDeadline EndedBy = "Deadline"
 	// EndedByCaller: the caller disconnected. EndedByCallerWrite: the caller did not read its answer.
 	EndedByCaller      EndedBy = "Caller"
 	EndedByCallerWrite EndedBy = "CallerWrite"
+	// EndedByShutdown: the process of this entry ends.
+	EndedByShutdown EndedBy = "Shutdown"
 )
--- a/internal/transport/gateway/serve.go
+++ b/internal/transport/gateway/serve.go
@@ -76,7 +76,6 @@
 	g.inFlight.Add(1)
 	defer g.inFlight.Add(-1)
 	x := &exchange{gateway: g, writer: w, request: r, arrived: time.Now()}
-	defer x.recoverPanic()
 	if response := x.prepare(); response != nil {
 		x.refuse(response)
 		return
--- a/internal/transport/gateway/stream.go
+++ b/internal/transport/gateway/stream.go
@@ -76,6 +76,7 @@
 	case errors.Is(err, errWriteToCaller):
 		reply.Finish(false)
 		t.endUnread(err)
+		return 0
 	}
 	reply.Finish(false)
 	return t.handleFailure(forward.EndLost, err)
@@ -85,6 +86,7 @@
 func (t *attempt) endUnread(err error) {
 	if t.callerDisconnected() {
 		t.disconnect(zap.String("Backend", t.Backend.ID))
+		return
 	}
 	t.abort(http.StatusOK, forward.EndedByCallerWrite, zap.String("LastEvent", t.delivered.snapshot().lastEvent), zap.Error(err))
 }
@@ -113,6 +115,7 @@
 // resumes the stream. It is sent with the first event, as a request that fails before can still get a
 // status.
 func (t *attempt) beginStream(reply *Reply) {
+	t.answering.Store(true)
 	copyHeader(t.writer.Header(), reply.Header)
 	t.writer.WriteHeader(reply.Status)
 	_ = http.NewResponseController(t.writer).SetWriteDeadline(t.deadline.Add(writeGracePeriod))
