Keep removed services for requests that were read before

What callers saw: a stream that broke off at its server was cut, although other servers of its service were free, if the service had been removed from the desired state meanwhile.

Cause: the routes of a request are those under which it was read, but the engines and the set of services were the current ones. A removed service had no router, and counted as a plain one.

Change: a new desired state keeps the services of earlier ones for as long as requests may run (a minute), but for the origin of weights. New requests cannot reach them, as no route names them.

--- a/internal/coordination/catalog/catalog.go
+++ b/internal/coordination/catalog/catalog.go
@@ -172,6 +172,8 @@
 	maxPassByModel map[string]time.Duration
 	// levels holds the sorted pairs of priorities of each service with urgency levels.
 	levels map[string][]priorities
+	// removedAt holds the services that only an earlier state had, and when they were removed.
+	removedAt map[string]time.Duration
 }
 
 // New builds a state. The routes of one host are sorted by descending length of
@@ -212,6 +214,32 @@
 	return s
 }
 
+// RetainServices keeps the services of the previous state that this one lacks until they have been removed
+// for longer than keep, because requests that were read before may still be running or be resumed. The
+// origin of weights is not kept.
+func (s *State) RetainServices(previous *State, now, keep time.Duration) {
+	s.removedAt = map[string]time.Duration{}
+	if previous == nil {
+		return
+	}
+	for name, service := range previous.Services {
+		at, retained := previous.removedAt[name]
+		if !retained {
+			at = now
+		}
+		if _, ok := s.Services[name]; ok || service.Origin != "" || now-at > keep {
+			continue
+		}
+		s.Services[name], s.removedAt[name] = service, at
+		if service.Engine == nil {
+			continue
+		}
+		for _, model := range service.Engine.Models {
+			s.maxPassByModel[model] = max(s.maxPassByModel[model], service.Engine.MaxPassTime())
+		}
+	}
+}
+
 // Route returns the route of a host whose prefix is the longest match for path.
 func (s *State) Route(host, path string) (*Route, bool) {
 	routes := s.routes[host]
--- a/internal/transport/gateway/serve.go
+++ b/internal/transport/gateway/serve.go
@@ -21,6 +21,8 @@
 const (
 	// defaultTimeout is used as the caller's timeout if the caller sends none.
 	defaultTimeout = time.Minute
+	// maxRequestDuration is how long requests that were read under an earlier desired state may run.
+	maxRequestDuration = defaultTimeout
 	// bodyReadTimeout limits the time for reading a request body.
 	bodyReadTimeout = 5 * time.Second
 	// retryAfterLocal is sent with refusals that are due to this process and not to load: another
--- a/internal/transport/gateway/watch.go
+++ b/internal/transport/gateway/watch.go
@@ -266,6 +266,7 @@
 	restored := g.noteEra(TableDesired, rows.Revision)
 	if desired.State != nil && g.supersedesState(desired.State, rows.Revision) {
 		old := g.state.Load()
+		desired.State.RetainServices(old, now, maxRequestDuration)
 		g.stateEra = revision.Era(rows.Revision)
 		g.fleet.SetState(desired.State, now)
 		g.state.Store(desired.State)
