Use a silent server again as soon as it continues

Cause: a request that an entry gave up because its server was silent counted as a failure of the server. Each one doubled the time for which the server was suspected, so that eight requests in flight at once kept it out for 10 s. Once they had been released the server had no requests in flight and counted as idle.

Change: EndAttempt releases a request and, if the server is stalled at that moment, keeps it out until its agent has read a report from it, at most for as long as it has been silent. It then gets one request at a time, and is used as before with the first sign of life. RecordProgress applies at once instead of with the next health check. The gateway is to call EndAttempt for requests that were sent, and RecordFailure only for attempts that ended by the server.

--- a/internal/coordination/fleet/boots.go
+++ b/internal/coordination/fleet/boots.go
@@ -139,6 +139,7 @@
 	backend := old
 	backend.Boot, backend.Models, backend.Draining = boot, nil, false
 	delete(f.busy, old.ID)
+	delete(f.unresponsive, old.ID)
 	delete(f.announcements, old.ID)
 	f.dropRateLimit(old.ID)
 	f.removeFromReportOrder(s)
@@ -270,3 +271,13 @@
 		f.release(b.ID)
 	}
 }
+
+// EndAttempt does the same as ReleaseIfCurrent for a request that was sent, once nothing more of its
+// answer is read. A request that ends at a stalled server was given up.
+func (f *Fleet) EndAttempt(b catalog.Backend, now time.Duration) {
+	if s, ok := f.servers[b.ID]; ok && !f.Superseded(b) && f.stalled(s, now) {
+		f.noteSilence(s, now)
+		f.refreshUsable(s, now)
+	}
+	f.ReleaseIfCurrent(b)
+}
--- a/internal/coordination/fleet/counts.go
+++ b/internal/coordination/fleet/counts.go
@@ -52,6 +52,7 @@
 	s.report = report
 	s.reportedModels = report.Models
 	s.reportedAt = now
+	s.probeAt = min(s.probeAt, now)
 	f.moveToNewest(s)
 	s.switchingUntil, s.loadedAt, s.interruptsAt = 0, 0, 0
 	if report.LeavesIn > 0 {
@@ -119,6 +120,7 @@
 		f.busy[s.backend.ID] = s
 	}
 	s.ownRequests++
+	f.recordSentProbe(s, now)
 	f.recordSentCold(s, now)
 	return f.recordSentLimited(s, now)
 }
--- a/internal/coordination/fleet/fleet.go
+++ b/internal/coordination/fleet/fleet.go
@@ -125,6 +125,11 @@
 	// routerUsable is the value that the router was last given. Servers for which it is false are
 	// in Fleet.unusable.
 	routerUsable bool
+	// silentSince is when the server last sent something before a request ended there while it was stalled;
+	// 0 if it has sent something since. Until it does it gets one request at a time, the next one not
+	// before probeAt.
+	silentSince time.Duration
+	probeAt     time.Duration
 	// silentUntil is when gossip that the server is silent expires. It is set for servers of other
 	// regions, whose silence this entry cannot detect itself.
 	silentUntil time.Duration
@@ -197,6 +202,8 @@
 	busy map[string]*server
 	// gossipedServers are, by entry, the servers at which that entry has requests in flight.
 	gossipedServers map[filbertlever.HostID][]string
+	// unresponsive are the servers with a silentSince.
+	unresponsive map[string]*server
 	// cold are the cold servers that this entry may use.
 	cold map[string]*server
 	// reportOrder holds the servers of this region by the time of their last report, oldest first.
@@ -243,6 +250,7 @@
 		departed:        map[process]time.Duration{},
 		busy:            map[string]*server{},
 		gossipedServers: map[filbertlever.HostID][]string{},
+		unresponsive:    map[string]*server{},
 		cold:            map[string]*server{},
 		reportOrder:     list.New(),
 		unusable:        map[string]*server{},
--- a/internal/coordination/fleet/health.go
+++ b/internal/coordination/fleet/health.go
@@ -28,7 +28,7 @@
 	if f.isRemoved(s, now) || f.evacuated[s.backend.Site] || f.coldLimited(s, now) || f.rateLimited(s, now) {
 		return false
 	}
-	return now >= s.switchingUntil && now >= s.silentUntil && now >= f.retryAt(s) && !f.stalled(s, now) && !f.silent(s, now) && f.members.Usable(filbertlever.HostID(s.backend.ID), f.membershipTime(now))
+	return now >= s.switchingUntil && now >= s.silentUntil && now >= f.retryAt(s) && !f.stalled(s, now) && !s.awaitsProbe(now) && !f.silent(s, now) && f.members.Usable(filbertlever.HostID(s.backend.ID), f.membershipTime(now))
 }
 
 // stalled reports whether a server with requests in flight has made no progress for longer than a
@@ -68,10 +68,48 @@
 	return ok && f.stalled(s, now)
 }
 
-// RecordProgress records that a server sent a part of an answer.
+// RecordProgress records that a server sent a part of an answer. A server that was silent gets requests
+// again at once.
 func (f *Fleet) RecordProgress(id string, now time.Duration) {
-	if s, ok := f.servers[id]; ok {
-		s.progressAt, s.lastEventAt = now, now
+	s, ok := f.servers[id]
+	if !ok {
+		return
+	}
+	s.progressAt, s.lastEventAt = now, now
+	if s.silentSince != 0 {
+		s.silentSince, s.probeAt = 0, 0
+		delete(f.unresponsive, id)
+	}
+	if !s.routerUsable {
+		f.refreshUsable(s, now)
+	}
+}
+
+// maxProbeDelay is the longest time until a silent server gets another request.
+const maxProbeDelay = 10 * time.Second
+
+// noteSilence records that a request ended at a server while it was stalled.
+//
+// The server may continue at any moment, so its silence is no failure. It gets a request as soon as
+// its agent has read a report from it, but at the latest after as long as the silence has lasted, and
+// one request at a time until it sends something.
+func (f *Fleet) noteSilence(s *server, now time.Duration) {
+	if s.silentSince == 0 {
+		s.silentSince = max(s.progressAt, 1)
+		f.unresponsive[s.backend.ID] = s
+	}
+	s.probeAt = now + min(now-s.silentSince, maxProbeDelay)
+}
+
+// awaitsProbe reports whether a silent server must get no request now.
+func (s *server) awaitsProbe(now time.Duration) bool {
+	return s.silentSince != 0 && (now < s.probeAt || s.ownRequests > 0)
+}
+
+// recordSentProbe makes a silent server unusable once it has a request.
+func (f *Fleet) recordSentProbe(s *server, now time.Duration) {
+	if s.silentSince != 0 {
+		f.refreshUsable(s, now)
 	}
 }
 
@@ -89,8 +127,8 @@
 	return idle > f.config.ReportTimeout && now-s.reportedAt < f.config.AgentTimeout
 }
 
-// SilentServers returns the silent or stalled servers of this region, which are gossiped to entries
-// of other regions.
+// SilentServers returns the silent, stalled and unresponsive servers of this region, which are gossiped
+// to entries of other regions.
 func (f *Fleet) SilentServers(now time.Duration) []string {
 	ids := f.silentByReport(now)
 	for id, s := range f.busy {
@@ -98,8 +136,13 @@
 			ids = append(ids, id)
 		}
 	}
+	for id, s := range f.unresponsive {
+		if f.config.Regions[s.backend.Site] == f.config.Region && s.awaitsProbe(now) {
+			ids = append(ids, id)
+		}
+	}
 	slices.Sort(ids)
-	return ids
+	return slices.Compact(ids)
 }
 
 // silentByReport returns the servers whose agents stopped reporting and that send no answers. It
@@ -327,6 +370,7 @@
 	delete(f.recheck, id)
 	delete(f.busy, id)
 	delete(f.unusable, id)
+	delete(f.unresponsive, id)
 	delete(f.cold, id)
 	delete(f.rateSenders, id)
 	if f.byAddress[s.backend.Address] == id {
--- a/internal/coordination/fleet/scale_test.go
+++ b/internal/coordination/fleet/scale_test.go
@@ -151,7 +151,7 @@
 		for range rapid.IntRange(1, 60).Draw(t, "steps") {
 			now += time.Duration(rapid.IntRange(1, 400).Draw(t, "ms")) * time.Millisecond
 			id := sizedServerID(rapid.IntRange(0, 7).Draw(t, "server"))
-			switch rapid.IntRange(0, 5).Draw(t, "what") {
+			switch rapid.IntRange(0, 6).Draw(t, "what") {
 			case 0, 1:
 				f.ApplyReport(Report{Address: f.servers[id].backend.Address, Models: f.servers[id].backend.Models}, now)
 			case 2:
@@ -167,6 +167,11 @@
 				}
 			case 5:
 				f.MarkSilent([]string{id}, now)
+			case 6:
+				if len(sent) > 0 {
+					f.EndAttempt(f.servers[sent[0]].backend, now)
+					sent = sent[1:]
+				}
 			}
 			f.healthCheckedAt = 0
 			f.checkHealth(now)
@@ -175,7 +180,7 @@
 				if usable := f.usable(s, now); usable != s.routerUsable {
 					t.Fatalf("server %s: the router has usable = %v, want %v", id, s.routerUsable, usable)
 				}
-				if f.config.Regions[s.backend.Site] == f.config.Region && (f.silent(s, now) || f.stalled(s, now)) {
+				if f.config.Regions[s.backend.Site] == f.config.Region && (f.silent(s, now) || f.stalled(s, now) || s.awaitsProbe(now)) {
 					silent = append(silent, id)
 				}
 			}
--- /dev/null
+++ b/internal/coordination/fleet/silence_test.go
@@ -0,0 +1,150 @@
+package fleet
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/filbertlever/filbertlever/internal/coordination/catalog"
+)
+
+// silenceRun plays a server that sends nothing for a time and then continues, as an entry of its region
+// and one of another region see it.
+type silenceRun struct {
+	service string
+	// silence is how long the server sends nothing, from silenceStart.
+	silence time.Duration
+	// given up is true if the entry cancels its requests once the server counts as stalled.
+	givenUp bool
+}
+
+const (
+	silenceStart  = 2070 * time.Millisecond
+	silenceStep   = 10 * time.Millisecond
+	gossipDelay   = 60 * time.Millisecond
+	gossipPeriod  = 240 * time.Millisecond
+	reportPeriod  = 200 * time.Millisecond
+	silentRequest = 8
+)
+
+// play returns how long after the silence each of the two entries uses the server again.
+func (r silenceRun) play(c *qt.C) (near, far time.Duration) {
+	entries := []*Fleet{newFleet(), newFleet()}
+	entries[1].config.Site, entries[1].config.Region = "b", "rb"
+	version, wanted := uint64(0), Request{Service: r.service}
+	if r.service == modelService {
+		version, wanted.Model = 1, model
+	}
+	m1, m2 := newBackend("m1", r.service, "10.0.0.1:1", version), newBackend("m2", r.service, "10.0.0.2:1", version)
+	for _, f := range entries {
+		f.SetState(testState(), 0)
+		f.Apply([]catalog.Backend{m1, m2}, nil, true, silenceStart-time.Second)
+	}
+	alone, open := wanted, 0
+	alone.Avoid = append(alone.Avoid, "m2")
+	report := func(b catalog.Backend, now time.Duration) {
+		if version != 0 {
+			entries[0].ApplyReport(Report{Address: b.Address, Sequence: uint64(now), Models: b.Models}, now)
+		}
+	}
+	for open < silentRequest {
+		c.Assert(entries[0].Choose(alone, silenceStart-silenceStep).Backend.ID, qt.Equals, "m1")
+		open++
+	}
+	entries[0].RecordProgress("m1", silenceStart)
+	report(m1, silenceStart)
+	end := silenceStart + r.silence
+	near, far = -1, -1
+	var inTransit []string
+	var sentAt time.Duration
+	for now := silenceStart; now < end+20*time.Second && (near < 0 || far < 0); now += silenceStep {
+		if now%reportPeriod == 0 {
+			report(m2, now)
+			if now >= end {
+				report(m1, now)
+			}
+		}
+		if now == end && open > 0 {
+			entries[0].RecordProgress("m1", now)
+		}
+		entries[0].refresh(now)
+		entries[1].refresh(now)
+		if r.givenUp && now < end && now%(100*time.Millisecond) == 0 && entries[0].Stalled("m1", now) {
+			for ; open > 0; open-- {
+				entries[0].EndAttempt(m1, now)
+			}
+		}
+		if now == end+50*time.Millisecond {
+			for ; open > 0; open-- {
+				entries[0].EndAttempt(m1, now)
+			}
+		}
+		if r.givenUp && now < end && open == 0 && entries[0].servers["m1"].routerUsable {
+			c.Assert(entries[0].Choose(alone, now).Found, qt.IsTrue)
+			open++
+		}
+		if sentAt == 0 && now%gossipPeriod == 0 {
+			inTransit, sentAt = entries[0].SilentServers(now), now
+		}
+		if sentAt != 0 && now-sentAt == gossipDelay {
+			entries[1].MarkSilent(inTransit, now)
+			sentAt = 0
+		}
+		if near < 0 && now >= end && entries[0].servers["m1"].routerUsable {
+			near = now - end
+		}
+		if far < 0 && now >= end && entries[1].servers["m1"].routerUsable {
+			far = now - end
+		}
+	}
+	return near, far
+}
+
+var silences = []time.Duration{300 * time.Millisecond, 400 * time.Millisecond, 600 * time.Millisecond, 800 * time.Millisecond, time.Second, 1400 * time.Millisecond, 3 * time.Second}
+
+// A server that was silent for a second got no requests for seven more, as each request that had been given
+// up there counted as one more failure.
+func TestServerIsUsedAgainOnceItsSilenceEnds(t *testing.T) {
+	for _, service := range []string{plainService, modelService} {
+		for _, givenUp := range []bool{false, true} {
+			for _, silence := range silences {
+				t.Run(fmt.Sprintf("%s/%v/%v", service, givenUp, silence), func(t *testing.T) {
+					longest := time.Duration(0)
+					switch {
+					case givenUp && service == modelService:
+						longest = reportPeriod
+					case givenUp:
+						longest = silence
+					}
+					near, _ := silenceRun{service, silence, givenUp}.play(qt.New(t))
+					qt.Assert(t, near >= 0 && near <= longest, qt.IsTrue, qt.Commentf("%v", near))
+				})
+			}
+		}
+	}
+}
+
+// A server that had sent nothing for any request counted as idle once these had been given up, and got a
+// batch of new ones.
+func TestSilentServerGetsOneRequestAtATime(t *testing.T) {
+	c := qt.New(t)
+	f, m1, now := newFleet(), newBackend("m1", plainService, "10.0.0.1:1", 0), time.Second
+	f.SetState(testState(), 0)
+	f.Apply([]catalog.Backend{m1}, nil, true, now)
+	wanted := Request{Service: plainService}
+	for range silentRequest {
+		c.Assert(f.Choose(wanted, now).Found, qt.IsTrue)
+	}
+	now += 400 * time.Millisecond
+	for range silentRequest {
+		f.EndAttempt(m1, now)
+	}
+	c.Check(f.Choose(wanted, now).Found, qt.IsFalse)
+	now += 400 * time.Millisecond
+	c.Check(f.Choose(wanted, now).Found, qt.IsTrue)
+	c.Check(f.Choose(wanted, now).Found, qt.IsFalse)
+	f.RecordProgress("m1", now)
+	c.Check(f.Choose(wanted, now).Found, qt.IsTrue)
+}
