Withdraw gossip that a server is silent once it continues

Cause: a server that an entry of its region had reported as silent stayed out of use at entries of other regions for SilentTTL, one second after the last report, although the entry's next counts no longer named it.

Change: the silent servers in an entry's counts replace those that it named before. Gossip of other entries about the same server stays in force, and the TTL covers counts that are lost.

--- a/internal/coordination/fleet/fleet.go
+++ b/internal/coordination/fleet/fleet.go
@@ -130,9 +130,9 @@
 	// before probeAt.
 	silentSince time.Duration
 	probeAt     time.Duration
-	// silentUntil is when gossip that the server is silent expires. It is set for servers of other
-	// regions, whose silence this entry cannot detect itself.
-	silentUntil time.Duration
+	// silentUntil is when the gossip of each entry that the server is silent expires. It is set for
+	// servers of other regions, whose silence this entry cannot detect itself.
+	silentUntil map[filbertlever.HostID]time.Duration
 	// restartedAt is when this process was first observed, if it replaced another process; else 0.
 	restartedAt time.Duration
 	// unreachableAt is when opening a connection to the server last failed; 0 if it never did.
@@ -202,6 +202,8 @@
 	busy map[string]*server
 	// gossipedServers are, by entry, the servers at which that entry has requests in flight.
 	gossipedServers map[filbertlever.HostID][]string
+	// gossipedSilent are, by entry, the servers that its last gossip named as silent.
+	gossipedSilent map[filbertlever.HostID][]string
 	// unresponsive are the servers with a silentSince.
 	unresponsive map[string]*server
 	// cold are the cold servers that this entry may use.
@@ -250,6 +252,7 @@
 		departed:        map[process]time.Duration{},
 		busy:            map[string]*server{},
 		gossipedServers: map[filbertlever.HostID][]string{},
+		gossipedSilent:  map[filbertlever.HostID][]string{},
 		unresponsive:    map[string]*server{},
 		cold:            map[string]*server{},
 		reportOrder:     list.New(),
--- a/internal/coordination/fleet/fleet_test.go
+++ b/internal/coordination/fleet/fleet_test.go
@@ -460,7 +460,7 @@
 	far.Site, other.Site = "b", "b"
 	f.Apply([]catalog.Backend{near, far, other}, nil, true, 0)
 	f.SetPeerCounts("entry-9", map[string]int{"m3": 10}, time.Second)
-	f.MarkSilent([]string{"m1", "m2"}, time.Second)
+	f.SetPeerSilent("entry-9", []string{"m1", "m2"}, time.Second)
 	wanted := Request{Service: modelService, Model: model, Avoid: []filbertlever.HostID{"m1"}}
 	c.Assert(f.Choose(wanted, time.Second).Backend.ID, qt.Equals, "m3")
 	c.Assert(f.Choose(wanted, 3*time.Second).Backend.ID, qt.Equals, "m2")
--- a/internal/coordination/fleet/health.go
+++ b/internal/coordination/fleet/health.go
@@ -28,7 +28,7 @@
 	if f.isRemoved(s, now) || f.evacuated[s.backend.Site] || f.coldLimited(s, now) || f.rateLimited(s, now) {
 		return false
 	}
-	return now >= s.switchingUntil && now >= s.silentUntil && now >= f.retryAt(s) && !f.stalled(s, now) && !s.awaitsProbe(now) && !f.silent(s, now) && f.members.Usable(filbertlever.HostID(s.backend.ID), f.membershipTime(now))
+	return now >= s.switchingUntil && !s.gossipedSilent(now) && now >= f.retryAt(s) && !f.stalled(s, now) && !s.awaitsProbe(now) && !f.silent(s, now) && f.members.Usable(filbertlever.HostID(s.backend.ID), f.membershipTime(now))
 }
 
 // stalled reports whether a server with requests in flight has made no progress for longer than a
@@ -184,15 +184,38 @@
 	}
 }
 
-// MarkSilent applies the gossip of another entry about silent servers of its region.
-func (f *Fleet) MarkSilent(ids []string, now time.Duration) {
+// SetPeerSilent applies the gossip of another entry about the silent servers of its region. Servers that
+// it named before and no longer does have continued.
+func (f *Fleet) SetPeerSilent(entry filbertlever.HostID, ids []string, now time.Duration) {
+	for _, id := range f.gossipedSilent[entry] {
+		if s, ok := f.servers[id]; ok && !slices.Contains(ids, id) {
+			delete(s.silentUntil, entry)
+			f.refreshUsable(s, now)
+		}
+	}
+	delete(f.gossipedSilent, entry)
 	for _, id := range ids {
 		s, ok := f.servers[id]
-		if ok && f.config.Regions[s.backend.Site] != f.config.Region {
-			s.silentUntil = now + f.config.SilentTTL
-			f.refreshUsable(s, now)
+		if !ok || f.config.Regions[s.backend.Site] == f.config.Region {
+			continue
+		}
+		if s.silentUntil == nil {
+			s.silentUntil = map[filbertlever.HostID]time.Duration{}
+		}
+		s.silentUntil[entry] = now + f.config.SilentTTL
+		f.gossipedSilent[entry] = append(f.gossipedSilent[entry], id)
+		f.refreshUsable(s, now)
+	}
+}
+
+// gossipedSilent reports whether another entry has recently named the server as silent.
+func (s *server) gossipedSilent(now time.Duration) bool {
+	for _, until := range s.silentUntil {
+		if now < until {
+			return true
 		}
 	}
+	return false
 }
 
 // RecordLatency records the measured time to the first event of an answer together with the
--- a/internal/coordination/fleet/scale_test.go
+++ b/internal/coordination/fleet/scale_test.go
@@ -166,7 +166,7 @@
 					sent = sent[1:]
 				}
 			case 5:
-				f.MarkSilent([]string{id}, now)
+				f.SetPeerSilent("entry-2", []string{id}, now)
 			case 6:
 				if len(sent) > 0 {
 					f.EndAttempt(f.servers[sent[0]].backend, now)
--- a/internal/coordination/fleet/silence_test.go
+++ b/internal/coordination/fleet/silence_test.go
@@ -89,7 +89,7 @@
 			inTransit, sentAt = entries[0].SilentServers(now), now
 		}
 		if sentAt != 0 && now-sentAt == gossipDelay {
-			entries[1].MarkSilent(inTransit, now)
+			entries[1].SetPeerSilent("e1", inTransit, now)
 			sentAt = 0
 		}
 		if near < 0 && now >= end && entries[0].servers["m1"].routerUsable {
@@ -118,8 +118,9 @@
 					case givenUp:
 						longest = silence
 					}
-					near, _ := silenceRun{service, silence, givenUp}.play(qt.New(t))
-					qt.Assert(t, near >= 0 && near <= longest, qt.IsTrue, qt.Commentf("%v", near))
+					near, far := silenceRun{service, silence, givenUp}.play(qt.New(t))
+					qt.Check(t, near >= 0 && near <= longest, qt.IsTrue, qt.Commentf("%v", near))
+					qt.Check(t, far >= 0 && far <= near+gossipPeriod+gossipDelay, qt.IsTrue, qt.Commentf("%v after %v", far, near))
 				})
 			}
 		}
@@ -148,3 +149,28 @@
 	f.RecordProgress("m1", now)
 	c.Check(f.Choose(wanted, now).Found, qt.IsTrue)
 }
+
+// Servers of another region stayed out of use for a second after each entry there had seen them continue.
+// The gossip of one entry must not cancel that of another.
+func TestGossipOfSilenceIsWithdrawnByItsEntry(t *testing.T) {
+	c := qt.New(t)
+	f, far, now := newFleet(), newBackend("m1", plainService, "10.0.0.1:1", 0), time.Second
+	far.Site = "b"
+	f.SetState(testState(), 0)
+	f.Apply([]catalog.Backend{far}, nil, true, now)
+	used := func() bool {
+		defer f.Release("m1")
+		return f.Choose(Request{Service: plainService}, now).Found
+	}
+	f.SetPeerSilent("e2", []string{"m1"}, now)
+	f.SetPeerSilent("e3", []string{"m1"}, now)
+	c.Check(used(), qt.IsFalse)
+	f.SetPeerSilent("e2", nil, now)
+	c.Check(used(), qt.IsFalse)
+	f.SetPeerSilent("e3", nil, now)
+	c.Check(used(), qt.IsTrue)
+	f.SetPeerSilent("e2", []string{"m1"}, now)
+	c.Check(used(), qt.IsFalse)
+	now += f.config.SilentTTL
+	c.Check(used(), qt.IsTrue)
+}
--- a/internal/transport/gateway/datagrams.go
+++ b/internal/transport/gateway/datagrams.go
@@ -94,7 +94,7 @@
 		maps.DeleteFunc(counts.Requests, func(id string, _ int) bool { return !current(id) })
 		counts.Silent = slices.DeleteFunc(counts.Silent, func(id string) bool { return !current(id) })
 		g.fleet.SetPeerCounts(counts.From, counts.Requests, now)
-		g.fleet.MarkSilent(counts.Silent, now)
+		g.fleet.SetPeerSilent(counts.From, counts.Silent, now)
 		g.applySpeeds(counts, now)
 		g.applyDemand(counts.From, counts.Demand, now)
 	}
@@ -179,6 +179,7 @@
 	g.mu.Lock()
 	for _, host := range g.peers.timedOut(now) {
 		g.fleet.SetPeerCounts(host, nil, now)
+		g.fleet.SetPeerSilent(host, nil, now)
 		g.removeDemand(host)
 	}
 	heartbeat := g.ownHeartbeat(now)
