Do not use a silent server as the last resort

Cause: if no server of a service is usable, suspected ones are used, whether or not they have sent anything. A server that had failed one request and then fell silent got all further requests of the service without a limit.

Change: a server that is stalled or awaits a probe is not used as the last resort either. Without the check 2 of the test's placements at a silent server succeed.

--- a/internal/coordination/fleet/choose.go
+++ b/internal/coordination/fleet/choose.go
@@ -140,7 +140,7 @@
 	var suspected []string
 	for id := range f.recheck {
 		s, ok := f.servers[id]
-		eligible := ok && s.backend.Service == service && !f.evacuated[s.backend.Site] && !f.coldLimited(s, now) && !f.rateLimited(s, now) && s.missingSince == 0 && now >= s.switchingUntil && now >= f.retryAt(s) && !f.recentlyUnreachable(s, now)
+		eligible := ok && s.backend.Service == service && !f.evacuated[s.backend.Site] && !f.coldLimited(s, now) && !f.rateLimited(s, now) && s.missingSince == 0 && now >= s.switchingUntil && now >= f.retryAt(s) && !f.recentlyUnreachable(s, now) && !f.stalled(s, now) && !s.awaitsProbe(now)
 		if eligible && f.members.Eligible(filbertlever.HostID(id), f.membershipTime(now)) {
 			suspected = append(suspected, id)
 			router.SetHost(f.host(s.backend), true)
--- a/internal/coordination/fleet/silence_test.go
+++ b/internal/coordination/fleet/silence_test.go
@@ -174,3 +174,21 @@
 	now += f.config.SilentTTL
 	c.Check(used(), qt.IsTrue)
 }
+
+// A server that had failed one request and was silent got all others as the last resort.
+func TestSilentServerIsNoLastResort(t *testing.T) {
+	c := qt.New(t)
+	f, o1, now := newFleet(), newBackend("o1", plainService, "10.0.0.1:1", 0), time.Second
+	f.SetState(testState(), 0)
+	f.Apply([]catalog.Backend{o1}, nil, true, now)
+	wanted := Request{Service: plainService}
+	c.Assert(f.Choose(wanted, now).Found, qt.IsTrue)
+	f.RecordFailure("o1", now)
+	c.Check(f.Choose(wanted, now+100*time.Millisecond).Found, qt.IsTrue)
+	c.Check(f.Choose(wanted, now+400*time.Millisecond).Found, qt.IsFalse)
+	f.EndAttempt(o1, now+400*time.Millisecond)
+	f.EndAttempt(o1, now+400*time.Millisecond)
+	c.Check(f.Choose(wanted, now+400*time.Millisecond).Found, qt.IsFalse)
+	f.RecordProgress("o1", now+450*time.Millisecond)
+	c.Check(f.Choose(wanted, now+450*time.Millisecond).Found, qt.IsTrue)
+}
