Let callers return in time while all servers of a service are silent

Cause: while all servers of a service were silent, new requests were refused with the delay of an outage of unknown length, 1.5 to 2 s for a caller with 6 s left. Servers that continued after a second could have answered in time.

Change: a placement that finds only silent servers says for how long. For up to 1.5 s of silence, callers are asked to return after one to two thirds of their goal, if the answer can then be in time; later, and when they return, after the delay of an outage as before.

--- a/internal/coordination/admission/entry.go
+++ b/internal/coordination/admission/entry.go
@@ -152,3 +152,25 @@
 	}
 	return readyIn + time.Duration(rng.Float64()*float64(max(spread, outageMinJitter)))
 }
+
+// Bounds of the retry delay while all servers of a service are silent.
+const (
+	// maxPause is the longest silence after which a sound server is expected to continue.
+	maxPause = 1500 * time.Millisecond
+	// Retries are spread over the part of the caller's goal between these two fractions. The rest is
+	// left for the answer.
+	pauseMinGoalShare = 1.0 / 3
+	pauseMaxGoalShare = 2.0 / 3
+)
+
+// RetryAfterSilence returns the retry delay of a caller that was refused because all servers have been
+// silent for some time and may continue at any moment. The caller has waited for waited of its goal. It
+// returns false if the answer would be late anyway or if the servers have been silent for too long: the
+// delay is then that of an outage, after which the caller has a better chance with its next retry.
+func RetryAfterSilence(silence, waited, goal, remaining time.Duration, rng *rand.Rand) (time.Duration, bool) {
+	earliest, latest := time.Duration(pauseMinGoalShare*float64(goal)), time.Duration(pauseMaxGoalShare*float64(goal))
+	if silence <= 0 || silence > maxPause || waited+latest >= goal || latest > time.Duration(outageRemainingShare*float64(remaining)) {
+		return 0, false
+	}
+	return earliest + time.Duration(rng.Float64()*float64(latest-earliest)), true
+}
--- a/internal/coordination/admission/entry_test.go
+++ b/internal/coordination/admission/entry_test.go
@@ -89,6 +89,45 @@
 	c.Assert(busiest <= 2*perSecond*int(interval)/int(time.Second)+8, qt.IsTrue, qt.Commentf("%d callers retried within %v", busiest, interval))
 }
 
+// All servers of a service were silent for a second. Callers that were refused meanwhile were told to
+// return after 1.5 s or more, too late for an answer in time, although the servers had continued.
+func TestRetryDuringSilenceIsInTime(t *testing.T) {
+	const perSecond, goal, remaining, interval = 145, time.Second, 6 * time.Second, 100 * time.Millisecond
+	for _, silence := range []time.Duration{600 * time.Millisecond, 800 * time.Millisecond, time.Second, 1400 * time.Millisecond} {
+		c, rng := qt.New(t), newRng()
+		busiest, retries := 0, map[time.Duration]int{}
+		for now := 300 * time.Millisecond; now < silence; now += time.Second / perSecond {
+			delay, ok := RetryAfterSilence(now, 0, goal, remaining, rng)
+			c.Assert(ok && delay <= 2*goal/3, qt.IsTrue)
+			c.Assert(now+delay >= silence || now+goal/3 < silence, qt.IsTrue, qt.Commentf("refused at %v", now))
+			if now+delay >= silence {
+				retries[(now+delay)/interval]++
+				busiest = max(busiest, retries[(now+delay)/interval])
+			}
+		}
+		c.Assert(busiest <= 2*perSecond*int(interval)/int(time.Second)+8, qt.IsTrue, qt.Commentf("%d callers retried within %v", busiest, interval))
+	}
+}
+
+// A caller whose answer would be late anyway, or whose servers are silent for longer than a sound server
+// would be, must not use up a retry soon.
+func TestRetryDuringLongSilenceIsThatOfAnOutage(t *testing.T) {
+	for name, test := range map[string]struct {
+		silence, waited, goal, remaining time.Duration
+		want                             bool
+	}{
+		"short silence":           {time.Second, 0, time.Second, 6 * time.Second, true},
+		"no silence":              {0, 0, time.Second, 6 * time.Second, false},
+		"long silence":            {2 * time.Second, 0, time.Second, 6 * time.Second, false},
+		"late caller":             {time.Second, 500 * time.Millisecond, time.Second, 6 * time.Second, false},
+		"caller with little time": {time.Second, 0, time.Second, time.Second, false},
+		"no goal":                 {time.Second, 0, 0, 6 * time.Second, false},
+	} {
+		_, ok := RetryAfterSilence(test.silence, test.waited, test.goal, test.remaining, newRng())
+		qt.Check(t, ok, qt.Equals, test.want, qt.Commentf(name))
+	}
+}
+
 // Without the gate, every queue grows until the deadline under overload. Modelled on 270 streams per
 // second for 16 engines that can run 190: one region has 6 engines with 16 slots and 3 entries that
 // observe each other's requests. Answers take 1.34 s, so it can serve 72 requests per second.
--- a/internal/coordination/fleet/choose.go
+++ b/internal/coordination/fleet/choose.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"slices"
 	"time"
 
 	"github.com/filbertlever/filbertlever"
@@ -70,6 +71,9 @@
 	// ReadyIn is the predicted time until a server can take the request, if none can now; 0 if
 	// unknown.
 	ReadyIn time.Duration
+	// SilentFor is how long the server that last sent something has been silent, if no server can take
+	// the request because those that could are silent; 0 if there are none.
+	SilentFor time.Duration
 }
 
 // Choose picks a server and counts the request as in flight there. Release reverts the count.
@@ -98,7 +102,7 @@
 	}
 	s, ok := f.servers[string(choice.Host)]
 	if !ok {
-		return Placement{Reason: choice.Reason, Candidates: choice.CandidateCount, ReadyIn: f.ReadyIn(request, now)}
+		return Placement{Reason: choice.Reason, Candidates: choice.CandidateCount, ReadyIn: f.ReadyIn(request, now), SilentFor: f.silentFor(request, target, now)}
 	}
 	counted := f.recordSent(s, now)
 	age := time.Duration(-1)
@@ -182,3 +186,23 @@
 	}
 	return earliest
 }
+
+// silentFor returns the shortest silence of the silent servers of this region that could take a request;
+// 0 if there are none.
+func (f *Fleet) silentFor(request Request, target routing.Target, now time.Duration) time.Duration {
+	shortest := time.Duration(0)
+	for _, s := range f.unusable {
+		id := filbertlever.HostID(s.backend.ID)
+		if s.backend.Service != request.Service || f.config.Regions[s.backend.Site] != f.config.Region || slices.Contains(request.Avoid, id) {
+			continue
+		}
+		silence, ok := f.silence(s, now)
+		if !ok || !request.Regions.Allows(f.config.Region) || f.evacuated[s.backend.Site] || !f.members.Usable(id, f.membershipTime(now)) || !slices.Contains(f.targets(s, now), target) {
+			continue
+		}
+		if shortest == 0 || silence < shortest {
+			shortest = silence
+		}
+	}
+	return shortest
+}
--- a/internal/coordination/fleet/health.go
+++ b/internal/coordination/fleet/health.go
@@ -106,6 +106,19 @@
 	return s.silentSince != 0 && (now < s.probeAt || s.ownRequests > 0)
 }
 
+// silence returns how long a server has sent nothing; false if it is not silent.
+func (f *Fleet) silence(s *server, now time.Duration) (time.Duration, bool) {
+	switch {
+	case s.awaitsProbe(now):
+		return now - s.silentSince, true
+	case f.stalled(s, now):
+		return now - s.progressAt, true
+	case f.silent(s, now):
+		return now - max(s.reportedAt, s.lastEventAt), true
+	}
+	return 0, false
+}
+
 // recordSentProbe makes a silent server unusable once it has a request.
 func (f *Fleet) recordSentProbe(s *server, now time.Duration) {
 	if s.silentSince != 0 {
--- a/internal/coordination/fleet/silence_test.go
+++ b/internal/coordination/fleet/silence_test.go
@@ -7,6 +7,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"github.com/filbertlever/filbertlever"
 	"github.com/filbertlever/filbertlever/internal/coordination/catalog"
 )
 
@@ -175,6 +176,30 @@
 	c.Check(used(), qt.IsTrue)
 }
 
+// The retry delay of a refused request depends on whether the servers that could take it are only silent.
+func TestPlacementReportsSilenceOfAllServers(t *testing.T) {
+	for name, test := range map[string]struct {
+		act  func(f *Fleet, now time.Duration)
+		want time.Duration
+	}{
+		"silent":          {func(*Fleet, time.Duration) {}, 500 * time.Millisecond},
+		"given up":        {func(f *Fleet, now time.Duration) { f.EndAttempt(f.servers["o1"].backend, now) }, 500 * time.Millisecond},
+		"one failed":      {func(f *Fleet, now time.Duration) { f.RecordFailure("o2", now) }, 500 * time.Millisecond},
+		"one continues":   {func(f *Fleet, now time.Duration) { f.RecordProgress("o1", now) }, 0},
+		"all have failed": {func(f *Fleet, now time.Duration) { f.RecordUnreachable("o1", now); f.RecordUnreachable("o2", now) }, 0},
+	} {
+		f, now := newFleet(), time.Second
+		f.SetState(testState(), 0)
+		f.Apply([]catalog.Backend{newBackend("o1", plainService, "10.0.0.1:1", 0), newBackend("o2", plainService, "10.0.0.2:1", 0)}, nil, true, now)
+		for _, other := range []filbertlever.HostID{"o2", "o1"} {
+			f.Choose(Request{Service: plainService, Avoid: []filbertlever.HostID{other}}, now)
+		}
+		now += 500 * time.Millisecond
+		test.act(f, now)
+		qt.Check(t, f.Choose(Request{Service: plainService}, now).SilentFor, qt.Equals, test.want, qt.Commentf(name))
+	}
+}
+
 // A server that had failed one request and was silent got all others as the last resort.
 func TestSilentServerIsNoLastResort(t *testing.T) {
 	c := qt.New(t)
--- a/internal/transport/gateway/placement.go
+++ b/internal/transport/gateway/placement.go
@@ -32,8 +32,8 @@
 		fields = append(fields, zap.Strings("Regions", a.regions))
 	}
 	if !placement.Found {
-		g.log.Info("no server available", append(fields, zap.Duration("ReadyIn", placement.ReadyIn))...)
-		return placement, unavailable(reasonNoServer, g.retryDelayUntilReady(a.service, placement.ReadyIn, a.remaining(), now))
+		g.log.Info("no server available", append(fields, zap.Duration("ReadyIn", placement.ReadyIn), zap.Duration("SilentFor", placement.SilentFor))...)
+		return placement, unavailable(reasonNoServer, a.retryDelayWithoutServer(placement, now))
 	}
 	admitted, retryAfter := g.gate.Admit(forecast(placement), admission.Caller{Remaining: a.remaining(), Goal: a.route.FirstByteGoal}, g.rng)
 	if a.stream != nil || g.isPlain(a.service) {
@@ -67,6 +67,21 @@
 	return admission.Forecast{QueuePosition: p.QueuePosition, PrefillWait: p.PrefillWait, Predicted: p.PredictedLatency}
 }
 
+// retryDelayWithoutServer returns when the caller should retry a request that no server can take now. The
+// caller holds g.mu.
+func (a *attempts) retryDelayWithoutServer(placement fleet.Placement, now time.Duration) time.Duration {
+	g, goal := a.gateway, a.route.FirstByteGoal
+	outage := g.retryDelayUntilReady(a.service, placement.ReadyIn, a.remaining(), now)
+	waited := time.Since(a.arrived)
+	if a.call.HasTimeout {
+		waited = a.route.Timeout - a.remaining()
+	}
+	if delay, ok := admission.RetryAfterSilence(placement.SilentFor, waited, goal, a.remaining(), g.rng); ok && placement.ReadyIn == 0 {
+		return delay
+	}
+	return outage
+}
+
 // viewFields returns log fields with the age of the view of the servers, how long the chosen server
 // has been missing from the list, and whether its rate is limited.
 func (g *Gateway) viewFields(placement fleet.Placement, now time.Duration) []zap.Field {
--- a/internal/transport/gateway/waitqueue_test.go
+++ b/internal/transport/gateway/waitqueue_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -52,3 +53,15 @@
 		c.Check(a.mayWait(test.found, now), qt.Equals, test.want, qt.Commentf(name))
 	}
 }
+
+// A caller that was refused while all servers were silent returned after they had continued, but late.
+func TestCallerReturnsInTimeAfterSilence(t *testing.T) {
+	c := qt.New(t)
+	g := &Gateway{rng: rand.New(rand.NewPCG(1, 2)), outages: map[string]*admission.Outage{}}
+	route := &catalog.Route{FirstByteGoal: time.Second, Timeout: 6 * time.Second}
+	x := &exchange{gateway: g, route: route, service: "orders", call: &Call{HasTimeout: true}, deadline: time.Now().Add(route.Timeout)}
+	a := &attempts{exchange: x}
+	c.Check(a.retryDelayWithoutServer(fleet.Placement{SilentFor: time.Second}, time.Second) < route.FirstByteGoal, qt.IsTrue)
+	c.Check(a.retryDelayWithoutServer(fleet.Placement{}, time.Second) > route.FirstByteGoal, qt.IsTrue)
+	c.Check(a.retryDelayWithoutServer(fleet.Placement{SilentFor: time.Second, ReadyIn: 2 * time.Second}, time.Second) >= 2*time.Second, qt.IsTrue)
+}
