Count one silence of a server once as lateness

Cause: each request in flight during a silence recorded its time to the first event, which moved the predicted latency of the server by nearly the whole silence, for four seconds. Other servers were preferred, and if all had been silent, callers with little time left were refused, as the predicted first event came too late for them.

Change: after a server has sent nothing for PlainStallTimeout, only the first latency of the requests that were in flight is recorded. A server that is late each time is still avoided.

--- a/internal/coordination/fleet/fleet.go
+++ b/internal/coordination/fleet/fleet.go
@@ -130,6 +130,11 @@
 	// before probeAt.
 	silentSince time.Duration
 	probeAt     time.Duration
+	// silenceEndedAt is when the server last sent something after it had sent nothing for
+	// PlainStallTimeout, whatever its service. silenceObserved is true if the latency of a request in
+	// flight before then has been recorded.
+	silenceEndedAt  time.Duration
+	silenceObserved bool
 	// silentUntil is when the gossip of each entry that the server is silent expires. It is set for
 	// servers of other regions, whose silence this entry cannot detect itself.
 	silentUntil map[filbertlever.HostID]time.Duration
--- a/internal/coordination/fleet/health.go
+++ b/internal/coordination/fleet/health.go
@@ -75,6 +75,9 @@
 	if !ok {
 		return
 	}
+	if s.ownRequests > 0 && now-s.progressAt > f.config.PlainStallTimeout {
+		s.silenceEndedAt, s.silenceObserved = now, false
+	}
 	s.progressAt, s.lastEventAt = now, now
 	if s.silentSince != 0 {
 		s.silentSince, s.probeAt = 0, 0
@@ -232,12 +235,21 @@
 }
 
 // RecordLatency records the measured time to the first event of an answer together with the
-// predicted time.
+// predicted time. Of the requests that were in flight during a silence of the server only the first one
+// counts, since all of them are late for the same reason.
 func (f *Fleet) RecordLatency(id string, predicted, measured, now time.Duration) {
-	if s, ok := f.servers[id]; ok {
-		if router := f.router(s.backend.Service); router != nil {
-			router.Observe(filbertlever.HostID(id), predicted, measured, now)
+	s, ok := f.servers[id]
+	if !ok {
+		return
+	}
+	if now-measured < s.silenceEndedAt {
+		if s.silenceObserved {
+			return
 		}
+		s.silenceObserved = true
+	}
+	if router := f.router(s.backend.Service); router != nil {
+		router.Observe(filbertlever.HostID(id), predicted, measured, now)
 	}
 }
 
--- a/internal/coordination/fleet/silence_test.go
+++ b/internal/coordination/fleet/silence_test.go
@@ -8,6 +8,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"github.com/filbertlever/filbertlever"
+	"github.com/filbertlever/filbertlever/internal/coordination/admission"
 	"github.com/filbertlever/filbertlever/internal/coordination/catalog"
 )
 
@@ -22,12 +23,12 @@
 }
 
 const (
-	silenceStart  = 2070 * time.Millisecond
-	silenceStep   = 10 * time.Millisecond
-	gossipDelay   = 60 * time.Millisecond
-	gossipPeriod  = 240 * time.Millisecond
-	reportPeriod  = 200 * time.Millisecond
-	silentRequest = 8
+	silenceStart   = 2070 * time.Millisecond
+	silenceStep    = 10 * time.Millisecond
+	gossipDelay    = 60 * time.Millisecond
+	gossipPeriod   = 240 * time.Millisecond
+	reportPeriod   = 200 * time.Millisecond
+	silentRequests = 8
 )
 
 // play returns how long after the silence each of the two entries uses the server again.
@@ -50,7 +51,7 @@
 			entries[0].ApplyReport(Report{Address: b.Address, Sequence: uint64(now), Models: b.Models}, now)
 		}
 	}
-	for open < silentRequest {
+	for open < silentRequests {
 		c.Assert(entries[0].Choose(alone, silenceStart-silenceStep).Backend.ID, qt.Equals, "m1")
 		open++
 	}
@@ -136,11 +137,11 @@
 	f.SetState(testState(), 0)
 	f.Apply([]catalog.Backend{m1}, nil, true, now)
 	wanted := Request{Service: plainService}
-	for range silentRequest {
+	for range silentRequests {
 		c.Assert(f.Choose(wanted, now).Found, qt.IsTrue)
 	}
 	now += 400 * time.Millisecond
-	for range silentRequest {
+	for range silentRequests {
 		f.EndAttempt(m1, now)
 	}
 	c.Check(f.Choose(wanted, now).Found, qt.IsFalse)
@@ -217,3 +218,41 @@
 	f.RecordProgress("o1", now+450*time.Millisecond)
 	c.Check(f.Choose(wanted, now+450*time.Millisecond).Found, qt.IsTrue)
 }
+
+// All servers were silent for 1.4 s. Each of the requests in flight counted as late by that much, and for
+// seconds callers with 2 s left were refused, as the predicted first event came too late for them.
+func TestSilenceCountsOnceAsLateness(t *testing.T) {
+	for _, silence := range silences[:len(silences)-1] {
+		f, now := newFleetWithServer(modelService, 1), time.Second
+		var placed []Placement
+		for range silentRequests {
+			placed = append(placed, f.Choose(wanted, now))
+		}
+		now += silence
+		for _, p := range placed {
+			f.RecordProgress("m1", now)
+			f.RecordLatency("m1", p.PredictedLatency, silence, now)
+		}
+		p := f.Choose(wanted, now)
+		forecast := admission.Forecast{QueuePosition: p.QueuePosition, PrefillWait: p.PrefillWait, Predicted: p.PredictedLatency}
+		admitted, _ := admission.DefaultEntryGate().Admit(forecast, admission.Caller{Remaining: 2 * time.Second}, f.rng)
+		qt.Check(t, admitted, qt.IsTrue, qt.Commentf("predicted %v after %v", p.PredictedLatency, silence))
+	}
+}
+
+// A server whose first events always come late must not be taken for one that was silent each time.
+func TestLateServerIsAvoidedAlthoughItStalls(t *testing.T) {
+	f := newFleet()
+	f.SetState(testState(), 0)
+	f.Apply([]catalog.Backend{newBackend("m1", modelService, "10.0.0.1:1", 1), newBackend("m2", modelService, "10.0.0.2:1", 1)}, nil, true, 0)
+	f.SetPeerCounts("entry-2", map[string]int{"m2": 8}, 0)
+	now := time.Second
+	for range 3 {
+		p := f.Choose(Request{Service: modelService, Model: model, Avoid: []filbertlever.HostID{"m2"}}, now)
+		now += 900 * time.Millisecond
+		f.RecordProgress("m1", now)
+		f.RecordLatency("m1", p.PredictedLatency, 900*time.Millisecond, now)
+		f.EndAttempt(p.Backend, now)
+	}
+	qt.Assert(t, f.Choose(Request{Service: modelService, Model: model}, now).Backend.ID, qt.Equals, "m2")
+}
