Do not take an entry's own suspension for the silence of its servers

Cause: an entry that was suspended for a second and continued found that no server had sent anything for that long. Until it had read what had arrived meanwhile, all servers counted as stalled or silent, were reported so to other regions, and the requests at them were to be given up; their late first events counted as lateness of the servers.

Change: a detector is told every 25 ms that the process runs. A gap of more than 150 ms, half of the shortest stall timeout, is a suspension. It is left out of the time since a server's last sign of life, with the 150 ms after it in which the process reads what has arrived, and latencies measured across it are dropped. A check that runs before the first tick after the suspension sees it too.

Measured with TestOwnSuspensionIsNoSilenceOfServers (1 s): before, both servers stalled, one reported as silent and the plain one refused; after, neither, and a silence after the suspension is seen within 0.5 s.

--- a/internal/coordination/fleet/fleet.go
+++ b/internal/coordination/fleet/fleet.go
@@ -16,6 +16,7 @@
 	"github.com/filbertlever/filbertlever/internal/coordination/membership"
 	"github.com/filbertlever/filbertlever/internal/coordination/routing"
 	"github.com/filbertlever/filbertlever/internal/coordination/speed"
+	"github.com/filbertlever/filbertlever/internal/coordination/suspension"
 )
 
 // Config holds the penalties, timeouts and limits of a Fleet.
@@ -219,6 +220,7 @@
 	// unusable are the servers that are marked as unusable in their router.
 	unusable        map[string]*server
 	healthCheckedAt time.Duration
+	suspensions     suspension.Detector
 	// outageEnd is the end of the store's last outage; outageKnown is false if none is known.
 	outageEnd   time.Duration
 	outageKnown bool
--- a/internal/coordination/fleet/health.go
+++ b/internal/coordination/fleet/health.go
@@ -46,7 +46,16 @@
 			limit = f.config.EngineStallTimeout + f.firstPrefill(s, engine)
 		}
 	}
-	return now-s.progressAt > limit
+	return f.TimeSince(s.progressAt, now) > limit
+}
+
+// Tick must be called every few ten milliseconds while this process runs. Time in which it was suspended
+// then counts for no server: what servers sent meanwhile has not been read yet.
+func (f *Fleet) Tick(now time.Duration) { f.suspensions.Tick(now) }
+
+// TimeSince returns the time since an event without the last suspension of this process.
+func (f *Fleet) TimeSince(event, now time.Duration) time.Duration {
+	return f.suspensions.Elapsed(event, now)
 }
 
 // firstPrefill returns how long an engine may take to prefill the prompts of the requests in flight
@@ -139,7 +148,7 @@
 	if !s.hasReport || f.config.Regions[s.backend.Site] != f.config.Region {
 		return false
 	}
-	idle := now - max(s.reportedAt, s.lastEventAt)
+	idle := f.TimeSince(max(s.reportedAt, s.lastEventAt), now)
 	return idle > f.config.ReportTimeout && now-s.reportedAt < f.config.AgentTimeout
 }
 
@@ -236,12 +245,15 @@
 
 // RecordLatency records the measured time to the first event of an answer together with the
 // predicted time. Of the requests that were in flight during a silence of the server only the first one
-// counts, since all of them are late for the same reason.
+// counts, since all of them are late for the same reason. None counts if this process was suspended.
 func (f *Fleet) RecordLatency(id string, predicted, measured, now time.Duration) {
 	s, ok := f.servers[id]
 	if !ok {
 		return
 	}
+	if f.suspensions.Interrupted(now-measured, now) {
+		return
+	}
 	if now-measured < s.silenceEndedAt {
 		if s.silenceObserved {
 			return
--- a/internal/coordination/fleet/silence_test.go
+++ b/internal/coordination/fleet/silence_test.go
@@ -256,3 +256,39 @@
 	}
 	qt.Assert(t, f.Choose(Request{Service: modelService, Model: model}, now).Backend.ID, qt.Equals, "m2")
 }
+
+// An entry was suspended for a second. When it continued, all servers seemed silent, and it gave up its
+// requests before it had read what they had sent meanwhile.
+func TestOwnSuspensionIsNoSilenceOfServers(t *testing.T) {
+	for _, ticked := range []bool{false, true} {
+		c, f := qt.New(t), newFleetWithServer(modelService, 1)
+		plain, now := newBackend("o1", plainService, "10.0.0.9:1", 0), time.Second
+		f.Apply([]catalog.Backend{plain}, nil, false, now)
+		run := func(until time.Duration) {
+			for ; now < until; now += 25 * time.Millisecond {
+				f.Tick(now)
+				f.refresh(now)
+			}
+		}
+		run(2 * time.Second)
+		f.ApplyReport(Report{Address: address, Models: f.servers["m1"].backend.Models}, now)
+		for range silentRequests {
+			f.Choose(wanted, now)
+			f.Choose(Request{Service: plainService}, now)
+		}
+		predicted := f.Choose(wanted, now).PredictedLatency
+		now += time.Second
+		if ticked {
+			f.Tick(now)
+		}
+		c.Check(f.Stalled("m1", now) || f.Stalled("o1", now), qt.IsFalse)
+		c.Check(f.SilentServers(now), qt.HasLen, 0)
+		f.EndAttempt(plain, now)
+		c.Check(f.Choose(Request{Service: plainService}, now).Found, qt.IsTrue)
+		f.RecordProgress("m1", now)
+		f.RecordLatency("m1", predicted, time.Second, now)
+		c.Check(f.Choose(wanted, now).PredictedLatency < 2*predicted, qt.IsTrue)
+		run(now + f.config.PlainStallTimeout + 200*time.Millisecond)
+		c.Check(f.Stalled("o1", now), qt.IsTrue, qt.Commentf("a silence after the suspension is not seen"))
+	}
+}
