Do not take other entries for dead after an entry's own suspension

Cause: heartbeats that arrive while an entry is suspended are read only after it continues. The entry forgot their requests until their counts changed, cancelled its fetches of pieces from them, named them to no caller, and read the store itself.

Change: the time of the last suspension does not count towards the timeouts. Entries that were dead before stay so, and one whose heartbeats do not resume counts as dead after the rest of its timeout.

TestOthersStayAliveWhenThisEntryWasSuspended: before, the entry of the region had timed out after 1 and 3 s; after, it has not after 0.3, 1 and 3 s, and has 2 s after the suspension without a heartbeat.

--- a/internal/transport/gateway/counts.go
+++ b/internal/transport/gateway/counts.go
@@ -46,6 +46,7 @@
 		now := boottime.Now()
 		g.mu.Lock()
 		g.fleet.Tick(now)
+		g.peers.suspensions.Tick(now)
 		local, remote := g.peers.regionCounts()
 		counts := g.ownCounts(now)
 		g.fleet.RefreshSpeeds(now)
--- a/internal/transport/gateway/peers.go
+++ b/internal/transport/gateway/peers.go
@@ -8,6 +8,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/filbertlever/filbertlever"
+	"github.com/filbertlever/filbertlever/internal/coordination/suspension"
 )
 
 // Intervals and timeouts of the failure detector between entries.
@@ -48,6 +49,7 @@
 	// are in this entry's region. order is nil if it is out of date.
 	order       []*peer
 	regionCount int
+	suspensions suspension.Detector
 }
 
 // peer is the state of one other entry.
@@ -157,6 +159,8 @@
 
 // isAlive reports whether an entry counts as alive.
 //
+// Time in which this process was suspended does not count, as it has not read the heartbeats of that time.
+//
 // Heartbeats of other regions are less frequent. With the timeout of this region, their
 // entries would count as dead right after a start, and fetches of pieces from them would be
 // aborted.
@@ -164,12 +168,12 @@
 	remote := other.entry.Region != p.self.Region
 	switch {
 	case remote:
-		return now-max(other.heartbeatAt, other.discoveredAt) < remoteHeartbeatTimeout ||
-			other.reportedAliveAt != 0 && now-other.reportedAliveAt < regionReportTimeout
+		return p.suspensions.Elapsed(max(other.heartbeatAt, other.discoveredAt), now) < remoteHeartbeatTimeout ||
+			other.reportedAliveAt != 0 && p.suspensions.Elapsed(other.reportedAliveAt, now) < regionReportTimeout
 	case other.heartbeatAt == 0:
-		return now-other.discoveredAt < startupGrace
+		return p.suspensions.Elapsed(other.discoveredAt, now) < startupGrace
 	}
-	return now-other.heartbeatAt < heartbeatTimeout
+	return p.suspensions.Elapsed(other.heartbeatAt, now) < heartbeatTimeout
 }
 
 // inRegion reports whether an entry is in this entry's region.
--- a/internal/transport/gateway/peers_test.go
+++ b/internal/transport/gateway/peers_test.go
@@ -275,3 +275,32 @@
 	c.Assert(old.awaitState(context.Background()), qt.IsNil)
 	c.Assert(time.Since(start) < stateWaitTimeout/2, qt.IsTrue)
 }
+
+// An entry that was suspended for a second took all others for dead when it continued: it forgot their
+// requests, cancelled its fetches from them and read the store itself. Those that were dead before must
+// stay so.
+func TestOthersStayAliveWhenThisEntryWasSuspended(t *testing.T) {
+	c := qt.New(t)
+	p := newPeers(entryAt("e1", "a", "ra"), 0)
+	now := 10 * time.Second
+	p.observeHeartbeat(entryAt("e4", "a", "ra"), true, false, now)
+	for range 80 {
+		now += 25 * time.Millisecond
+		p.suspensions.Tick(now)
+	}
+	p.observeHeartbeat(entryAt("e2", "a", "ra"), true, false, now-heartbeatInterval)
+	p.observeHeartbeat(entryAt("e3", "b", "rb"), true, false, now-heartbeatsPerRemote*heartbeatInterval)
+	dead := []filbertlever.HostID{"e4"}
+	c.Assert(p.timedOut(now), qt.DeepEquals, dead)
+	for _, suspension := range []time.Duration{300 * time.Millisecond, time.Second, 3 * time.Second} {
+		c.Check(p.timedOut(now+suspension), qt.DeepEquals, dead, qt.Commentf("%v", suspension))
+	}
+	now += 3 * time.Second
+	for range 80 {
+		p.suspensions.Tick(now)
+		now += 25 * time.Millisecond
+	}
+	got := p.timedOut(now)
+	slices.Sort(got)
+	c.Check(got, qt.DeepEquals, []filbertlever.HostID{"e2", "e4"})
+}
