Probe silent servers one request at a time if no other is usable

Cause: a server at which requests were given up awaits its next probe for as long as it has been silent. With all servers of a service silent and short timeouts of callers, all of them did, and nothing showed that they had continued.

Change: if no server is usable, each silent one gets one request. HasAlternative ignores silent servers, and Request.Responsive does so for a placement.

--- a/internal/coordination/fleet/choose.go
+++ b/internal/coordination/fleet/choose.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -31,6 +32,9 @@
 	// Avoid are the servers that must not be picked, such as those that the request was already
 	// sent to.
 	Avoid []filbertlever.HostID
+	// Responsive is true if no server may be picked that has sent nothing since a request was given up
+	// there.
+	Responsive bool
 	// Regions are the regions whose servers may be picked.
 	Regions filbertlever.Regions
 }
@@ -93,6 +97,12 @@
 	default:
 		target = modelTarget(request.Model)
 	}
+	if request.Responsive {
+		request.Avoid = slices.Clone(request.Avoid)
+		for id := range f.unresponsive {
+			request.Avoid = append(request.Avoid, filbertlever.HostID(id))
+		}
+	}
 	routed := &routing.Request{Target: target, PromptTokens: request.PromptTokens, Avoid: request.Avoid, Regions: request.Regions, Now: now,
 		AnswerDuration: f.answerDuration(request), AnswerTokens: request.AnswerTokens, LastAttempt: request.LastAttempt,
 		Remaining: request.Remaining, MaxEventGap: request.MaxEventGap}
@@ -139,12 +149,17 @@
 // chooseSuspected picks among suspected servers.
 //
 // If all servers of a service fail some of their requests, all of them are suspected most of the
-// time, although they would still answer most requests.
+// time, although they would still answer most requests. If all are silent, each gets one request, which
+// shows at once that it continues.
 func (f *Fleet) chooseSuspected(router *routing.Router, service string, request *routing.Request, now time.Duration) routing.Choice {
 	var suspected []string
-	for id := range f.recheck {
+	candidates := maps.Clone(f.recheck)
+	for id := range f.unresponsive {
+		candidates[id] = true
+	}
+	for id := range candidates {
 		s, ok := f.servers[id]
-		eligible := ok && s.backend.Service == service && !f.evacuated[s.backend.Site] && !f.coldLimited(s, now) && !f.rateLimited(s, now) && s.missingSince == 0 && now >= s.switchingUntil && now >= f.retryAt(s) && !f.recentlyUnreachable(s, now) && !f.stalled(s, now) && !s.awaitsProbe(now)
+		eligible := ok && s.backend.Service == service && !f.evacuated[s.backend.Site] && !f.coldLimited(s, now) && !f.rateLimited(s, now) && s.missingSince == 0 && now >= s.switchingUntil && now >= f.retryAt(s) && !f.recentlyUnreachable(s, now) && !f.stalled(s, now) && (s.silentSince == 0 || s.ownRequests == 0)
 		if eligible && f.members.Eligible(filbertlever.HostID(id), f.membershipTime(now)) {
 			suspected = append(suspected, id)
 			router.SetHost(f.host(s.backend), true)
@@ -160,9 +175,10 @@
 	return choice
 }
 
-// HasAlternative reports whether a server that the request does not avoid could take it now with a
-// queue position of at most maxQueue. The check leaves the counts unchanged.
+// HasAlternative reports whether a server that the request does not avoid and that is not silent could
+// take it now with a queue position of at most maxQueue. The check leaves the counts unchanged.
 func (f *Fleet) HasAlternative(request Request, maxQueue int, now time.Duration) bool {
+	request.Responsive = true
 	placement := f.Choose(request, now)
 	if !placement.Found {
 		return false
