Count failures of one moment as one failure of a server

Cause: each failed request doubled the time for which its server was suspected. When the connections to a sound server were reset together, or broke after a link had been silent for longer than the keep-alive probes wait, a few requests in flight kept it out for 10 s.

Change: only a failure after the suspicion has ended doubles it; others extend it to the same time after the last of them. A server that has failed then gets one request at a time until it sends something, so that a dead one gets no batch each time.

--- a/internal/coordination/fleet/fleet.go
+++ b/internal/coordination/fleet/fleet.go
@@ -131,6 +131,8 @@
 	// before probeAt.
 	silentSince time.Duration
 	probeAt     time.Duration
+	// failing is true if a request failed and the server has sent nothing since.
+	failing bool
 	// silenceEndedAt is when the server last sent something after it had sent nothing for
 	// PlainStallTimeout, whatever its service. silenceObserved is true if the latency of a request in
 	// flight before then has been recorded.
--- a/internal/coordination/fleet/health.go
+++ b/internal/coordination/fleet/health.go
@@ -28,7 +28,7 @@
 	if f.isRemoved(s, now) || f.evacuated[s.backend.Site] || f.coldLimited(s, now) || f.rateLimited(s, now) {
 		return false
 	}
-	return now >= s.switchingUntil && !s.gossipedSilent(now) && now >= f.retryAt(s) && !f.stalled(s, now) && !s.awaitsProbe(now) && !f.silent(s, now) && f.members.Usable(filbertlever.HostID(s.backend.ID), f.membershipTime(now))
+	return now >= s.switchingUntil && !s.gossipedSilent(now) && now >= f.retryAt(s) && !f.stalled(s, now) && !s.awaitsProbe(now) && !s.awaitsAnswer() && !f.silent(s, now) && f.members.Usable(filbertlever.HostID(s.backend.ID), f.membershipTime(now))
 }
 
 // stalled reports whether a server with requests in flight has made no progress for longer than a
@@ -87,7 +87,7 @@
 	if s.ownRequests > 0 && now-s.progressAt > f.config.PlainStallTimeout {
 		s.silenceEndedAt, s.silenceObserved = now, false
 	}
-	s.progressAt, s.lastEventAt = now, now
+	s.progressAt, s.lastEventAt, s.failing = now, now, false
 	if s.silentSince != 0 {
 		s.silentSince, s.probeAt = 0, 0
 		delete(f.unresponsive, id)
@@ -131,9 +131,12 @@
 	return 0, false
 }
 
-// recordSentProbe makes a silent server unusable once it has a request.
+// awaitsAnswer reports whether a server that failed has a request whose answer shows whether it still does.
+func (s *server) awaitsAnswer() bool { return s.failing && s.ownRequests > 0 }
+
+// recordSentProbe makes a silent or failing server unusable once it has a request.
 func (f *Fleet) recordSentProbe(s *server, now time.Duration) {
-	if s.silentSince != 0 {
+	if s.silentSince != 0 || s.failing {
 		f.refreshUsable(s, now)
 	}
 }
@@ -275,11 +278,12 @@
 
 // RecordFailure records that a server could not be reached, interrupted an answer or sent an
 // invalid one. The server is then suspected and gets no requests for some time, unless no other
-// server is usable.
+// server is usable. After that it gets one at a time until it sends something.
 func (f *Fleet) RecordFailure(id string, now time.Duration) {
 	f.members.RecordFailure(filbertlever.HostID(id), f.membershipTime(now))
 	f.recheck[id] = true
-	if _, ok := f.servers[id]; ok {
+	if s, ok := f.servers[id]; ok {
+		s.failing = true
 		f.syncRouter(id, now)
 	}
 }
--- a/internal/coordination/fleet/silence_test.go
+++ b/internal/coordination/fleet/silence_test.go
@@ -375,3 +375,29 @@
 		}
 	})
 }
+
+// A server that had failed got a batch of requests each time that its suspicion ended, before the first of
+// them failed too.
+func TestFailedServerGetsOneRequestUntilItAnswers(t *testing.T) {
+	c := qt.New(t)
+	f, now := newFleet(), time.Second
+	f.SetState(testState(), 0)
+	f.Apply([]catalog.Backend{newBackend("o1", plainService, "10.0.0.1:1", 0), newBackend("o2", plainService, "10.0.0.2:1", 0)}, nil, true, now)
+	placed := func() int {
+		n := 0
+		for range 40 {
+			if f.Choose(Request{Service: plainService}, now).Backend.ID == "o1" {
+				n++
+			}
+		}
+		return n
+	}
+	f.RecordFailure("o1", now)
+	c.Check(placed(), qt.Equals, 0)
+	now += 500 * time.Millisecond
+	f.RecordProgress("o2", now)
+	c.Check(placed(), qt.Equals, 1)
+	f.RecordProgress("o1", now)
+	f.RecordProgress("o2", now)
+	c.Check(placed() > 1, qt.IsTrue)
+}
--- a/internal/coordination/membership/membership.go
+++ b/internal/coordination/membership/membership.go
@@ -14,7 +14,7 @@
 // Config holds the timing settings of a Table.
 type Config struct {
 	// SuspectDuration is how long the first failure keeps a host out of use. It
-	// doubles with each further failure, up to MaxSuspectDuration.
+	// doubles with each failure after that time, up to MaxSuspectDuration.
 	SuspectDuration    time.Duration
 	MaxSuspectDuration time.Duration
 	// UnlistedTTL is how long a host that is not on the list remains a member
@@ -99,17 +99,20 @@
 	m.suspectUntil = time.Time{}
 }
 
-// RecordFailure records that a connection to the host failed or timed out.
+// RecordFailure records that a connection to the host failed or timed out. Further failures until the
+// host is usable again, such as those of other requests in flight, do not double the time until then.
 func (t *Table) RecordFailure(id filbertlever.HostID, now time.Time) {
 	m, ok := t.members[id]
 	if !ok {
 		return
 	}
+	if !now.Before(m.suspectUntil) {
+		m.failures++
+	}
 	backoff := t.config.MaxSuspectDuration
-	if m.failures < 16 {
-		backoff = min(t.config.SuspectDuration<<m.failures, t.config.MaxSuspectDuration)
+	if m.failures <= 16 {
+		backoff = min(t.config.SuspectDuration<<(m.failures-1), t.config.MaxSuspectDuration)
 	}
-	m.failures++
 	m.suspectUntil = now.Add(backoff)
 }
 
