--- a/internal/transport/gateway/attempts.go
+++ b/internal/transport/gateway/attempts.go
@@ -31,6 +31,8 @@
 	// events.
 	delivered delivered
 	events    stream.Events
+	// answering is true once the caller may have received a part of the response.
+	answering atomic.Bool
 	// hedge is the attempt that runs beside the current one; nil if there is none.
 	hedge atomic.Pointer[hedge]
 	// endedBy and silent are those of the last attempt that ended without a complete answer.
@@ -161,7 +163,8 @@
 	a.endedBy, a.silent = t.endedBy, t.silent
 	if a.callerDisconnected() {
 		discardFailure(failure)
-		a.disconnect()
+		a.disconnect(zap.String("Backend", t.Backend.ID))
+		return false
 	}
 	g.mu.Lock()
 	step := a.NextStep(end, g.retryBudget(a.service), a.remaining(), boottime.Now(), true)
@@ -266,6 +269,7 @@
 		t.recordOutcome(reply.Status, "", zap.String("Backend", id))
 		return 0
 	}
+	t.answering.Store(true)
 	if reply.Length >= 0 {
 		t.writer.Header().Set("Content-Length", strconv.FormatInt(reply.Length, 10))
 	}
--- a/internal/transport/gateway/ending.go
+++ b/internal/transport/gateway/ending.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"net/http"
-	"runtime/debug"
 	"strconv"
 	"time"
 
@@ -89,27 +88,15 @@
 	panic(http.ErrAbortHandler)
 }
 
-// disconnect ends a request whose caller has disconnected. Without closing the connection, the HTTP
-// server would send an empty success to a caller that has only stopped sending.
-func (x *exchange) disconnect(fields ...zap.Field) {
-	x.recordOutcome(0, reasonCallerDisconnected, fields...)
-	panic(http.ErrAbortHandler)
-}
-
-// recoverPanic ends a request whose handler panicked, with a status unless a part of the answer has been
-// sent.
-func (x *exchange) recoverPanic() {
-	switch cause := recover(); cause {
-	case nil:
-	case http.ErrAbortHandler:
-		panic(cause)
-	default:
-		x.gateway.log.Error("panic while a request was served", zap.Any("Cause", cause), zap.ByteString("Stack", debug.Stack()))
-		if !x.firstByteAt.IsZero() {
-			x.abort(http.StatusOK, forward.EndedByPanic)
-		}
-		x.refuse(&errorResponse{status: http.StatusBadGateway, reason: reasonMayHaveRun, fields: []zap.Field{zap.String("EndedBy", string(forward.EndedByPanic))}})
+// disconnect ends a request whose caller has disconnected. A caller that has only closed its sending side
+// gets a status.
+func (a *attempts) disconnect(fields ...zap.Field) {
+	a.recordOutcome(0, reasonCallerDisconnected, fields...)
+	if a.answering.Load() {
+		panic(http.ErrAbortHandler)
 	}
+	a.writer.Header().Set("Connection", "close")
+	http.Error(a.writer, reasonMayHaveRun, http.StatusBadGateway)
 }
 
 // recordOutcome logs the final response of a request and updates the metrics.
--- a/internal/transport/installation/conn_limits_test.go
+++ b/internal/transport/installation/conn_limits_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"io"
 	"net"
 	"net/http"
@@ -88,3 +89,120 @@
 	c.Assert(err, qt.IsNotNil)
 	c.Assert(time.Since(startedAt) < time.Second, qt.IsTrue)
 }
+
+// Lowered limits must not close a connection whose request is being served.
+func TestLoweredLimitsDoNotCutARequest(t *testing.T) {
+	c := qt.New(t)
+	var limits atomic.Pointer[catalog.Limits]
+	limits.Store(&catalog.Limits{HeaderTimeout: 100 * time.Millisecond, IdleTimeout: 100 * time.Millisecond})
+	started, finish := make(chan struct{}), make(chan struct{})
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	server := &http.Server{
+		Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			close(started)
+			<-finish
+			_, _ = io.WriteString(w, "ok")
+		}),
+		ConnState: newConnLimits(func() catalog.Limits { return *limits.Load() }).onStateChange,
+	}
+	go func() { _ = server.Serve(listener) }()
+	t.Cleanup(func() { _ = server.Close() })
+	conn, err := net.Dial("tcp4", listener.Addr().String())
+	c.Assert(err, qt.IsNil)
+	defer func() { _ = conn.Close() }()
+	time.AfterFunc(300*time.Millisecond, func() { close(finish) })
+	go func() {
+		<-started
+		limits.Store(&catalog.Limits{HeaderTimeout: time.Millisecond, IdleTimeout: time.Millisecond})
+	}()
+	c.Assert(sendRequest(conn, bufio.NewReader(conn)), qt.IsTrue)
+}
+
+// closeRecorder is a connection that records whether it was closed.
+type closeRecorder struct {
+	net.Conn
+	closed atomic.Bool
+}
+
+func (c *closeRecorder) Close() error {
+	c.closed.Store(true)
+	return nil
+}
+
+// A timer that expires while a request arrives must not close the connection once the request is
+// being served.
+func TestConnectionWithRequestIsNotClosedByEarlierTimer(t *testing.T) {
+	const idleTimeout, headerTimeout = 200 * time.Microsecond, 100 * time.Microsecond
+	limits := newConnLimits(func() catalog.Limits {
+		return catalog.Limits{HeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
+	})
+	for range 100 {
+		conn := &closeRecorder{}
+		limits.onStateChange(conn, http.StateIdle)
+		// The timer expires and waits for the lock, which the request gets first.
+		limits.mu.Lock()
+		time.Sleep(4 * (idleTimeout + headerTimeout))
+		limits.mu.Unlock()
+		limits.onStateChange(conn, http.StateActive)
+		before := conn.closed.Load()
+		time.Sleep(time.Millisecond)
+		qt.Assert(t, conn.closed.Load(), qt.Equals, before, qt.Commentf("closed while its request is served"))
+		limits.onStateChange(conn, http.StateClosed)
+	}
+}
+
+// A request whose connection has been closed by a limit must not be passed on.
+func TestRequestOnClosedConnectionIsNotServed(t *testing.T) {
+	c := qt.New(t)
+	limits := newConnLimits(func() catalog.Limits {
+		return catalog.Limits{HeaderTimeout: time.Millisecond, IdleTimeout: time.Millisecond}
+	})
+	served := 0
+	handler := limits.guard(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { served++ }))
+	serve := func(conn net.Conn) (err any) {
+		defer func() { err = recover() }()
+		ctx := limits.connContext(context.Background(), conn)
+		handler.ServeHTTP(nil, (&http.Request{}).WithContext(ctx))
+		return nil
+	}
+	conn := &closeRecorder{}
+	limits.onStateChange(conn, http.StateActive)
+	c.Assert(serve(conn), qt.IsNil)
+	c.Assert(served, qt.Equals, 1)
+	limits.onStateChange(conn, http.StateIdle)
+	for !conn.closed.Load() {
+		time.Sleep(time.Millisecond)
+	}
+	limits.onStateChange(conn, http.StateActive)
+	c.Assert(serve(conn), qt.Equals, http.ErrAbortHandler)
+	c.Assert(served, qt.Equals, 1)
+}
+
+// Operators change the idle timeout while connections are idle. Callers reuse a connection for up to
+// four fifths of the timeout that they know, which may be the one before or after the change.
+func TestIdleConnectionsStayOpenForLongestKnownTimeout(t *testing.T) {
+	const headerTimeout, short, long = 50 * time.Millisecond, 100 * time.Millisecond, time.Second
+	for _, test := range []struct {
+		name          string
+		before, after time.Duration
+	}{
+		{"shortened", long, short},
+		{"extended", short, long},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			server := newLimitedServer(t, catalog.Limits{HeaderTimeout: headerTimeout, IdleTimeout: test.before})
+			conn, err := net.Dial("tcp4", server.address)
+			c.Assert(err, qt.IsNil)
+			defer func() { _ = conn.Close() }()
+			reader := bufio.NewReader(conn)
+			c.Assert(sendRequest(conn, reader), qt.IsTrue)
+			server.limits.Store(&catalog.Limits{HeaderTimeout: headerTimeout, IdleTimeout: test.after})
+			time.Sleep(long * 4 / 5)
+			c.Assert(sendRequest(conn, reader), qt.IsTrue)
+			time.Sleep(long * 4 / 5)
+			c.Assert(sendRequest(conn, reader), qt.IsTrue)
+		})
+	}
+}
--- a/internal/transport/installation/installation.go
+++ b/internal/transport/installation/installation.go
@@ -105,10 +105,11 @@
 	if err != nil {
 		return fmt.Errorf("listen on %s: %w", address, err)
 	}
+	connLimits := newConnLimits(limits)
 	server := &http.Server{
-		Handler: handler, ReadHeaderTimeout: maxHeaderTimeout, IdleTimeout: maxIdleTimeout, MaxHeaderBytes: maxHeaderBytes,
-		ConnState: newConnLimits(limits).onStateChange,
-		ErrorLog:  zap.NewStdLog(p.log.WithOptions(zap.IncreaseLevel(zap.ErrorLevel))),
+		Handler: connLimits.guard(handler), DisableGeneralOptionsHandler: true, ReadHeaderTimeout: maxHeaderTimeout, IdleTimeout: maxIdleTimeout, MaxHeaderBytes: maxHeaderBytes,
+		ConnState: connLimits.onStateChange, ConnContext: connLimits.connContext,
+		ErrorLog: zap.NewStdLog(p.log.WithOptions(zap.IncreaseLevel(zap.ErrorLevel))),
 	}
 	p.servers = append(p.servers, server)
 	go (&serveTask{server: server, listener: listener, errs: p.serveErrs}).run()
@@ -128,9 +129,12 @@
 	}
 }
 
-// shutdown waits until responses in flight are written, for at most shutdownTimeout.
-func (p *process) shutdown() {
-	ctx, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
+// shutdown waits until responses in flight are written, for at most shutdownTimeout and not beyond
+// deadline.
+func (p *process) shutdown(deadline time.Time) {
+	deadlineCtx, cancelDeadline := context.WithDeadline(context.Background(), deadline)
+	defer cancelDeadline()
+	ctx, cancel := context.WithTimeout(deadlineCtx, shutdownTimeout)
 	defer cancel()
 	for _, server := range p.servers {
 		_ = server.Shutdown(ctx)
