--- a/internal/bench/experiment/call.go
+++ b/internal/bench/experiment/call.go
@@ -304,7 +304,7 @@
 		return
 	}
 	lost := retry.Attempt{End: retry.EndLost, Number: c.sent}
-	needsSlot := !c.begun() || sim.policy.FreeSlot
+	needsSlot := !c.begun() || sim.now-a.lastEventAt < sim.policy.QueueAfter
 	if needsSlot && p.QueuePosition > e.admissionGate.MaxQueuePosition || !e.budget.Allow(lost, c.remaining(), sim.now) {
 		e.fleet.Withdraw(p.Backend.ID, c.request.promptTokens)
 		return
--- a/internal/bench/experiment/entry.go
+++ b/internal/bench/experiment/entry.go
@@ -183,7 +183,7 @@
 		if other != e && (other.region == e.region) == local {
 			other.fleet.SetPeerCounts(e.host, counts, e.simulation.now)
 			if e.simulation.entriesRetry() {
-				other.fleet.MarkSilent(e.fleet.SilentServers(e.simulation.now), e.simulation.now)
+				other.fleet.SetPeerSilent(e.host, e.fleet.SilentServers(e.simulation.now), e.simulation.now)
 			}
 		}
 	}
--- a/internal/bench/experiment/file.go
+++ b/internal/bench/experiment/file.go
@@ -124,9 +124,9 @@
 	StalledAfter time.Duration `yaml:"StalledAfter"`
 	// Suspect counts a server as failed if an attempt there is cancelled because of its silence.
 	Suspect bool `yaml:"Suspect"`
-	// FreeSlot requires a free slot for the second attempt also if the answer has begun. Otherwise such
-	// an attempt may wait in the server's queue.
-	FreeSlot bool `yaml:"FreeSlot"`
+	// QueueAfter is the time of silence after which the second attempt for an answer that has begun may
+	// wait in a server's queue. Until then, and for other answers, it requires a free slot.
+	QueueAfter time.Duration `yaml:"QueueAfter"`
 }
 
 // Silence is what entries do about an attempt whose server is silent.
@@ -139,8 +139,8 @@
 	// SilenceCancel cancels the attempt and then looks for another server. Before the answer has begun,
 	// it first checks that there is one.
 	SilenceCancel Silence = "Cancel"
-	// SilenceFailover cancels the attempt once another server and a retry of the budget are reserved,
-	// and a free slot if the answer has not begun.
+	// SilenceFailover cancels the attempt once another server, a free slot there and a retry of the
+	// budget are reserved.
 	SilenceFailover Silence = "Failover"
 	// SilenceHedge starts a second attempt once those are reserved, and keeps the first one until
 	// either goes on.
