Use silent servers again as soon as they go on; probe them one request at a time

Attempts that were sent end with EndAttempt, the silence of an attempt leaves out the time in which this process was suspended, second attempts go to responsive servers only, and an attempt that this entry cancelled is no sign of a crash.

--- a/internal/transport/gateway/attempt.go
+++ b/internal/transport/gateway/attempt.go
@@ -80,7 +80,11 @@
 	for i, running := range t.running {
 		if running == t {
 			t.running = append(t.running[:i:i], t.running[i+1:]...)
-			g.fleet.ReleaseIfCurrent(t.Backend)
+			if t.sentAt == 0 {
+				g.fleet.ReleaseIfCurrent(t.Backend)
+			} else {
+				g.fleet.EndAttempt(t.Backend, boottime.Now())
+			}
 			return
 		}
 	}
--- a/internal/transport/gateway/crashes.go
+++ b/internal/transport/gateway/crashes.go
@@ -12,6 +12,7 @@
 	"go.uber.org/zap"
 
 	"github.com/filbertlever/filbertlever/internal/coordination/catalog"
+	"github.com/filbertlever/filbertlever/internal/coordination/forward"
 	"github.com/filbertlever/filbertlever/internal/coordination/quarantine"
 	"github.com/filbertlever/filbertlever/internal/transport/boottime"
 )
@@ -115,7 +116,7 @@
 func (t *attempt) noteIncomplete(err error) {
 	g, r, backend := t.gateway, t.features(), t.Backend
 	process, now := processOf(backend), boottime.Now()
-	byPeer := closedByPeer(err) && !errors.Is(err, errWriteToCaller)
+	byPeer := t.endedBy == forward.EndedByServer && closedByPeer(err) && !errors.Is(err, errWriteToCaller)
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.crashes.RecordFailure(quarantine.Attempt{Request: r, Process: process, Sent: t.sentAt, Begun: t.phase.hasStarted(), ClosedByServer: byPeer}, now)
--- a/internal/transport/gateway/hedge.go
+++ b/internal/transport/gateway/hedge.go
@@ -112,9 +112,10 @@
 	g, t := w.gateway, w.watched
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	now := boottime.Now()
 	return forward.Running{
-		Begun: t.phase.hasStarted(), Silent: t.silence(),
-		Stalled: g.fleet.Stalled(t.Backend.ID, boottime.Now()), Replaced: g.fleet.Superseded(t.Backend),
+		Begun: t.phase.hasStarted(), Silent: g.fleet.TimeSince(time.Duration(t.progressAt.Load()), now),
+		Stalled: g.fleet.Stalled(t.Backend.ID, now), Replaced: g.fleet.Superseded(t.Backend),
 	}
 }
 
@@ -147,7 +148,9 @@
 	if len(a.tried) >= a.Class.MaxServers {
 		return chosenServer{}, false
 	}
-	server := a.choose(now)
+	wanted := a.placementRequest(now)
+	wanted.Responsive = true
+	server := a.chooseFor(wanted, now)
 	if !server.Found {
 		return chosenServer{}, false
 	}
--- a/internal/transport/gateway/placement.go
+++ b/internal/transport/gateway/placement.go
@@ -36,7 +36,7 @@
 	}
 	if !placement.Found {
 		g.log.Info("no server available", append(fields, zap.Duration("ReadyIn", placement.ReadyIn), zap.Duration("SilentFor", placement.SilentFor))...)
-		return placement, unavailable(reasonNoServer, a.retryDelayWithoutServer(placement, now))
+		return placement, unavailable(reasonNoServer, a.retryDelayWithoutServer(placement.Placement, now))
 	}
 	admitted, retryAfter := g.gate.Admit(forecast(placement.Placement), admission.Caller{Remaining: a.remaining(), Goal: a.route.FirstByteGoal}, g.rng)
 	if a.begun() || g.isPlain(a.service) {
@@ -117,15 +117,20 @@
 
 // choose picks a server and the time by which it must have begun its answer. The caller holds g.mu.
 func (a *attempts) choose(now time.Duration) chosenServer {
+	return a.chooseFor(a.placementRequest(now), now)
+}
+
+// chooseFor is choose for a changed placement request.
+func (a *attempts) chooseFor(wanted fleet.Request, now time.Duration) chosenServer {
 	g := a.gateway
-	placement := a.pickServer(now)
+	placement := a.pickServer(wanted, now)
 	if !placement.Found {
 		return chosenServer{Placement: placement}
 	}
 	at, ok := g.cancelDeadline(a.call.Model, now, placement)
 	if !ok {
 		g.fleet.Release(placement.Backend.ID)
-		return chosenServer{Placement: fleet.Placement{Reason: routing.ReasonNoHost, Candidates: placement.Candidates, ReadyIn: g.fleet.ReadyIn(a.placementRequest(now), now)}}
+		return chosenServer{Placement: fleet.Placement{Reason: routing.ReasonNoHost, Candidates: placement.Candidates, ReadyIn: g.fleet.ReadyIn(wanted, now)}}
 	}
 	return chosenServer{placement, at}
 }
@@ -136,9 +141,8 @@
 // it can resume before the caller sees a pause. During a switchover few servers hold that version,
 // and those are about to switch too. In that case a newer version continues the stream, because the
 // caller would repeat a truncated request and get the newer version anyway.
-func (a *attempts) pickServer(now time.Duration) fleet.Placement {
+func (a *attempts) pickServer(wanted fleet.Request, now time.Duration) fleet.Placement {
 	g := a.gateway
-	wanted := a.placementRequest(now)
 	placement := g.fleet.Choose(wanted, now)
 	if wanted.Version == 0 {
 		return a.pickOlderVersion(wanted, placement, now)
