A model request whose caller disconnected had no last log line

Entries log how a model request ended only if it has an outcome. One whose caller had disconnected had no line and no count.

Such requests end with "request ended", Outcome CallerLeft, and are counted with it.

--- a/internal/transport/entry/ask.go
+++ b/internal/transport/entry/ask.go
@@ -109,10 +109,12 @@
 	ctx, cancel := context.WithDeadline(ctx, q.deadline)
 	defer cancel()
 	final, err := q.run(ctx)
-	if err == nil {
-		e.logOutcome("Ask", message.RequestId, admitted.organisation.Name, outcomeOf(final.Outcome), final.Reason)
+	if err != nil {
+		e.logOutcome("Ask", message.RequestId, admitted.organisation.Name, outcomeCallerLeft, err.Error())
+		return nil, err
 	}
-	return final, err
+	e.logOutcome("Ask", message.RequestId, admitted.organisation.Name, outcomeOf(final.Outcome).String(), final.Reason)
+	return final, nil
 }
 
 // resume binds a resumed request to the model version that generated the
--- a/internal/transport/entry/callers.go
+++ b/internal/transport/entry/callers.go
@@ -187,9 +187,12 @@
 	return connect.NewError(connect.CodeInvalidArgument, errors.Join(errBadRequest, errors.New(problem)))
 }
 
+// outcomeCallerLeft is logged for a request whose caller disconnected.
+const outcomeCallerLeft = "CallerLeft"
+
 // logOutcome counts and logs the outcome of a request.
-func (e *Entry) logOutcome(kind, id string, organisation filbertlever.OrganisationID, outcome filbertlever.Outcome, reason string) {
-	e.metrics.outcomes.WithLabelValues(kind, outcome.String()).Inc()
+func (e *Entry) logOutcome(kind, id string, organisation filbertlever.OrganisationID, outcome, reason string) {
+	e.metrics.outcomes.WithLabelValues(kind, outcome).Inc()
 	e.log.Info("request ended", zap.String("Kind", kind), zap.String("RequestID", id),
-		zap.String("Organisation", string(organisation)), zap.Stringer("Outcome", outcome), zap.String("Reason", reason))
+		zap.String("Organisation", string(organisation)), zap.String("Outcome", outcome), zap.String("Reason", reason))
 }
--- a/internal/transport/entry/orders.go
+++ b/internal/transport/entry/orders.go
@@ -55,7 +55,7 @@
 		}
 		result = p.runOnce(ctx)
 	}
-	e.logOutcome("Order", "", p.organisation, result.Outcome, result.Reason)
+	e.logOutcome("Order", "", p.organisation, result.Outcome.String(), result.Reason)
 	return connect.NewResponse(toOrderResponse(result)), nil
 }
 
--- a/internal/transport/process/answers_test.go
+++ b/internal/transport/process/answers_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -215,6 +216,24 @@
 	})
 }
 
+// A caller disconnects in the middle of an answer, and no log line says how its request ended.
+func TestDisconnectOfCallerIsLogged(t *testing.T) {
+	config := smallCluster
+	config.log = &logBuffer{}
+	runInCluster(t, config, func(cl *cluster) {
+		ctx, cancel := context.WithCancel(context.Background())
+		_, err := cl.client(token).Ask(ctx, client.Question{Model: drafter, Prompt: prompt, MaxTokens: 1000}, func([]string) error {
+			cancel()
+			return nil
+		})
+		cl.Assert(errors.Is(err, client.ErrIncomplete), qt.IsTrue)
+		cl.waitFor("the end in the log", func() bool {
+			lines := config.log.String()
+			return strings.Contains(lines, `"msg":"request ended"`) && strings.Contains(lines, `"Outcome":"CallerLeft"`)
+		})
+	})
+}
+
 // An organisation reads the order of another one by its key, or a caller without
 // a valid token is served.
 func TestOrganisationsAreIsolated(t *testing.T) {
