A caller that does not read its response kept its request running without end

Only streams had a write deadline. The write of a longer response to a caller that does not read blocked until the caller closed its connection; its request kept a slot of its server in the entry's view, and the stop of the entry waited for it.

--- a/internal/transport/gateway/crashes.go
+++ b/internal/transport/gateway/crashes.go
@@ -159,6 +159,7 @@
 
 // track adds a request to those in flight, and untrack removes it.
 func (g *Gateway) track(a *attempts) {
+	a.limitWrites()
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.crashes.inFlight[a] = false
--- /dev/null
+++ b/internal/transport/gateway/writes.go
@@ -0,0 +1,9 @@
+package gateway
+
+import "net/http"
+
+// limitWrites limits the time for writing the response. A caller that does not read would otherwise keep
+// its request in flight without end. The HTTP server removes the limit after the response.
+func (x *exchange) limitWrites() {
+	_ = http.NewResponseController(x.writer).SetWriteDeadline(x.deadline.Add(writeGracePeriod))
+}
