Send unchanged counts again after the heartbeat timeout

Cause: entries drop the counts of one that they have not heard of for 1.3 s, such as one that was suspended or cut off for a second or more. It sent its counts only when they changed, so that its long requests stayed unknown until then.

Change: unchanged counts are sent to the region again after the heartbeat timeout while there are requests in flight.

--- a/internal/transport/gateway/counts.go
+++ b/internal/transport/gateway/counts.go
@@ -27,6 +27,9 @@
 	// entries send requests to this region only if their own servers have no capacity, and
 	// bandwidth between regions is scarce.
 	remoteIntervalPerPeer = 24 * time.Millisecond
+	// countsResendInterval is the interval at which unchanged counts are sent to the region again. An
+	// entry that has heard nothing from this one for as long has dropped them.
+	countsResendInterval = heartbeatTimeout
 )
 
 // runCounts sends changed counts to the other entries, at intervals that grow with their
@@ -63,7 +66,7 @@
 		if now-localAt >= countsInterval*time.Duration(local/peersPerInterval) {
 			regional, hasSpeeds := g.withSpeeds(counts, local, now)
 			demand := g.dueDemand(local, now)
-			if hasSpeeds || len(demand) > 0 || !countsEqual(&lastLocal, &counts) {
+			if hasSpeeds || len(demand) > 0 || countsDue(&lastLocal, &counts, now-localAt) {
 				lastLocal, localAt = counts, now
 				g.sendRegionCounts(regional, demand)
 			}
@@ -80,6 +83,11 @@
 	}
 }
 
+// countsDue reports whether counts must be sent to the region after some time since the last ones.
+func countsDue(last, counts *Counts, since time.Duration) bool {
+	return !countsEqual(last, counts) || len(counts.Requests) > 0 && since >= countsResendInterval
+}
+
 // countsEqual reports whether counts are unchanged. Reports of unresponsive servers expire
 // soon, so counts with any are always sent.
 func countsEqual(a, b *Counts) bool {
--- a/internal/transport/gateway/peers_test.go
+++ b/internal/transport/gateway/peers_test.go
@@ -304,3 +304,15 @@
 	slices.Sort(got)
 	c.Check(got, qt.DeepEquals, []filbertlever.HostID{"e2", "e4"})
 }
+
+// An entry that was silent for longer than its heartbeat timeout continued, and its long requests stayed
+// unknown to the others, as their number had not changed since.
+func TestUnchangedCountsAreSentAgain(t *testing.T) {
+	c := qt.New(t)
+	none, some, more := &Counts{}, &Counts{Requests: map[string]int{"m1": 3}}, &Counts{Requests: map[string]int{"m1": 4}}
+	c.Check(countsDue(some, more, 0), qt.IsTrue)
+	c.Check(countsDue(some, none, 0), qt.IsTrue)
+	c.Check(countsDue(some, some, heartbeatInterval), qt.IsFalse)
+	c.Check(countsDue(some, some, heartbeatTimeout), qt.IsTrue)
+	c.Check(countsDue(none, none, time.Minute), qt.IsFalse)
+}
