--- a/internal/bench/experiment/outcome.go
+++ b/internal/bench/experiment/outcome.go
@@ -13,7 +13,8 @@
 type Second struct {
 	// Requests is the number of requests.
 	Requests int
-	// InTime and Late count answers by the time to their first token.
+	// InTime and Late count answers by the time to their first token. If entries retry, only whole
+	// answers count, and interrupted ones are late.
 	InTime int
 	Late   int
 	// Refused counts requests that ended with a refusal, and RefusedAttempts all refused attempts.
