--- a/internal/bench/experiment/answers_test.go
+++ b/internal/bench/experiment/answers_test.go
@@ -31,6 +31,7 @@
 		want     func(o *Outcome) bool
 	}{
 		{"short silence ends no answer", FaultSilent, ScopeAll, time.Second, Policy{}, func(o *Outcome) bool { return o.Ends[EndLeft]+o.Ends[EndCut]+o.Ends[EndNoStatus] == 0 }},
+		{"short silence of the links ends no answer", FaultLink, ScopeAll, time.Second, Policy{}, func(o *Outcome) bool { return o.Ends[EndLeft]+o.Ends[EndCut]+o.Ends[EndNoStatus] == 0 }},
 		{"callers leave dark servers", FaultDark, ScopeOne, time.Second, Policy{}, func(o *Outcome) bool { return o.Ends[EndLeft] > 0 && o.Ends[EndNoStatus] > 0 }},
 		{"cancelled attempts have no successor if all servers are silent", FaultSilent, ScopeAll, 3 * time.Second, Policy{Silence: SilenceCancel, Suspect: true}, func(o *Outcome) bool { return o.Ends[EndCut]+o.Ends[EndFailed] > 0 }},
 		{"failover cancels only with a successor", FaultSilent, ScopeAll, 3 * time.Second, Policy{Silence: SilenceFailover}, func(o *Outcome) bool { return o.Ends[EndCut]+o.Ends[EndFailed] == 0 }},
@@ -52,7 +53,7 @@
 // A try is counted twice or not at all, or the retries of a policy exceed their bound.
 func TestTriesAndRetriesAreCounted(t *testing.T) {
 	for _, policy := range []Policy{{Name: "never"}, {Name: "cancel", Silence: SilenceCancel, Suspect: true}, {Name: "failover", Silence: SilenceFailover}, hedge} {
-		for _, fault := range []Fault{FaultSilent, FaultDark, FaultDead} {
+		for _, fault := range []Fault{FaultSilent, FaultLink, FaultDark, FaultDead} {
 			t.Run(policy.Name+" "+string(fault), func(t *testing.T) {
 				c := qt.New(t)
 				e, d := silentServers(fault, ScopeThird, 1400*time.Millisecond)
--- a/internal/bench/experiment/call.go
+++ b/internal/bench/experiment/call.go
@@ -145,20 +145,28 @@
 		work.Prompts++
 	}
 	a.prefilled = true
+	a.remainingTokens -= tokens
 	if a.ended {
 		if a.call.left {
 			work.AbandonedTokens += tokens
 		}
 		return
 	}
-	a.remainingTokens -= tokens
-	a.lastEventAt = sim.now
-	a.call.receive(a, tokens, first)
+	last := a.remainingTokens == 0
+	if sim.now < a.server.linkedAt {
+		sim.after(a.server.linkedAt-sim.now, func() { a.call.receive(a, tokens, first, last) })
+		return
+	}
+	a.call.receive(a, tokens, first, last)
 }
 
 // receive forwards an event to the caller. It cancels the other attempt, if there is one.
-func (c *call) receive(a *attempt, tokens int, first bool) {
+func (c *call) receive(a *attempt, tokens int, first, last bool) {
 	e, sim := c.entry, c.entry.simulation
+	if a.ended {
+		return
+	}
+	a.lastEventAt = sim.now
 	for _, other := range slices.Clone(c.open) {
 		if other != a {
 			c.cancel(other, other.placedAt < a.placedAt && sim.policy.Suspect)
@@ -177,7 +185,7 @@
 	}
 	c.lastEventAt = sim.now
 	c.delivered += tokens
-	if a.remainingTokens > 0 {
+	if !last {
 		return
 	}
 	e.fleet.RecordSuccess(a.server.id, sim.now)
--- a/internal/bench/experiment/disturbance.go
+++ b/internal/bench/experiment/disturbance.go
@@ -13,6 +13,8 @@
 const (
 	// FaultSilent: processes pause and then go on where they were.
 	FaultSilent Fault = "Silent"
+	// FaultLink: nothing passes between servers and others, while the servers work on. It arrives late.
+	FaultLink Fault = "Link"
 	// FaultDark: processes send nothing until the end of the run, and their connections stay open.
 	FaultDark Fault = "Dark"
 	// FaultDead: processes end, which breaks their connections. They start again afterwards.
@@ -47,8 +49,8 @@
 
 // validate returns an error for the first invalid field.
 func (s *Scenario) validate() error {
-	if !slices.Contains([]Fault{FaultSilent, FaultDark, FaultDead, FaultSlow}, s.Fault) {
-		return fieldError("Scenarios", "Fault %q: expected Silent, Dark, Dead or Slow", s.Fault)
+	if !slices.Contains([]Fault{FaultSilent, FaultLink, FaultDark, FaultDead, FaultSlow}, s.Fault) {
+		return fieldError("Scenarios", "Fault %q: expected Silent, Link, Dark, Dead or Slow", s.Fault)
 	}
 	for _, scope := range s.Scopes {
 		if !slices.Contains([]Scope{ScopeOne, ScopeThird, ScopeRegion, ScopeAll}, scope) {
@@ -137,6 +139,8 @@
 	switch d.Fault {
 	case FaultSilent:
 		s.pause(d.duration)
+	case FaultLink:
+		s.linkedAt = sim.now + d.duration
 	case FaultDark:
 		s.pause(sim.end() - sim.now)
 	case FaultDead:
--- a/internal/bench/experiment/engine.go
+++ b/internal/bench/experiment/engine.go
@@ -42,6 +42,8 @@
 	passEnd time.Duration
 	// pausedUntil is when the server continues after a pause.
 	pausedUntil time.Duration
+	// linkedAt is when requests, events and reports pass again.
+	linkedAt time.Duration
 	// slowdown is the factor by which passes take longer than usual.
 	slowdown float64
 	// loadedVersion is the version of the loaded weights, or 0.
@@ -57,14 +59,18 @@
 
 // enqueue adds an attempt to the queue.
 func (s *engine) enqueue(a *attempt) {
+	if now := s.simulation.now; now < s.linkedAt {
+		s.simulation.after(s.linkedAt-now, func() { s.enqueue(a) })
+		return
+	}
 	s.queued = append(s.queued, a)
 	s.startPass()
 }
 
 // startPass starts a pass if none is running and there are attempts to process.
 func (s *engine) startPass() {
-	s.running = slices.DeleteFunc(s.running, func(a *attempt) bool { return a.ended })
-	s.queued = slices.DeleteFunc(s.queued, func(a *attempt) bool { return a.ended })
+	s.running = slices.DeleteFunc(s.running, s.finished)
+	s.queued = slices.DeleteFunc(s.queued, s.finished)
 	free := max(s.simulation.Engine.Slots-len(s.running), 0)
 	next := s.queued[:min(free, len(s.queued))]
 	if s.passRunning || s.loadedVersion == 0 || len(s.running)+len(next) == 0 {
@@ -85,6 +91,11 @@
 	s.simulation.after(s.passEnd-s.simulation.now, func() { s.endPass(boot) })
 }
 
+// finished reports whether the server has nothing more to do for an attempt.
+func (s *engine) finished(a *attempt) bool {
+	return a.remainingTokens <= 0 || a.ended && s.simulation.now >= s.linkedAt
+}
+
 // endPass processes the end of a pass and starts the next one.
 func (s *engine) endPass(boot int) {
 	if boot != s.boot {
--- a/internal/bench/experiment/simulation.go
+++ b/internal/bench/experiment/simulation.go
@@ -226,7 +226,7 @@
 
 // reportPeriodically sends the reports of a server.
 func (sim *simulation) reportPeriodically(s *engine) {
-	if sim.now >= s.pausedUntil {
+	if sim.now >= max(s.pausedUntil, s.linkedAt) {
 		sim.report(s)
 	}
 	sim.after(reportInterval, func() { sim.reportPeriodically(s) })
