--- a/internal/transport/gateway/stream.go
+++ b/internal/transport/gateway/stream.go
@@ -118,7 +118,6 @@
 	t.answering.Store(true)
 	copyHeader(t.writer.Header(), reply.Header)
 	t.writer.WriteHeader(reply.Status)
-	_ = http.NewResponseController(t.writer).SetWriteDeadline(t.deadline.Add(writeGracePeriod))
 }
 
 // endStream ends a stream that was forwarded completely. The parameter begun is true if it had events.
@@ -130,7 +129,6 @@
 	if begun || !reply.UntilClose {
 		t.noteAnswered()
 	}
-	_ = http.NewResponseController(t.writer).SetWriteDeadline(time.Time{})
 	t.gateway.mu.Lock()
 	servers := t.Sent() + 1
 	t.gateway.mu.Unlock()
