Second attempts: do not cut large answers, release every slot, and go on to a third server

Found by review, each shown by a test that failed: a second attempt that was started while a large answer was forwarded, or while a caller did not read, cut that answer (409,600 of 6,291,456 bytes); one that went on and was not used kept its slot for good, so that the entry lost its server; while one was silent no third server was tried (504 after 6 s). A server's own failure became a 502 if its body arrived after its head, or if no other server could be tried afterwards: it was discarded before the next answer was certain.

Change: the answer of an attempt that is forwarded as a whole settles the request; a pending second attempt takes the place of the first once that has ended, and is watched; a further one is started if all running ones are silent. The time in which a caller does not read is no silence of the server. A server's failure is kept and forwarded unless another server answers.

--- a/internal/transport/gateway/attempt.go
+++ b/internal/transport/gateway/attempt.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"context"
 	"errors"
 	"io"
@@ -31,6 +32,8 @@
 	sentAt time.Duration
 	// progressAt is when the server last sent a part of its answer, or when the attempt began.
 	progressAt atomic.Int64
+	// writing is true while a part of the answer is written to the caller.
+	writing    atomic.Bool
 	startTimer *time.Timer
 	// phase records whether the response has started, or whether the attempt was cancelled because of
 	// startDeadline or a quarantine decision.
@@ -91,7 +94,7 @@
 }
 
 // receive sends the request and waits until the answer goes on. If it does not, receive returns how the
-// attempt ended and, if the server answered with a failure, that response.
+// attempt ended and, if the server answered with a failure, the beginning of that response.
 func (t *attempt) receive() (beginning, forward.End) {
 	g := t.gateway
 	t.watchStart()
@@ -101,12 +104,14 @@
 	}
 	t.recordAlive(reply)
 	t.recordAnnouncements(reply)
-	if end := t.classifyReply(reply); end != 0 {
-		if end != forward.EndFailed {
-			reply.Finish(discardSmallBody(reply))
-			return beginning{}, end
-		}
-		return beginning{reply: reply}, end
+	switch end := t.classifyReply(reply); end {
+	case 0:
+	case forward.EndFailed:
+		received, lost := t.receiveBody(reply)
+		return received, cmp.Or(lost, end)
+	default:
+		reply.Finish(discardSmallBody(reply))
+		return beginning{}, end
 	}
 	if reply.Stream {
 		return t.receiveStream(reply)
@@ -153,6 +158,10 @@
 		reply.Finish(false)
 		return beginning{}, t.handleFailure(forward.EndLost, err)
 	}
+	if len(body) <= maxBufferedResponse {
+		reply.Finish(true)
+		reply.Finish = func(bool) {}
+	}
 	return beginning{reply: reply, body: body}, 0
 }
 
--- a/internal/transport/gateway/attempts.go
+++ b/internal/transport/gateway/attempts.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"cmp"
 	"io"
 	"net/http"
 	"strconv"
@@ -33,8 +34,15 @@
 	events    stream.Events
 	// answering is true once the caller may have received a part of the response.
 	answering atomic.Bool
-	// hedge is the attempt that runs beside the current one; nil if there is none.
-	hedge atomic.Pointer[hedge]
+	// hedges are the attempts beside the current one, and settled is true if none may go on any more. Both
+	// are guarded by the gateway's mu. hedged is true if there are hedges.
+	hedges  []*hedge
+	settled bool
+	hedged  atomic.Bool
+	// failed is the last attempt whose server answered with a failure, and failure that response. It is
+	// forwarded if no other server answers; nil if there is none.
+	failed  *attempt
+	failure beginning
 	// endedBy and silent are those of the last attempt that ended without a complete answer.
 	endedBy forward.EndedBy
 	silent  time.Duration
@@ -103,51 +111,63 @@
 			a.fail(response)
 			return
 		}
-		if t, end, failure := a.try(a.newAttempt(server)); end == 0 || !a.decideNext(t, end, failure) {
+		if !a.perform(server) {
 			return
 		}
 	}
 }
 
+// perform performs an attempt at a server and decides what follows. It returns true to try another server.
+func (a *attempts) perform(server chosenServer) bool {
+	t, end, received := a.try(a.newAttempt(server))
+	defer t.end()
+	return end != 0 && a.decideNext(t, end, received)
+}
+
 // try performs an attempt, and those beside it, until the caller has its final response or none of them
 // can go on. It returns the last attempt with an end of 0 in the first case, otherwise with how it ended
-// and, if its server answered with a failure, that response.
-func (a *attempts) try(t *attempt) (*attempt, forward.End, *Reply) {
-	a.setCurrent(t)
+// and, if its server answered with a failure, the beginning of that response. In that case the attempt has
+// not been ended.
+func (a *attempts) try(t *attempt) (_ *attempt, _ forward.End, failure beginning) {
+	a.start(t)
 	stop := a.watch(t)
 	defer func() {
 		stop()
-		t.end()
+		a.settle()
+		if failure.reply == nil {
+			t.end()
+		}
 	}()
 	received, end := t.receive()
 	for {
-		if end == 0 && a.goesOn() {
+		if end == 0 && a.goesOn(!received.reply.Stream) {
 			if end = t.forward(received); end == 0 {
-				return t, 0, nil
+				return t, 0, beginning{}
 			}
 			received = beginning{}
 		}
-		h := a.successor()
+		h := a.takeSuccessor()
 		if h == nil {
-			return t, end, received.reply
+			return t, end, received
 		}
+		stop()
 		if received.reply != nil {
 			received.reply.Finish(false)
 		}
-		stop()
-		a.recordEnd(forward.EndLost)
+		a.recordEnd(cmp.Or(end, forward.EndLost))
 		t.end()
-		t, received, end = h.attempt, h.beginning, 0
-		a.setCurrent(t)
+		t = h.attempt
 		stop = a.watch(t)
+		<-h.done
+		received, end = h.beginning, h.end
 	}
 }
 
-// setCurrent sets the attempt whose answer is forwarded.
-func (a *attempts) setCurrent(t *attempt) {
+// start makes an attempt the one whose answer is forwarded.
+func (a *attempts) start(t *attempt) {
 	a.gateway.mu.Lock()
 	defer a.gateway.mu.Unlock()
-	a.current = t
+	a.current, a.settled = t, false
 }
 
 // recordEnd records how an attempt ended that is not followed by a decision on the next one.
@@ -158,11 +178,11 @@
 }
 
 // decideNext decides what follows a failed attempt. It returns true to try another server.
-func (a *attempts) decideNext(t *attempt, end forward.End, failure *Reply) bool {
+func (a *attempts) decideNext(t *attempt, end forward.End, failure beginning) bool {
 	g := a.gateway
 	a.endedBy, a.silent = t.endedBy, t.silent
 	if a.callerDisconnected() {
-		discardFailure(failure)
+		failure.discard()
 		a.disconnect(zap.String("Backend", t.Backend.ID))
 		return false
 	}
@@ -174,18 +194,21 @@
 		zap.Stringer("End", end), zap.Stringer("Step", step), zap.Int("Sent", sent),
 		zap.String("EndedBy", string(t.endedBy)), zap.Duration("Silent", t.silent), zap.Duration("Left", a.remaining()))
 	if step == forward.StepRetry {
-		discardFailure(failure)
+		if failure.reply != nil && len(failure.body) <= maxBufferedResponse {
+			a.failed, a.failure = t, failure
+		}
+		failure.discard()
 		if end == forward.EndLost {
 			a.awaitDecision()
 		}
 		g.metrics.retries.WithLabelValues(a.service, end.String()).Inc()
 		return true
 	}
-	if step == forward.StepForwardFailure && failure != nil && !a.begun() {
-		t.passFailure(failure)
+	if step == forward.StepForwardFailure && failure.reply != nil && !a.begun() {
+		t.forwardBody(failure)
 		return false
 	}
-	discardFailure(failure)
+	failure.discard()
 	response := a.errorFor(step)
 	if step == forward.StepNotRun && end == forward.EndWrongServer {
 		response.retryAfter = a.retryDelayUntilReady()
@@ -194,22 +217,10 @@
 	return false
 }
 
-// discardFailure releases the connection of a failure that is not forwarded; nil is ignored.
-func discardFailure(failure *Reply) {
-	if failure != nil {
-		failure.Finish(discardSmallBody(failure))
-	}
-}
-
-// passFailure forwards a server's own failure to the caller.
-func (t *attempt) passFailure(failure *Reply) {
-	received, end := t.receiveBody(failure)
-	if end == 0 {
-		end = t.forwardBody(received)
-	}
-	if end != 0 {
-		t.attempts.endedBy, t.attempts.silent = t.endedBy, t.silent
-		t.fail(t.errorFor(forward.StepUnknown))
+// discard releases the connection of a failure that is not forwarded.
+func (b *beginning) discard() {
+	if b.reply != nil {
+		b.reply.Finish(false)
 	}
 }
 
@@ -232,6 +243,10 @@
 	a.gateway.mu.Lock()
 	mayHaveRun := a.MayHaveRun()
 	a.gateway.mu.Unlock()
+	if a.failed != nil && !a.begun() {
+		a.failed.forwardBody(a.failure)
+		return
+	}
 	if mayHaveRun && response.retryAfter > 0 {
 		response = a.errorFor(forward.StepUnknown)
 	}
--- a/internal/transport/gateway/boots_test.go
+++ b/internal/transport/gateway/boots_test.go
@@ -135,19 +135,19 @@
 	now := boottime.Now()
 	a := &attempts{exchange: &exchange{gateway: g, call: &Call{ID: "o1"}, service: "orders", route: &catalog.Route{Kind: catalog.KindIdempotent, MaxAttempts: 2, FirstByteGoal: time.Second},
 		ctx: context.Background(), deadline: time.Now().Add(time.Minute)}, Attempts: forward.Attempts{Class: forward.Class{Repeatable: true, MaxServers: 2}}}
-	w := &attemptWatch{attempts: a, watched: a.newAttempt(chosenServer{Placement: g.fleet.Choose(fleet.Request{Service: "orders"}, now)})}
+	w := &attemptWatch{attempts: a, current: a.newAttempt(chosenServer{Placement: g.fleet.Choose(fleet.Request{Service: "orders"}, now)})}
 	other := bootRow(1000, 2)
 	other.ID, other.Address = "i-2", "10.0.0.2:1"
 	g.applyBackends(Backends{Present: []catalog.Backend{other}}, false, now)
-	action, _ := a.patience().Decide(w.status())
+	action, _ := a.patience().Decide(a.status(w.current))
 	c.Assert(action, qt.Equals, forward.ActionWait)
 	g.applyBackends(Backends{Present: []catalog.Backend{bootRow(2000, 3)}}, false, now)
-	action, reason := a.patience().Decide(w.status())
+	action, reason := a.patience().Decide(a.status(w.current))
 	c.Assert(action, qt.Equals, forward.ActionHedge)
 	c.Assert(reason, qt.Equals, forward.EndedByReplacement)
 	g.config.RetrySlack, g.config.RetryWindow = 2, time.Second
 	g.retryBudgets, g.gate = map[string]*retry.Window{}, admission.DefaultEntryGate()
 	server, ok := a.reserveSecond()
 	c.Assert(ok, qt.IsTrue)
-	c.Assert(processOf(server.Backend), qt.Not(qt.Equals), processOf(w.watched.Backend))
+	c.Assert(processOf(server.Backend), qt.Not(qt.Equals), processOf(w.current.Backend))
 }
--- a/internal/transport/gateway/hedge.go
+++ b/internal/transport/gateway/hedge.go
@@ -1,8 +1,9 @@
 package gateway
 
 import (
+	"cmp"
 	"slices"
-	"sync/atomic"
+	"sync"
 	"time"
 
 	"go.uber.org/zap"
@@ -36,23 +37,32 @@
 	*attempt
 	// reason is why it was started.
 	reason forward.EndedBy
-	state  atomic.Int32
-	// done is closed when the attempt has gone on or ended. The beginning is set before.
+	// state is guarded by the gateway's mu.
+	state hedgeState
+	// done is closed when the attempt has gone on or ended. If it was promoted or won, beginning and end
+	// are set before.
 	done chan struct{}
 	beginning
+	end forward.End
 }
 
-// States of a hedge.
+// hedgeState is what became of a hedge.
+type hedgeState int
+
 const (
-	hedgePending int32 = iota
+	hedgePending hedgeState = iota
+	// hedgePromoted: the current attempt has ended, and this one took its place before it went on.
+	hedgePromoted
 	// hedgeWon: it went on first and takes the place of the current attempt.
 	hedgeWon
-	// hedgeLost: the current attempt went on first, or the request ended.
+	// hedgeLost: another attempt went on first, or the request ended.
 	hedgeLost
 	// hedgeFailed: it ended without going on.
 	hedgeFailed
 )
 
+var hedgeResults = [...]string{"Pending", "Promoted", "Won", "Lost", "Failed"}
+
 // patience returns the times of silence after which the request is sent to a second server.
 func (a *attempts) patience() forward.Patience {
 	goal := a.route.FirstByteGoal
@@ -63,33 +73,27 @@
 	}
 }
 
-// attemptWatch watches the current attempt of a request for a silent server.
+// attemptWatch watches the running attempts of a request for silent servers.
 type attemptWatch struct {
 	*attempts
-	watched *attempt
+	current *attempt
 	done    chan struct{}
 }
 
-// watch watches an attempt and returns a function that stops the watch. Requests that may run on one
-// server only are not watched.
+// watch watches the running attempts, of which t is the current one, and returns a function that stops
+// the watch. Requests that may run on one server only are not watched.
 func (a *attempts) watch(t *attempt) func() {
 	if !a.Class.Repeatable || a.Class.MaxServers < 2 || a.route.FirstByteGoal <= 0 {
 		return func() {}
 	}
-	w := &attemptWatch{attempts: a, watched: t, done: make(chan struct{})}
+	w := &attemptWatch{attempts: a, current: t, done: make(chan struct{})}
 	go w.run()
-	return func() {
-		select {
-		case <-w.done:
-		default:
-			close(w.done)
-		}
-	}
+	return sync.OnceFunc(func() { close(w.done) })
 }
 
 func (w *attemptWatch) run() {
 	patience := w.patience()
-	timer := time.NewTimer(patience.CheckIn(w.status(), checkInterval))
+	timer := time.NewTimer(patience.CheckIn(w.status(w.current), checkInterval))
 	defer timer.Stop()
 	for {
 		select {
@@ -99,31 +103,50 @@
 			return
 		case <-timer.C:
 		}
-		status := w.status()
-		if action, reason := patience.Decide(status); action == forward.ActionHedge {
+		status := w.status(w.current)
+		if action, reason := patience.Decide(status); action == forward.ActionHedge && w.allSilent(patience) {
 			w.startHedge(status, reason)
 		}
 		timer.Reset(patience.CheckIn(status, checkInterval))
 	}
 }
 
-// status returns what is known of the current attempt.
-func (w *attemptWatch) status() forward.Running {
-	g, t := w.gateway, w.watched
+// status returns what is known of a running attempt.
+func (a *attempts) status(t *attempt) forward.Running {
+	g := a.gateway
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return a.statusLocked(t)
+}
+
+// statusLocked is status for callers that hold g.mu.
+func (a *attempts) statusLocked(t *attempt) forward.Running {
+	g, now := a.gateway, boottime.Now()
+	running := forward.Running{Begun: t.phase.hasStarted(), Stalled: g.fleet.Stalled(t.Backend.ID, now), Replaced: g.fleet.Superseded(t.Backend)}
+	if !t.writing.Load() {
+		running.Silent = g.fleet.TimeSince(time.Duration(t.progressAt.Load()), now)
+	}
+	return running
+}
+
+// allSilent reports whether all running attempts call for another one.
+func (a *attempts) allSilent(patience forward.Patience) bool {
+	g := a.gateway
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	now := boottime.Now()
-	return forward.Running{
-		Begun: t.phase.hasStarted(), Silent: g.fleet.TimeSince(time.Duration(t.progressAt.Load()), now),
-		Stalled: g.fleet.Stalled(t.Backend.ID, now), Replaced: g.fleet.Superseded(t.Backend),
+	for _, t := range a.running {
+		if action, _ := patience.Decide(a.statusLocked(t)); action != forward.ActionHedge {
+			return false
+		}
 	}
+	return true
 }
 
-// startHedge starts an attempt at a second server if a server, a place there and the retry budget are
+// startHedge starts an attempt at another server if a server, a place there and the retry budget are
 // available.
 func (w *attemptWatch) startHedge(status forward.Running, reason forward.EndedBy) {
 	a, g := w.attempts, w.gateway
-	if h := a.hedge.Load(); h != nil && h.state.Load() == hedgePending || a.callerDisconnected() || a.checkQuarantine() != nil || a.oneCrashFromHold() {
+	if a.callerDisconnected() || a.checkQuarantine() != nil || a.oneCrashFromHold() {
 		return
 	}
 	server, ok := a.reserveSecond()
@@ -131,21 +154,24 @@
 		return
 	}
 	h := &hedge{attempt: a.newAttempt(server), reason: reason, done: make(chan struct{})}
-	g.log.Info("second attempt started", zap.String("Request", a.call.ID), zap.String("Backend", w.watched.Backend.ID), zap.String("Second", server.Backend.ID),
+	g.mu.Lock()
+	a.hedges = append(a.hedges, h)
+	a.hedged.Store(true)
+	g.mu.Unlock()
+	g.log.Info("second attempt started", zap.String("Request", a.call.ID), zap.String("Backend", w.current.Backend.ID), zap.String("Second", server.Backend.ID),
 		zap.String("Why", string(reason)), zap.Duration("Silent", status.Silent), zap.Bool("Begun", status.Begun), zap.Bool("Stalled", status.Stalled),
 		zap.Bool("Replaced", status.Replaced), zap.Int("Ahead", server.QueuePosition), zap.Duration("Left", a.remaining()))
-	a.hedge.Store(h)
 	go h.run()
 }
 
-// reserveSecond chooses a second server and takes the attempt from the retry budget. A request that has
+// reserveSecond chooses another server and takes the attempt from the retry budget. A request that has
 // not begun is sent only to a server with a free slot.
 func (a *attempts) reserveSecond() (chosenServer, bool) {
 	g, now := a.gateway, boottime.Now()
 	begun := a.begun()
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if len(a.tried) >= a.Class.MaxServers {
+	if a.settled || len(a.tried) >= a.Class.MaxServers {
 		return chosenServer{}, false
 	}
 	wanted := a.placementRequest(now)
@@ -163,72 +189,114 @@
 	return server, true
 }
 
-// run performs the attempt until it goes on, and then ends the current one unless that went on first.
+// run performs the attempt until it goes on or ends. If it goes on before the current one, it ends that.
 func (h *hedge) run() {
 	defer close(h.done)
 	received, end := h.receive()
-	result := "Lost"
-	switch {
-	case end != 0 && h.state.CompareAndSwap(hedgePending, hedgeFailed):
-		result = "Failed"
-	case end == 0 && h.win(received):
-		result = "Won"
-	}
-	h.gateway.metrics.hedges.WithLabelValues(h.service, string(h.reason), result).Inc()
-	if result == "Won" {
+	state := h.decide(received, end)
+	h.gateway.metrics.hedges.WithLabelValues(h.service, string(h.reason), hedgeResults[state]).Inc()
+	if state == hedgePromoted || state == hedgeWon {
 		return
 	}
 	if received.reply != nil {
 		received.reply.Finish(false)
 	}
-	if end == 0 {
-		end = forward.EndLost
-	}
-	h.recordEnd(end)
 	h.attempt.end()
 }
 
-// win makes the attempt the one that goes on, unless the current one went on first.
-func (h *hedge) win(received beginning) bool {
-	h.beginning = received
-	if !h.state.CompareAndSwap(hedgePending, hedgeWon) {
-		return false
-	}
+// decide decides what becomes of the attempt, which has gone on if end is 0.
+func (h *hedge) decide(received beginning, end forward.End) hedgeState {
 	g := h.gateway
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	h.current.cancel(forward.EndedByHedge)
-	return true
+	switch {
+	case h.state == hedgePromoted:
+		h.beginning, h.end = received, end
+	case h.state == hedgeLost, end == 0 && h.settled:
+		h.state = hedgeLost
+		h.Record(cmp.Or(end, forward.EndLost))
+	case end != 0, received.empty:
+		// A stream that ends without a further event shows nothing while the first attempt may go on.
+		h.state = hedgeFailed
+		h.Record(cmp.Or(end, forward.EndLost))
+	default:
+		h.state, h.beginning = hedgeWon, received
+		h.current.cancel(forward.EndedByHedge)
+		h.endOthers(h)
+	}
+	return h.state
+}
+
+// endOthers ends all pending hedges but one. The caller holds g.mu.
+func (a *attempts) endOthers(kept *hedge) {
+	for _, h := range a.hedges {
+		if h != kept && h.state == hedgePending {
+			h.state = hedgeLost
+			h.cancel(forward.EndedByHedge)
+		}
+	}
 }
 
 // goesOn reports whether the current attempt, which has received a part of its answer, still is the one
-// that goes on. If so, an attempt beside it is ended.
-func (a *attempts) goesOn() bool {
-	h := a.hedge.Load()
-	if h == nil {
+// that goes on. If so, the attempts beside it are ended. With last set none are started any more.
+func (a *attempts) goesOn(last bool) bool {
+	if !last && !a.hedged.Load() {
 		return true
 	}
-	if h.state.CompareAndSwap(hedgePending, hedgeLost) {
-		h.cancel(forward.EndedByHedge)
-	}
-	if h.state.Load() == hedgeWon {
+	g := a.gateway
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if slices.ContainsFunc(a.hedges, func(h *hedge) bool { return h.state == hedgeWon }) {
 		return false
 	}
-	a.hedge.CompareAndSwap(h, nil)
+	a.settled = last
+	a.endOthers(nil)
+	a.hedges = nil
+	a.hedged.Store(false)
 	return true
 }
 
-// successor waits for the attempt beside the current one, which has ended, and returns it if it goes on,
-// otherwise nil.
-func (a *attempts) successor() *hedge {
-	h := a.hedge.Load()
-	if h == nil {
-		return nil
+// takeSuccessor returns the attempt that takes the place of the current one, which has ended: the one that
+// has gone on, or else one that may still go on. It returns nil if there is none.
+func (a *attempts) takeSuccessor() *hedge {
+	g := a.gateway
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, state := range []hedgeState{hedgeWon, hedgePending} {
+		for i, h := range a.hedges {
+			if h.state != state {
+				continue
+			}
+			if state == hedgePending {
+				h.state = hedgePromoted
+			}
+			a.hedges = slices.Delete(a.hedges, i, i+1)
+			a.current = h.attempt
+			return h
+		}
+	}
+	return nil
+}
+
+// settle ends all attempts beside the current one, because the request ends or is tried anew.
+func (a *attempts) settle() {
+	g := a.gateway
+	g.mu.Lock()
+	a.settled = true
+	a.endOthers(nil)
+	hedges := a.hedges
+	a.hedges = nil
+	a.hedged.Store(false)
+	var won []*hedge
+	for _, h := range hedges {
+		if h.state == hedgeWon {
+			won = append(won, h)
+		}
 	}
-	<-h.done
-	a.hedge.CompareAndSwap(h, nil)
-	if h.state.Load() != hedgeWon {
-		return nil
+	g.mu.Unlock()
+	for _, h := range won {
+		<-h.done
+		h.reply.Finish(false)
+		h.attempt.end()
 	}
-	return h
 }
--- a/internal/transport/gateway/stream.go
+++ b/internal/transport/gateway/stream.go
@@ -62,7 +62,7 @@
 		err = io.EOF
 	}
 	for ; err == nil; e, err = t.nextEvent(received, false) {
-		if !t.goesOn() {
+		if !t.goesOn(false) {
 			reply.Finish(false)
 			return forward.EndLost
 		}
@@ -71,7 +71,7 @@
 		}
 	}
 	switch {
-	case err == io.EOF && t.goesOn():
+	case err == io.EOF && t.goesOn(true):
 		return t.endStream(reply, !received.empty)
 	case errors.Is(err, errWriteToCaller):
 		reply.Finish(false)
@@ -152,6 +152,12 @@
 		t.firstByteAt = time.Now()
 		part.begun, part.version = true, reply.Version
 	}
+	// A caller that reads slowly is no silence of the server.
+	t.writing.Store(true)
+	defer func() {
+		t.progressAt.Store(int64(boottime.Now()))
+		t.writing.Store(false)
+	}()
 	if _, err := t.writer.Write(event.raw); err != nil {
 		return fmt.Errorf("%w: %w", errWriteToCaller, err)
 	}
