--- a/internal/coordination/fleet/silence_test.go
+++ b/internal/coordination/fleet/silence_test.go
@@ -401,3 +401,26 @@
 	f.RecordProgress("o2", now)
 	c.Check(placed() > 1, qt.IsTrue)
 }
+
+// A server that pauses once is not slow: the gap across the silence must not keep requests from it.
+func TestSilenceMakesNoServerSlow(t *testing.T) {
+	for _, streams := range []int{1, 4, 16} {
+		for _, silence := range silences {
+			f, now := newFleetWithServer(modelService, 1), time.Second
+			s := f.servers["m1"]
+			for range streams {
+				f.Choose(wanted, now)
+			}
+			for paused := false; now < 12*time.Second; {
+				gap := expectedGap(f.engine(s), f.batchSize(s, f.engine(s), now))
+				if now > 5*time.Second && !paused {
+					gap, paused = gap+silence, true
+				}
+				now += gap
+				f.RecordGaps(s.backend, slices.Repeat([]EventGap{{Gap: gap, At: now}}, streams), now)
+				f.RefreshSpeeds(now)
+				qt.Assert(t, f.SlowCount(), qt.Equals, 0, qt.Commentf("%d streams, %v after a silence of %v", streams, now-5*time.Second, silence))
+			}
+		}
+	}
+}
