--- a/cmd/filbertlever-soak/main.go
+++ b/cmd/filbertlever-soak/main.go
@@ -80,6 +80,9 @@
 	return seeds, nil
 }
 
+// maxListed is how many violations of each guarantee are listed.
+const maxListed = 6
+
 // runSeed runs one seed and reports whether it passed. It keeps the logs of a
 // failed run.
 func (c *command) runSeed(ctx context.Context, binary string, seed uint64) (bool, error) {
@@ -92,13 +95,17 @@
 	if err != nil {
 		return false, err
 	}
-	fmt.Printf("seed=%d faults=%d requests=%d served=%d refused=%d routes=%v broken=%d\n",
-		seed, result.Faults, result.Requests, result.Served, result.Refused, result.Routes, len(result.Violations))
-	for i, b := range result.Violations {
-		if i == 8 {
-			break
+	counts := map[string]int{}
+	for _, b := range result.Violations {
+		counts[b.Guarantee]++
+	}
+	fmt.Printf("seed=%d faults=%d requests=%d served=%d refused=%d routes=%v broken=%d %v\n",
+		seed, result.Faults, result.Requests, result.Served, result.Refused, result.Routes, len(result.Violations), counts)
+	listed := map[string]int{}
+	for _, b := range result.Violations {
+		if listed[b.Guarantee]++; listed[b.Guarantee] <= maxListed {
+			fmt.Printf("  %s: %s\n", b.Guarantee, b.Detail)
 		}
-		fmt.Printf("  %s: %s\n", b.Guarantee, b.Detail)
 	}
 	if len(result.Violations) == 0 {
 		return true, os.RemoveAll(logs)
