--- a/internal/coordination/fleet/choose.go
+++ b/internal/coordination/fleet/choose.go
@@ -1,6 +1,8 @@
 package fleet
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/filbertlever/filbertlever"
@@ -30,6 +32,9 @@
 	// Avoid are the servers that must not be picked, such as those that the request was already
 	// sent to.
 	Avoid []filbertlever.HostID
+	// Responsive is true if no server may be picked that has sent nothing since a request was given up
+	// there.
+	Responsive bool
 	// Regions are the regions whose servers may be picked.
 	Regions filbertlever.Regions
 }
@@ -70,6 +75,9 @@
 	// ReadyIn is the predicted time until a server can take the request, if none can now; 0 if
 	// unknown.
 	ReadyIn time.Duration
+	// SilentFor is how long the server that last sent something has been silent, if no server can take
+	// the request because those that could are silent; 0 if there are none.
+	SilentFor time.Duration
 }
 
 // Choose picks a server and counts the request as in flight there. Release reverts the count.
@@ -89,6 +97,12 @@
 	default:
 		target = modelTarget(request.Model)
 	}
+	if request.Responsive {
+		request.Avoid = slices.Clone(request.Avoid)
+		for id := range f.unresponsive {
+			request.Avoid = append(request.Avoid, filbertlever.HostID(id))
+		}
+	}
 	routed := &routing.Request{Target: target, PromptTokens: request.PromptTokens, Avoid: request.Avoid, Regions: request.Regions, Now: now,
 		AnswerDuration: f.answerDuration(request), AnswerTokens: request.AnswerTokens, LastAttempt: request.LastAttempt,
 		Remaining: request.Remaining, MaxEventGap: request.MaxEventGap}
@@ -98,7 +112,7 @@
 	}
 	s, ok := f.servers[string(choice.Host)]
 	if !ok {
-		return Placement{Reason: choice.Reason, Candidates: choice.CandidateCount, ReadyIn: f.ReadyIn(request, now)}
+		return Placement{Reason: choice.Reason, Candidates: choice.CandidateCount, ReadyIn: f.ReadyIn(request, now), SilentFor: f.silentFor(request, target, now)}
 	}
 	counted := f.recordSent(s, now)
 	age := time.Duration(-1)
@@ -135,12 +149,17 @@
 // chooseSuspected picks among suspected servers.
 //
 // If all servers of a service fail some of their requests, all of them are suspected most of the
-// time, although they would still answer most requests.
+// time, although they would still answer most requests. If all are silent, each gets one request, which
+// shows at once that it continues.
 func (f *Fleet) chooseSuspected(router *routing.Router, service string, request *routing.Request, now time.Duration) routing.Choice {
 	var suspected []string
-	for id := range f.recheck {
+	candidates := maps.Clone(f.recheck)
+	for id := range f.unresponsive {
+		candidates[id] = true
+	}
+	for id := range candidates {
 		s, ok := f.servers[id]
-		eligible := ok && s.backend.Service == service && !f.evacuated[s.backend.Site] && !f.coldLimited(s, now) && !f.rateLimited(s, now) && s.missingSince == 0 && now >= s.switchingUntil && now >= f.retryAt(s) && !f.recentlyUnreachable(s, now)
+		eligible := ok && s.backend.Service == service && !f.evacuated[s.backend.Site] && !f.coldLimited(s, now) && !f.rateLimited(s, now) && s.missingSince == 0 && now >= s.switchingUntil && now >= f.retryAt(s) && !f.recentlyUnreachable(s, now) && !f.stalled(s, now) && (s.silentSince == 0 || s.ownRequests == 0)
 		if eligible && f.members.Eligible(filbertlever.HostID(id), f.membershipTime(now)) {
 			suspected = append(suspected, id)
 			router.SetHost(f.host(s.backend), true)
@@ -156,9 +175,10 @@
 	return choice
 }
 
-// HasAlternative reports whether a server that the request does not avoid could take it now with a
-// queue position of at most maxQueue. The check leaves the counts unchanged.
+// HasAlternative reports whether a server that the request does not avoid and that is not silent could
+// take it now with a queue position of at most maxQueue. The check leaves the counts unchanged.
 func (f *Fleet) HasAlternative(request Request, maxQueue int, now time.Duration) bool {
+	request.Responsive = true
 	placement := f.Choose(request, now)
 	if !placement.Found {
 		return false
@@ -182,3 +202,23 @@
 	}
 	return earliest
 }
+
+// silentFor returns the shortest silence of the silent servers of this region that could take a request;
+// 0 if there are none.
+func (f *Fleet) silentFor(request Request, target routing.Target, now time.Duration) time.Duration {
+	shortest := time.Duration(0)
+	for _, s := range f.unusable {
+		id := filbertlever.HostID(s.backend.ID)
+		if s.backend.Service != request.Service || f.config.Regions[s.backend.Site] != f.config.Region || slices.Contains(request.Avoid, id) {
+			continue
+		}
+		silence, ok := f.silence(s, now)
+		if !ok || !request.Regions.Allows(f.config.Region) || f.evacuated[s.backend.Site] || !f.members.Usable(id, f.membershipTime(now)) || !slices.Contains(f.targets(s, now), target) {
+			continue
+		}
+		if shortest == 0 || silence < shortest {
+			shortest = silence
+		}
+	}
+	return shortest
+}
--- a/internal/coordination/fleet/fleet.go
+++ b/internal/coordination/fleet/fleet.go
@@ -16,6 +16,7 @@
 	"github.com/filbertlever/filbertlever/internal/coordination/membership"
 	"github.com/filbertlever/filbertlever/internal/coordination/routing"
 	"github.com/filbertlever/filbertlever/internal/coordination/speed"
+	"github.com/filbertlever/filbertlever/internal/coordination/suspension"
 )
 
 // Config holds the penalties, timeouts and limits of a Fleet.
@@ -125,9 +126,21 @@
 	// routerUsable is the value that the router was last given. Servers for which it is false are
 	// in Fleet.unusable.
 	routerUsable bool
-	// silentUntil is when gossip that the server is silent expires. It is set for servers of other
-	// regions, whose silence this entry cannot detect itself.
-	silentUntil time.Duration
+	// silentSince is when the server last sent something before a request ended there while it was stalled;
+	// 0 if it has sent something since. Until it does it gets one request at a time, the next one not
+	// before probeAt.
+	silentSince time.Duration
+	probeAt     time.Duration
+	// failing is true if a request failed and the server has sent nothing since.
+	failing bool
+	// silenceEndedAt is when the server last sent something after it had sent nothing for
+	// PlainStallTimeout, whatever its service. silenceObserved is true if the latency of a request in
+	// flight before then has been recorded.
+	silenceEndedAt  time.Duration
+	silenceObserved bool
+	// silentUntil is when the gossip of each entry that the server is silent expires. It is set for
+	// servers of other regions, whose silence this entry cannot detect itself.
+	silentUntil map[filbertlever.HostID]time.Duration
 	// restartedAt is when this process was first observed, if it replaced another process; else 0.
 	restartedAt time.Duration
 	// unreachableAt is when opening a connection to the server last failed; 0 if it never did.
@@ -197,6 +210,10 @@
 	busy map[string]*server
 	// gossipedServers are, by entry, the servers at which that entry has requests in flight.
 	gossipedServers map[filbertlever.HostID][]string
+	// gossipedSilent are, by entry, the servers that its last gossip named as silent.
+	gossipedSilent map[filbertlever.HostID][]string
+	// unresponsive are the servers with a silentSince.
+	unresponsive map[string]*server
 	// cold are the cold servers that this entry may use.
 	cold map[string]*server
 	// reportOrder holds the servers of this region by the time of their last report, oldest first.
@@ -205,6 +222,7 @@
 	// unusable are the servers that are marked as unusable in their router.
 	unusable        map[string]*server
 	healthCheckedAt time.Duration
+	suspensions     suspension.Detector
 	// outageEnd is the end of the store's last outage; outageKnown is false if none is known.
 	outageEnd   time.Duration
 	outageKnown bool
@@ -243,6 +261,8 @@
 		departed:        map[process]time.Duration{},
 		busy:            map[string]*server{},
 		gossipedServers: map[filbertlever.HostID][]string{},
+		gossipedSilent:  map[filbertlever.HostID][]string{},
+		unresponsive:    map[string]*server{},
 		cold:            map[string]*server{},
 		reportOrder:     list.New(),
 		unusable:        map[string]*server{},
--- a/internal/coordination/fleet/health.go
+++ b/internal/coordination/fleet/health.go
@@ -28,7 +28,7 @@
 	if f.isRemoved(s, now) || f.evacuated[s.backend.Site] || f.coldLimited(s, now) || f.rateLimited(s, now) {
 		return false
 	}
-	return now >= s.switchingUntil && now >= s.silentUntil && now >= f.retryAt(s) && !f.stalled(s, now) && !f.silent(s, now) && f.members.Usable(filbertlever.HostID(s.backend.ID), f.membershipTime(now))
+	return now >= s.switchingUntil && !s.gossipedSilent(now) && now >= f.retryAt(s) && !f.stalled(s, now) && !s.awaitsProbe(now) && !s.awaitsAnswer() && !f.silent(s, now) && f.members.Usable(filbertlever.HostID(s.backend.ID), f.membershipTime(now))
 }
 
 // stalled reports whether a server with requests in flight has made no progress for longer than a
@@ -46,7 +46,16 @@
 			limit = f.config.EngineStallTimeout + f.firstPrefill(s, engine)
 		}
 	}
-	return now-s.progressAt > limit
+	return f.TimeSince(s.progressAt, now) > limit
+}
+
+// Tick must be called every few ten milliseconds while this process runs. Time in which it was suspended
+// then counts for no server: what servers sent meanwhile has not been read yet.
+func (f *Fleet) Tick(now time.Duration) { f.suspensions.Tick(now) }
+
+// TimeSince returns the time since an event without the last suspension of this process.
+func (f *Fleet) TimeSince(event, now time.Duration) time.Duration {
+	return f.suspensions.Elapsed(event, now)
 }
 
 // firstPrefill returns how long an engine may take to prefill the prompts of the requests in flight
@@ -68,10 +77,67 @@
 	return ok && f.stalled(s, now)
 }
 
-// RecordProgress records that a server sent a part of an answer.
+// RecordProgress records that a server sent a part of an answer. A server that was silent gets requests
+// again at once.
 func (f *Fleet) RecordProgress(id string, now time.Duration) {
-	if s, ok := f.servers[id]; ok {
-		s.progressAt, s.lastEventAt = now, now
+	s, ok := f.servers[id]
+	if !ok {
+		return
+	}
+	if s.ownRequests > 0 && now-s.progressAt > f.config.PlainStallTimeout {
+		s.silenceEndedAt, s.silenceObserved = now, false
+	}
+	s.progressAt, s.lastEventAt, s.failing = now, now, false
+	if s.silentSince != 0 {
+		s.silentSince, s.probeAt = 0, 0
+		delete(f.unresponsive, id)
+	}
+	if !s.routerUsable {
+		f.refreshUsable(s, now)
+	}
+}
+
+// maxProbeDelay is the longest time until a silent server gets another request.
+const maxProbeDelay = 10 * time.Second
+
+// noteSilence records that a request ended at a server while it was stalled.
+//
+// The server may continue at any moment, so its silence is no failure. It gets a request as soon as
+// its agent has read a report from it, but at the latest after as long as the silence has lasted, and
+// one request at a time until it sends something.
+func (f *Fleet) noteSilence(s *server, now time.Duration) {
+	if s.silentSince == 0 {
+		s.silentSince = max(s.progressAt, 1)
+		f.unresponsive[s.backend.ID] = s
+	}
+	s.probeAt = now + min(now-s.silentSince, maxProbeDelay)
+}
+
+// awaitsProbe reports whether a silent server must get no request now.
+func (s *server) awaitsProbe(now time.Duration) bool {
+	return s.silentSince != 0 && (now < s.probeAt || s.ownRequests > 0)
+}
+
+// silence returns how long a server has sent nothing; false if it is not silent.
+func (f *Fleet) silence(s *server, now time.Duration) (time.Duration, bool) {
+	switch {
+	case s.awaitsProbe(now):
+		return now - s.silentSince, true
+	case f.stalled(s, now):
+		return now - s.progressAt, true
+	case f.silent(s, now):
+		return now - max(s.reportedAt, s.lastEventAt), true
+	}
+	return 0, false
+}
+
+// awaitsAnswer reports whether a server that failed has a request whose answer shows whether it still does.
+func (s *server) awaitsAnswer() bool { return s.failing && s.ownRequests > 0 }
+
+// recordSentProbe makes a silent or failing server unusable once it has a request.
+func (f *Fleet) recordSentProbe(s *server, now time.Duration) {
+	if s.silentSince != 0 || s.failing {
+		f.refreshUsable(s, now)
 	}
 }
 
@@ -85,12 +151,12 @@
 	if !s.hasReport || f.config.Regions[s.backend.Site] != f.config.Region {
 		return false
 	}
-	idle := now - max(s.reportedAt, s.lastEventAt)
+	idle := f.TimeSince(max(s.reportedAt, s.lastEventAt), now)
 	return idle > f.config.ReportTimeout && now-s.reportedAt < f.config.AgentTimeout
 }
 
-// SilentServers returns the silent or stalled servers of this region, which are gossiped to entries
-// of other regions.
+// SilentServers returns the silent, stalled and unresponsive servers of this region, which are gossiped
+// to entries of other regions.
 func (f *Fleet) SilentServers(now time.Duration) []string {
 	ids := f.silentByReport(now)
 	for id, s := range f.busy {
@@ -98,8 +164,13 @@
 			ids = append(ids, id)
 		}
 	}
+	for id, s := range f.unresponsive {
+		if f.config.Regions[s.backend.Site] == f.config.Region && s.awaitsProbe(now) {
+			ids = append(ids, id)
+		}
+	}
 	slices.Sort(ids)
-	return ids
+	return slices.Compact(ids)
 }
 
 // silentByReport returns the servers whose agents stopped reporting and that send no answers. It
@@ -141,24 +212,59 @@
 	}
 }
 
-// MarkSilent applies the gossip of another entry about silent servers of its region.
-func (f *Fleet) MarkSilent(ids []string, now time.Duration) {
+// SetPeerSilent applies the gossip of another entry about the silent servers of its region. Servers that
+// it named before and no longer does have continued.
+func (f *Fleet) SetPeerSilent(entry filbertlever.HostID, ids []string, now time.Duration) {
+	for _, id := range f.gossipedSilent[entry] {
+		if s, ok := f.servers[id]; ok && !slices.Contains(ids, id) {
+			delete(s.silentUntil, entry)
+			f.refreshUsable(s, now)
+		}
+	}
+	delete(f.gossipedSilent, entry)
 	for _, id := range ids {
 		s, ok := f.servers[id]
-		if ok && f.config.Regions[s.backend.Site] != f.config.Region {
-			s.silentUntil = now + f.config.SilentTTL
-			f.refreshUsable(s, now)
+		if !ok || f.config.Regions[s.backend.Site] == f.config.Region {
+			continue
 		}
+		if s.silentUntil == nil {
+			s.silentUntil = map[filbertlever.HostID]time.Duration{}
+		}
+		s.silentUntil[entry] = now + f.config.SilentTTL
+		f.gossipedSilent[entry] = append(f.gossipedSilent[entry], id)
+		f.refreshUsable(s, now)
 	}
 }
 
+// gossipedSilent reports whether another entry has recently named the server as silent.
+func (s *server) gossipedSilent(now time.Duration) bool {
+	for _, until := range s.silentUntil {
+		if now < until {
+			return true
+		}
+	}
+	return false
+}
+
 // RecordLatency records the measured time to the first event of an answer together with the
-// predicted time.
+// predicted time. Of the requests that were in flight during a silence of the server only the first one
+// counts, since all of them are late for the same reason. None counts if this process was suspended.
 func (f *Fleet) RecordLatency(id string, predicted, measured, now time.Duration) {
-	if s, ok := f.servers[id]; ok {
-		if router := f.router(s.backend.Service); router != nil {
-			router.Observe(filbertlever.HostID(id), predicted, measured, now)
+	s, ok := f.servers[id]
+	if !ok {
+		return
+	}
+	if f.suspensions.Interrupted(now-measured, now) {
+		return
+	}
+	if now-measured < s.silenceEndedAt {
+		if s.silenceObserved {
+			return
 		}
+		s.silenceObserved = true
+	}
+	if router := f.router(s.backend.Service); router != nil {
+		router.Observe(filbertlever.HostID(id), predicted, measured, now)
 	}
 }
 
@@ -172,11 +278,12 @@
 
 // RecordFailure records that a server could not be reached, interrupted an answer or sent an
 // invalid one. The server is then suspected and gets no requests for some time, unless no other
-// server is usable.
+// server is usable. After that it gets one at a time until it sends something.
 func (f *Fleet) RecordFailure(id string, now time.Duration) {
 	f.members.RecordFailure(filbertlever.HostID(id), f.membershipTime(now))
 	f.recheck[id] = true
-	if _, ok := f.servers[id]; ok {
+	if s, ok := f.servers[id]; ok {
+		s.failing = true
 		f.syncRouter(id, now)
 	}
 }
@@ -327,6 +434,7 @@
 	delete(f.recheck, id)
 	delete(f.busy, id)
 	delete(f.unusable, id)
+	delete(f.unresponsive, id)
 	delete(f.cold, id)
 	delete(f.rateSenders, id)
 	if f.byAddress[s.backend.Address] == id {
