Keep a second attempt until the first has gone on for a while; count it as a server from its start

A server's failure was replaced by a 504 when the second server stayed silent.

Change: a second attempt that can go on waits while the first does, and takes its place if that is silent for longer than callers accept; it is ended after 0.6 s. Cancelled ones count at once.

--- a/internal/transport/gateway/attempt.go
+++ b/internal/transport/gateway/attempt.go
@@ -184,15 +184,16 @@
 	}
 	g := t.gateway
 	switch t.endedBy {
-	case forward.EndedByCaller, forward.EndedByDeadline, forward.EndedByQuarantine, forward.EndedByRateLimit, forward.EndedByShutdown:
+	case forward.EndedByServer:
+		t.reportServerFailure(end, err)
 	case forward.EndedByHedge:
 		g.log.Info("attempt overtaken", zap.String("Request", t.call.ID), zap.String("Backend", t.Backend.ID), zap.Duration("Silent", t.silent))
+	case forward.EndedByQuarantine:
+		g.log.Info("attempt taken back", zap.String("Request", t.call.ID), zap.String("Backend", t.Backend.ID), zap.String("EndedBy", string(t.endedBy)))
 	case forward.EndedByStartDeadline:
 		g.metrics.cancelledAttempts.WithLabelValues(t.service).Inc()
 		g.log.Info("attempt taken back", zap.String("Request", t.call.ID), zap.String("Backend", t.Backend.ID),
-			zap.Uint64("Holds", t.HeldVersion), zap.Duration("Predicted", t.PredictedLatency), zap.Duration("Waited", boottime.Now()-t.placedAt))
-	default:
-		t.reportServerFailure(end, err)
+			zap.Uint64("Holds", t.HeldVersion), zap.Duration("Predicted", t.PredictedLatency), zap.Duration("Waited", boottime.Now()-t.placedAt), zap.String("EndedBy", string(t.endedBy)))
 	}
 	return end
 }
--- a/internal/transport/gateway/attempts.go
+++ b/internal/transport/gateway/attempts.go
@@ -39,6 +39,10 @@
 	hedges  []*hedge
 	settled bool
 	hedged  atomic.Bool
+	// unrecorded is the number of hedges whose end has not been recorded, and resumedAt and wentOnAt when
+	// the current attempt began and continued to go on beside a hedge. They are guarded by the gateway's mu.
+	unrecorded          int
+	resumedAt, wentOnAt time.Duration
 	// failed is the last attempt whose server answered with a failure, and failure that response. It is
 	// forwarded if no other server answers; nil if there is none.
 	failed  *attempt
@@ -151,9 +155,10 @@
 			return t, end, received
 		}
 		stop()
-		if received.reply != nil {
-			received.reply.Finish(false)
+		if end == forward.EndFailed {
+			a.keepFailure(t, received)
 		}
+		received.discard()
 		a.recordEnd(cmp.Or(end, forward.EndLost))
 		t.end()
 		t = h.attempt
@@ -163,6 +168,13 @@
 	}
 }
 
+// keepFailure keeps the response of a server that answered with a failure. A later one replaces it.
+func (a *attempts) keepFailure(t *attempt, failure beginning) {
+	if failure.reply != nil && len(failure.body) <= maxBufferedResponse {
+		a.failed, a.failure = t, failure
+	}
+}
+
 // start makes an attempt the one whose answer is forwarded.
 func (a *attempts) start(t *attempt) {
 	a.gateway.mu.Lock()
@@ -187,16 +199,16 @@
 		return false
 	}
 	g.mu.Lock()
-	step := a.NextStep(end, g.retryBudget(a.service), a.remaining(), boottime.Now(), true)
+	// A hedge that was cancelled counts as a server before it has ended.
+	hasAlternative := a.unrecorded == 0 || a.Sent()+1+a.unrecorded < a.Class.MaxServers
+	step := a.NextStep(end, g.retryBudget(a.service), a.remaining(), boottime.Now(), hasAlternative)
 	sent := a.Sent()
 	g.mu.Unlock()
 	g.log.Info("attempt ended", zap.String("Request", a.call.ID), zap.String("Backend", t.Backend.ID),
 		zap.Stringer("End", end), zap.Stringer("Step", step), zap.Int("Sent", sent),
 		zap.String("EndedBy", string(t.endedBy)), zap.Duration("Silent", t.silent), zap.Duration("Left", a.remaining()))
 	if step == forward.StepRetry {
-		if failure.reply != nil && len(failure.body) <= maxBufferedResponse {
-			a.failed, a.failure = t, failure
-		}
+		a.keepFailure(t, failure)
 		failure.discard()
 		if end == forward.EndLost {
 			a.awaitDecision()
--- a/internal/transport/gateway/hedge.go
+++ b/internal/transport/gateway/hedge.go
@@ -30,6 +30,11 @@
 	minSilenceTimeout = 800 * time.Millisecond
 	// checkInterval is the interval between checks once a second server is wanted.
 	checkInterval = 100 * time.Millisecond
+	// A second attempt that can go on waits while the pauses of the first are shorter than the longest
+	// that callers accept, but at least minStandbyPause. It is ended once the first has gone on for
+	// standbyDuration.
+	minStandbyPause = 300 * time.Millisecond
+	standbyDuration = 600 * time.Millisecond
 )
 
 // hedge is an attempt beside the current one of a request.
@@ -39,8 +44,8 @@
 	reason forward.EndedBy
 	// state is guarded by the gateway's mu.
 	state hedgeState
-	// done is closed when the attempt has gone on or ended. If it was promoted or won, beginning and end
-	// are set before.
+	// done is closed when the attempt has gone on or ended. Unless it was lost or failed, beginning and
+	// end are set before.
 	done chan struct{}
 	beginning
 	end forward.End
@@ -51,17 +56,43 @@
 
 const (
 	hedgePending hedgeState = iota
+	// hedgeReady: it can go on, but the current attempt has gone on too.
+	hedgeReady
 	// hedgePromoted: the current attempt has ended, and this one took its place before it went on.
 	hedgePromoted
-	// hedgeWon: it went on first and takes the place of the current attempt.
+	// hedgeWon: it takes the place of the current attempt, which is silent or has ended.
 	hedgeWon
-	// hedgeLost: another attempt went on first, or the request ended.
+	// hedgeLost: another attempt went on, or the request ended.
 	hedgeLost
 	// hedgeFailed: it ended without going on.
 	hedgeFailed
 )
 
-var hedgeResults = [...]string{"Pending", "Promoted", "Won", "Lost", "Failed"}
+var hedgeResults = [...]string{"Pending", "Ready", "Promoted", "Won", "Lost", "Failed"}
+
+// set changes the state. The caller holds g.mu.
+func (h *hedge) set(state hedgeState) {
+	h.state = state
+	if state != hedgeReady {
+		h.gateway.metrics.hedges.WithLabelValues(h.service, string(h.reason), hedgeResults[state]).Inc()
+	}
+}
+
+// lose ends a hedge that may still go on. A ready one must be released afterwards. The caller holds g.mu.
+func (h *hedge) lose() {
+	if h.state == hedgeReady {
+		h.recordHedge(forward.EndLost)
+	}
+	h.set(hedgeLost)
+	h.cancel(forward.EndedByHedge)
+}
+
+// release releases a hedge whose answer is not forwarded.
+func (h *hedge) release() {
+	<-h.done
+	h.reply.Finish(false)
+	h.attempt.end()
+}
 
 // patience returns the times of silence after which the request is sent to a second server.
 func (a *attempts) patience() forward.Patience {
@@ -103,11 +134,16 @@
 			return
 		case <-timer.C:
 		}
+		w.takeReady()
 		status := w.status(w.current)
 		if action, reason := patience.Decide(status); action == forward.ActionHedge && w.allSilent(patience) {
 			w.startHedge(status, reason)
 		}
-		timer.Reset(patience.CheckIn(status, checkInterval))
+		next := checkInterval
+		if !w.hedged.Load() {
+			next = patience.CheckIn(status, checkInterval)
+		}
+		timer.Reset(next)
 	}
 }
 
@@ -157,6 +193,7 @@
 	g.mu.Lock()
 	a.hedges = append(a.hedges, h)
 	a.hedged.Store(true)
+	a.unrecorded++
 	g.mu.Unlock()
 	g.log.Info("second attempt started", zap.String("Request", a.call.ID), zap.String("Backend", w.current.Backend.ID), zap.String("Second", server.Backend.ID),
 		zap.String("Why", string(reason)), zap.Duration("Silent", status.Silent), zap.Bool("Begun", status.Begun), zap.Bool("Stalled", status.Stalled),
@@ -189,13 +226,12 @@
 	return server, true
 }
 
-// run performs the attempt until it goes on or ends. If it goes on before the current one, it ends that.
+// run performs the attempt until it goes on or ends. If it goes on while the current one is silent, it ends
+// that.
 func (h *hedge) run() {
 	defer close(h.done)
 	received, end := h.receive()
-	state := h.decide(received, end)
-	h.gateway.metrics.hedges.WithLabelValues(h.service, string(h.reason), hedgeResults[state]).Inc()
-	if state == hedgePromoted || state == hedgeWon {
+	if h.decide(received, end) {
 		return
 	}
 	if received.reply != nil {
@@ -204,73 +240,142 @@
 	h.attempt.end()
 }
 
-// decide decides what becomes of the attempt, which has gone on if end is 0.
-func (h *hedge) decide(received beginning, end forward.End) hedgeState {
+// decide decides what becomes of the attempt, which has gone on if end is 0. It returns false if its answer
+// is of no use.
+func (h *hedge) decide(received beginning, end forward.End) bool {
 	g := h.gateway
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	h.beginning, h.end = received, end
 	switch {
 	case h.state == hedgePromoted:
-		h.beginning, h.end = received, end
+		return true
 	case h.state == hedgeLost, end == 0 && h.settled:
-		h.state = hedgeLost
-		h.Record(cmp.Or(end, forward.EndLost))
+		if h.state == hedgePending {
+			h.set(hedgeLost)
+		}
+		h.recordHedge(cmp.Or(end, forward.EndLost))
+		return false
 	case end != 0, received.empty:
 		// A stream that ends without a further event shows nothing while the first attempt may go on.
-		h.state = hedgeFailed
-		h.Record(cmp.Or(end, forward.EndLost))
+		h.set(hedgeFailed)
+		h.recordHedge(cmp.Or(end, forward.EndLost))
+		return false
+	case h.currentSilent():
+		h.win()
 	default:
-		h.state, h.beginning = hedgeWon, received
-		h.current.cancel(forward.EndedByHedge)
-		h.endOthers(h)
+		h.set(hedgeReady)
 	}
-	return h.state
+	return true
+}
+
+// win makes the attempt the successor of the current one. The caller holds g.mu.
+func (h *hedge) win() {
+	h.set(hedgeWon)
+	h.current.cancel(forward.EndedByHedge)
+}
+
+// recordHedge records how a hedge ended. The caller holds g.mu.
+func (a *attempts) recordHedge(end forward.End) {
+	a.unrecorded--
+	a.Record(end)
 }
 
-// endOthers ends all pending hedges but one. The caller holds g.mu.
-func (a *attempts) endOthers(kept *hedge) {
+// standbyPause returns the pause of the current attempt during which a hedge that is ready does not take
+// its place.
+func (a *attempts) standbyPause() time.Duration { return max(a.route.MaxEventGap, minStandbyPause) }
+
+// currentSilent reports whether the current attempt has not sent anything for longer than standbyPause. The
+// caller holds g.mu.
+func (a *attempts) currentSilent() bool { return a.statusLocked(a.current).Silent > a.standbyPause() }
+
+// takeReady lets a hedge that is ready take the place of a silent current attempt.
+func (a *attempts) takeReady() {
+	if !a.hedged.Load() {
+		return
+	}
+	g := a.gateway
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if a.settled || !a.currentSilent() || slices.ContainsFunc(a.hedges, func(h *hedge) bool { return h.state == hedgeWon }) {
+		return
+	}
 	for _, h := range a.hedges {
-		if h != kept && h.state == hedgePending {
-			h.state = hedgeLost
-			h.cancel(forward.EndedByHedge)
+		if h.state == hedgeReady {
+			h.win()
+			return
 		}
 	}
 }
 
 // goesOn reports whether the current attempt, which has received a part of its answer, still is the one
-// that goes on. If so, the attempts beside it are ended. With last set none are started any more.
+// that goes on. Attempts beside it are ended once it has gone on for standbyDuration, or if last is set.
 func (a *attempts) goesOn(last bool) bool {
 	if !last && !a.hedged.Load() {
 		return true
 	}
-	g := a.gateway
+	g, now := a.gateway, boottime.Now()
 	g.mu.Lock()
-	defer g.mu.Unlock()
 	if slices.ContainsFunc(a.hedges, func(h *hedge) bool { return h.state == hedgeWon }) {
+		g.mu.Unlock()
 		return false
 	}
+	if now-a.wentOnAt > a.standbyPause() {
+		a.resumedAt = now
+	}
+	a.wentOnAt = now
 	a.settled = last
-	a.endOthers(nil)
+	var ready []*hedge
+	if last || now-a.resumedAt >= standbyDuration {
+		ready = a.dropHedges()
+	}
+	g.mu.Unlock()
+	for _, h := range ready {
+		h.release()
+	}
+	return true
+}
+
+// dropHedges ends all attempts beside the current one, and returns those that must be released. The caller
+// holds g.mu.
+func (a *attempts) dropHedges() []*hedge {
+	var unused []*hedge
+	for _, h := range a.hedges {
+		switch h.state {
+		case hedgeWon:
+			a.recordHedge(forward.EndLost)
+			unused = append(unused, h)
+		case hedgeReady:
+			unused = append(unused, h)
+			h.lose()
+		case hedgePending:
+			h.lose()
+		}
+	}
 	a.hedges = nil
 	a.hedged.Store(false)
-	return true
+	return unused
 }
 
-// takeSuccessor returns the attempt that takes the place of the current one, which has ended: the one that
+// takeSuccessor returns the attempt that takes the place of the current one, which has ended: one that
 // has gone on, or else one that may still go on. It returns nil if there is none.
 func (a *attempts) takeSuccessor() *hedge {
 	g := a.gateway
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	for _, state := range []hedgeState{hedgeWon, hedgePending} {
+	for _, state := range []hedgeState{hedgeWon, hedgeReady, hedgePending} {
 		for i, h := range a.hedges {
 			if h.state != state {
 				continue
 			}
-			if state == hedgePending {
-				h.state = hedgePromoted
+			switch state {
+			case hedgeReady:
+				h.set(hedgeWon)
+			case hedgePending:
+				h.set(hedgePromoted)
 			}
 			a.hedges = slices.Delete(a.hedges, i, i+1)
+			a.unrecorded--
 			a.current = h.attempt
 			return h
 		}
@@ -283,20 +388,9 @@
 	g := a.gateway
 	g.mu.Lock()
 	a.settled = true
-	a.endOthers(nil)
-	hedges := a.hedges
-	a.hedges = nil
-	a.hedged.Store(false)
-	var won []*hedge
-	for _, h := range hedges {
-		if h.state == hedgeWon {
-			won = append(won, h)
-		}
-	}
+	unused := a.dropHedges()
 	g.mu.Unlock()
-	for _, h := range won {
-		<-h.done
-		h.reply.Finish(false)
-		h.attempt.end()
+	for _, h := range unused {
+		h.release()
 	}
 }
