--- a/internal/transport/installation/conn_limits_test.go
+++ b/internal/transport/installation/conn_limits_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	qt "github.com/frankban/quicktest"
@@ -157,23 +158,34 @@
 	for _, test := range []struct {
 		name          string
 		before, after time.Duration
+		// reuses is how often the connection is reused after four fifths of the long timeout.
+		reuses int
 	}{
-		{"shortened", long, short},
-		{"extended", short, long},
+		{"shortened", long, short, 2},
+		{"extended", short, long, 3},
 	} {
 		t.Run(test.name, func(t *testing.T) {
-			c := qt.New(t)
-			server := newLimitedServer(t, catalog.Limits{HeaderTimeout: headerTimeout, IdleTimeout: test.before})
-			conn, err := net.Dial("tcp4", server.address)
-			c.Assert(err, qt.IsNil)
-			defer func() { _ = conn.Close() }()
-			reader := bufio.NewReader(conn)
-			c.Assert(sendRequest(conn, reader), qt.IsTrue)
-			server.limits.Store(&catalog.Limits{HeaderTimeout: headerTimeout, IdleTimeout: test.after})
-			time.Sleep(long * 4 / 5)
-			c.Assert(sendRequest(conn, reader), qt.IsTrue)
-			time.Sleep(long * 4 / 5)
-			c.Assert(sendRequest(conn, reader), qt.IsTrue)
+			synctest.Test(t, func(t *testing.T) {
+				c := qt.New(t)
+				var idleTimeout atomic.Int64
+				idleTimeout.Store(int64(test.before))
+				limits := newConnLimits(func() catalog.Limits {
+					return catalog.Limits{HeaderTimeout: headerTimeout, IdleTimeout: time.Duration(idleTimeout.Load())}
+				})
+				conn := &closeRecorder{}
+				limits.onStateChange(conn, http.StateIdle)
+				idleTimeout.Store(int64(test.after))
+				for range test.reuses {
+					time.Sleep(long * 4 / 5)
+					synctest.Wait()
+					c.Assert(conn.closed.Load(), qt.IsFalse)
+					limits.onStateChange(conn, http.StateActive)
+					limits.onStateChange(conn, http.StateIdle)
+				}
+				time.Sleep(long + headerTimeout)
+				synctest.Wait()
+				c.Assert(conn.closed.Load(), qt.IsTrue)
+			})
 		})
 	}
 }
