--- a/internal/transport/gateway/waitqueue.go
+++ b/internal/transport/gateway/waitqueue.go
@@ -45,7 +45,9 @@
 // holds g.mu.
 func (a *attempts) mayWait(placement fleet.Placement, now time.Duration) bool {
 	switch {
-	case a.endedByStop() != nil, a.gateway.isPlain(a.service), a.gaveWay:
+	case a.endedByStop() != nil:
+		return false
+	case a.gateway.isPlain(a.service), a.gaveWay:
 		return false
 	case a.stream != nil:
 		// Servers that switch their weights at the same time may leave no server for a moment.
