A second attempt continues what has been delivered, or is withdrawn; withdrawn servers may be used again

A second attempt that was ready while the first went on would have joined two runs of a stream: its events follow the one after which it was sent. It now takes over only if nothing was delivered since, and is withdrawn as soon as the first goes on. Its server does not use up the servers of the route, so that it can be sent the request again when the first falls silent once more or breaks off.

The attempt is registered together with its reservation, after a check that all running ones are still silent. What cancels an attempt goes through Patience.Decide. A sound server whose attempt was withdrawn is not taken for silent. Each second attempt has a log line at its end.

--- a/internal/coordination/fleet/choose.go
+++ b/internal/coordination/fleet/choose.go
@@ -32,6 +32,8 @@
 	// Avoid are the servers that must not be picked, such as those that the request was already
 	// sent to.
 	Avoid []filbertlever.HostID
+	// Only are the servers that may be picked; empty for all.
+	Only []filbertlever.HostID
 	// Responsive is true if no server may be picked that has sent nothing since a request was given up
 	// there.
 	Responsive bool
@@ -103,7 +105,7 @@
 			request.Avoid = append(request.Avoid, filbertlever.HostID(id))
 		}
 	}
-	routed := &routing.Request{Target: target, PromptTokens: request.PromptTokens, Avoid: request.Avoid, Regions: request.Regions, Now: now,
+	routed := &routing.Request{Target: target, PromptTokens: request.PromptTokens, Avoid: request.Avoid, Only: request.Only, Regions: request.Regions, Now: now,
 		AnswerDuration: f.answerDuration(request), AnswerTokens: request.AnswerTokens, LastAttempt: request.LastAttempt,
 		Remaining: request.Remaining, MaxEventGap: request.MaxEventGap}
 	choice := router.Choose(routed)
--- a/internal/coordination/forward/forward.go
+++ b/internal/coordination/forward/forward.go
@@ -38,6 +38,9 @@
 	EndLost
 	// EndFailed means that the server ran the request and failed.
 	EndFailed
+	// EndWithdrawn means that the attempt was cancelled because another one went on. Its server may
+	// still run the request, and may be sent it again.
+	EndWithdrawn
 )
 
 // Step is what follows after an attempt.
@@ -68,6 +71,8 @@
 	// unsent and sent count the attempts by whether a server can have received them.
 	unsent int
 	sent   int
+	// withdrawn counts those of sent that ended with EndWithdrawn.
+	withdrawn int
 	// mayHaveRun is true once a server may have started the request.
 	mayHaveRun bool
 }
@@ -113,6 +118,10 @@
 	case EndLost, EndFailed:
 		a.sent++
 		a.mayHaveRun = true
+	case EndWithdrawn:
+		a.sent++
+		a.withdrawn++
+		a.mayHaveRun = true
 	default:
 		a.sent++
 	}
@@ -128,7 +137,7 @@
 		// The intended server was not reached, so it does not count towards the limit.
 		return !a.mayHaveRun || a.Class.Repeatable
 	}
-	return a.sent < a.Class.MaxServers && (!a.mayHaveRun || a.Class.Repeatable)
+	return a.sent-a.withdrawn < a.Class.MaxServers && (!a.mayHaveRun || a.Class.Repeatable)
 }
 
 // retryEnds maps an End to the one that the retry budget distinguishes.
@@ -147,7 +156,7 @@
 	return budget.Allow(retry.Attempt{End: retryEnds[end], Number: a.sent}, remaining, now)
 }
 
-var endNames = [...]string{"None", "Unsent", "Refused", "Moved", "Lost", "Failed"}
+var endNames = [...]string{"None", "Unsent", "Refused", "Moved", "Lost", "Failed", "Withdrawn"}
 
 // String returns the name of the end.
 func (e End) String() string { return endNames[e] }
--- a/internal/coordination/routing/routing.go
+++ b/internal/coordination/routing/routing.go
@@ -98,6 +98,8 @@
 	PromptTokens int
 	// Avoid lists the hosts where the request has already failed.
 	Avoid []filbertlever.HostID
+	// Only lists the hosts that may be chosen; empty for all.
+	Only []filbertlever.HostID
 	// Regions are the regions of the hosts that may run the request.
 	Regions filbertlever.Regions
 	// AnswerDuration is how long the answer is predicted to take at a host that is not slow, 0 if unknown.
@@ -466,7 +468,7 @@
 // eligible reports whether host i may get a request.
 func (r *Router) eligible(i int32, request *Request) bool {
 	h := &r.hosts[i]
-	return h.usable && request.Regions.Allows(h.region) && !slices.Contains(request.Avoid, h.id)
+	return h.usable && request.Regions.Allows(h.region) && !slices.Contains(request.Avoid, h.id) && (len(request.Only) == 0 || slices.Contains(request.Only, h.id))
 }
 
 // recordSent counts a request as sent to host i and records its prefix.
--- a/internal/transport/gateway/attempt.go
+++ b/internal/transport/gateway/attempt.go
@@ -7,11 +7,13 @@
 	"errors"
 	"io"
 	"net/http"
+	"slices"
 	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
 
+	"github.com/filbertlever/filbertlever/internal/coordination/catalog"
 	"github.com/filbertlever/filbertlever/internal/coordination/forward"
 	"github.com/filbertlever/filbertlever/internal/transport/boottime"
 	"github.com/filbertlever/filbertlever/internal/transport/channel"
@@ -35,6 +37,8 @@
 	// writing is true while a part of the answer is written to the caller.
 	writing    atomic.Bool
 	startTimer *time.Timer
+	// sentAfter is the part of a stream that had been delivered when the request was built.
+	sentAfter deliveredPart
 	// phase records whether the response has started, or whether the attempt was cancelled because of
 	// startDeadline or a quarantine decision.
 	phase  attemptPhase
@@ -61,38 +65,60 @@
 
 // newAttempt registers an attempt at a chosen server. The attempt must be ended with end.
 func (a *attempts) newAttempt(server chosenServer) *attempt {
+	a.gateway.mu.Lock()
+	defer a.gateway.mu.Unlock()
+	return a.newAttemptLocked(server)
+}
+
+// newAttemptLocked is newAttempt for callers that hold g.mu.
+func (a *attempts) newAttemptLocked(server chosenServer) *attempt {
 	ctx, cancel := context.WithCancelCause(a.ctx)
 	t := &attempt{attempts: a, chosenServer: server, placedAt: boottime.Now(), ctx: ctx, endedBy: forward.EndedByServer}
 	t.cancel = func(by forward.EndedBy) { cancel(&cancelError{by}) }
 	t.progressAt.Store(int64(t.placedAt))
-	g := a.gateway
-	g.mu.Lock()
-	defer g.mu.Unlock()
 	a.tried = append(a.tried, server.Backend)
+	a.withdrawn = slices.DeleteFunc(a.withdrawn, func(b catalog.Backend) bool { return b.ID == server.Backend.ID })
 	a.running = append(a.running, t)
 	return t
 }
 
 // end releases the attempt's place at its server.
 func (t *attempt) end() {
+	g := t.gateway
+	g.mu.Lock()
+	action, _ := t.patience().Decide(t.statusLocked(t))
+	g.mu.Unlock()
+	// An attempt that was ended in time says nothing about its server.
+	givenUp := t.sentAt != 0 && (t.endedBy != forward.EndedByHedge || action == forward.ActionHedge)
 	t.markStarted()
 	t.cancel(forward.EndedByServer)
-	g := t.gateway
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	for i, running := range t.running {
 		if running == t {
 			t.running = append(t.running[:i:i], t.running[i+1:]...)
-			if t.sentAt == 0 {
-				g.fleet.ReleaseIfCurrent(t.Backend)
-			} else {
+			if givenUp {
 				g.fleet.EndAttempt(t.Backend, boottime.Now())
+			} else {
+				g.fleet.ReleaseIfCurrent(t.Backend)
 			}
 			return
 		}
 	}
 }
 
+// cancelIf cancels the attempt if that is what follows from its status. One that has not begun is
+// cancelled at most once.
+func (t *attempt) cancelIf(status forward.Running) bool {
+	status.Begun = t.phase.hasStarted()
+	action, by := t.patience().Decide(status)
+	if action != forward.ActionCancel || !status.Overtaken && !t.phase.tryCancel() {
+		return false
+	}
+	t.cancel(by)
+	return true
+}
+
 // receive sends the request and waits until the answer goes on. If it does not, receive returns how the
 // attempt ended and, if the server answered with a failure, the beginning of that response.
 func (t *attempt) receive() (beginning, forward.End) {
@@ -138,9 +164,10 @@
 		Priority: min(max(t.priority, 0), lowestPriority), TimeLeft: max(t.remaining(), 0), Version: t.Version,
 		BeforeSend: t.checkBeforeSend,
 	}
-	if at := t.delivered.snapshot(); at.begun {
+	t.sentAfter = t.delivered.snapshot()
+	if t.sentAfter.begun {
 		// The caller is waiting in the middle of its response.
-		d.LastEvent, d.Priority = at.lastEvent, 0
+		d.LastEvent, d.Priority = t.sentAfter.lastEvent, 0
 	}
 	return d
 }
--- a/internal/transport/gateway/attempts.go
+++ b/internal/transport/gateway/attempts.go
@@ -39,10 +39,9 @@
 	hedges  []*hedge
 	settled bool
 	hedged  atomic.Bool
-	// unrecorded is the number of hedges whose end has not been recorded, and resumedAt and wentOnAt when
-	// the current attempt began and continued to go on beside a hedge. They are guarded by the gateway's mu.
-	unrecorded          int
-	resumedAt, wentOnAt time.Duration
+	// withdrawn are the servers of attempts that ended because another one went on. It is guarded by the
+	// gateway's mu.
+	withdrawn []catalog.Backend
 	// failed is the last attempt whose server answered with a failure, and failure that response. It is
 	// forwarded if no other server answers; nil if there is none.
 	failed  *attempt
@@ -159,7 +158,7 @@
 			a.keepFailure(t, received)
 		}
 		received.discard()
-		a.recordEnd(cmp.Or(end, forward.EndLost))
+		a.recordEnd(t, cmp.Or(end, forward.EndLost))
 		t.end()
 		t = h.attempt
 		stop = a.watch(t)
@@ -183,10 +182,21 @@
 }
 
 // recordEnd records how an attempt ended that is not followed by a decision on the next one.
-func (a *attempts) recordEnd(end forward.End) {
+func (a *attempts) recordEnd(t *attempt, end forward.End) {
 	a.gateway.mu.Lock()
 	defer a.gateway.mu.Unlock()
+	a.recordEndLocked(t, end)
+}
+
+// recordEndLocked is recordEnd for callers that hold g.mu.
+func (a *attempts) recordEndLocked(t *attempt, end forward.End) {
+	if t.endedBy == forward.EndedByHedge {
+		end = forward.EndWithdrawn
+	}
 	a.Record(end)
+	if end == forward.EndWithdrawn {
+		a.withdrawn = append(a.withdrawn, t.Backend)
+	}
 }
 
 // decideNext decides what follows a failed attempt. It returns true to try another server.
@@ -199,9 +209,7 @@
 		return false
 	}
 	g.mu.Lock()
-	// A hedge that was cancelled counts as a server before it has ended.
-	hasAlternative := a.unrecorded == 0 || a.Sent()+1+a.unrecorded < a.Class.MaxServers
-	step := a.NextStep(end, g.retryBudget(a.service), a.remaining(), boottime.Now(), hasAlternative)
+	step := a.NextStep(end, g.retryBudget(a.service), a.remaining(), boottime.Now(), true)
 	sent := a.Sent()
 	g.mu.Unlock()
 	g.log.Info("attempt ended", zap.String("Request", a.call.ID), zap.String("Backend", t.Backend.ID),
--- a/internal/transport/gateway/boots_test.go
+++ b/internal/transport/gateway/boots_test.go
@@ -147,7 +147,8 @@
 	c.Assert(reason, qt.Equals, forward.EndedByReplacement)
 	g.config.RetrySlack, g.config.RetryWindow = 2, time.Second
 	g.retryBudgets, g.gate = map[string]*retry.Window{}, admission.DefaultEntryGate()
-	server, ok := a.reserveSecond()
-	c.Assert(ok, qt.IsTrue)
-	c.Assert(processOf(server.Backend), qt.Not(qt.Equals), processOf(w.current.Backend))
+	a.current = w.current
+	h := w.reserveSecond(reason)
+	c.Assert(h, qt.IsNotNil)
+	c.Assert(processOf(h.Backend), qt.Not(qt.Equals), processOf(w.current.Backend))
 }
--- a/internal/transport/gateway/hedge.go
+++ b/internal/transport/gateway/hedge.go
@@ -30,11 +30,6 @@
 	minSilenceTimeout = 800 * time.Millisecond
 	// checkInterval is the interval between checks once a second server is wanted.
 	checkInterval = 100 * time.Millisecond
-	// A second attempt that can go on waits while the pauses of the first are shorter than the longest
-	// that callers accept, but at least minStandbyPause. It is ended once the first has gone on for
-	// standbyDuration.
-	minStandbyPause = 300 * time.Millisecond
-	standbyDuration = 600 * time.Millisecond
 )
 
 // hedge is an attempt beside the current one of a request.
@@ -56,42 +51,24 @@
 
 const (
 	hedgePending hedgeState = iota
-	// hedgeReady: it can go on, but the current attempt has gone on too.
-	hedgeReady
 	// hedgePromoted: the current attempt has ended, and this one took its place before it went on.
 	hedgePromoted
-	// hedgeWon: it takes the place of the current attempt, which is silent or has ended.
+	// hedgeWon: it went on first and takes the place of the current attempt.
 	hedgeWon
-	// hedgeLost: another attempt went on, or the request ended.
+	// hedgeLost: another attempt went on first, or the request ended.
 	hedgeLost
 	// hedgeFailed: it ended without going on.
 	hedgeFailed
 )
 
-var hedgeResults = [...]string{"Pending", "Ready", "Promoted", "Won", "Lost", "Failed"}
+var hedgeResults = [...]string{"Pending", "Promoted", "Won", "Lost", "Failed"}
 
 // set changes the state. The caller holds g.mu.
 func (h *hedge) set(state hedgeState) {
 	h.state = state
-	if state != hedgeReady {
-		h.gateway.metrics.hedges.WithLabelValues(h.service, string(h.reason), hedgeResults[state]).Inc()
-	}
-}
-
-// lose ends a hedge that may still go on. A ready one must be released afterwards. The caller holds g.mu.
-func (h *hedge) lose() {
-	if h.state == hedgeReady {
-		h.recordHedge(forward.EndLost)
-	}
-	h.set(hedgeLost)
-	h.cancel(forward.EndedByHedge)
-}
-
-// release releases a hedge whose answer is not forwarded.
-func (h *hedge) release() {
-	<-h.done
-	h.reply.Finish(false)
-	h.attempt.end()
+	h.gateway.metrics.hedges.WithLabelValues(h.service, string(h.reason), hedgeResults[state]).Inc()
+	h.gateway.log.Info("second attempt ended", zap.String("Request", h.call.ID), zap.String("Second", h.Backend.ID), zap.String("Backend", h.current.Backend.ID),
+		zap.String("Result", hedgeResults[state]), zap.Duration("Took", boottime.Now()-h.placedAt))
 }
 
 // patience returns the times of silence after which the request is sent to a second server.
@@ -134,16 +111,11 @@
 			return
 		case <-timer.C:
 		}
-		w.takeReady()
 		status := w.status(w.current)
-		if action, reason := patience.Decide(status); action == forward.ActionHedge && w.allSilent(patience) {
+		if action, reason := patience.Decide(status); action == forward.ActionHedge {
 			w.startHedge(status, reason)
 		}
-		next := checkInterval
-		if !w.hedged.Load() {
-			next = patience.CheckIn(status, checkInterval)
-		}
-		timer.Reset(next)
+		timer.Reset(patience.CheckIn(status, checkInterval))
 	}
 }
 
@@ -165,17 +137,13 @@
 	return running
 }
 
-// allSilent reports whether all running attempts call for another one.
-func (a *attempts) allSilent(patience forward.Patience) bool {
-	g := a.gateway
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	for _, t := range a.running {
-		if action, _ := patience.Decide(a.statusLocked(t)); action != forward.ActionHedge {
-			return false
-		}
-	}
-	return true
+// allSilent reports whether all running attempts call for another one. The caller holds g.mu.
+func (a *attempts) allSilent() bool {
+	patience := a.patience()
+	return !slices.ContainsFunc(a.running, func(t *attempt) bool {
+		action, _ := patience.Decide(a.statusLocked(t))
+		return action != forward.ActionHedge
+	})
 }
 
 // startHedge starts an attempt at another server if a server, a place there and the retry budget are
@@ -185,58 +153,63 @@
 	if a.callerDisconnected() || a.checkQuarantine() != nil || a.oneCrashFromHold() {
 		return
 	}
-	server, ok := a.reserveSecond()
-	if !ok {
+	h := w.reserveSecond(reason)
+	if h == nil {
 		return
 	}
-	h := &hedge{attempt: a.newAttempt(server), reason: reason, done: make(chan struct{})}
-	g.mu.Lock()
-	a.hedges = append(a.hedges, h)
-	a.hedged.Store(true)
-	a.unrecorded++
-	g.mu.Unlock()
+	server := h.chosenServer
 	g.log.Info("second attempt started", zap.String("Request", a.call.ID), zap.String("Backend", w.current.Backend.ID), zap.String("Second", server.Backend.ID),
 		zap.String("Why", string(reason)), zap.Duration("Silent", status.Silent), zap.Bool("Begun", status.Begun), zap.Bool("Stalled", status.Stalled),
 		zap.Bool("Replaced", status.Replaced), zap.Int("Ahead", server.QueuePosition), zap.Duration("Left", a.remaining()))
 	go h.run()
 }
 
-// reserveSecond chooses another server and takes the attempt from the retry budget. A request that has
-// not begun is sent only to a server with a free slot.
-func (a *attempts) reserveSecond() (chosenServer, bool) {
-	g, now := a.gateway, boottime.Now()
-	begun := a.begun()
+// reserveSecond chooses another server, takes the attempt from the retry budget and registers it. It returns
+// nil if there is none, or if an attempt has gone on meanwhile. A request that has not begun is sent only to a
+// server with a free slot.
+func (w *attemptWatch) reserveSecond(reason forward.EndedBy) *hedge {
+	a, g, now := w.attempts, w.gateway, boottime.Now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if a.settled || len(a.tried) >= a.Class.MaxServers {
-		return chosenServer{}, false
+	if a.settled || a.current != w.current || !a.allSilent() || a.serversLeft() <= 0 {
+		return nil
 	}
 	wanted := a.placementRequest(now)
 	wanted.Responsive = true
 	server := a.chooseFor(wanted, now)
 	if !server.Found {
-		return chosenServer{}, false
+		return nil
 	}
 	visited := slices.ContainsFunc(a.running, func(t *attempt) bool { return processOf(t.Backend) == processOf(server.Backend) })
-	if visited || !begun && server.QueuePosition > g.gate.MaxQueuePosition ||
+	if visited || !a.begun() && server.QueuePosition > g.gate.MaxQueuePosition ||
 		!g.retryBudget(a.service).Allow(retry.Attempt{End: retry.EndLost}, a.remaining(), now) {
 		g.fleet.Release(server.Backend.ID)
-		return chosenServer{}, false
+		return nil
 	}
-	return server, true
+	h := &hedge{attempt: a.newAttemptLocked(server), reason: reason, done: make(chan struct{})}
+	a.hedges = append(a.hedges, h)
+	a.hedged.Store(true)
+	return h
 }
 
-// run performs the attempt until it goes on or ends. If it goes on while the current one is silent, it ends
-// that.
+// serversLeft returns how many more servers the request may be sent to, those counted that it was withdrawn
+// from. The caller holds g.mu.
+func (a *attempts) serversLeft() int {
+	tried := map[string]bool{}
+	for _, b := range a.tried {
+		tried[b.ID] = true
+	}
+	return a.Class.MaxServers - len(tried) + len(a.withdrawn)
+}
+
+// run performs the attempt until it goes on or ends. If it goes on before the current one, it ends that.
 func (h *hedge) run() {
 	defer close(h.done)
 	received, end := h.receive()
 	if h.decide(received, end) {
 		return
 	}
-	if received.reply != nil {
-		received.reply.Finish(false)
-	}
+	received.discard()
 	h.attempt.end()
 }
 
@@ -250,111 +223,53 @@
 	switch {
 	case h.state == hedgePromoted:
 		return true
-	case h.state == hedgeLost, end == 0 && h.settled:
-		if h.state == hedgePending {
-			h.set(hedgeLost)
-		}
-		h.recordHedge(cmp.Or(end, forward.EndLost))
-		return false
+	case h.state == hedgeLost:
+	case end == 0 && (h.settled || h.delivered.snapshot() != h.sentAfter):
+		// Its answer does not continue what has been delivered.
+		h.set(hedgeLost)
+		h.recordEndLocked(h.attempt, forward.EndWithdrawn)
 	case end != 0, received.empty:
 		// A stream that ends without a further event shows nothing while the first attempt may go on.
 		h.set(hedgeFailed)
-		h.recordHedge(cmp.Or(end, forward.EndLost))
-		return false
-	case h.currentSilent():
-		h.win()
+		h.recordEndLocked(h.attempt, cmp.Or(end, forward.EndLost))
 	default:
-		h.set(hedgeReady)
+		h.set(hedgeWon)
+		h.current.cancelIf(forward.Running{Overtaken: true})
+		h.endOthers(h)
+		return true
 	}
-	return true
-}
-
-// win makes the attempt the successor of the current one. The caller holds g.mu.
-func (h *hedge) win() {
-	h.set(hedgeWon)
-	h.current.cancel(forward.EndedByHedge)
-}
-
-// recordHedge records how a hedge ended. The caller holds g.mu.
-func (a *attempts) recordHedge(end forward.End) {
-	a.unrecorded--
-	a.Record(end)
+	return false
 }
 
-// standbyPause returns the pause of the current attempt during which a hedge that is ready does not take
-// its place.
-func (a *attempts) standbyPause() time.Duration { return max(a.route.MaxEventGap, minStandbyPause) }
-
-// currentSilent reports whether the current attempt has not sent anything for longer than standbyPause. The
-// caller holds g.mu.
-func (a *attempts) currentSilent() bool { return a.statusLocked(a.current).Silent > a.standbyPause() }
-
-// takeReady lets a hedge that is ready take the place of a silent current attempt.
-func (a *attempts) takeReady() {
-	if !a.hedged.Load() {
-		return
-	}
-	g := a.gateway
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	if a.settled || !a.currentSilent() || slices.ContainsFunc(a.hedges, func(h *hedge) bool { return h.state == hedgeWon }) {
-		return
-	}
+// endOthers ends all pending hedges but one. The caller holds g.mu.
+func (a *attempts) endOthers(kept *hedge) {
 	for _, h := range a.hedges {
-		if h.state == hedgeReady {
-			h.win()
-			return
+		if h != kept && h.state == hedgePending {
+			h.set(hedgeLost)
+			h.recordEndLocked(h.attempt, forward.EndWithdrawn)
+			h.cancelIf(forward.Running{Overtaken: true})
 		}
 	}
 }
 
 // goesOn reports whether the current attempt, which has received a part of its answer, still is the one
-// that goes on. Attempts beside it are ended once it has gone on for standbyDuration, or if last is set.
+// that goes on. If so, the attempts beside it are ended, as they do not continue what is delivered now. With
+// last set none are started any more.
 func (a *attempts) goesOn(last bool) bool {
 	if !last && !a.hedged.Load() {
 		return true
 	}
-	g, now := a.gateway, boottime.Now()
+	g := a.gateway
 	g.mu.Lock()
+	defer g.mu.Unlock()
 	if slices.ContainsFunc(a.hedges, func(h *hedge) bool { return h.state == hedgeWon }) {
-		g.mu.Unlock()
 		return false
 	}
-	if now-a.wentOnAt > a.standbyPause() {
-		a.resumedAt = now
-	}
-	a.wentOnAt = now
 	a.settled = last
-	var ready []*hedge
-	if last || now-a.resumedAt >= standbyDuration {
-		ready = a.dropHedges()
-	}
-	g.mu.Unlock()
-	for _, h := range ready {
-		h.release()
-	}
-	return true
-}
-
-// dropHedges ends all attempts beside the current one, and returns those that must be released. The caller
-// holds g.mu.
-func (a *attempts) dropHedges() []*hedge {
-	var unused []*hedge
-	for _, h := range a.hedges {
-		switch h.state {
-		case hedgeWon:
-			a.recordHedge(forward.EndLost)
-			unused = append(unused, h)
-		case hedgeReady:
-			unused = append(unused, h)
-			h.lose()
-		case hedgePending:
-			h.lose()
-		}
-	}
+	a.endOthers(nil)
 	a.hedges = nil
 	a.hedged.Store(false)
-	return unused
+	return true
 }
 
 // takeSuccessor returns the attempt that takes the place of the current one, which has ended: one that
@@ -363,19 +278,15 @@
 	g := a.gateway
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	for _, state := range []hedgeState{hedgeWon, hedgeReady, hedgePending} {
+	for _, state := range []hedgeState{hedgeWon, hedgePending} {
 		for i, h := range a.hedges {
 			if h.state != state {
 				continue
 			}
-			switch state {
-			case hedgeReady:
-				h.set(hedgeWon)
-			case hedgePending:
+			if state == hedgePending {
 				h.set(hedgePromoted)
 			}
 			a.hedges = slices.Delete(a.hedges, i, i+1)
-			a.unrecorded--
 			a.current = h.attempt
 			return h
 		}
@@ -388,9 +299,20 @@
 	g := a.gateway
 	g.mu.Lock()
 	a.settled = true
-	unused := a.dropHedges()
+	a.endOthers(nil)
+	var unused []*hedge
+	for _, h := range a.hedges {
+		if h.state == hedgeWon {
+			h.recordEndLocked(h.attempt, forward.EndWithdrawn)
+			unused = append(unused, h)
+		}
+	}
+	a.hedges = nil
+	a.hedged.Store(false)
 	g.mu.Unlock()
 	for _, h := range unused {
-		h.release()
+		<-h.done
+		h.reply.Finish(false)
+		h.attempt.end()
 	}
 }
--- a/internal/transport/gateway/named_test.go
+++ b/internal/transport/gateway/named_test.go
@@ -79,7 +79,7 @@
 	for _, starts := range []bool{false, true} {
 		ctx, cancel := context.WithCancel(context.Background())
 		newAttempt := func(startDeadline time.Duration) *attempt {
-			return &attempt{chosenServer: chosenServer{startDeadline: startDeadline}, cancel: func(forward.EndedBy) { cancel() }}
+			return &attempt{attempts: &attempts{exchange: &exchange{route: &catalog.Route{}}}, chosenServer: chosenServer{startDeadline: startDeadline}, cancel: func(forward.EndedBy) { cancel() }}
 		}
 		a := newAttempt(1)
 		if starts {
@@ -112,7 +112,7 @@
 	c := qt.New(t)
 	cancelled := 0
 	newAttempt := func(startDeadline time.Duration) *attempt {
-		return &attempt{chosenServer: chosenServer{startDeadline: startDeadline}, cancel: func(forward.EndedBy) { cancelled++ }}
+		return &attempt{attempts: &attempts{exchange: &exchange{route: &catalog.Route{}}}, chosenServer: chosenServer{startDeadline: startDeadline}, cancel: func(forward.EndedBy) { cancelled++ }}
 	}
 	a := newAttempt(1 << 62)
 	a.watchStart()
--- a/internal/transport/gateway/phase.go
+++ b/internal/transport/gateway/phase.go
@@ -49,9 +49,7 @@
 
 // expire cancels the attempt unless its response has started.
 func (t *attempt) expire() {
-	if t.phase.tryCancel() {
-		t.cancel(forward.EndedByStartDeadline)
-	}
+	t.cancelIf(forward.Running{Late: true})
 }
 
 // markStarted records that the response of the attempt has started, or that the attempt has ended.
--- a/internal/transport/gateway/placement.go
+++ b/internal/transport/gateway/placement.go
@@ -1,11 +1,14 @@
 package gateway
 
 import (
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
 
+	"github.com/filbertlever/filbertlever"
 	"github.com/filbertlever/filbertlever/internal/coordination/admission"
+	"github.com/filbertlever/filbertlever/internal/coordination/catalog"
 	"github.com/filbertlever/filbertlever/internal/coordination/contention"
 	"github.com/filbertlever/filbertlever/internal/coordination/fleet"
 	"github.com/filbertlever/filbertlever/internal/coordination/routing"
@@ -197,6 +200,15 @@
 	request := fleet.Request{Service: a.service, Regions: a.regions, Model: a.call.Model, PromptTokens: a.call.PromptTokens,
 		AnswerTokens: a.call.AnswerTokens, LastAttempt: a.Sent()+1 >= a.Class.MaxServers, Avoid: a.gateway.fleet.ServersToAvoid(a.tried),
 		Remaining: a.remaining(), MaxEventGap: a.route.MaxEventGap}
+	if len(a.withdrawn) > 0 && a.serversLeft() <= len(a.withdrawn) {
+		// Only servers that the request was withdrawn from are left.
+		request.Avoid = a.gateway.fleet.ServersToAvoid(slices.DeleteFunc(slices.Clone(a.tried), func(b catalog.Backend) bool {
+			return slices.ContainsFunc(a.withdrawn, func(w catalog.Backend) bool { return w.ID == b.ID })
+		}))
+		for _, b := range a.withdrawn {
+			request.Only = append(request.Only, filbertlever.HostID(b.ID))
+		}
+	}
 	if a.call.Model != "" {
 		request.MinVersion = a.gateway.minVersion(a.call.Model, now)
 	}
--- a/internal/transport/gateway/quarantine.go
+++ b/internal/transport/gateway/quarantine.go
@@ -151,8 +151,7 @@
 			continue
 		}
 		for _, t := range a.running {
-			if t.phase.tryCancel() {
-				t.cancel(forward.EndedByQuarantine)
+			if t.cancelIf(forward.Running{Quarantined: true}) {
 				n++
 			}
 		}
