--- a/internal/transport/gateway/boots_test.go
+++ b/internal/transport/gateway/boots_test.go
@@ -127,6 +127,21 @@
 	c.Assert(g.fleet.Stalled("i-1", boottime.Now()), qt.IsFalse)
 }
 
+// A sound server was taken for silent because a second attempt there was withdrawn after half a second.
+func TestWithdrawnAttemptIsNoSilenceOfItsServer(t *testing.T) {
+	c := qt.New(t)
+	g, _ := newEntryWithBoot(t)
+	a := &attempts{exchange: &exchange{gateway: g, call: &Call{ID: "o1"}, service: "orders", route: &catalog.Route{FirstByteGoal: time.Second}, ctx: context.Background()}}
+	for _, silence := range []time.Duration{500 * time.Millisecond, 3 * time.Second} {
+		now := boottime.Now()
+		w := a.newAttempt(chosenServer{Placement: g.fleet.Choose(fleet.Request{Service: "orders"}, now-silence)})
+		w.sentAt, w.endedBy = now-silence, forward.EndedByHedge
+		w.progressAt.Store(int64(now - silence))
+		w.end()
+		c.Check(len(g.fleet.SilentServers(now)) > 0, qt.Equals, silence == 3*time.Second, qt.Commentf("%v", silence))
+	}
+}
+
 // A network partition may hide that a server's process ended. Its requests must not wait until
 // they time out if another server is free.
 func TestRequestLeavesServerWhoseProcessEnded(t *testing.T) {
