--- a/internal/transport/gateway/attempt.go
+++ b/internal/transport/gateway/attempt.go
@@ -214,7 +214,7 @@
 	case forward.EndedByServer:
 		t.reportServerFailure(end, err)
 	case forward.EndedByHedge:
-		g.log.Info("attempt overtaken", zap.String("Request", t.call.ID), zap.String("Backend", t.Backend.ID), zap.Duration("Silent", t.silent))
+		g.log.Info("attempt withdrawn", zap.String("Request", t.call.ID), zap.String("Backend", t.Backend.ID), zap.Duration("Silent", t.silent))
 	case forward.EndedByQuarantine:
 		g.log.Info("attempt taken back", zap.String("Request", t.call.ID), zap.String("Backend", t.Backend.ID), zap.String("EndedBy", string(t.endedBy)))
 	case forward.EndedByStartDeadline:
--- a/internal/transport/gateway/attempts.go
+++ b/internal/transport/gateway/attempts.go
@@ -270,7 +270,7 @@
 	if mayHaveRun && response.retryAfter > 0 {
 		response = a.errorFor(forward.StepUnknown)
 	}
-	if a.endedBy != "" {
+	if a.endedBy != "" && !a.begun() {
 		response.fields = append(response.fields, zap.String("EndedBy", string(a.endedBy)), zap.Duration("Silent", a.silent))
 	}
 	a.finish(response)
--- a/internal/transport/gateway/ending.go
+++ b/internal/transport/gateway/ending.go
@@ -44,7 +44,7 @@
 // sent, by closing the connection.
 func (a *attempts) finish(response *errorResponse) {
 	if a.begun() {
-		a.abort(http.StatusOK, a.endedBy, append(response.fields, zap.String("Instead", response.reason), zap.String("LastEvent", a.delivered.snapshot().lastEvent))...)
+		a.abort(http.StatusOK, a.endedBy, append(response.fields, zap.Duration("Silent", a.silent), zap.String("Instead", response.reason), zap.String("LastEvent", a.delivered.snapshot().lastEvent))...)
 	}
 	a.refuse(response)
 }
