--- a/internal/transport/gateway/boots_test.go
+++ b/internal/transport/gateway/boots_test.go
@@ -120,6 +120,7 @@
 	c.Assert(g.fleet.Stalled("i-1", boottime.Now()), qt.IsTrue)
 	a.Placement = before
 	c.Assert(a.classifyReply(&Reply{Verified: true, Status: 200}), qt.Equals, forward.End(0))
+	a.recordAlive(&Reply{Verified: true, Status: 200})
 	a.recordProgress(true)
 	c.Assert(g.fleet.Stalled("i-1", boottime.Now()), qt.IsTrue)
 	a.Placement = after
