Wait until the prefetch has ended before its queue is checked

TestRemovedVersionDoesNotBlockPrefetch waited until the origin had been asked for the sixth piece, and then required the queue to be empty. The origin records a piece when it is asked; the version leaves the queue only after the piece has been returned, checked and stored. The product is right.

--- a/internal/transport/relay/prefetch_test.go
+++ b/internal/transport/relay/prefetch_test.go
@@ -125,10 +125,10 @@
 	r := New(relays.Entry{Host: "e1", Site: "a"}, singleEntryView{}, origin, &http.Client{}, zap.NewNop(), prometheus.NewRegistry())
 	r.Prefetch(catalog.ModelVersion{Model: "drafter", Version: 1})
 	r.Prefetch(catalog.ModelVersion{Model: "drafter", Version: 3})
-	for end := time.Now().Add(5 * time.Second); len(origin.fetchedVersions()) < piecesPerVersion && time.Now().Before(end); {
+	for end := time.Now().Add(5 * time.Second); r.isPrefetching() && time.Now().Before(end); {
 		time.Sleep(time.Millisecond)
 	}
-	c.Assert(origin.fetchedVersions(), qt.HasLen, piecesPerVersion)
+	c.Assert(origin.fetchedVersions(), qt.DeepEquals, []uint64{3, 3, 3, 3, 3, 3})
 	c.Assert(r.prefetchQueue(), qt.HasLen, 0)
 }
 
