An entry keeps an attempt at a silent agent until another one goes on

Callers of Ask and Answer got INCOMPLETE in the middle of sound answers: if an agent was silent for 10 s before the first token or for 3 s before the next one, the entry cancelled the attempt, recorded a failure of the host and only then looked for another host and asked the retry budget.

Attempts that are withdrawn and those that end by the deadline or the caller are not recorded as failures of their hosts, and withdrawn hosts may be used again. Router.Cancel undoes a choice that was not used; such choices would count as requests in transit for good.

TestSilentAgentWithoutAnotherHost, TestSilentAgentWithoutRetryBudget, TestSecondAttemptAtASilentAgent, TestSecondAttemptFails and TestSecondAttemptNeedsAFreeSlot failed with the entry's code before, the first four with "answer incomplete".

Not changed: the client library still ends its attempt at an entry after 15 s of silence.

--- a/internal/coordination/routing/routing.go
+++ b/internal/coordination/routing/routing.go
@@ -338,6 +338,19 @@
 	h.load.Running = max(h.load.Running-1, 0)
 }
 
+// Cancel undoes a choice of a host that the request was not sent to.
+func (r *Router) Cancel(id filbertlever.HostID) {
+	i, ok := r.index[id]
+	if !ok {
+		return
+	}
+	h := &r.hosts[i]
+	if h.dispatched > 0 {
+		h.dispatched--
+	}
+	h.inFlight = max(h.inFlight-1, 0)
+}
+
 // Choose chooses a host for a request and counts the request as sent there.
 // Choice.Host is empty if no eligible host serves the target.
 func (r *Router) Choose(request *Request) Choice {
--- a/internal/coordination/routing/routing_test.go
+++ b/internal/coordination/routing/routing_test.go
@@ -107,6 +107,17 @@
 	c.Assert(r.Choose(&routing.Request{Target: drafter}).Host, qt.Equals, id(1))
 }
 
+// A host that was chosen but not used counts as busy from then on.
+func TestCancelledChoiceIsNotCounted(t *testing.T) {
+	c := qt.New(t)
+	r := newRouter(1, 1)
+	for range 40 {
+		r.Cancel(r.Choose(&routing.Request{Target: drafter}).Host)
+	}
+	r.Report(id(0), routing.Load{Sequence: 2, Concurrency: 8, Incarnation: "life"})
+	c.Assert(r.Choose(&routing.Request{Target: drafter}).QueuePosition, qt.Equals, -7)
+}
+
 // A report that was made before the last requests arrived makes the host look
 // idle, and it gets more requests.
 func TestUnreportedRequestsAreCounted(t *testing.T) {
--- a/internal/coordination/stream/stream.go
+++ b/internal/coordination/stream/stream.go
@@ -2,7 +2,11 @@
 // attempts.
 package stream
 
-import "github.com/filbertlever/filbertlever"
+import (
+	"slices"
+
+	"github.com/filbertlever/filbertlever"
+)
 
 // Frame is a part of an answer, received from an attempt.
 type Frame struct {
@@ -37,7 +41,11 @@
 // Assembler assembles the answer to one request and keeps the pieces delivered to
 // its caller.
 type Assembler struct {
-	attempt   uint32
+	// begun is the number of the last attempt.
+	begun uint32
+	// running are the attempts whose frames count. Each of them continues delivered, as the first one to
+	// add a piece becomes the only one.
+	running   []uint32
 	version   filbertlever.Digest
 	delivered []string
 	done      bool
@@ -52,8 +60,17 @@
 // BeginAttempt starts the next attempt and returns its number. From then on,
 // frames of earlier attempts are dropped.
 func (a *Assembler) BeginAttempt() uint32 {
-	a.attempt++
-	return a.attempt
+	a.running = nil
+	return a.BeginBeside()
+}
+
+// BeginBeside starts an attempt beside the running ones and returns its number. The
+// first of them to add a piece or to complete the answer continues it. From then on,
+// frames of the others are dropped.
+func (a *Assembler) BeginBeside() uint32 {
+	a.begun++
+	a.running = append(a.running, a.begun)
+	return a.begun
 }
 
 // Delivered returns the pieces delivered so far. The slice must not be changed.
@@ -67,7 +84,9 @@
 
 // Accept checks a frame and returns the pieces to deliver:
 //   - A frame of an earlier attempt may still arrive and would duplicate tokens, so
-//     the attempt number must match.
+//     the attempt must be running.
+//   - Two attempts may continue an answer in different ways, so only one of them
+//     adds to it.
 //   - A frame may repeat delivered tokens, so those before the next offset are
 //     removed.
 //   - A lost frame would leave a gap, so an offset beyond the next one ends the
@@ -75,7 +94,7 @@
 //   - An engine that switched versions would mix two answers, so the attested
 //     digest must be the one that the answer began with.
 func (a *Assembler) Accept(frame Frame) ([]string, Verdict) {
-	if frame.Attempt != a.attempt || a.done {
+	if !slices.Contains(a.running, frame.Attempt) || a.done {
 		return nil, VerdictDrop
 	}
 	if frame.Version != a.version {
@@ -87,6 +106,9 @@
 	}
 	pieces := frame.Pieces
 	pieces = pieces[min(next-frame.Offset, uint32(len(pieces))):]
+	if len(pieces) > 0 || frame.Done {
+		a.running = []uint32{frame.Attempt}
+	}
 	a.delivered = append(a.delivered, pieces...)
 	if frame.Done {
 		a.done = true
--- a/internal/coordination/stream/stream_test.go
+++ b/internal/coordination/stream/stream_test.go
@@ -38,6 +38,25 @@
 	c.Assert(pieces, qt.DeepEquals, []string{"b"})
 }
 
+// The caller gets parts of two different continuations, because two attempts beside each other both add to
+// the answer.
+func TestOneAttemptContinuesTheAnswer(t *testing.T) {
+	for _, winner := range []int{0, 1} {
+		c := qt.New(t)
+		a := stream.New(version, []string{"a"})
+		attempts := []uint32{a.BeginAttempt(), a.BeginBeside()}
+		_, verdict := a.Accept(stream.Frame{Attempt: attempts[1-winner], Offset: 1, Version: version})
+		c.Assert(verdict, qt.Equals, stream.VerdictDeliver)
+		pieces, _ := a.Accept(stream.Frame{Attempt: attempts[winner], Offset: 1, Pieces: []string{"b"}, Version: version})
+		c.Assert(pieces, qt.DeepEquals, []string{"b"})
+		_, verdict = a.Accept(stream.Frame{Attempt: attempts[1-winner], Offset: 1, Pieces: []string{"x", "y"}, Version: version})
+		c.Assert(verdict, qt.Equals, stream.VerdictDrop)
+		pieces, _ = a.Accept(stream.Frame{Attempt: attempts[winner], Offset: 2, Pieces: []string{"c"}, Version: version, Done: true})
+		c.Assert(pieces, qt.DeepEquals, []string{"c"})
+		c.Assert(a.Delivered(), qt.DeepEquals, []string{"a", "b", "c"})
+	}
+}
+
 // The caller gets an answer with a gap, because a frame was lost.
 func TestGapEndsTheAttempt(t *testing.T) {
 	c := qt.New(t)
--- a/internal/transport/entry/ask.go
+++ b/internal/transport/entry/ask.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 	"time"
 
 	"connectrpc.com/connect"
@@ -65,11 +66,18 @@
 	versions  []version
 	// version is the version of the current attempt. It is fixed once tokens have
 	// been delivered.
-	version  version
-	answer   *stream.Assembler
+	version version
+	answer  *stream.Assembler
+	// attempts counts the attempts that were not withdrawn.
 	attempts int
+	// running are the attempts that have not ended, and events what they receive. Each continues what has
+	// been delivered.
+	running []*attempt
+	events  chan attemptEvent
 	// excluded holds the hosts that refused an attempt or failed during one.
 	excluded []filbertlever.HostID
+	// withdrawn holds the hosts of attempts that ended because another one went on.
+	withdrawn []filbertlever.HostID
 	// startSent is true once the version has been sent to the sink.
 	startSent  bool
 	lastResult attemptResult
@@ -101,7 +109,7 @@
 	if !ok {
 		return nil, connect.NewError(connect.CodeNotFound, fmt.Errorf("model %q with adapter %q is not in the bundle in force", message.Model, message.Adapter))
 	}
-	q := &modelRequest{entry: e, message: message, admission: admitted, sink: out, deadline: e.deadline(message.Timeout), versions: versions}
+	q := &modelRequest{entry: e, message: message, admission: admitted, sink: out, deadline: e.deadline(message.Timeout), versions: versions, events: make(chan attemptEvent)}
 	if err := q.resume(); err != nil {
 		return nil, err
 	}
@@ -147,32 +155,76 @@
 // run makes attempts until the answer is complete or no further attempt is
 // allowed. In the second case it returns the final outcome without delay.
 func (q *modelRequest) run(ctx context.Context) (*filbertleverv1.Final, error) {
+	timer := time.NewTimer(q.checkIn())
+	defer timer.Stop()
 	for {
-		choice, ok := q.choose()
-		if !ok {
-			return q.finalFailure(reasonNoHost), nil
+		if len(q.running) == 0 {
+			choice, ok := q.choose()
+			if !ok {
+				return q.finalFailure(reasonNoHost), nil
+			}
+			q.start(ctx, choice.Host, q.answer.BeginAttempt())
+		}
+		timer.Reset(q.checkIn())
+		var event attemptEvent
+		select {
+		case <-ctx.Done():
+			return q.interrupted(ctx)
+		case <-timer.C:
+			if q.allSilent() {
+				q.startBeside(ctx)
+			}
+			continue
+		case event = <-q.events:
+		}
+		if ctx.Err() != nil {
+			return q.interrupted(ctx)
+		}
+		if !slices.Contains(q.running, event.attempt) {
+			continue
 		}
-		q.attempts++
-		q.lastResult = q.attempt(ctx, choice)
-		if q.lastResult.answered {
+		result, ended := q.handle(event)
+		switch {
+		case !ended:
+			continue
+		case result.answered:
 			total := uint32(len(q.answer.Delivered()))
 			return &filbertleverv1.Final{Outcome: filbertleverv1.Outcome_OUTCOME_ANSWERED, Total: total}, nil
+		case result.callerErr != nil:
+			return nil, connect.NewError(connect.CodeCanceled, result.callerErr)
 		}
-		if q.lastResult.callerErr != nil {
-			return nil, connect.NewError(connect.CodeCanceled, q.lastResult.callerErr)
+		q.lastResult = result
+		q.recordFailure(event.attempt)
+		if len(q.running) > 0 {
+			// An attempt beside it may still complete the answer.
+			continue
 		}
-		q.recordFailure(choice.Host)
-		attempt := retry.Attempt{End: q.lastResult.end, Number: q.attempts, Delivered: q.hasDelivered(), RetryAfter: q.lastResult.retryAfter}
-		if !q.entry.budget.allow(attempt, time.Until(q.deadline)) {
-			return q.finalFailure(q.lastResult.reason), nil
+		failed := retry.Attempt{End: result.end, Number: q.attempts, Delivered: q.hasDelivered(), RetryAfter: result.retryAfter}
+		if !q.entry.budget.allow(failed, time.Until(q.deadline)) {
+			return q.finalFailure(result.reason), nil
 		}
 		q.entry.metrics.retries.Inc()
 	}
 }
 
+// interrupted returns the outcome of a request whose deadline has passed or whose
+// caller has disconnected. The hosts of its running attempts have not failed.
+func (q *modelRequest) interrupted(ctx context.Context) (*filbertleverv1.Final, error) {
+	for _, a := range q.running {
+		q.entry.routes.release(a.host)
+		q.mayHaveRun = true
+	}
+	if cause := context.Cause(ctx); !errors.Is(cause, context.DeadlineExceeded) {
+		return nil, connect.NewError(connect.CodeCanceled, fmt.Errorf("caller of %s left: %w", q.message.RequestId, cause))
+	}
+	return q.finalFailure(reasonDeadline), nil
+}
+
 // recordFailure updates the request after an attempt that did not complete the
 // answer.
-func (q *modelRequest) recordFailure(host filbertlever.HostID) {
+func (q *modelRequest) recordFailure(a *attempt) {
+	a.cancel()
+	q.running = slices.DeleteFunc(q.running, func(other *attempt) bool { return other == a })
 	switch q.lastResult.end {
 	case retry.EndWrongWeights:
 		// The host is not excluded, as it may serve the bundle's version by now.
@@ -183,7 +235,7 @@
 	case retry.EndFailed, retry.EndLost:
 		q.mayHaveRun = true
 	}
-	q.excluded = append(q.excluded, host)
+	q.excluded = append(q.excluded, a.host)
 }
 
 // choose selects the host for the next attempt. It prefers the bundle's version.
@@ -195,13 +247,7 @@
 		versions = []version{q.version}
 	}
 	for _, v := range versions {
-		request := routing.Request{
-			Target:       v.target(),
-			Prefix:       q.prefix(),
-			PromptTokens: len(q.message.Prompt) / bytesPerToken,
-			Avoid:        q.excluded,
-		}
-		choice := q.entry.routes.choose(&request)
+		choice := q.chooseVersion(v)
 		q.logRouting(v, choice)
 		if choice.Host != "" {
 			if !q.hasDelivered() {
@@ -266,86 +312,40 @@
 	return final
 }
 
-// attempt runs the request on one host until the answer is complete or the
-// attempt has failed.
-func (q *modelRequest) attempt(ctx context.Context, choice routing.Choice) attemptResult {
-	e := q.entry
-	client, ok := e.agentClient(choice.Host)
-	if !ok {
-		return attemptResult{end: retry.EndLost, reason: "address unknown"}
-	}
-	number := q.answer.BeginAttempt()
-	ctx, cancel := context.WithCancelCause(ctx)
-	defer cancel(nil)
-	tokenTimer := time.AfterFunc(e.config.FirstTokenTimeout, func() { cancel(errTokenTimeout) })
-	defer tokenTimer.Stop()
-	frames, err := client.Run(ctx, connect.NewRequest(&peerv1.RunRequest{
-		RequestId:     q.message.RequestId,
-		Attempt:       number,
-		Organisation:  string(q.admission.organisation.Name),
-		Model:         q.message.Model,
-		VersionDigest: string(q.version.Model),
-		AdapterDigest: string(q.version.Adapter),
-		Prompt:        q.message.Prompt,
-		Delivered:     q.answer.Delivered(),
-		MaxTokens:     q.message.MaxTokens,
-		Priority:      int32(q.message.Priority),
-		Timeout:       durationpb.New(time.Until(q.deadline)),
-	}))
-	if err != nil {
-		return q.attemptFailed(ctx, choice.Host, err)
-	}
-	defer frames.Close()
-	for frames.Receive() {
-		tokenTimer.Reset(e.config.NextTokenTimeout)
-		frame := frames.Msg()
-		e.routes.applyLoad(choice.Host, frame.Load)
-		if frame.Refusal != nil {
-			e.node.RecordResponse(choice.Host)
-			end := retry.EndRefused
-			switch {
-			case frame.Refusal.Started:
-				end = retry.EndFailed
-			case frame.Refusal.NotLive:
-				end = retry.EndWrongWeights
-				e.routes.setLive(choice.Host, frame.Refusal.Live)
-			}
-			return attemptResult{end: end, reason: frame.Refusal.Reason, retryAfter: frame.Refusal.RetryAfter.AsDuration()}
-		}
-		if result, ended := q.acceptFrame(frame); ended {
-			if result.answered {
-				e.node.RecordResponse(choice.Host)
-			}
-			return result
+// handle processes an event of a running attempt. It also reports whether the
+// attempt has ended.
+func (q *modelRequest) handle(event attemptEvent) (attemptResult, bool) {
+	e, frame := q.entry, event.frame
+	if frame == nil {
+		e.node.RecordFailure(event.host)
+		e.routes.release(event.host)
+		e.log.Warn("attempt failed", zap.String("RequestID", q.message.RequestId), zap.String("Peer", string(event.host)), zap.Error(event.err))
+		return attemptResult{end: retry.EndLost, reason: "backend server was lost"}, true
+	}
+	e.routes.applyLoad(event.host, frame.Load)
+	if frame.Refusal != nil {
+		e.node.RecordResponse(event.host)
+		end := retry.EndRefused
+		switch {
+		case frame.Refusal.Started:
+			end = retry.EndFailed
+		case frame.Refusal.NotLive:
+			end = retry.EndWrongWeights
+			e.routes.setLive(event.host, frame.Refusal.Live)
 		}
+		return attemptResult{end: end, reason: frame.Refusal.Reason, retryAfter: frame.Refusal.RetryAfter.AsDuration()}, true
 	}
-	return q.attemptFailed(ctx, choice.Host, frames.Err())
-}
-
-var errTokenTimeout = errors.New("timeout waiting for the next token")
-
-// attemptFailed handles an attempt whose stream ended before the answer was
-// complete, either because the caller disconnected or because the host failed.
-func (q *modelRequest) attemptFailed(ctx context.Context, host filbertlever.HostID, err error) attemptResult {
-	if cause := context.Cause(ctx); cause != nil && !errors.Is(cause, errTokenTimeout) && !errors.Is(cause, context.DeadlineExceeded) {
-		q.entry.routes.release(host)
-		return attemptResult{callerErr: fmt.Errorf("caller of %s left: %w", q.message.RequestId, cause)}
-	}
-	if err == nil {
-		err = errors.New("stream ended before the answer was complete")
-	}
-	if errors.Is(context.Cause(ctx), errTokenTimeout) {
-		err = errTokenTimeout
-	}
-	q.entry.node.RecordFailure(host)
-	q.entry.routes.release(host)
-	q.entry.log.Warn("attempt failed", zap.String("RequestID", q.message.RequestId), zap.String("Peer", string(host)), zap.Error(err))
-	return attemptResult{end: retry.EndLost, reason: "backend server was lost"}
+	result, ended := q.acceptFrame(event.attempt, frame)
+	if result.answered {
+		e.node.RecordResponse(event.host)
+	}
+	event.begun, event.progressAt = true, time.Now()
+	return result, ended
 }
 
 // acceptFrame processes one frame and forwards the pieces that the caller has not
 // received yet. It also reports whether the attempt has ended.
-func (q *modelRequest) acceptFrame(frame *peerv1.RunResponse) (attemptResult, bool) {
+func (q *modelRequest) acceptFrame(a *attempt, frame *peerv1.RunResponse) (attemptResult, bool) {
 	offset := uint32(len(q.answer.Delivered()))
 	pieces, verdict := q.answer.Accept(stream.Frame{
 		Attempt: frame.Attempt,
@@ -357,6 +357,9 @@
 	if verdict == stream.VerdictBroken {
 		return attemptResult{end: retry.EndLost, reason: "backend server broke its stream"}, true
 	}
+	if len(pieces) > 0 || verdict == stream.VerdictDone {
+		q.endOthers(a)
+	}
 	if err := q.forward(offset, pieces); err != nil {
 		return attemptResult{callerErr: err}, true
 	}
--- a/internal/transport/entry/entry.go
+++ b/internal/transport/entry/entry.go
@@ -46,8 +46,8 @@
 	OrderWriteRate int
 	Routing        routing.Config
 	Retry          retry.Config
-	// FirstTokenTimeout and NextTokenTimeout limit the wait for the first frame of
-	// an attempt and for each further frame.
+	// FirstTokenTimeout and NextTokenTimeout are the times without the first frame of
+	// an attempt and without a further one after which a second attempt is started.
 	FirstTokenTimeout time.Duration
 	NextTokenTimeout  time.Duration
 }
--- a/internal/transport/entry/routes.go
+++ b/internal/transport/entry/routes.go
@@ -138,6 +138,13 @@
 	return r.router.Choose(request)
 }
 
+// cancel undoes a choice of a host that the request was not sent to.
+func (r *routes) cancel(host filbertlever.HostID) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.router.Cancel(host)
+}
+
 // release removes a failed or cancelled request from the estimated load of a host.
 func (r *routes) release(host filbertlever.HostID) {
 	r.mu.Lock()
--- a/internal/transport/process/answers_test.go
+++ b/internal/transport/process/answers_test.go
@@ -11,6 +11,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"github.com/filbertlever/filbertlever"
+	"github.com/filbertlever/filbertlever/internal/coordination/retry"
 	"github.com/filbertlever/filbertlever/internal/operator"
 	"github.com/filbertlever/filbertlever/internal/standin"
 	"github.com/filbertlever/filbertlever/pkg/client"
@@ -88,6 +89,131 @@
 	})
 }
 
+// slowEngines makes each token of answers that start from now on take the given time. The cluster's token
+// time must be enginePrefillTime.
+func (cl *cluster) slowEngines(tokenTime time.Duration) {
+	for _, engine := range cl.engines {
+		engine.SetFaults(standin.EngineFaults{Slowdown: float64(tokenTime) / float64(enginePrefillTime)})
+	}
+}
+
+// generateCalls returns how many attempts have reached the engines.
+func (cl *cluster) generateCalls() int {
+	total := 0
+	for _, engine := range cl.engines {
+		calls, _ := engine.GenerateCounts()
+		total += calls
+	}
+	return total
+}
+
+// The entry ends an answer at a silent agent that would have gone on, although no other host has the model.
+func TestSilentAgentWithoutAnotherHost(t *testing.T) {
+	for _, test := range []struct {
+		name      string
+		tokenTime time.Duration
+		tokens    int
+	}{{"MidAnswer", 4 * time.Second, 6}, {"BeforeFirstToken", 11 * time.Second, 2}} {
+		t.Run(test.name, func(t *testing.T) {
+			config := smallCluster
+			config.models, config.tokenTime = 1, enginePrefillTime
+			runInCluster(t, config, func(cl *cluster) {
+				cl.slowEngines(test.tokenTime)
+				cl.assertAnswer(cl.ask(cl.client(token), prompt, test.tokens), "1", prompt, test.tokens)
+				cl.Assert(cl.generateCalls(), qt.Equals, 1)
+			})
+		})
+	}
+}
+
+// spendRetryBudget cuts off answers until the only entry refuses to retry them.
+func (cl *cluster) spendRetryBudget(c *client.Client) {
+	for range 40 {
+		all := cl.startAnswers(c, 16, 1000)
+		for id := range cl.engines {
+			cl.running[id].iface.resetConns()
+			time.Sleep(100 * time.Millisecond)
+		}
+		spent := false
+		for _, a := range all {
+			<-a.done
+			spent = spent || a.err != nil && strings.Contains(a.err.Error(), "backend server was lost")
+		}
+		time.Sleep(10 * time.Second)
+		if spent {
+			return
+		}
+	}
+	cl.Fatalf("the retry budget is not spent")
+}
+
+// The entry ends answers at silent agents that would have gone on, although the retry budget is spent.
+func TestSilentAgentWithoutRetryBudget(t *testing.T) {
+	config := smallCluster
+	config.entries, config.models, config.tokenTime = 1, 2, enginePrefillTime
+	runInCluster(t, config, func(cl *cluster) {
+		c := cl.client(token)
+		cl.spendRetryBudget(c)
+		before := cl.generateCalls()
+		cl.slowEngines(4 * time.Second)
+		var all []*pendingAnswer
+		for range 4 {
+			all = append(all, cl.ask(c, prompt, 6))
+		}
+		cl.assertAnswers(all, "1", 6)
+		// The new requests add to both parts of the budget, which may then allow one attempt each.
+		cl.Assert(cl.generateCalls()-before <= len(all)+2, qt.IsTrue)
+	})
+}
+
+// Both hosts are silent for longer than the entry waits, and the second attempt ends the first one before
+// either has gone on.
+func TestSecondAttemptAtASilentAgent(t *testing.T) {
+	config := smallCluster
+	config.models, config.tokenTime, config.log = 2, enginePrefillTime, &logBuffer{}
+	runInCluster(t, config, func(cl *cluster) {
+		cl.slowEngines(4 * time.Second)
+		cl.assertAnswer(cl.ask(cl.client(token), prompt, 6), "1", prompt, 6)
+		cl.Assert(cl.generateCalls() > 1, qt.IsTrue)
+		cl.Assert(cl.log.String(), qt.Not(qt.Contains), "attempt failed")
+	})
+}
+
+// A silent agent would have gone on, but the answer ends because all attempts beside it fail.
+func TestSecondAttemptFails(t *testing.T) {
+	config := smallCluster
+	config.models, config.tokenTime = 5, enginePrefillTime
+	runInCluster(t, config, func(cl *cluster) {
+		cl.slowEngines(4 * time.Second)
+		answer := cl.ask(cl.client(token), prompt, 6)
+		time.Sleep(time.Second)
+		for _, engine := range cl.engines {
+			engine.SetFaults(standin.EngineFaults{FailShare: 1})
+		}
+		cl.assertAnswer(answer, "1", prompt, 6)
+		cl.Assert(cl.generateCalls(), qt.Equals, retry.MaxAttempts)
+	})
+}
+
+// Answers that have not begun are sent to a second agent that has no free slot, and delay those that run there.
+func TestSecondAttemptNeedsAFreeSlot(t *testing.T) {
+	config := smallCluster
+	config.entries, config.models, config.tokenTime, config.log = 1, 2, enginePrefillTime, &logBuffer{}
+	runInCluster(t, config, func(cl *cluster) {
+		cl.slowEngines(11 * time.Second)
+		c := cl.client(token)
+		var all []*pendingAnswer
+		for range 16 {
+			all = append(all, cl.ask(c, prompt, 1))
+			time.Sleep(10 * time.Millisecond)
+		}
+		time.Sleep(10700 * time.Millisecond)
+		cl.Assert(cl.generateCalls(), qt.Equals, 16)
+		cl.Assert(cl.log.String(), qt.Not(qt.Contains), "second attempt started")
+		cl.assertAnswers(all, "1", 1)
+	})
+}
+
 // The client gets part of an answer because the entry that it was connected to
 // was killed.
 func TestEntryKilledMidAnswer(t *testing.T) {
--- a/internal/transport/process/cluster_test.go
+++ b/internal/transport/process/cluster_test.go
@@ -36,6 +36,8 @@
 	token      = "token of hauler-1"
 	otherToken = "token of hauler-2"
 	drafter    = "drafter"
+	// enginePrefillTime is the time to the first token of the engines.
+	enginePrefillTime = 20 * time.Millisecond
 )
 
 // cluster runs entries and agents in one synctest bubble. They use an in-memory
@@ -134,7 +136,7 @@
 		h := filbertlever.Host{ID: hostID("model", i), Role: filbertlever.RoleAgent, PeerAddress: ip + ":1", Pool: "models"}
 		ifc := cl.network.iface(ip)
 		engine := standin.NewEngine(standin.EngineConfig{
-			ChecksFencing: !config.ignoresFencing, Slots: 8, PrefillTime: 20 * time.Millisecond, TokenTime: config.tokenTime, CachedPrompts: config.cachedPrompts,
+			ChecksFencing: !config.ignoresFencing, Slots: 8, PrefillTime: enginePrefillTime, TokenTime: config.tokenTime, CachedPrompts: config.cachedPrompts,
 			Client: &http.Client{Transport: &http.Transport{DialContext: ifc.DialContext, DisableKeepAlives: true}},
 		})
 		cl.engines[h.ID] = engine
