A client keeps its answer at a silent entry until another one goes on

Callers of the client library lost answers that were silent for more than 15 s and then went on: the client cancelled its request and sent it to another entry, where the answer began anew and was cancelled in turn.

The client now sends the question to a second entry beside the silent one, and the first of the two to bring a piece or the end completes the answer. A refusal or an error of one of them counts only if the other has ended. The version that an entry names counts with its first piece, so that pieces and version come from one entry.

--- a/internal/transport/process/answers_test.go
+++ b/internal/transport/process/answers_test.go
@@ -214,6 +214,22 @@
 	})
 }
 
+// The client ends its answer at an entry that was silent for longer than the client's idle timeout and then
+// went on.
+func TestSilentEntry(t *testing.T) {
+	for entries, maxCalls := range map[int]int{1: 1, 2: 4} {
+		config := smallCluster
+		config.entries, config.models, config.tokenTime = entries, 1, enginePrefillTime
+		runInCluster(t, config, func(cl *cluster) {
+			cl.slowEngines(16 * time.Second)
+			answer := cl.ask(cl.client(token), prompt, 2)
+			cl.assertAnswer(answer, "1", prompt, 2)
+			cl.Assert(answer.answer.ModelVersion, qt.Equals, "1")
+			cl.Assert(cl.generateCalls() <= maxCalls, qt.IsTrue)
+		})
+	}
+}
+
 // The client gets part of an answer because the entry that it was connected to
 // was killed.
 func TestEntryKilledMidAnswer(t *testing.T) {
--- a/pkg/client/ask.go
+++ b/pkg/client/ask.go
@@ -1,15 +1,19 @@
 package client
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 	"time"
 
+	"connectrpc.com/connect"
 	"google.golang.org/protobuf/types/known/durationpb"
 
 	"github.com/filbertlever/filbertlever"
 	filbertleverv1 "github.com/filbertlever/filbertlever/pkg/api/filbertlever/v1"
+	"github.com/filbertlever/filbertlever/pkg/api/filbertlever/v1/filbertleverv1connect"
 )
 
 // Question is a request to a model.
@@ -53,7 +57,7 @@
 			return answer, markIncomplete(answer, errors.Join(err, lastErr))
 		}
 		answer.Attempts++
-		final, err := c.attempt(ctx, address, question, answer, onPieces)
+		final, address, err := c.attempt(ctx, address, question, answer, onPieces)
 		if err != nil {
 			if isPermanent(err) || errors.Is(err, errCallback) || ctx.Err() != nil {
 				return answer, markIncomplete(answer, err)
@@ -106,12 +110,80 @@
 }
 
 // attempt sends the question to one entry. It resumes after the tokens that were
-// already delivered.
-func (c *Client) attempt(ctx context.Context, address string, question Question, answer *Answer, onPieces func([]string) error) (*filbertleverv1.Final, error) {
-	ctx, cancel := context.WithCancelCause(ctx)
-	defer cancel(nil)
-	idleTimer := time.AfterFunc(c.config.Silence, func() { cancel(errors.New("entry sent nothing within the idle timeout")) })
-	defer idleTimer.Stop()
+// already delivered. If the entry is silent, the question is also sent to another one,
+// and the first of the two to go on completes the answer. The address returned is that
+// of the entry that ended the attempt.
+func (c *Client) attempt(ctx context.Context, address string, question Question, answer *Answer, onPieces func([]string) error) (*filbertleverv1.Final, string, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	events := make(chan streamEvent)
+	running := []*answerStream{c.start(ctx, address, question, answer, events)}
+	timer := time.NewTimer(c.config.Silence)
+	defer timer.Stop()
+	for {
+		var event streamEvent
+		select {
+		case <-ctx.Done():
+			return nil, address, ctx.Err()
+		case <-timer.C:
+			if other, ok := c.otherAddress(address); ok && len(running) == 1 {
+				answer.Attempts++
+				running = append(running, c.start(ctx, other, question, answer, events))
+			}
+			timer.Reset(c.config.Silence)
+			continue
+		case event = <-events:
+		}
+		stream := event.answerStream
+		if !slices.Contains(running, stream) {
+			continue
+		}
+		final := event.response.GetFinal()
+		if len(running) > 1 && (event.err != nil || final != nil && final.Outcome != filbertleverv1.Outcome_OUTCOME_ANSWERED) {
+			// The other entry may still complete the answer.
+			running = slices.DeleteFunc(running, func(s *answerStream) bool { return s == stream })
+			address = running[0].address
+			continue
+		}
+		if event.err != nil || final != nil {
+			return final, stream.address, event.err
+		}
+		timer.Reset(c.config.Silence)
+		if start := event.response.GetStart(); start != nil {
+			stream.begin = event.response
+			continue
+		}
+		for _, other := range running {
+			if other != stream {
+				other.cancel()
+			}
+		}
+		running, address = []*answerStream{stream}, stream.address
+		for _, response := range []*filbertleverv1.AskResponse{stream.begin, event.response} {
+			if err := answer.addEvent(response, onPieces); err != nil {
+				return nil, address, err
+			}
+		}
+	}
+}
+
+// answerStream is the response of one entry.
+type answerStream struct {
+	address string
+	cancel  context.CancelFunc
+	// begin is the Start event, which names the version of the pieces. It counts once the stream goes on.
+	begin *filbertleverv1.AskResponse
+}
+
+// streamEvent is an event of a response or, if err is set, its end.
+type streamEvent struct {
+	*answerStream
+	response *filbertleverv1.AskResponse
+	err      error
+}
+
+// start sends the question to an entry.
+func (c *Client) start(ctx context.Context, address string, question Question, answer *Answer, events chan<- streamEvent) *answerStream {
 	message := &filbertleverv1.AskRequest{
 		RequestId: question.RequestID,
 		Model:     question.Model,
@@ -126,27 +198,34 @@
 	if len(answer.Pieces) > 0 {
 		message.Resume = &filbertleverv1.Resume{VersionDigest: answer.VersionDigest, Delivered: answer.Pieces}
 	}
-	events, err := c.service(address).Ask(ctx, withToken(message, c.config.Token))
-	if err != nil {
-		return nil, err
-	}
-	defer events.Close()
-	for events.Receive() {
-		idleTimer.Reset(c.config.Silence)
-		event := events.Msg()
-		if final := event.GetFinal(); final != nil {
-			return final, nil
-		}
-		if err := answer.addEvent(event, onPieces); err != nil {
-			return nil, err
+	ctx, cancel := context.WithCancel(ctx)
+	s := &answerStream{address: address, cancel: cancel}
+	go s.run(ctx, c.service(address), withToken(message, c.config.Token), events)
+	return s
+}
+
+// run sends the events of the response and its end.
+func (s *answerStream) run(ctx context.Context, service filbertleverv1connect.CallerServiceClient, request *connect.Request[filbertleverv1.AskRequest], events chan<- streamEvent) {
+	send := func(event streamEvent) {
+		select {
+		case events <- event:
+		case <-ctx.Done():
 		}
 	}
-	if err := events.Err(); err != nil {
-		return nil, err
+	responses, err := service.Ask(ctx, request)
+	if err != nil {
+		send(streamEvent{answerStream: s, err: err})
+		return
+	}
+	defer responses.Close()
+	for responses.Receive() {
+		send(streamEvent{answerStream: s, response: responses.Msg()})
 	}
-	return nil, errors.New("entry closed the stream before the final event")
+	send(streamEvent{answerStream: s, err: cmp.Or(responses.Err(), errStreamClosed)})
 }
 
+var errStreamClosed = errors.New("entry closed the stream before the final event")
+
 // addEvent appends the new tokens of an event to the answer.
 func (a *Answer) addEvent(event *filbertleverv1.AskResponse, onPieces func([]string) error) error {
 	if start := event.GetStart(); start != nil {
--- a/pkg/client/client.go
+++ b/pkg/client/client.go
@@ -38,7 +38,8 @@
 	DialTimeout time.Duration
 	// Dial connects to an address. Nil means TCP.
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
-	// Silence is the idle timeout of a response stream. Zero means 15 seconds.
+	// Silence is the time without an event of an answer after which the question is
+	// also sent to another entry. Zero means 15 seconds.
 	Silence time.Duration
 }
 
@@ -219,6 +220,16 @@
 	return c.candidates()[0], nil
 }
 
+// otherAddress returns the best address besides one.
+func (c *Client) otherAddress(address string) (string, bool) {
+	for _, other := range c.candidates() {
+		if other != address {
+			return other, true
+		}
+	}
+	return "", false
+}
+
 // markFailed makes other addresses preferred for avoidDuration and wraps the
 // error.
 func (c *Client) markFailed(address string, err error) error {
