Second attempts follow the times that a route sets; one owner for who ended an attempt

A route without a goal or a longest pause sets no time after which its requests are sent to a second server. Who ended an attempt was read by another goroutine while a second attempt was ended.

--- a/internal/transport/gateway/attempts.go
+++ b/internal/transport/gateway/attempts.go
@@ -158,7 +158,7 @@
 			a.keepFailure(t, received)
 		}
 		received.discard()
-		a.recordEnd(t, cmp.Or(end, forward.EndLost))
+		a.recordEnd(t, t.endOr(cmp.Or(end, forward.EndLost)))
 		t.end()
 		t = h.attempt
 		stop = a.watch(t)
@@ -188,11 +188,16 @@
 	a.recordEndLocked(t, end)
 }
 
-// recordEndLocked is recordEnd for callers that hold g.mu.
-func (a *attempts) recordEndLocked(t *attempt, end forward.End) {
+// endOr returns EndWithdrawn if the attempt ended because another one went on, otherwise end.
+func (t *attempt) endOr(end forward.End) forward.End {
 	if t.endedBy == forward.EndedByHedge {
-		end = forward.EndWithdrawn
+		return forward.EndWithdrawn
 	}
+	return end
+}
+
+// recordEndLocked is recordEnd for callers that hold g.mu.
+func (a *attempts) recordEndLocked(t *attempt, end forward.End) {
 	a.Record(end)
 	if end == forward.EndWithdrawn {
 		a.withdrawn = append(a.withdrawn, t.Backend)
--- a/internal/transport/gateway/hedge.go
+++ b/internal/transport/gateway/hedge.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"sync"
 	"time"
@@ -71,14 +72,18 @@
 		zap.String("Result", hedgeResults[state]), zap.Duration("Took", boottime.Now()-h.placedAt))
 }
 
-// patience returns the times of silence after which the request is sent to a second server.
+// patience returns the times of silence after which the request is sent to a second server. A route
+// without a goal or a longest pause sets none.
 func (a *attempts) patience() forward.Patience {
-	goal := a.route.FirstByteGoal
-	return forward.Patience{
-		Stall: max(time.Duration(stallTimeoutFactor*float64(goal)), minHeadTimeout),
-		Head:  max(headTimeoutFactor*goal, minHeadTimeout),
-		Gap:   max(maxSilentPauses*a.route.MaxEventGap, minSilenceTimeout),
+	patience := forward.Patience{Stall: math.MaxInt64, Head: math.MaxInt64, Gap: math.MaxInt64}
+	if goal := a.route.FirstByteGoal; goal > 0 {
+		patience.Stall = max(time.Duration(stallTimeoutFactor*float64(goal)), minHeadTimeout)
+		patience.Head = max(headTimeoutFactor*goal, minHeadTimeout)
 	}
+	if gap := a.route.MaxEventGap; gap > 0 {
+		patience.Gap = max(maxSilentPauses*gap, minSilenceTimeout)
+	}
+	return patience
 }
 
 // attemptWatch watches the running attempts of a request for silent servers.
@@ -91,7 +96,7 @@
 // watch watches the running attempts, of which t is the current one, and returns a function that stops
 // the watch. Requests that may run on one server only are not watched.
 func (a *attempts) watch(t *attempt) func() {
-	if !a.Class.Repeatable || a.Class.MaxServers < 2 || a.route.FirstByteGoal <= 0 {
+	if !a.Class.Repeatable || a.Class.MaxServers < 2 {
 		return func() {}
 	}
 	w := &attemptWatch{attempts: a, current: t, done: make(chan struct{})}
@@ -231,7 +236,7 @@
 	case end != 0, received.empty:
 		// A stream that ends without a further event shows nothing while the first attempt may go on.
 		h.set(hedgeFailed)
-		h.recordEndLocked(h.attempt, cmp.Or(end, forward.EndLost))
+		h.recordEndLocked(h.attempt, h.endOr(cmp.Or(end, forward.EndLost)))
 	default:
 		h.set(hedgeWon)
 		h.current.cancelIf(forward.Running{Overtaken: true})
