Agents: take the load and the received requests of a report in one step

An entry subtracts the requests that a host has received from those that it has sent there. An agent read its load first and the received requests later, and counted a request as received before it was queued. A request that arrived in between was in neither part of the entry's estimate until the next report, up to 2 s later.

The queue now counts the received requests of each entry under its lock and returns both together.

--- a/internal/transport/agent/queue.go
+++ b/internal/transport/agent/queue.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/filbertlever/filbertlever"
 	"github.com/filbertlever/filbertlever/internal/coordination/admission"
 	"github.com/filbertlever/filbertlever/internal/protocol/control"
 )
@@ -22,6 +23,8 @@
 	// to make entries resume the requests on other hosts.
 	cancels    map[uint64]context.CancelCauseFunc
 	maxWaiting int
+	// received counts the requests received from each entry.
+	received map[filbertlever.HostID]uint64
 }
 
 // Defaults that apply until a bundle is active. The target time to the first
@@ -40,6 +43,7 @@
 		waiters:    map[uint64]chan admission.Decision{},
 		cancels:    map[uint64]context.CancelCauseFunc{},
 		maxWaiting: defaultQueueSize,
+		received:   map[filbertlever.HostID]uint64{},
 	}
 }
 
@@ -56,12 +60,13 @@
 // entry resumes it on another host.
 var errMoved = errors.New("backend server is leaving; go on elsewhere")
 
-// admit waits until the item may run. The returned context is cancelled with
+// admit waits until the item of an entry may run. The returned context is cancelled with
 // errMoved when the request must continue on another host. The caller calls
 // release when the request has ended.
-func (q *requestQueue) admit(ctx context.Context, item admission.Item) (run context.Context, release func(), refusal *admission.Decision) {
+func (q *requestQueue) admit(ctx context.Context, entry filbertlever.HostID, item admission.Item) (run context.Context, release func(), refusal *admission.Decision) {
 	decisions := make(chan admission.Decision, 1)
 	q.mu.Lock()
+	q.received[entry]++
 	q.lastID++
 	item.ID = q.lastID
 	q.waiters[item.ID] = decisions
@@ -137,10 +142,33 @@
 	q.queue.Resize(q.limit.Value(), q.maxWaiting)
 }
 
-// load returns the current load for reports to entries.
+// recordRefused counts a request of an entry that was refused before it was queued.
+func (q *requestQueue) recordRefused(entry filbertlever.HostID) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.received[entry]++
+}
+
+// load returns the current load.
 func (q *requestQueue) load() control.Load {
 	q.mu.Lock()
 	defer q.mu.Unlock()
+	return q.loadLocked()
+}
+
+// loadFor returns the current load for a report to an entry. It contains each received
+// request that has not ended: the entry subtracts the received requests from those that it
+// has sent, so one that is counted only there would be missing from its estimate.
+func (q *requestQueue) loadFor(entry filbertlever.HostID) control.Load {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	load := q.loadLocked()
+	load.ReceivedRequests = q.received[entry]
+	return load
+}
+
+// loadLocked is load for callers that hold the lock.
+func (q *requestQueue) loadLocked() control.Load {
 	return control.Load{
 		Sequence:    q.queue.Sequence(),
 		Running:     q.queue.Running(),
--- a/internal/transport/agent/report.go
+++ b/internal/transport/agent/report.go
@@ -26,9 +26,8 @@
 
 // reporter sends this agent's load and weights to entries.
 type reporter struct {
-	agent    *Agent
-	received requestCounters
-	wake     chan struct{}
+	agent *Agent
+	wake  chan struct{}
 
 	mu sync.Mutex
 	// lastLoad is the load last reported, at lastLoadAt.
@@ -47,14 +46,6 @@
 	return &reporter{agent: a, wake: make(chan struct{}, 1), accepted: map[filbertlever.HostID]acceptedReport{}}
 }
 
-// recordRequest counts a request received from an entry.
-func (r *reporter) recordRequest(entry filbertlever.HostID) { r.received.counter(entry).Add(1) }
-
-// receivedFrom returns the number of requests received from an entry.
-func (r *reporter) receivedFrom(entry filbertlever.HostID) uint64 {
-	return r.received.counter(entry).Load()
-}
-
 // loadChanged reports whether the load differs from the last reported one by so
 // much that entries would route on outdated data. It limits these additional
 // reports to four per second.
@@ -92,14 +83,13 @@
 func (r *reporter) reportAll(ctx context.Context) time.Duration {
 	var group sync.WaitGroup
 	full := r.agent.fullReport()
-	load := r.agent.queue.load()
 	r.mu.Lock()
-	r.lastLoad, r.lastLoadAt = load, time.Now()
+	r.lastLoad, r.lastLoadAt = r.agent.queue.load(), time.Now()
 	r.mu.Unlock()
 	entries, interval := r.agent.reportTargets()
 	for _, entry := range entries {
 		group.Go(func() {
-			if err := r.send(ctx, entry, load, full); err != nil {
+			if err := r.send(ctx, entry, full); err != nil {
 				r.agent.node.RecordFailure(entry)
 			}
 		})
@@ -109,11 +99,10 @@
 }
 
 // send sends one report. It omits the full report if the entry already has it.
-func (r *reporter) send(ctx context.Context, entry filbertlever.HostID, load control.Load, full *control.FullReport) error {
+func (r *reporter) send(ctx context.Context, entry filbertlever.HostID, full *control.FullReport) error {
 	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
 	defer cancel()
-	load.ReceivedRequests = r.receivedFrom(entry)
-	report := control.Report{Incarnation: r.agent.node.Incarnation(), Load: load}
+	report := control.Report{Incarnation: r.agent.node.Incarnation(), Load: r.agent.queue.loadFor(entry)}
 	if !r.hasCurrent(entry, full) {
 		report.Full = full
 	}
--- a/internal/transport/agent/requests.go
+++ b/internal/transport/agent/requests.go
@@ -4,8 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"sync"
-	"sync/atomic"
 	"time"
 
 	"connectrpc.com/connect"
@@ -38,18 +36,19 @@
 func (a *Agent) Run(ctx context.Context, request *connect.Request[peerv1.RunRequest], stream *connect.ServerStream[peerv1.RunResponse]) error {
 	message := request.Msg
 	entry := peer.CallerFromContext(ctx)
-	a.reporter.recordRequest(entry)
 	ctx, cancel := context.WithTimeout(ctx, message.Timeout.AsDuration())
 	defer cancel()
 	if !a.node.Accepts() {
+		a.queue.recordRefused(entry)
 		return a.refuse(stream, entry, message, reasonStopping, 0)
 	}
 	weights, ok := a.loader.liveWeights(message)
 	if !ok {
+		a.queue.recordRefused(entry)
 		return a.refuseNotLive(stream, entry, message)
 	}
 	deadline, _ := ctx.Deadline()
-	run, release, refusal := a.queue.admit(ctx, a.queueItem(message, deadline))
+	run, release, refusal := a.queue.admit(ctx, entry, a.queueItem(message, deadline))
 	if refusal != nil {
 		return a.refuse(stream, entry, message, refusal.Reason, refusal.RetryAfter)
 	}
@@ -105,7 +104,7 @@
 // loadFor returns the current load, with the number of requests received from
 // this entry.
 func (a *Agent) loadFor(entry filbertlever.HostID) *peerv1.Load {
-	load := a.queue.load()
+	load := a.queue.loadFor(entry)
 	return &peerv1.Load{
 		Sequence:    load.Sequence,
 		Running:     uint32(load.Running),
@@ -113,7 +112,7 @@
 		Wait:        durationpb.New(load.Wait),
 		Concurrency: uint32(load.Concurrency),
 		Incarnation: string(a.node.Incarnation()),
-		Seen:        a.reporter.receivedFrom(entry),
+		Seen:        load.ReceivedRequests,
 	}
 }
 
@@ -222,17 +221,3 @@
 	}
 	return frame.Done, nil
 }
-
-// requestCounters counts the requests received from each entry.
-type requestCounters struct {
-	entries sync.Map
-}
-
-// counter returns the counter of an entry and creates it if necessary.
-func (c *requestCounters) counter(entry filbertlever.HostID) *atomic.Uint64 {
-	counter, ok := c.entries.Load(entry)
-	if !ok {
-		counter, _ = c.entries.LoadOrStore(entry, &atomic.Uint64{})
-	}
-	return counter.(*atomic.Uint64)
-}
