Routing: place the last attempt on the host that stays longest

All hosts that an entry compared were due for the change, which cost each of them the same, so that the entry chose by queue.

On the last attempt the cost of an interruption now grows with the part of the answer, at up to twice its predicted length, that would be interrupted.

TestLastAttemptPrefersTheHostThatStaysLongest fails before. The reference choice in slowdown_test.go passes the added arguments.

--- a/internal/coordination/routing/predict.go
+++ b/internal/coordination/routing/predict.go
@@ -54,19 +54,31 @@
 	return interruptAt > request.Now && request.AnswerDuration > 0 && request.Now+predicted+r.hosts[i].scale(request.AnswerDuration) > interruptAt
 }
 
-// lastAttemptCostFactor multiplies the cost of an interruption on the last attempt: the answer is
-// lost, while other answers only pause.
-const lastAttemptCostFactor = 12
+const (
+	// lastAttemptCostFactor multiplies the cost of an interruption on the last attempt: the answer is
+	// lost, while other answers only pause.
+	lastAttemptCostFactor = 12
+	// lastAttemptMargin times the predicted duration is how long an answer may take on the last attempt.
+	lastAttemptMargin = 2
+)
 
-// interruptCost returns the cost of a predicted interruption, 0 if there is none.
-func (r *Router) interruptCost(willInterrupt bool, request *Request) time.Duration {
-	switch {
-	case !willInterrupt:
+// interruptCost returns the cost of an interruption by host h, 0 if none is expected.
+//
+// While all hosts are interrupted in turn, each of them may interrupt the last attempt. Its cost therefore
+// grows with the part of the answer that would be interrupted, so that the host that stays longest is chosen.
+func (r *Router) interruptCost(h *host, request *Request, predicted time.Duration, willInterrupt bool) time.Duration {
+	if !request.LastAttempt {
+		if willInterrupt {
+			return r.config.InterruptCost
+		}
+		return 0
+	}
+	longest := lastAttemptMargin * h.scale(request.AnswerDuration)
+	if longest <= 0 || h.interruptAt <= request.Now {
 		return 0
-	case request.LastAttempt:
-		return lastAttemptCostFactor * r.config.InterruptCost
 	}
-	return r.config.InterruptCost
+	interrupted := float64(request.Now+predicted+longest-h.interruptAt) / float64(longest)
+	return time.Duration(min(max(interrupted, 0), 1) * lastAttemptCostFactor * float64(r.config.InterruptCost))
 }
 
 // queuePosition returns how many requests above its concurrency the host would
--- a/internal/coordination/routing/routing.go
+++ b/internal/coordination/routing/routing.go
@@ -425,7 +425,7 @@
 	h := &r.hosts[i]
 	predicted := r.predict(i, request, owner)
 	c := candidate{host: i, predicted: predicted, willInterrupt: r.willInterrupt(i, request, predicted)}
-	c.cost = predicted + r.interruptCost(c.willInterrupt, request)
+	c.cost = predicted + r.interruptCost(h, request, predicted, c.willInterrupt)
 	if h.suspect {
 		c.cost += r.config.SuspectCost
 	}
--- a/internal/coordination/routing/routing_test.go
+++ b/internal/coordination/routing/routing_test.go
@@ -231,6 +231,26 @@
 	}
 }
 
+// Streams are cut off, as their last attempt is placed on a host that interrupts it although another one
+// stays for longer.
+func TestLastAttemptPrefersTheHostThatStaysLongest(t *testing.T) {
+	for _, stays := range []time.Duration{time.Second, 1500 * time.Millisecond, 3 * time.Second} {
+		c := qt.New(t)
+		config := routing.DefaultConfig()
+		config.InterruptCost = 150 * time.Millisecond
+		r := routing.New(config, "a", "ra", rand.New(rand.NewPCG(1, 2)))
+		for id, leavesIn := range map[filbertlever.HostID]time.Duration{"leaving": 500 * time.Millisecond, "staying": stays} {
+			r.SetHost(filbertlever.Host{ID: id, Site: "a", Region: "ra"}, true)
+			r.SetTargets(id, []routing.Target{"m"})
+			r.SetInterruptAt(id, 10*time.Second+leavesIn)
+		}
+		r.SetOtherRequests("leaving", 4, 16, 0)
+		r.SetOtherRequests("staying", 12, 16, 0)
+		choice := r.Choose(&routing.Request{Target: "m", Now: 10 * time.Second, AnswerDuration: 2 * time.Second, LastAttempt: true})
+		c.Check(choice.Host, qt.Equals, filbertlever.HostID("staying"), qt.Commentf("%v", stays))
+	}
+}
+
 // All entries became available at once and each considered the engines idle. Twelve prompts reached
 // each engine at the same time, and all answers were late. The prompts of other entries must count
 // towards the prefill backlog.
--- a/internal/coordination/routing/slowdown_test.go
+++ b/internal/coordination/routing/slowdown_test.go
@@ -28,7 +28,7 @@
 		}
 		predicted := time.Duration(prefill*float64(r.config.PrefillPerToken)) + max(h.prefillUntil-request.Now, 0) + h.currentBias(request.Now) + r.config.FirstToken + r.predictWait(h)
 		interrupt := h.interruptAt > request.Now && request.AnswerDuration > 0 && request.Now+predicted+request.AnswerDuration > h.interruptAt
-		cost := predicted + r.interruptCost(interrupt, request)
+		cost := predicted + r.interruptCost(h, request, predicted, interrupt)
 		if h.suspect {
 			cost += r.config.SuspectCost
 		}
