Connections: close idle connections to backend servers once they expire

Idle connections were checked only when one was taken for the next request. Those to servers that an entry no longer used, or that were gone, stayed open for as long as the process ran and kept a file descriptor each: CloseExpired and CloseIdle had no caller.

The pool now looks for expired connections once a second while it holds any; Opened and CloseIdle, also unused, are removed.

TestExpiredIdleConnectionsAreClosed waits for the server to see the end of the connection.

--- a/internal/transport/channel/channel.go
+++ b/internal/transport/channel/channel.go
@@ -12,6 +12,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -31,6 +32,8 @@
 	// idleMargin is subtracted from the server's Keep-Alive timeout, so that a request
 	// is not sent while the server closes the connection.
 	idleMargin = 500 * time.Millisecond
+	// expiryInterval is the interval between searches for expired idle connections.
+	expiryInterval = time.Second
 	// TCP keep-alive probes detect an unresponsive peer after about 2.5 s.
 	keepAliveIdle     = time.Second
 	keepAliveInterval = 500 * time.Millisecond
@@ -97,7 +100,8 @@
 	dialer net.Dialer
 	mu     sync.Mutex
 	idle   map[string][]*conn
-	opened int64
+	// expiry closes expired connections; nil while none is idle.
+	expiry *time.Timer
 }
 
 // New returns an empty pool and a function that closes its connections.
@@ -308,9 +312,6 @@
 	if err != nil {
 		return nil, err
 	}
-	p.mu.Lock()
-	p.opened++
-	p.mu.Unlock()
 	return &conn{Conn: raw, reader: bufio.NewReaderSize(raw, readBufferSize), server: server}, nil
 }
 
@@ -356,6 +357,9 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.idle[c.server.ID] = append(p.idle[c.server.ID], c)
+	if p.expiry == nil {
+		p.expiry = time.AfterFunc(expiryInterval, p.closeExpired)
+	}
 }
 
 // IsRefused connects to an address and reports whether the connection is refused, which
@@ -370,41 +374,28 @@
 	return false
 }
 
-// Opened returns the number of connections opened so far.
-func (p *Pool) Opened() int64 {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.opened
-}
-
-// CloseIdle closes the idle connections to a server that has been removed.
-func (p *Pool) CloseIdle(serverID string) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	for _, c := range p.idle[serverID] {
-		_ = c.Close()
-	}
-	delete(p.idle, serverID)
-}
-
-// CloseExpired closes the connections whose idle timeout has passed.
-func (p *Pool) CloseExpired(now time.Time) {
+// closeExpired closes the connections whose idle timeout has passed. Servers that are not
+// used any more, or are gone, would otherwise keep descriptors of this process.
+func (p *Pool) closeExpired() {
+	now := time.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for serverID, conns := range p.idle {
-		remaining := conns[:0]
-		for _, c := range conns {
-			if now.Before(c.expiresAt) {
-				remaining = append(remaining, c)
-				continue
+		p.idle[serverID] = slices.DeleteFunc(conns, func(c *conn) bool {
+			expired := !now.Before(c.expiresAt)
+			if expired {
+				_ = c.Close()
 			}
-			_ = c.Close()
-		}
-		p.idle[serverID] = remaining
-		if len(remaining) == 0 {
+			return expired
+		})
+		if len(p.idle[serverID]) == 0 {
 			delete(p.idle, serverID)
 		}
 	}
+	p.expiry = nil
+	if len(p.idle) > 0 {
+		p.expiry = time.AfterFunc(expiryInterval, p.closeExpired)
+	}
 }
 
 func (p *Pool) close() {
@@ -416,6 +407,9 @@
 		}
 	}
 	p.idle = map[string][]*conn{}
+	if p.expiry != nil {
+		p.expiry.Stop()
+	}
 }
 
 // idleTimeout returns how long an idle connection may be kept, from the server's
--- a/internal/transport/channel/channel_test.go
+++ b/internal/transport/channel/channel_test.go
@@ -178,6 +178,29 @@
 	c.Assert(err, qt.IsNil)
 }
 
+// A process runs out of descriptors, as connections to servers that it does not use any more stay open.
+func TestExpiredIdleConnectionsAreClosed(t *testing.T) {
+	c := qt.New(t)
+	closed := make(chan struct{})
+	s := newScriptedServer(t, func(n int, r *http.Request, conn net.Conn) {
+		respond(conn, r.Header.Get("Id"), "fine")
+		_, _ = conn.Read(make([]byte, 1))
+		close(closed)
+	})
+	pool, closePool := New()
+	defer closePool()
+	_, err := get(pool, s, "1")
+	c.Assert(err, qt.IsNil)
+	select {
+	case <-closed:
+	case <-time.After(defaultIdleTimeout + 2*expiryInterval):
+		t.Fatal("the idle connection is still open")
+	}
+	pool.mu.Lock()
+	defer pool.mu.Unlock()
+	c.Assert(pool.idle, qt.HasLen, 0)
+}
+
 // If no process listens at the address, the request cannot have run, and the error must
 // report that it was not sent.
 func TestRefusedConnectionIsReportedAsUnsent(t *testing.T) {
