--- a/internal/transport/entry/callers.go
+++ b/internal/transport/entry/callers.go
@@ -124,7 +124,6 @@
 	reasonStopping         = "this entry is leaving"
 	reasonConcurrencyLimit = "organisation has too many requests under way"
 	reasonNoHost           = "no backend server has the model live"
-	reasonOverload         = "backend servers cannot meet the deadline"
 	reasonDeadline         = "deadline passed"
 )
 
--- a/internal/transport/node/node.go
+++ b/internal/transport/node/node.go
@@ -74,8 +74,6 @@
 	headSource filbertlever.HostID
 	// announcedBundle is the bundle of the newest head that an operator announced.
 	announcedBundle *state.ActiveBundle
-	// lastReceived is the last time that facts arrived from the platform, an operator or a peer.
-	lastReceived time.Time
 
 	// adoptSignal wakes the adopter.
 	adoptSignal chan struct{}
@@ -300,7 +298,6 @@
 func (n *Node) MergeFacts(facts knowledge.Facts, source filbertlever.HostID) {
 	n.mu.Lock()
 	changes, err := n.base.Merge(facts, time.Now())
-	n.lastReceived = time.Now()
 	if changes.Head {
 		n.headSource = source
 	}
