Metrics: count the evacuated sites

Operators saw from the log only that a site's servers get no requests. The gauge filbertlever_gateway_evacuated_sites counts these sites as an entry knows them.

--- a/internal/coordination/fleet/evacuation.go
+++ b/internal/coordination/fleet/evacuation.go
@@ -41,3 +41,6 @@
 
 // Evacuated reports whether the servers of a site must get no requests.
 func (f *Fleet) Evacuated(site string) bool { return f.evacuated[site] }
+
+// EvacuatedSites returns the number of sites whose servers must get no requests.
+func (f *Fleet) EvacuatedSites() int { return len(f.evacuated) }
--- a/internal/transport/gateway/metrics.go
+++ b/internal/transport/gateway/metrics.go
@@ -157,5 +157,13 @@
 			}
 			return 0
 		}),
+		prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+			Name: "filbertlever_gateway_evacuated_sites",
+			Help: "Sites whose backend servers get no requests, as an operator asked.",
+		}, func() float64 {
+			g.mu.Lock()
+			defer g.mu.Unlock()
+			return float64(g.fleet.EvacuatedSites())
+		}),
 	)
 }
