Streams: connections that are refused do not end an answer that has begun

Callers saw streams cut off within 1 ms of a crash, with seconds left and servers that were back 1.5 s later. A request is given up after three servers that did not accept a connection, as the fault is then more likely on the entry's own host. For a request that has not run this is a refusal, and its caller asks another entry.

The limit now applies only while no server can have run the request. A stream then tries the servers that are left, and waits for one as streams do that find none, within its deadline and the servers of its route.

--- a/internal/coordination/forward/forward.go
+++ b/internal/coordination/forward/forward.go
@@ -61,8 +61,9 @@
 	StepTimeout
 )
 
-// maxUnsentAttempts bounds the connection attempts of one request. After three hosts that did not
-// accept a connection, the fault is more likely on this host.
+// maxUnsentAttempts bounds the connection attempts of a request that no server can have run. After
+// three hosts that did not accept a connection, the fault is more likely on this host, and the caller
+// can send the request to another one. If it may have run, that would cost the caller the answer.
 const maxUnsentAttempts = 3
 
 // Attempts is the history of attempts of one request.
@@ -132,7 +133,7 @@
 func (a *Attempts) canRetry(end End) bool {
 	switch end {
 	case EndUnsent:
-		return a.unsent < maxUnsentAttempts
+		return a.unsent < maxUnsentAttempts || a.mayHaveRun && a.Class.Repeatable
 	case EndWrongServer:
 		// The intended server was not reached, so it does not count towards the limit.
 		return !a.mayHaveRun || a.Class.Repeatable
--- a/internal/coordination/forward/forward_test.go
+++ b/internal/coordination/forward/forward_test.go
@@ -87,6 +87,17 @@
 	c.Assert(steps, qt.DeepEquals, []Step{StepRetry, StepRetry, StepNotRun})
 }
 
+// A stream is cut off because three servers refuse connections, although another one could continue it.
+func TestAttemptsToContinueAreNotBoundedByUnsentOnes(t *testing.T) {
+	a := Attempts{Class: repeatable}
+	budget := &countedBudget{remaining: 1}
+	qt.Assert(t, a.NextStep(EndLost, budget, time.Second, 0, true), qt.Equals, StepRetry)
+	for range 5 {
+		qt.Assert(t, a.NextStep(EndUnsent, budget, time.Second, 0, true), qt.Equals, StepRetry)
+	}
+	qt.Assert(t, a.NextStep(EndUnsent, budget, 0, 0, true), qt.Equals, StepTimeout)
+}
+
 // Checks all sequences of ends of three attempts, for both classes. A run-once request is never
 // retried after it may have run, and StepNotRun is returned only if no attempt may have run.
 func TestNoOrderOfEndsRepeatsRunOnceRequests(t *testing.T) {
