Second attempts: a refused connection takes no server of the route

A request is sent to as many servers as its route allows. Those that did not accept its connection counted as well, so that such a request had no second attempt beside a silent server. Servers are now counted by how attempts ended, as for retries.

--- a/internal/transport/gateway/hedge.go
+++ b/internal/transport/gateway/hedge.go
@@ -198,13 +198,9 @@
 }
 
 // serversLeft returns how many more servers the request may be sent to, those counted that it was withdrawn
-// from. The caller holds g.mu.
+// from. Servers that did not accept its connection do not count. The caller holds g.mu.
 func (a *attempts) serversLeft() int {
-	tried := map[string]bool{}
-	for _, b := range a.tried {
-		tried[b.ID] = true
-	}
-	return a.Class.MaxServers - len(tried) + len(a.withdrawn)
+	return a.Class.MaxServers - a.Sent() - len(a.running) + len(a.withdrawn)
 }
 
 // run performs the attempt until it goes on or ends. If it goes on before the current one, it ends that.
--- a/internal/transport/gateway/hedge_test.go
+++ b/internal/transport/gateway/hedge_test.go
@@ -8,6 +8,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"github.com/filbertlever/filbertlever/internal/coordination/catalog"
+	"github.com/filbertlever/filbertlever/internal/coordination/fleet"
 	"github.com/filbertlever/filbertlever/internal/coordination/forward"
 )
 
@@ -33,3 +34,18 @@
 		})
 	}
 }
+
+// A request that a server did not accept a connection for got no second attempt beside a silent one.
+func TestRefusedConnectionsLeaveServersForSecondAttempts(t *testing.T) {
+	c := qt.New(t)
+	a := &attempts{Attempts: forward.Attempts{Class: forward.Class{Repeatable: true, MaxServers: 2}}}
+	silent := &attempt{attempts: a, chosenServer: chosenServer{Placement: fleet.Placement{Backend: catalog.Backend{ID: "silent"}}}}
+	a.tried, a.running = []catalog.Backend{{ID: "down"}, silent.Backend}, []*attempt{silent}
+	a.Record(forward.EndUnsent)
+	c.Assert(a.serversLeft(), qt.Equals, 1)
+	a.running = nil
+	a.recordEndLocked(silent, forward.EndWithdrawn)
+	c.Assert(a.serversLeft(), qt.Equals, 2)
+	a.Record(forward.EndLost)
+	c.Assert(a.serversLeft(), qt.Equals, 1)
+}
