Contention: a level gives way before its callers are served as often as those above

Cause: a reserve by rank leaves the two levels half a slot apart, so that the level with more attempts finds more of the moments at which that room is free, and the floor counts attempts, which makes such a level look starved.

Entries see who returns by what a caller states to have left (Returning, Late), but used it for the one request only. Each entry now counts the requests of callers that were seen to return by level, and sends them with its demand. The others are the callers of the level. A level gives way, with up to the reserve that the rank 1 has, once its callers are served nearly as often as those of a more urgent level, and the floor compares callers. Where nobody is seen to return, callers are attempts, as before. An entry of an earlier version sends no such count: all its requests are callers.

--- a/internal/coordination/contention/contention.go
+++ b/internal/coordination/contention/contention.go
@@ -74,6 +74,8 @@
 	Refused  []uint64 `cbor:"2,keyasint,omitempty"`
 	// NoRoom counts those of Refused for which no slot was free at all.
 	NoRoom []uint64 `cbor:"3,keyasint,omitempty"`
+	// Returned counts the requests whose callers were seen to return. It is empty if this is not known.
+	Returned []uint64 `cbor:"4,keyasint,omitempty"`
 }
 
 // Status describes a controller to operators.
@@ -106,11 +108,14 @@
 	demand Demand
 	peers  map[filbertlever.HostID]peer
 	// recent holds the counts of this entry and its peers in the last 0.5 s. served holds those of
-	// admitted requests with a decay that is short enough to follow a burst of one level, and floor all
-	// with a longer one.
-	recent *window
-	served []float64
-	floor  []counts
+	// admitted requests with a decay that is short enough to follow a burst of one level, callers those of
+	// callers who were not seen to return with the same decay, and floor all with a longer one.
+	recent  *window
+	served  []float64
+	callers []float64
+	floor   []counts
+	// yields is how far each level gives way to those above it, from 0 to 1.
+	yields []float64
 	// pressure is from 0 to 1, and maxReserve the reserve of a request of rank 1 at a pressure of 1.
 	pressure, maxReserve float64
 	// calledAt is the time of the last call, and updatedAt that of the last update of the pressure. Counts
@@ -127,7 +132,9 @@
 		peers:      map[filbertlever.HostID]peer{},
 		recent:     newWindow(recentBuckets, levels),
 		served:     make([]float64, levels),
+		callers:    make([]float64, levels),
 		floor:      make([]counts, levels),
+		yields:     make([]float64, levels),
 		maxReserve: maxReservedShare * float64(max(slots, 0)),
 	}
 }
@@ -137,16 +144,20 @@
 	if now-c.calledAt > maxCallGap {
 		c.recent.clear()
 		clear(c.served)
+		clear(c.callers)
 		clear(c.floor)
+		clear(c.yields)
 		clear(c.peers)
 		c.pressure, c.updatedAt, c.validFrom = 0, now, now+resumeMargin
 	}
 	c.calledAt = max(c.calledAt, now)
 	for ; c.updatedAt+bucketLength <= now; c.updatedAt += bucketLength {
 		c.updatePressure()
+		c.updateYields()
 		c.recent.advance()
 		for level := range c.served {
 			c.served[level] *= servedDecay
+			c.callers[level] *= servedDecay
 			c.floor[level].scale(floorDecay)
 		}
 	}
@@ -170,6 +181,10 @@
 		n.refused = 1
 		c.demand.Refused[level]++
 	}
+	if r.Returning || r.Late {
+		n.returned = 1
+		c.demand.Returned[level]++
+	}
 	c.record(level, n)
 	if !d.Admit {
 		d.RetryAfter = c.retryAfter(r, d)
@@ -232,6 +247,7 @@
 func (c *Controller) record(level int, n counts) {
 	c.recent.add(level, n)
 	c.served[level] += n.admitted
+	c.callers[level] += n.callers()
 	c.floor[level].add(n, 1)
 }
 
--- a/internal/coordination/contention/contention_test.go
+++ b/internal/coordination/contention/contention_test.go
@@ -69,12 +69,23 @@
 }
 
 // Callers of the least urgent level who return more often than others are served more often than those of a
-// more urgent level, or take the place of the most urgent.
+// more urgent level, or take the place of the most urgent. If they are seen to return only after a while, this holds
+// for few returns.
 func TestRetryAbuse(t *testing.T) {
-	for _, attempts := range []int{4, 20} {
-		m := model{load: 1.6, retries: [3]int{1, 1, attempts}}
-		shares, _ := m.run(10*time.Second, 18*time.Second)
-		qt.Check(t, ordered(shares, 0.9, 0.05, 0.25), qt.IsTrue, qt.Commentf("%d returns: %.3f", attempts, shares))
+	for seed := range uint64(6) {
+		for _, m := range []model{{retries: [3]int{1, 1, 4}}, {retries: [3]int{1, 1, 20}}, {retries: [3]int{1, 1, 4}, recognised: goal * 4 / 10}} {
+			m.load, m.seed = 1.6, seed
+			shares, _ := m.run(10*time.Second, 18*time.Second)
+			qt.Check(t, ordered(shares, 0.9, 0.05, 0.25), qt.IsTrue, qt.Commentf("%d returns, recognised after %v: %.3f", m.retries[2], m.recognised, shares))
+		}
+	}
+}
+
+// Callers of one level who return more often than others starve a less urgent level.
+func TestRetriesDoNotStarveOthers(t *testing.T) {
+	for seed := range uint64(6) {
+		shares, _ := model{load: 1.6, retries: [3]int{1, 20, 1}, seed: seed}.run(10*time.Second, 18*time.Second)
+		qt.Check(t, ordered(shares, 0.9, 0.05, 0.25), qt.IsTrue, qt.Commentf("%.3f", shares))
 	}
 }
 
@@ -116,8 +127,8 @@
 	qt.Assert(t, c.Contended(resumed+100*time.Millisecond), qt.IsFalse)
 }
 
-// A request must leave another number of slots free than its level, attempts and share imply, or shares
-// bind in a level that is served.
+// A request must leave another number of slots free than its level, attempts and share imply, shares bind in a
+// level that is served, or a level gives way further than a less urgent one.
 func TestReserves(t *testing.T) {
 	c := newController(3)
 	feed(c, 0, 2*time.Second, 5)
@@ -137,6 +148,9 @@
 		_, got := c.reserve(request, request.Level)
 		qt.Check(t, got > want-1e-9 && got < want+1e-9, qt.IsTrue, qt.Commentf("%+v: %v", request, got))
 	}
+	// A level that gives way makes those below it give way too.
+	c.yields[1] = 1
+	qt.Check(t, c.Status(2*time.Second).Reserves, qt.DeepEquals, []float64{0, 3, 3})
 	c.pressure = 0
 	qt.Check(t, c.decide(Request{Level: 2, Late: true}, 2, Room{Admissible: true}).Admit, qt.IsTrue)
 }
@@ -161,6 +175,20 @@
 	check("another desired state", demand(3, 0), 200*time.Millisecond, false)
 }
 
+// The requests of callers who return are not told from others, or those of an entry of an earlier version, which
+// does not tell who returns, are lost.
+func TestPeersTellWhoReturns(t *testing.T) {
+	for _, returned := range [][]uint64{nil, {2}} {
+		c, want := newController(1), counts{admitted: 3, refused: 5, noRoom: 3}
+		c.ApplyPeer("peer", Demand{Admitted: []uint64{7}, Refused: []uint64{1}, NoRoom: []uint64{1}}, 0)
+		c.ApplyPeer("peer", Demand{Admitted: []uint64{10}, Refused: []uint64{6}, NoRoom: []uint64{4}, Returned: returned}, 200*time.Millisecond)
+		if returned != nil {
+			want.returned = 2
+		}
+		qt.Check(t, c.floor[0], qt.Equals, want)
+	}
+}
+
 // A request is refused although more slots are free than any reserve or admitted although the gate refuses
 // it, a less urgent level has a smaller reserve, or a refused caller returns too late for its goal.
 func TestInvariants(t *testing.T) {
@@ -170,7 +198,7 @@
 		for range rapid.IntRange(1, 400).Draw(t, "steps") {
 			now += time.Duration(rapid.SampledFrom([]int{0, 1, 20, 300, 1500}).Draw(t, "ms")) * time.Millisecond
 			if rapid.IntRange(0, 9).Draw(t, "peer") == 0 {
-				c.ApplyPeer("peer", Demand{Admitted: n.Draw(t, "admitted"), Refused: n.Draw(t, "refused"), NoRoom: n.Draw(t, "no room")}, now)
+				c.ApplyPeer("peer", Demand{Admitted: n.Draw(t, "admitted"), Refused: n.Draw(t, "refused"), NoRoom: n.Draw(t, "no room"), Returned: n.Draw(t, "returned")}, now)
 			}
 			r := Request{Level: rapid.IntRange(-1, levels).Draw(t, "level"), Late: rapid.Bool().Draw(t, "late"), Returning: rapid.Bool().Draw(t, "returning"), OverShare: rapid.Float64().Draw(t, "over share"), Goal: goal}
 			room := Room{Free: rapid.IntRange(0, slots).Draw(t, "free"), Admissible: rapid.IntRange(0, 3).Draw(t, "gate") > 0}
--- a/internal/coordination/contention/counts.go
+++ b/internal/coordination/contention/counts.go
@@ -19,18 +19,19 @@
 	peerTTL = 2 * time.Second
 )
 
-// counts holds decisions. noRoom is part of refused.
-type counts struct{ admitted, refused, noRoom float64 }
+// counts holds decisions. noRoom is part of refused; returned counts those on callers who were seen to return.
+type counts struct{ admitted, refused, noRoom, returned float64 }
 
 // add adds other counts, multiplied by a factor.
 func (n *counts) add(other counts, factor float64) {
 	n.admitted += factor * other.admitted
 	n.refused += factor * other.refused
 	n.noRoom += factor * other.noRoom
+	n.returned += factor * other.returned
 }
 
 func (n *counts) scale(factor float64) {
-	*n = counts{factor * n.admitted, factor * n.refused, factor * n.noRoom}
+	*n = counts{factor * n.admitted, factor * n.refused, factor * n.noRoom, factor * n.returned}
 }
 
 // servedShare returns the fraction of requests that were admitted; 1 if there were none.
@@ -41,6 +42,17 @@
 	return n.admitted / (n.admitted + n.refused)
 }
 
+// callers returns the number of requests whose callers were not seen to return.
+func (n counts) callers() float64 { return n.admitted + n.refused - n.returned }
+
+// callersServed returns the fraction of callers that were admitted; 1 if there were none.
+func callersServed(n counts) float64 {
+	if n.admitted >= n.callers() {
+		return 1
+	}
+	return n.admitted / n.callers()
+}
+
 // window holds the counts of each level over a sliding period. The counts are whole numbers, so that sums
 // are exact.
 type window struct {
@@ -100,6 +112,10 @@
 func (c *Controller) ApplyPeer(host filbertlever.HostID, d Demand, now time.Duration) {
 	c.advance(now)
 	d = d.clone()
+	if len(d.Returned) == 0 {
+		// An entry of an earlier version does not tell who returns.
+		d.Returned = make([]uint64, len(d.Admitted))
+	}
 	if !d.hasLevels(len(c.floor)) {
 		// The peer has another desired state, so that its levels mean something else.
 		delete(c.peers, host)
@@ -118,11 +134,13 @@
 func (c *Controller) RemovePeer(host filbertlever.HostID) { delete(c.peers, host) }
 
 func newDemand(levels int) Demand {
-	return Demand{make([]uint64, levels), make([]uint64, levels), make([]uint64, levels)}
+	return Demand{make([]uint64, levels), make([]uint64, levels), make([]uint64, levels), make([]uint64, levels)}
 }
 
 // fields returns the counts of each kind.
-func (d Demand) fields() [3][]uint64 { return [...][]uint64{d.Admitted, d.Refused, d.NoRoom} }
+func (d Demand) fields() [4][]uint64 {
+	return [...][]uint64{d.Admitted, d.Refused, d.NoRoom, d.Returned}
+}
 
 // maxIncrease is the largest plausible increase of a count between two reports of a peer.
 const maxIncrease = 1_000_000
@@ -146,6 +164,7 @@
 		admitted: float64(d.Admitted[level] - earlier.Admitted[level]),
 		refused:  float64(d.Refused[level] - earlier.Refused[level]),
 		noRoom:   float64(d.NoRoom[level] - earlier.NoRoom[level]),
+		returned: float64(d.Returned[level] - earlier.Returned[level]),
 	}
 }
 
@@ -159,5 +178,5 @@
 }
 
 func (d Demand) clone() Demand {
-	return Demand{slices.Clone(d.Admitted), slices.Clone(d.Refused), slices.Clone(d.NoRoom)}
+	return Demand{slices.Clone(d.Admitted), slices.Clone(d.Refused), slices.Clone(d.NoRoom), slices.Clone(d.Returned)}
 }
--- a/internal/coordination/contention/model_test.go
+++ b/internal/coordination/contention/model_test.go
@@ -30,6 +30,8 @@
 	retries                              [3]int
 	misjudged, partitioned, uncontrolled bool
 	seed                                 uint64
+	// Callers are seen to return if they have waited for longer than this.
+	recognised time.Duration
 
 	rng         *rand.Rand
 	controllers []*Controller
@@ -102,7 +104,7 @@
 	free := slots - view[best] - 1
 	d := Decision{Admit: free >= 0, RetryAfter: 30 * time.Millisecond}
 	if !m.uncontrolled {
-		r := Request{Level: c.level, Returning: (c.attempt > 0 || m.misjudged) && waited <= goal, Late: waited > goal, Goal: goal}
+		r := Request{Level: c.level, Returning: (c.attempt > 0 && waited > m.recognised || m.misjudged) && waited <= goal, Late: waited > goal, Goal: goal}
 		d = m.controllers[entry].Decide(r, Room{Free: free, Admissible: free >= 0}, now)
 	}
 	if d.Admit {
--- a/internal/coordination/contention/pressure.go
+++ b/internal/coordination/contention/pressure.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 )
 
@@ -70,6 +71,36 @@
 	return from / total, width / total
 }
 
+// Callers who return often find the moments at which more slots are free than the reserve of their level. A level
+// therefore gives way, with up to the whole reserve, as soon as its callers are served nearly as often as those of
+// a more urgent level, whatever the number of their attempts.
+const (
+	// orderTolerance is by how much more often the callers of a level may be served than those of a more urgent
+	// one. orderMargin is kept to it, as a part of what the more urgent level leaves unserved beyond the
+	// tolerance: callers who return are also served after an overload, which this cannot prevent.
+	orderTolerance = 0.05
+	orderMargin    = 0.4
+	// At an excess of yieldExcess a level gives way wholly within yieldTime.
+	yieldExcess = 0.1
+	yieldTime   = 200 * time.Millisecond
+)
+
+// updateYields moves the yield of each level by one step of bucketLength.
+func (c *Controller) updateYields() {
+	const step = float64(bucketLength) / float64(yieldTime)
+	least := 1.0
+	for level, callers := range c.callers {
+		excess := -yieldExcess
+		if callers >= minAsked {
+			served := min(c.served[level]/callers, 1)
+			excess = served - least - orderTolerance + orderMargin*max(1-orderTolerance-least, 0)
+			least = min(least, served)
+		}
+		c.yields[level] += step * min(max(excess/yieldExcess, -1), 1)
+		c.yields[level] = min(max(c.yields[level], 0), 1)
+	}
+}
+
 // adjustment is by how many slots the reserve of a returning or over-share request differs at most from that
 // of its level, at a pressure of 1.
 const adjustment = 0.5
@@ -83,8 +114,9 @@
 // other. A late request has the reserve of the next level; no addition exceeds it.
 func (c *Controller) reserve(r Request, level int) (withinShare, reserve float64) {
 	from, width := c.ranks(level)
+	from += (1 - from) * slices.Max(c.yields[:level+1])
 	unit := c.pressure * c.maxReserve
-	reserve, next := unit*from, unit*(from+width)
+	reserve, next := unit*from, unit*min(from+width, 1)
 	switch {
 	case r.Late:
 		reserve = next
@@ -121,8 +153,8 @@
 	if c.floor[level].admitted*float64(2*len(c.floor)) > all.admitted {
 		return false
 	}
-	bound := floorShare * servedShare(all)
-	excess := servedShare(c.floor[level]) - fullExemption*bound
+	bound := floorShare * callersServed(all)
+	excess := callersServed(c.floor[level]) - fullExemption*bound
 	band := (noExemption - fullExemption) * bound
 	return excess <= 0 || excess < band && excess < band*c.rng.Float64()
 }
--- a/internal/transport/gateway/contention_test.go
+++ b/internal/transport/gateway/contention_test.go
@@ -42,7 +42,7 @@
 	return contention.Decision{RetryAfter: 90 * time.Millisecond, Reserve: f.reserve, Reason: contention.ReasonLessUrgent}
 }
 func (f *fakeController) Demand() contention.Demand {
-	return contention.Demand{Admitted: []uint64{90_000, 80_000, 70_000}, Refused: []uint64{900, 8_000, 20_000}, NoRoom: []uint64{900, 1_000, 2_000}}
+	return contention.Demand{Admitted: []uint64{90_000, 80_000, 70_000}, Refused: []uint64{900, 8_000, 20_000}, NoRoom: []uint64{900, 1_000, 2_000}, Returned: []uint64{800, 7_000, 18_000}}
 }
 func (f *fakeController) ApplyPeer(host filbertlever.HostID, d contention.Demand, _ time.Duration) {
 	f.peers[host] = d
--- a/internal/transport/gateway/demand.go
+++ b/internal/transport/gateway/demand.go
@@ -24,6 +24,8 @@
 	Refused  []uint64 `cbor:"3,keyasint,omitempty"`
 	// NoRoom counts those of Refused for which no slot was free at all.
 	NoRoom []uint64 `cbor:"7,keyasint,omitempty"`
+	// Returned counts the requests whose callers were seen to return. Entries of earlier versions send none.
+	Returned []uint64 `cbor:"8,keyasint,omitempty"`
 	// Organisations are those that asked for the most work. Asked and Served are their work in
 	// milliseconds of slot time a second.
 	Organisations []filbertlever.OrganisationID `cbor:"4,keyasint,omitempty"`
@@ -40,7 +42,7 @@
 	// peer are used, in case one is lost.
 	minDemandInterval      = 200 * time.Millisecond
 	maxDemandInterval      = 450 * time.Millisecond
-	demandPeersPerInterval = 7
+	demandPeersPerInterval = 6
 	// sharedDemandInterval is the longest time between two messages with shared demand to other regions.
 	// Two fit into the time for which the counts of a peer are used.
 	sharedDemandInterval = 900 * time.Millisecond
@@ -78,17 +80,22 @@
 	if d.Service == "" || len(d.Service) > maxNameBytes {
 		return fmt.Errorf("demand: service: %w", errName)
 	}
-	if len(d.Admitted) != len(d.Refused) || len(d.Admitted) != len(d.NoRoom) || len(d.Admitted) > catalog.MaxLevels {
-		return fmt.Errorf("demand for %.200q: %d, %d and %d levels: %w", d.Service, len(d.Admitted), len(d.Refused), len(d.NoRoom), errDemand)
+	if len(d.Admitted) != len(d.Refused) || len(d.Admitted) != len(d.NoRoom) || len(d.Returned) > 0 && len(d.Returned) != len(d.Admitted) || len(d.Admitted) > catalog.MaxLevels {
+		return fmt.Errorf("demand for %.200q: %d, %d, %d and %d levels: %w", d.Service, len(d.Admitted), len(d.Refused), len(d.NoRoom), len(d.Returned), errDemand)
 	}
 	if len(d.Organisations) > maxUsages || len(d.Asked) != len(d.Organisations) || len(d.Served) != len(d.Organisations) {
 		return fmt.Errorf("demand for %.200q: %d organisations: %w", d.Service, len(d.Organisations), errDemand)
 	}
-	for _, n := range slices.Concat(d.Admitted, d.Refused, d.NoRoom) {
+	for _, n := range slices.Concat(d.Admitted, d.Refused, d.NoRoom, d.Returned) {
 		if n > maxDecisions {
 			return fmt.Errorf("demand for %.200q: %d requests: %w", d.Service, n, errDemand)
 		}
 	}
+	for level, n := range d.Returned {
+		if n > d.Admitted[level]+d.Refused[level] {
+			return fmt.Errorf("demand for %.200q: %d of fewer requests returned: %w", d.Service, n, errDemand)
+		}
+	}
 	for _, work := range slices.Concat(d.Asked, d.Served) {
 		if work > maxWorkRate {
 			return fmt.Errorf("demand for %.200q: work %d: %w", d.Service, work, errDemand)
@@ -116,7 +123,7 @@
 // maxSize returns an upper bound of the encoded size.
 func (d *ServiceDemand) maxSize() int {
 	// Each integer takes up to 9 bytes, each list or string up to 3 bytes and a key.
-	size := len(d.Service) + 9*(len(d.Admitted)+len(d.Refused)+len(d.NoRoom)+len(d.Asked)+len(d.Served)) + 30
+	size := len(d.Service) + 9*(len(d.Admitted)+len(d.Refused)+len(d.NoRoom)+len(d.Returned)+len(d.Asked)+len(d.Served)) + 30
 	for _, id := range d.Organisations {
 		size += len(id) + 3
 	}
@@ -177,7 +184,7 @@
 // ownDemand returns the demand at this entry.
 func (s *levelledService) ownDemand() ServiceDemand {
 	counts := s.controller.Demand()
-	return ServiceDemand{Service: s.name, Admitted: counts.Admitted, Refused: counts.Refused, NoRoom: counts.NoRoom}
+	return ServiceDemand{Service: s.name, Admitted: counts.Admitted, Refused: counts.Refused, NoRoom: counts.NoRoom, Returned: counts.Returned}
 }
 
 // sharedDemand returns the demand for contended services whose servers serve several regions, which is
@@ -218,7 +225,7 @@
 			continue
 		}
 		s.peers[host] = true
-		s.controller.ApplyPeer(host, contention.Demand{Admitted: d.Admitted, Refused: d.Refused, NoRoom: d.NoRoom}, now)
+		s.controller.ApplyPeer(host, contention.Demand{Admitted: d.Admitted, Refused: d.Refused, NoRoom: d.NoRoom, Returned: d.Returned}, now)
 		if len(d.Organisations) > 0 {
 			s.shares.ApplyPeer(host, d.usages(), now)
 		}
--- a/internal/transport/gateway/messages_test.go
+++ b/internal/transport/gateway/messages_test.go
@@ -93,7 +93,7 @@
 			Ready: true, StoreUnreachable: true, Named: []NamedAge{{Model: "d", Version: 2, Age: time.Second, Known: true}}}},
 		{Counts: &Counts{From: "e", Sequence: 1 << 60, Requests: map[string]int{"i-1": 3}, Silent: []string{"i-2"}, Boots: map[string]catalog.Boot{"i-1": 7},
 			Speeds: map[string]speed.Observation{"i-1": {Slowdown: 2500, Gaps: 30}}}},
-		{Counts: &Counts{From: "e", Sequence: 1, Demand: []ServiceDemand{{Service: "s", Admitted: []uint64{1 << 40, 0}, Refused: []uint64{0, 3}, NoRoom: []uint64{0, 2},
+		{Counts: &Counts{From: "e", Sequence: 1, Demand: []ServiceDemand{{Service: "s", Admitted: []uint64{1 << 40, 0}, Refused: []uint64{0, 3}, NoRoom: []uint64{0, 2}, Returned: []uint64{4, 1},
 			Organisations: []filbertlever.OrganisationID{"o"}, Asked: []uint32{9000}, Served: []uint32{7}}}}},
 		{Load: &LoadReport{Load: fleet.Report{Address: "10.0.0.1:1", Boot: 5, PreviousBoots: []catalog.Boot{3}, Sequence: 1 << 63, Running: 3, Queued: 1, Pace: 1.5,
 			Switching: true, Models: []catalog.Model{{Name: "d", Version: 2}}, LeavesIn: time.Second, LoadedIn: time.Minute, FreeMemory: new(int)},
