Crashes at one moment count once against requests too

All entries but one had restarted 1.9 s before, and the last one left 0.8 s later, so that nobody knew of earlier answers. Model servers were silent for up to 3 s. As a silence ended, its servers ran at once what they had received, a crashing part among it: i-2 and i-4 crashed within 1 ms at 39.803, i-1 and i-7 at 42.19. A request that callers send alike was in flight at each of them. The four crashes counted four times against it and twice against the part, as crashes within 0.1 s counted once against parts only. The request had more crashes than the part, so it was not ambiguous, and its hold explained the crashes away from the part.

They count once for all kinds of features now, so that features are compared by the same count.

--- a/internal/coordination/quarantine/config.go
+++ b/internal/coordination/quarantine/config.go
@@ -21,8 +21,8 @@
 	// detected. It is also the minimum time between two crashes of processes with the same
 	// name.
 	DetectionTimeout time.Duration
-	// SimultaneousWindow is the time within which crashes count once against a part of prompts.
-	// For a feature that was answered within AnswerTTL, CorrelationWindow is that time.
+	// SimultaneousWindow is the time within which crashes count once against a feature. For one
+	// that was answered within AnswerTTL, CorrelationWindow is that time.
 	SimultaneousWindow time.Duration
 	// AnswerTTL is how long a feature counts as answered recently.
 	AnswerTTL time.Duration
--- a/internal/coordination/quarantine/evidence.go
+++ b/internal/coordination/quarantine/evidence.go
@@ -44,15 +44,13 @@
 // evidence returns what counts against a suspect up to the time before. These are the crashes that
 // are not explained by something that is held, and that no answer followed.
 //
-// Servers may lose their power together. Crashes of servers at one moment then say nothing of what
-// they ran, and count once for everything that was answered recently, and for all parts.
+// Servers may lose their power together, or begin at once what they received while they were paused.
+// Crashes of servers at one moment then say nothing of what they ran, and count once. They do so for
+// all kinds of features alike, as the feature with the most crashes is held.
 func (t *Table) evidence(s *suspect, before time.Duration) evidence {
-	window := time.Duration(0)
-	switch {
-	case t.recentlyAnswered(s.feature, s.kind, before):
+	window := t.config.SimultaneousWindow
+	if t.recentlyAnswered(s.feature, s.kind, before) {
 		window = t.config.CorrelationWindow
-	case s.kind != KindRequest:
-		window = t.config.SimultaneousWindow
 	}
 	var e evidence
 	var last time.Duration
--- a/internal/coordination/quarantine/parts_test.go
+++ b/internal/coordination/quarantine/parts_test.go
@@ -155,6 +155,26 @@
 	}
 }
 
+// Servers that were paused run what they received meanwhile at once, and a part in it crashes several
+// of them. A request that was sent to each of them must not be held for it.
+func TestSimultaneousCrashesCountOnceForEveryFeature(t *testing.T) {
+	d := newPartDay()
+	alike := whole(request(0))
+	for n := range 2 {
+		for range 2 {
+			p := process(d.processes)
+			d.processes++
+			d.crashAttempts(p, map[int][]quarantine.Attempt{
+				0: {{Request: alike, Process: p, ClosedByServer: true}},
+				1: {{Request: withParts(n, 1, badPart), Process: p, ClosedByServer: true}},
+			}, d.now)
+		}
+		d.now += 2 * time.Second
+		d.advance(d.now)
+	}
+	qt.Assert(t, d.heldBy(alike), qt.Equals, 0)
+}
+
 // An answer between two crashes may become known after the second. The first must then not count.
 func TestLateNewsOfAnAnswerClearsEarlierCrashes(t *testing.T) {
 	d := newPartDay()
