Decisions to hold requests await the answers of others

An entry gets the answers of others as replies to its reports, and decided without them in two cases.

- An entry that had just started did not know the others.
- A crash became known late.
The 0.15 s (1 s for a feature that was answered within a minute) began with the crash, but that a process was replaced is known seconds later from its row.
Such crashes counted at the next tick, before any reply.

A crash counts from the time when it became known, and nothing is reported or decided until the entry list is read, or until 1.5 s have passed in which an entry discovers others. Holds of other entries apply at once meanwhile.

The new tests fail without each of the three changes (guards).

--- a/internal/coordination/quarantine/config.go
+++ b/internal/coordination/quarantine/config.go
@@ -11,8 +11,8 @@
 	// all organisations.
 	MinCrashes     int
 	CertainCrashes int
-	// PropagationDelay is the time after a crash within which all entries have reported the
-	// requests that they had in flight there.
+	// PropagationDelay is the time after a crash became known within which all entries have reported
+	// the requests that they had in flight there, and have replied with their answers to them.
 	PropagationDelay time.Duration
 	// CorrelationWindow is the maximum time between the failures of one process's last
 	// answers.
--- a/internal/coordination/quarantine/decisions.go
+++ b/internal/coordination/quarantine/decisions.go
@@ -150,7 +150,7 @@
 	if !t.undecided {
 		return nil
 	}
-	t.undecided = now-t.crashAddedAt <= t.config.CorrelationWindow
+	t.undecided = now-max(t.crashAddedAt, t.peersKnownAt) <= t.config.CorrelationWindow
 	var held []Verdict
 	for s, crashes := t.nextHold(now); s != nil; s, crashes = t.nextHold(now) {
 		t.hold(s, now)
--- a/internal/coordination/quarantine/evidence.go
+++ b/internal/coordination/quarantine/evidence.go
@@ -41,8 +41,9 @@
 	varied bool
 }
 
-// evidence returns what counts against a suspect up to the time before. These are the crashes that
-// are not explained by something that is held, and that no answer followed.
+// evidence returns what counts against a suspect, of what this entry and the others could know at the
+// time before. These are the crashes that are not explained by something that is held, and that no
+// answer followed.
 //
 // Servers may lose their power together, or begin at once what they received while they were paused.
 // Crashes of servers at one moment then say nothing of what they ran, and count once. They do so for
@@ -56,7 +57,7 @@
 	var last time.Duration
 	var narrower Feature
 	for _, c := range s.crashes {
-		if c.at > before || t.answeredSince(s.feature, s.kind, c) || c.explained(s) || c.begun && t.pendingSuspected(c.crash) {
+		if c.known > before || t.answeredSince(s.feature, s.kind, c) || c.explained(s) || c.begun && t.pendingSuspected(c.crash) {
 			continue
 		}
 		if !e.varied {
@@ -137,13 +138,21 @@
 	return e.crashes >= least && (s.kind == KindRequest || e.varied && t.lastBegun > e.first)
 }
 
-// cutoff returns the time up to which crashes are considered in a decision. A feature that
-// was answered recently gets more time, so that it can be answered once more.
+// cutoff returns the time up to which crashes must have been known to be considered in a decision, so
+// that other entries can reply to the report of a crash with their answers. A feature that was answered
+// recently gets more time, so that it can be answered once more.
+//
+// A crash may become known seconds after it, when the row of the server is replaced. If the time began
+// with the crash, such crashes were decided without the answers that had followed them elsewhere.
 func (t *Table) cutoff(s *suspect, now time.Duration) time.Duration {
+	delay := t.config.PropagationDelay
 	if t.recentlyAnswered(s.feature, s.kind, now) {
-		return now - t.config.CorrelationWindow
+		delay = t.config.CorrelationWindow
+	}
+	if now-delay < t.peersKnownAt {
+		return never
 	}
-	return now - t.config.PropagationDelay
+	return now - delay
 }
 
 // ambiguous reports whether something else may have caused the same crashes. What is wider on the
--- a/internal/coordination/quarantine/parts_test.go
+++ b/internal/coordination/quarantine/parts_test.go
@@ -175,6 +175,43 @@
 	qt.Assert(t, d.heldBy(alike), qt.Equals, 0)
 }
 
+// An entry has just started and does not know the others, or learns of crashes only seconds after them,
+// while others get answers to what was in flight. It must not decide without these answers, and must
+// decide if there are none.
+func TestDecisionAwaitsTheAnswersOfOthers(t *testing.T) {
+	for _, test := range []struct {
+		started, answered bool
+	}{{true, true}, {true, false}, {false, true}, {false, false}} {
+		c := newCluster(2)
+		now, alike := time.Second, request(0)
+		c.tables[0].SetPeersKnown(!test.started, now)
+		for n := range 3 {
+			c.tables[0].RecordFailure(attempt(alike, process(n), true), now)
+			now += 1500 * ms
+		}
+		if test.answered {
+			c.tables[1].RecordAnswer(alike, now)
+		}
+		for n := range 3 {
+			c.tables[0].RecordCrash(process(n), now)
+		}
+		for range 30 {
+			now += 50 * ms
+			c.advance(now)
+			if test.started {
+				qt.Check(t, c.held(alike, now), qt.Equals, 0)
+			}
+		}
+		c.tables[0].SetPeersKnown(true, now)
+		c.sendNew(now)
+		for range 5 {
+			now += 50 * ms
+			c.advance(now)
+		}
+		qt.Check(t, c.held(alike, now) > 0, qt.Equals, !test.answered, qt.Commentf("%+v", test))
+	}
+}
+
 // An answer between two crashes may become known after the second. The first must then not count.
 func TestLateNewsOfAnAnswerClearsEarlierCrashes(t *testing.T) {
 	d := newPartDay()
--- a/internal/coordination/quarantine/quarantine.go
+++ b/internal/coordination/quarantine/quarantine.go
@@ -1,6 +1,7 @@
 package quarantine
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -97,7 +98,7 @@
 	config Config
 	// failures holds attempts at processes that may have crashed.
 	failures map[Process][]failedAttempt
-	// alive is when an answer, or a part of one, last arrived from a process.
+	// alive is when a process last gave a sign of life.
 	alive map[Process]time.Duration
 	// crashes holds the latest crash of each process, for DetectionTimeout.
 	crashes  map[Process]*crash
@@ -116,6 +117,8 @@
 	crashAddedAt time.Duration
 	undecided    bool
 	prunedAt     time.Duration
+	// peersKnownAt is when the other entries became known, and unknown until then.
+	peersKnownAt time.Duration
 	// unsent and unsentCrashes have not been sent to other entries yet. sent and sentCrashes
 	// were sent within resendDuration.
 	unsent        CrashReport
@@ -135,9 +138,28 @@
 func New(config Config) *Table {
 	return &Table{config: config, failures: map[Process][]failedAttempt{}, alive: map[Process]time.Duration{}, crashes: map[Process]*crash{},
 		suspects: map[Feature]*suspect{}, suspectHashes: map[uint64]int{}, suspectParts: map[PartID][]Feature{},
-		answered: newAnswerLog(config.MaxEntries), answeredParts: newAnswerLog(config.MaxEntries), lastBegun: never}
+		answered: newAnswerLog(config.MaxEntries), answeredParts: newAnswerLog(config.MaxEntries), lastBegun: never, peersKnownAt: never}
 }
 
+// unknown is after all times.
+const unknown = time.Duration(math.MaxInt64)
+
+// SetPeersKnown records whether the other entries are known, which they are by default. Until they
+// are, nothing is reported or decided.
+//
+// An entry that has just started lacks the answers of the others, and gets them as replies to its
+// reports. Without them, a request that many callers send was held after any three crashes.
+func (t *Table) SetPeersKnown(known bool, now time.Duration) {
+	switch {
+	case !known:
+		t.peersKnownAt = unknown
+	case t.peersUnknown():
+		t.peersKnownAt = now
+	}
+}
+
+func (t *Table) peersUnknown() bool { return t.peersKnownAt == unknown }
+
 // NoSuspects reports whether nothing is suspected.
 func (t *Table) NoSuspects() bool { return len(t.suspects) == 0 }
 
@@ -177,7 +199,8 @@
 // break off too, and were taken for its cause.
 func (a *Attempt) sentBefore(crash time.Duration) bool { return a.Sent < crash+crashTimeTolerance }
 
-// RecordAlive records that an answer, or a part of one, arrived from a process.
+// RecordAlive records that an answer, or a part of one, arrived from a process, or that it accepted a
+// connection after one had broken.
 func (t *Table) RecordAlive(process Process, now time.Duration) { t.alive[process] = now }
 
 // RecordCrash records that a process was found to have crashed, and returns the requests
@@ -243,27 +266,27 @@
 	c.add(r)
 	for f, kind := range r.features() {
 		if r.mayCause(kind) {
-			t.suspectCrash(f, kind, suspectedCrash{c, r.begun}, now)
+			t.suspectCrash(f, kind, suspectedCrash{c, r.begun, now})
 		}
 	}
 }
 
 // suspectCrash adds a crash to a feature, unless requests with the feature were answered since.
-func (t *Table) suspectCrash(f Feature, kind Kind, c suspectedCrash, now time.Duration) {
+func (t *Table) suspectCrash(f Feature, kind Kind, c suspectedCrash) {
 	if t.answeredSince(f, kind, c) {
 		return
 	}
 	s := t.suspectFor(f, kind)
-	if !s.addCrash(c.crash, c.begun) {
+	if !s.addCrash(c) {
 		return
 	}
-	s.lastAdded = now
-	t.crashAddedAt, t.undecided = now, true
+	s.lastAdded = c.known
+	t.crashAddedAt, t.undecided = c.known, true
 	switch {
-	case t.held(s, now):
+	case t.held(s, c.known):
 		c.causes = append(c.causes, cause{f, kind})
 	case s.holdCount > 0:
-		t.hold(s, now)
+		t.hold(s, c.known)
 	}
 }
 
--- a/internal/coordination/quarantine/reports.go
+++ b/internal/coordination/quarantine/reports.go
@@ -366,6 +366,9 @@
 
 // NewReports returns what is to be sent since the last call, in messages.
 func (t *Table) NewReports(now time.Duration) []CrashReport {
+	if t.peersUnknown() {
+		return nil
+	}
 	report := t.unsent
 	t.unsent = CrashReport{}
 	report.addLocal(t.nextCrashes(now))
--- a/internal/coordination/quarantine/suspects.go
+++ b/internal/coordination/quarantine/suspects.go
@@ -28,21 +28,23 @@
 	*crash
 	// begun is true if the answers to all requests with the feature had begun at the crash.
 	begun bool
+	// known is when the crash was added.
+	known time.Duration
 }
 
 // maxSuspectedCrashes bounds the crashes of one suspect. A decision takes far fewer.
 const maxSuspectedCrashes = 64
 
 // addCrash adds a crash, and reports whether it was new.
-func (s *suspect) addCrash(c *crash, begun bool) bool {
+func (s *suspect) addCrash(c suspectedCrash) bool {
 	for i := range s.crashes {
-		if s.crashes[i].crash == c {
-			s.crashes[i].begun = s.crashes[i].begun && begun
+		if s.crashes[i].crash == c.crash {
+			s.crashes[i].begun = s.crashes[i].begun && c.begun
 			return false
 		}
 	}
-	at, _ := slices.BinarySearchFunc(s.crashes, c, func(known suspectedCrash, c *crash) int { return cmp.Compare(known.at, c.at) })
-	s.crashes = slices.Insert(s.crashes, at, suspectedCrash{c, begun})
+	at, _ := slices.BinarySearchFunc(s.crashes, c, func(known, c suspectedCrash) int { return cmp.Compare(known.at, c.at) })
+	s.crashes = slices.Insert(s.crashes, at, c)
 	s.crashes = s.crashes[max(len(s.crashes)-maxSuspectedCrashes, 0):]
 	return true
 }
--- a/internal/transport/gateway/crashes.go
+++ b/internal/transport/gateway/crashes.go
@@ -246,6 +246,7 @@
 // advanceQuarantine decides which features of requests are quarantined, cancels the attempts at
 // requests that have them, and returns the reports for the other entries. The caller holds g.mu.
 func (g *Gateway) advanceQuarantine(now time.Duration) []quarantine.CrashReport {
+	g.crashes.SetPeersKnown(g.entriesListed.Load() || g.peers.discoveryElapsed(now), now)
 	for _, replaced := range g.fleet.TakeReplaced() {
 		g.noteServerCrash(replaced, "Replaced")
 	}
--- a/internal/transport/gateway/crashreports_test.go
+++ b/internal/transport/gateway/crashreports_test.go
@@ -8,6 +8,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"github.com/filbertlever/filbertlever/internal/coordination/quarantine"
+	"github.com/filbertlever/filbertlever/internal/transport/boottime"
 )
 
 // maxPacketBytes is the payload that one packet can carry on any link.
@@ -44,6 +45,20 @@
 	}
 }
 
+// An entry that has just started reported a crash to nobody, as it did not know other entries yet, and
+// decided without their answers. It must report what it has once it knows them.
+func TestCrashesAreReportedOnceOtherEntriesAreKnown(t *testing.T) {
+	g, _ := newEntryWithBoot(t)
+	now := boottime.Now()
+	g.peers.startedAt = now
+	process := quarantine.Process{Server: "i-1", Boot: 1}
+	g.crashes.RecordFailure(quarantine.Attempt{Request: requestWithParts(0, 1), Process: process, ClosedByServer: true}, now)
+	g.crashes.RecordCrash(process, now)
+	qt.Assert(t, g.advanceQuarantine(now), qt.HasLen, 0)
+	g.entriesListed.Store(true)
+	qt.Assert(t, g.advanceQuarantine(now+time.Second), qt.HasLen, 1)
+}
+
 // requestWithParts returns request number n with parts that no other request has.
 func requestWithParts(n, parts int) *quarantine.Request {
 	identity := quarantine.Identity{Organisation: "hauler-1", Target: fmt.Sprint("/draft/", n)}
--- a/internal/transport/gateway/gateway.go
+++ b/internal/transport/gateway/gateway.go
@@ -272,7 +272,7 @@
 func (g *Gateway) discoveryElapsed() bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return boottime.Now()-g.peers.startedAt > startupGrace
+	return g.peers.discoveryElapsed(boottime.Now())
 }
 
 // relayView gives the relay access to the origin, the holders of weights and the other entries.
--- a/internal/transport/gateway/peers.go
+++ b/internal/transport/gateway/peers.go
@@ -124,6 +124,9 @@
 	return added
 }
 
+// discoveryElapsed reports whether this entry has run long enough to have discovered the others.
+func (p *peers) discoveryElapsed(now time.Duration) bool { return now-p.startedAt > startupGrace }
+
 // observeHeartbeat records a heartbeat, and reports whether it is the first one of that
 // process.
 func (p *peers) observeHeartbeat(entry Entry, ready, storeUnreachable bool, now time.Duration) (first bool) {
