A server that accepts connections did not end with its last answer

Soak: servers broke off answers after the head and kept running. If the process ended up to 6 s later, as its row was replaced, the first of these answers dated its crash, and the requests of all of them counted as in flight, though they had ended 0.5 to 3 s before the last connection broke. The check whether the server still listens had found that it does, which was not kept, and was made once in 3 s.

A server that still accepts a connection 0.33 s after an answer broke off gives a sign of life, from which crashes are dated as from answers. It is checked again as soon as the last check has ended, at the cost of up to nine times as many connections to a server that keeps breaking off answers. A process that is replaced within 0.33 s without a refused connection is not seen as crashed.

--- a/internal/transport/channel/channel.go
+++ b/internal/transport/channel/channel.go
@@ -358,16 +358,15 @@
 	p.idle[c.server.ID] = append(p.idle[c.server.ID], c)
 }
 
-// IsRefused connects to an address and reports whether the connection is refused, which
-// means that no process listens there. A timeout is not a refusal: the host may be
-// unreachable.
-func (p *Pool) IsRefused(address string) bool {
+// Probe connects to an address and closes the connection. The error is ECONNREFUSED if no
+// process listens there. A timeout is not a refusal: the host may be unreachable.
+func (p *Pool) Probe(address string) error {
 	c, err := p.dialer.Dial("tcp", address)
 	if err != nil {
-		return errors.Is(err, unix.ECONNREFUSED)
+		return err
 	}
 	_ = c.Close()
-	return false
+	return nil
 }
 
 // Opened returns the number of connections opened so far.
--- a/internal/transport/gateway/contention_test.go
+++ b/internal/transport/gateway/contention_test.go
@@ -79,7 +79,7 @@
 	s[d.Call.ID] = d
 	return &Reply{Status: http.StatusOK, Body: strings.NewReader("answer"), Verified: true, Finish: func(bool) {}}, nil
 }
-func (recordingSender) ConnectionRefused(catalog.Backend) bool { return false }
+func (recordingSender) Probe(catalog.Backend) error { return nil }
 
 // pathCodec takes the ID of a request from its query.
 type pathCodec struct{}
--- a/internal/transport/gateway/crashes.go
+++ b/internal/transport/gateway/crashes.go
@@ -30,9 +30,9 @@
 	// its listening socket.
 	firstProbeDelay  = 30 * time.Millisecond
 	secondProbeDelay = 300 * time.Millisecond
-	// probeInterval is the minimum time between two checks of the same process. A server that still
-	// listens may truncate some of its responses for a long time.
-	probeInterval = 3 * time.Second
+	// probeInterval is the minimum time between two checks of the same process, so that only one of
+	// them runs. A server that still listens may truncate some of its responses for a long time.
+	probeInterval = firstProbeDelay + secondProbeDelay
 	// maxProbedProcesses limits the processes whose last check is remembered.
 	maxProbedProcesses = 4096
 	// maxHoldRepliesPerSecond limits the replies to entries that hold different requests.
@@ -204,23 +204,30 @@
 // looks complete.
 func (t *attempt) serverCrashed() bool {
 	time.Sleep(firstProbeDelay)
-	return t.gateway.sender.ConnectionRefused(t.Backend)
+	return errors.Is(t.gateway.sender.Probe(t.Backend), syscall.ECONNREFUSED)
 }
 
 // probeServer checks whether the process of a server that truncated a response has ended.
 //
 // Responses are lost and connections are reset while servers keep running. If that counted as a
-// crash, three such events in a row would quarantine a harmless request.
+// crash, three such events in a row would quarantine a harmless request. Nor do such events count
+// if the process ends seconds later: it accepts connections in between.
 func (g *Gateway) probeServer(backend catalog.Backend) {
+	var err error
 	for _, delay := range []time.Duration{firstProbeDelay, secondProbeDelay} {
 		time.Sleep(delay)
-		if g.sender.ConnectionRefused(backend) {
+		if err = g.sender.Probe(backend); errors.Is(err, syscall.ECONNREFUSED) {
 			g.mu.Lock()
 			g.noteServerCrash(backend, "ConnectionRefused")
 			g.mu.Unlock()
 			return
 		}
 	}
+	if err == nil {
+		g.mu.Lock()
+		g.crashes.RecordAlive(processOf(backend), boottime.Now())
+		g.mu.Unlock()
+	}
 }
 
 // noteServerCrash records that a server's process has ended. The caller holds g.mu.
--- a/internal/transport/gateway/ports.go
+++ b/internal/transport/gateway/ports.go
@@ -110,8 +110,8 @@
 // the request may have reached the server.
 type Sender interface {
 	Send(ctx context.Context, dispatch *Dispatch) (*Reply, error)
-	// ConnectionRefused reports whether nothing listens at a server's address.
-	ConnectionRefused(backend catalog.Backend) bool
+	// Probe connects to a server's address. The error is ECONNREFUSED if nothing listens there.
+	Probe(backend catalog.Backend) error
 }
 
 // ErrRevisionPruned means that a feed no longer holds all changes since the requested revision.
