Requests sent alike are not held while nothing is answered

A request that callers send alike was in flight at five separate crashes. Five are enough to hold a request even if something else was in flight at them too. The part was in flight at four of them, and was not held since parts take that servers answered something else meanwhile. Whole requests did not.

Until an answer has begun at this entry since its first crash, a request is not held if something else with at least two crashes was in flight at each of its own. A request that was alone at one crash, or beside requests with one crash each, is held after three as before. The new test holds both requests that are sent alike without the rule.

--- a/internal/coordination/quarantine/decisions.go
+++ b/internal/coordination/quarantine/decisions.go
@@ -174,7 +174,7 @@
 		if !t.sufficient(s, e) || e.crashes < most || e.crashes == most && compare(s, found) >= 0 {
 			continue
 		}
-		if e.crashes < t.config.CertainCrashes && t.ambiguous(s, e.crashes, until) {
+		if t.uncertain(s, e, until) {
 			continue
 		}
 		found, most = s, e.crashes
--- a/internal/coordination/quarantine/evidence.go
+++ b/internal/coordination/quarantine/evidence.go
@@ -162,7 +162,45 @@
 	return until
 }
 
-// ambiguous reports whether something else may have caused the same crashes. What is wider on the
+// uncertain reports whether something else than a suspect may have caused its crashes.
+//
+// While servers answer nothing, everything that callers send again and again is in flight at each crash.
+// Such requests were held for the crashes that a part of others caused as silent servers went on. Until
+// an answer begins here, a suspect is not held if something else that was in flight at several crashes
+// was so at each of its own.
+func (t *Table) uncertain(s *suspect, e evidence, until horizon) bool {
+	if t.lastAnswerLike(s) <= e.first && t.neverAlone(s, until) {
+		return true
+	}
+	return e.crashes < t.config.CertainCrashes && t.ambiguous(s, e.crashes, until)
+}
+
+// neverAlone reports whether there is an alternative with several crashes at each crash of a suspect.
+func (t *Table) neverAlone(s *suspect, until horizon) bool {
+	alone := slices.DeleteFunc(slices.Clone(s.crashes), func(c suspectedCrash) bool { return !t.counts(s, c, until) })
+	for _, other := range t.suspects {
+		if other == s || other.holdCount > 0 || len(other.crashes) < t.config.MinCrashes-1 || !other.shares(s) {
+			continue
+		}
+		if t.evidence(other, until).crashes >= t.config.MinCrashes-1 {
+			alone = slices.DeleteFunc(alone, func(c suspectedCrash) bool { return other.hasCrash(c.crash) && other.mayReplace(s, c.crash) })
+		}
+	}
+	return len(alone) == 0
+}
+
+// lastAnswerLike returns when an answer last began here to a request with parts, if the suspect has
+// parts, or else to any request.
+func (t *Table) lastAnswerLike(s *suspect) time.Duration {
+	for _, c := range s.crashes {
+		if slices.ContainsFunc(c.requests, func(r inFlight) bool { return len(r.Parts) > 0 && r.Has(s.feature, s.kind) }) {
+			return t.lastBegun
+		}
+	}
+	return max(t.lastBegun, t.lastAnswered)
+}
+
+// ambiguous reports whether something else may have caused as many of the crashes. What is wider on the
 // same requests is no alternative: the narrowest feature that explains the crashes is held.
 //
 // Of two requests that were in flight at the same servers, one may not be a cause of their
--- a/internal/coordination/quarantine/parts_test.go
+++ b/internal/coordination/quarantine/parts_test.go
@@ -212,6 +212,28 @@
 	}
 }
 
+// While servers answer nothing, requests that callers send alike are in flight at each crash. They must
+// not be held for a part of other requests, however many servers crash, until they are in flight alone.
+func TestRequestsSentAlikeAreNotHeldWhileNothingIsAnswered(t *testing.T) {
+	d := newPartDay()
+	d.silent = true
+	alike := []*quarantine.Request{whole(request(0)), whole(request(1))}
+	for n := range 6 {
+		p := process(d.processes)
+		d.processes++
+		attempts := map[int][]quarantine.Attempt{1: {{Request: withParts(n, 1, badPart), Process: p, ClosedByServer: true}}}
+		for _, r := range alike[:1+n%2] {
+			attempts[0] = append(attempts[0], quarantine.Attempt{Request: r, Process: p, ClosedByServer: true})
+		}
+		d.crashAttempts(p, attempts, d.now)
+		d.now += 300 * ms
+		d.advance(d.now)
+	}
+	qt.Assert(t, d.heldBy(alike[0])+d.heldBy(alike[1]), qt.Equals, 0)
+	d.crashUnder(alike[0])
+	qt.Assert(t, d.heldBy(alike[0]), qt.Equals, len(d.tables))
+}
+
 // An answer between two crashes may become known after the second. The first must then not count.
 func TestLateNewsOfAnAnswerClearsEarlierCrashes(t *testing.T) {
 	d := newPartDay()
--- a/internal/coordination/quarantine/quarantine.go
+++ b/internal/coordination/quarantine/quarantine.go
@@ -112,6 +112,8 @@
 	answeredParts answerLog
 	// lastBegun is when an answer to a request with parts last began here.
 	lastBegun time.Duration
+	// lastAnswered is when an answer to any request last began or ended here.
+	lastAnswered time.Duration
 	// crashAddedAt is when a crash was last added to a suspect. The field undecided is true
 	// until a decision was made late enough to include all entries' reports on it.
 	crashAddedAt time.Duration
@@ -138,7 +140,7 @@
 func New(config Config) *Table {
 	return &Table{config: config, failures: map[Process][]failedAttempt{}, alive: map[Process]time.Duration{}, crashes: map[Process]*crash{},
 		suspects: map[Feature]*suspect{}, suspectHashes: map[uint64]int{}, suspectParts: map[PartID][]Feature{},
-		answered: newAnswerLog(config.MaxEntries), answeredParts: newAnswerLog(config.MaxEntries), lastBegun: never, peersKnownAt: never}
+		answered: newAnswerLog(config.MaxEntries), answeredParts: newAnswerLog(config.MaxEntries), lastBegun: never, lastAnswered: never, peersKnownAt: never}
 }
 
 // unknown is after all times.
@@ -296,6 +298,7 @@
 // Sound requests have parts in common with those that crash servers, and are in flight at most
 // crashes. Waiting for the ends of their answers would leave them suspected for seconds.
 func (t *Table) RecordBegun(r *Request, now time.Duration) {
+	t.lastAnswered = now
 	if r.Fingerprint != (Feature{}) {
 		t.answered.recordBegun(r.Fingerprint, now)
 	}
@@ -317,6 +320,7 @@
 // A request that was in flight at several servers that crashed for other reasons was refused
 // although servers answer it. A request that many callers send is in flight at all servers.
 func (t *Table) RecordAnswer(fingerprint Feature, now time.Duration) {
+	t.lastAnswered = now
 	t.answered.recordWhole(fingerprint, now)
 	t.clear(fingerprint, now)
 }
