--- a/internal/coordination/quarantine/decisions.go
+++ b/internal/coordination/quarantine/decisions.go
@@ -171,7 +171,7 @@
 		}
 		until := t.cutoff(s, now)
 		e := t.evidence(s, until)
-		if !t.sufficient(s, e) || e.crashes < most || e.crashes == most && compare(s, found) >= 0 {
+		if !t.sufficient(s, e) || s.localAt > until.known || e.crashes < most || e.crashes == most && compare(s, found) >= 0 {
 			continue
 		}
 		if t.uncertain(s, e, until) {
--- a/internal/coordination/quarantine/parts_test.go
+++ b/internal/coordination/quarantine/parts_test.go
@@ -214,6 +214,27 @@
 	}
 }
 
+// An entry that has reports of enough crashes has its own request at another one. It must not decide on
+// the crashes that it knew before others could reply to its own report.
+func TestFirstOwnCrashAwaitsReplies(t *testing.T) {
+	c := newCluster(2)
+	now, alike := time.Second, request(0)
+	c.tables[1].RecordAnswer(alike, now)
+	for n := range 3 {
+		now += 300 * ms
+		c.crash(process(n), map[int][]quarantine.Feature{1: {alike}}, now)
+	}
+	now += 3 * time.Second
+	c.advance(now)
+	c.tables[0].RecordFailure(attempt(alike, process(3), true), now)
+	c.tables[0].RecordCrash(process(3), now)
+	for range 30 {
+		now += 50 * ms
+		c.advance(now)
+		qt.Assert(t, c.held(alike, now), qt.Equals, 0)
+	}
+}
+
 // While servers answer nothing, requests that callers send alike are in flight at each crash. They must
 // not be held for a part of other requests, however many servers crash, until they are in flight alone.
 func TestRequestsSentAlikeAreNotHeldWhileNothingIsAnswered(t *testing.T) {
--- a/internal/coordination/quarantine/quarantine.go
+++ b/internal/coordination/quarantine/quarantine.go
@@ -261,6 +261,11 @@
 	c.local = append(c.local, r)
 	t.queueCrash(r, c, now)
 	t.addCrash(r, c, now)
+	for f, kind := range r.features() {
+		if s, ok := t.suspects[f]; ok && s.localAt == 0 && r.mayCause(kind) {
+			s.localAt = now
+		}
+	}
 }
 
 // addCrash adds a crash to the features of a request that was in flight there.
--- a/internal/coordination/quarantine/suspects.go
+++ b/internal/coordination/quarantine/suspects.go
@@ -15,6 +15,9 @@
 	crashes []suspectedCrash
 	// lastAdded is when the last of crashes was added.
 	lastAdded time.Duration
+	// localAt is when this entry first had a request with the feature in flight at a crash; 0 if it
+	// had none.
+	localAt time.Duration
 	// reported is true if other entries may suspect the feature.
 	reported bool
 	// heldAt is when the feature was last held. It may be before the clock's start.
