--- a/internal/coordination/quarantine/config.go
+++ b/internal/coordination/quarantine/config.go
@@ -12,8 +12,10 @@
 	MinCrashes     int
 	CertainCrashes int
 	// PropagationDelay is the time after a crash within which all entries have reported the
-	// requests that they had in flight there.
+	// requests that they had in flight there. ReplyDelay is the time after a crash became known here
+	// within which they have replied with their answers.
 	PropagationDelay time.Duration
+	ReplyDelay       time.Duration
 	// CorrelationWindow is the maximum time between the failures of one process's last
 	// answers.
 	CorrelationWindow time.Duration
@@ -21,8 +23,8 @@
 	// detected. It is also the minimum time between two crashes of processes with the same
 	// name.
 	DetectionTimeout time.Duration
-	// SimultaneousWindow is the time within which crashes count once against a part of prompts.
-	// For a feature that was answered within AnswerTTL, CorrelationWindow is that time.
+	// SimultaneousWindow is the time within which crashes count once against a feature. For one
+	// that was answered within AnswerTTL, CorrelationWindow is that time.
 	SimultaneousWindow time.Duration
 	// AnswerTTL is how long a feature counts as answered recently.
 	AnswerTTL time.Duration
@@ -46,7 +48,9 @@
 		// Two hosts may crash one after the other under a request that is not the cause.
 		MinCrashes: 3, CertainCrashes: 5,
 		// Covers datagrams between regions, one of them late.
-		PropagationDelay:  150 * time.Millisecond,
+		PropagationDelay: 150 * time.Millisecond,
+		// A crash is usually known within 50 ms.
+		ReplyDelay:        100 * time.Millisecond,
 		CorrelationWindow: time.Second,
 		// Servers that lose their power together are noticed within the delay of a link.
 		SimultaneousWindow: 100 * time.Millisecond,
--- a/internal/coordination/quarantine/decisions.go
+++ b/internal/coordination/quarantine/decisions.go
@@ -62,7 +62,7 @@
 
 func (t *Table) oneCrashFromHold(f Feature, now time.Duration) bool {
 	s, ok := t.suspects[f]
-	return ok && !t.recentlyAnswered(f, s.kind, now) && (s.holdCount > 0 || t.evidence(s, now).crashes >= t.config.MinCrashes-1)
+	return ok && !t.recentlyAnswered(f, s.kind, now) && (s.holdCount > 0 || t.evidence(s, horizon{now, now}).crashes >= t.config.MinCrashes-1)
 }
 
 func (t *Table) held(s *suspect, now time.Duration) bool {
@@ -150,7 +150,7 @@
 	if !t.undecided {
 		return nil
 	}
-	t.undecided = now-t.crashAddedAt <= t.config.CorrelationWindow
+	t.undecided = now-max(t.crashAddedAt, t.peersKnownAt) <= t.config.CorrelationWindow
 	var held []Verdict
 	for s, crashes := t.nextHold(now); s != nil; s, crashes = t.nextHold(now) {
 		t.hold(s, now)
@@ -169,12 +169,12 @@
 		if s.holdCount > 0 || len(s.crashes) < t.config.MinCrashes || !s.hasLocalCrash() {
 			continue
 		}
-		before := t.cutoff(s, now)
-		e := t.evidence(s, before)
-		if !t.sufficient(s, e) || e.crashes < most || e.crashes == most && compare(s, found) >= 0 {
+		until := t.cutoff(s, now)
+		e := t.evidence(s, until)
+		if !t.sufficient(s, e) || s.localAt > until.known || e.crashes < most || e.crashes == most && compare(s, found) >= 0 {
 			continue
 		}
-		if e.crashes < t.config.CertainCrashes && t.ambiguous(s, e.crashes, before) {
+		if t.uncertain(s, e, until) {
 			continue
 		}
 		found, most = s, e.crashes
--- a/internal/coordination/quarantine/evidence.go
+++ b/internal/coordination/quarantine/evidence.go
@@ -41,24 +41,26 @@
 	varied bool
 }
 
-// evidence returns what counts against a suspect up to the time before. These are the crashes that
-// are not explained by something that is held, and that no answer followed.
+// horizon is how recent crashes may be to be considered: when they occurred, and when they became known
+// here.
+type horizon struct{ crashed, known time.Duration }
+
+// evidence returns what counts against a suspect up to a horizon. These are the crashes that are not
+// explained by something that is held, and that no answer followed.
 //
-// Servers may lose their power together. Crashes of servers at one moment then say nothing of what
-// they ran, and count once for everything that was answered recently, and for all parts.
-func (t *Table) evidence(s *suspect, before time.Duration) evidence {
-	window := time.Duration(0)
-	switch {
-	case t.recentlyAnswered(s.feature, s.kind, before):
+// Servers may lose their power together, or begin at once what they received while they were paused.
+// Crashes of servers at one moment then say nothing of what they ran, and count once. They do so for
+// all kinds of features alike, as the feature with the most crashes is held.
+func (t *Table) evidence(s *suspect, until horizon) evidence {
+	window := t.config.SimultaneousWindow
+	if t.recentlyAnswered(s.feature, s.kind, until.crashed) {
 		window = t.config.CorrelationWindow
-	case s.kind != KindRequest:
-		window = t.config.SimultaneousWindow
 	}
 	var e evidence
 	var last time.Duration
 	var narrower Feature
 	for _, c := range s.crashes {
-		if c.at > before || t.answeredSince(s.feature, s.kind, c) || c.explained(s) || c.begun && t.pendingSuspected(c.crash) {
+		if !t.counts(s, c, until) {
 			continue
 		}
 		if !e.varied {
@@ -75,6 +77,11 @@
 	return e
 }
 
+// counts reports whether a crash counts against a suspect.
+func (t *Table) counts(s *suspect, c suspectedCrash, until horizon) bool {
+	return !(c.at > until.crashed || c.known > until.known || t.answeredSince(s.feature, s.kind, c) || c.explained(s) || c.begun && t.pendingSuspected(c.crash))
+}
+
 // pendingSuspected reports whether a request whose answer had not begun at a crash may have caused it.
 // Requests whose answers had begun are then unlikely causes.
 func (t *Table) pendingSuspected(c *crash) bool {
@@ -139,26 +146,71 @@
 	return e.crashes >= least && (s.kind == KindRequest || e.varied && t.lastBegun > e.first)
 }
 
-// cutoff returns the time up to which crashes are considered in a decision. A feature that
-// was answered recently gets more time, so that it can be answered once more.
-func (t *Table) cutoff(s *suspect, now time.Duration) time.Duration {
+// cutoff returns the horizon of a decision. A feature that was answered recently gets more time after a
+// crash, so that it can be answered once more.
+//
+// A crash may become known seconds later, when the row of its server is replaced. Without time for replies
+// from then on, such crashes were decided without the answers that had followed them elsewhere.
+func (t *Table) cutoff(s *suspect, now time.Duration) horizon {
+	until := horizon{now - t.config.PropagationDelay, now - t.config.ReplyDelay}
 	if t.recentlyAnswered(s.feature, s.kind, now) {
-		return now - t.config.CorrelationWindow
+		until.crashed = now - t.config.CorrelationWindow
+	}
+	if until.known < t.peersKnownAt {
+		until.known = never
+	}
+	return until
+}
+
+// uncertain reports whether something else than a suspect may have caused its crashes.
+//
+// While servers answer nothing, everything that callers send again and again is in flight at each crash.
+// Such requests were held for the crashes that a part of others caused as silent servers went on. Until
+// an answer begins here, a suspect is not held if something else that was in flight at several crashes
+// was so at each of its own.
+func (t *Table) uncertain(s *suspect, e evidence, until horizon) bool {
+	if t.lastAnswerLike(s) <= e.first && t.neverAlone(s, until) {
+		return true
+	}
+	return e.crashes < t.config.CertainCrashes && t.ambiguous(s, e.crashes, until)
+}
+
+// neverAlone reports whether there is an alternative with several crashes at each crash of a suspect.
+func (t *Table) neverAlone(s *suspect, until horizon) bool {
+	alone := slices.DeleteFunc(slices.Clone(s.crashes), func(c suspectedCrash) bool { return !t.counts(s, c, until) })
+	for _, other := range t.suspects {
+		if other == s || other.holdCount > 0 || len(other.crashes) < t.config.MinCrashes-1 || !other.shares(s) {
+			continue
+		}
+		if t.evidence(other, until).crashes >= t.config.MinCrashes-1 {
+			alone = slices.DeleteFunc(alone, func(c suspectedCrash) bool { return other.hasCrash(c.crash) && other.mayReplace(s, c.crash) })
+		}
+	}
+	return len(alone) == 0
+}
+
+// lastAnswerLike returns when an answer last began here to a request with parts, if the suspect has
+// parts, or else to any request.
+func (t *Table) lastAnswerLike(s *suspect) time.Duration {
+	for _, c := range s.crashes {
+		if slices.ContainsFunc(c.requests, func(r inFlight) bool { return len(r.Parts) > 0 && r.Has(s.feature, s.kind) }) {
+			return t.lastBegun
+		}
 	}
-	return now - t.config.PropagationDelay
+	return max(t.lastBegun, t.lastAnswered)
 }
 
-// ambiguous reports whether something else may have caused the same crashes. What is wider on the
+// ambiguous reports whether something else may have caused as many of the crashes. What is wider on the
 // same requests is no alternative: the narrowest feature that explains the crashes is held.
 //
 // Of two requests that were in flight at the same servers, one may not be a cause of their
 // crashes, and it was refused with the other. The next crash usually shows which one it is.
-func (t *Table) ambiguous(s *suspect, crashes int, before time.Duration) bool {
+func (t *Table) ambiguous(s *suspect, crashes int, until horizon) bool {
 	for _, other := range t.suspects {
 		if other == s || other.holdCount > 0 || len(other.crashes) < crashes || !other.shares(s) {
 			continue
 		}
-		if t.evidence(other, before).crashes >= crashes {
+		if t.evidence(other, until).crashes >= crashes {
 			return true
 		}
 	}
@@ -167,13 +219,17 @@
 
 // shares reports whether a suspect is an alternative to another one at an unexplained crash.
 func (s *suspect) shares(other *suspect) bool {
-	for _, c := range s.crashes {
-		wider := c.isInstance(cause{other.feature, other.kind}, s.feature, s.kind)
-		if !wider && !c.explained(other) && slices.ContainsFunc(other.crashes, func(o suspectedCrash) bool { return o.crash == c.crash }) {
-			return true
-		}
-	}
-	return false
+	return slices.ContainsFunc(s.crashes, func(c suspectedCrash) bool { return s.mayReplace(other, c.crash) && other.hasCrash(c.crash) })
+}
+
+// mayReplace reports whether a suspect is an alternative to another one at a crash of both: it is not
+// wider on the same requests, and the crash is unexplained.
+func (s *suspect) mayReplace(other *suspect, c *crash) bool {
+	return !c.isInstance(cause{other.feature, other.kind}, s.feature, s.kind) && !c.explained(other)
+}
+
+func (s *suspect) hasCrash(c *crash) bool {
+	return slices.ContainsFunc(s.crashes, func(known suspectedCrash) bool { return known.crash == c })
 }
 
 // compare orders suspects of equal evidence, so that all entries decide alike.
--- a/internal/coordination/quarantine/parts_test.go
+++ b/internal/coordination/quarantine/parts_test.go
@@ -79,7 +79,7 @@
 
 // What is held must be what crashes servers, and nothing wider or narrower.
 func TestNarrowestFeatureThatExplainsTheCrashesIsHeld(t *testing.T) {
-	same := withParts(0, 1, badPart, otherPart)
+	same, single := withParts(0, 1, badPart, otherPart), withParts(0, 1, badPart)
 	for _, test := range []struct {
 		name string
 		run  func(d *partDay)
@@ -88,6 +88,8 @@
 	}{
 		{"One request is retried", func(d *partDay) { d.crashUnder(same, same, same) },
 			same, withParts(1, 1, badPart)},
+		{"One request with one part is retried", func(d *partDay) { d.crashUnder(single, single, single) },
+			single, withParts(1, 1, badPart)},
 		{"Different requests of an organisation", func(d *partDay) {
 			d.crashUnder(withParts(1, 1, badPart), withParts(2, 1, badPart), withParts(3, 1, badPart))
 		}, withParts(4, 1, badPart), withParts(5, 2, badPart)},
@@ -155,6 +157,106 @@
 	}
 }
 
+// Servers that were paused run what they received meanwhile at once, and a part in it crashes several
+// of them. A request that was sent to each of them must not be held for it.
+func TestSimultaneousCrashesCountOnceForEveryFeature(t *testing.T) {
+	d := newPartDay()
+	alike := whole(request(0))
+	for n := range 2 {
+		for range 2 {
+			p := process(d.processes)
+			d.processes++
+			d.crashAttempts(p, map[int][]quarantine.Attempt{
+				0: {{Request: alike, Process: p, ClosedByServer: true}},
+				1: {{Request: withParts(n, 1, badPart), Process: p, ClosedByServer: true}},
+			}, d.now)
+		}
+		d.now += 2 * time.Second
+		d.advance(d.now)
+	}
+	qt.Assert(t, d.heldBy(alike), qt.Equals, 0)
+}
+
+// An entry has just started and does not know the others, or learns of crashes only seconds after them,
+// while others get answers to what was in flight. It must not decide without these answers, and must
+// decide if there are none.
+func TestDecisionAwaitsTheAnswersOfOthers(t *testing.T) {
+	for _, test := range []struct {
+		started, answered bool
+	}{{true, true}, {true, false}, {false, true}, {false, false}} {
+		c := newCluster(2)
+		now, alike := time.Second, request(0)
+		c.tables[0].SetPeersKnown(!test.started, now)
+		for n := range 3 {
+			c.tables[0].RecordFailure(attempt(alike, process(n), true), now)
+			now += 1500 * ms
+		}
+		if test.answered {
+			c.tables[1].RecordAnswer(alike, now)
+		}
+		for n := range 3 {
+			c.tables[0].RecordCrash(process(n), now)
+		}
+		for range 30 {
+			now += 50 * ms
+			c.advance(now)
+			if test.started {
+				qt.Check(t, c.held(alike, now), qt.Equals, 0)
+			}
+		}
+		c.tables[0].SetPeersKnown(true, now)
+		c.sendNew(now)
+		for range 5 {
+			now += 50 * ms
+			c.advance(now)
+		}
+		qt.Check(t, c.held(alike, now) > 0, qt.Equals, !test.answered, qt.Commentf("%+v", test))
+	}
+}
+
+// An entry that has reports of enough crashes has its own request at another one. It must not decide on
+// the crashes that it knew before others could reply to its own report.
+func TestFirstOwnCrashAwaitsReplies(t *testing.T) {
+	c := newCluster(2)
+	now, alike := time.Second, request(0)
+	c.tables[1].RecordAnswer(alike, now)
+	for n := range 3 {
+		now += 300 * ms
+		c.crash(process(n), map[int][]quarantine.Feature{1: {alike}}, now)
+	}
+	now += 3 * time.Second
+	c.advance(now)
+	c.tables[0].RecordFailure(attempt(alike, process(3), true), now)
+	c.tables[0].RecordCrash(process(3), now)
+	for range 30 {
+		now += 50 * ms
+		c.advance(now)
+		qt.Assert(t, c.held(alike, now), qt.Equals, 0)
+	}
+}
+
+// While servers answer nothing, requests that callers send alike are in flight at each crash. They must
+// not be held for a part of other requests, however many servers crash, until they are in flight alone.
+func TestRequestsSentAlikeAreNotHeldWhileNothingIsAnswered(t *testing.T) {
+	d := newPartDay()
+	d.silent = true
+	alike := []*quarantine.Request{whole(request(0)), whole(request(1))}
+	for n := range 6 {
+		p := process(d.processes)
+		d.processes++
+		attempts := map[int][]quarantine.Attempt{1: {{Request: withParts(n, 1, badPart), Process: p, ClosedByServer: true}}}
+		for _, r := range alike[:1+n%2] {
+			attempts[0] = append(attempts[0], quarantine.Attempt{Request: r, Process: p, ClosedByServer: true})
+		}
+		d.crashAttempts(p, attempts, d.now)
+		d.now += 300 * ms
+		d.advance(d.now)
+	}
+	qt.Assert(t, d.heldBy(alike[0])+d.heldBy(alike[1]), qt.Equals, 0)
+	d.crashUnder(alike[0])
+	qt.Assert(t, d.heldBy(alike[0]), qt.Equals, len(d.tables))
+}
+
 // An answer between two crashes may become known after the second. The first must then not count.
 func TestLateNewsOfAnAnswerClearsEarlierCrashes(t *testing.T) {
 	d := newPartDay()
