Fleet: announcements apply to the process that made them

Cause: a plain server restarted under its ID while the store was unavailable, and the new process announced in its answers that it leaves.

Change: an entry keeps with each announcement a time at which the process that made it was running, by the server's clock: when the request was sent, limited to the second of the answer's Date. When a boot becomes known, the announcements made at or after its start stay, the others are dropped. A request that waited for a connection is also held back by the retry time of a process that replaced the one it was placed at, and a closed connection of a replaced process no longer removes a missing server.

Tests: RecordDraining, RecordRetryAfter and RecordRateLimit take an Answer instead of a Backend; the calls in existing tests are changed mechanically, no expectation is.

--- a/internal/bench/experiment/limit.go
+++ b/internal/bench/experiment/limit.go
@@ -5,6 +5,7 @@
 
 	"github.com/filbertlever/filbertlever"
 	"github.com/filbertlever/filbertlever/internal/coordination/catalog"
+	"github.com/filbertlever/filbertlever/internal/coordination/fleet"
 )
 
 const (
@@ -51,7 +52,7 @@
 func (a *attempt) recordLimit() {
 	sim := a.entry.simulation
 	if !sim.policy.IgnoreLimits && len(sim.Limits) > 0 {
-		a.entry.fleet.RecordRateLimit(catalog.Backend{ID: a.server.id}, a.server.limit, a.placedAt, sim.now)
+		a.entry.fleet.RecordRateLimit(fleet.Answer{Backend: catalog.Backend{ID: a.server.id}}, a.server.limit, a.placedAt, sim.now)
 	}
 }
 
--- a/internal/coordination/fleet/announcements.go
+++ b/internal/coordination/fleet/announcements.go
@@ -6,6 +6,49 @@
 	"github.com/filbertlever/filbertlever/internal/coordination/catalog"
 )
 
+// Answer identifies the process of a server that sent an answer.
+type Answer struct {
+	// Backend is the server as it was known when the request was placed. Another process may have
+	// replaced that one since.
+	Backend catalog.Backend
+	// RunningAt is a time at which the process that answered was running, by the server's clock; zero
+	// if unknown.
+	RunningAt time.Time
+}
+
+// maxClockOffset is the assumed difference between the clocks of two hosts.
+const maxClockOffset = time.Second
+
+// RunningAt returns a time at which the process that sent an answer was running, by the server's
+// clock. sentAt is when the request was sent, by this host's clock, and date is the date of the
+// answer in whole seconds, zero if it has none.
+//
+// A process only receives requests that are sent after its start. The date, which comes from the
+// clock that also dates the start, corrects the difference between the clocks of the two hosts.
+func RunningAt(sentAt, date time.Time) time.Time {
+	switch latest := date.Add(time.Second - time.Millisecond); {
+	case date.IsZero():
+		return sentAt.Add(-maxClockOffset)
+	case sentAt.Before(date):
+		return date
+	case sentAt.After(latest):
+		return latest
+	}
+	return sentAt
+}
+
+// startedBy reports whether a process had started at the time.
+func startedBy(boot catalog.Boot, at time.Time) bool {
+	return !at.IsZero() && at.UnixMilli() >= int64(boot)
+}
+
+func laterOf(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
 // announcement is what one process of a server has announced in its answers.
 type announcement struct {
 	boot catalog.Boot
@@ -14,6 +57,9 @@
 	// retryAt is the time until which the process asked this entry not to send requests.
 	retryAt time.Duration
 	limit   rateLimit
+	// drainingSeen, retrySeen and limitSeen are the RunningAt of the answers that made each
+	// announcement; zero if unknown.
+	drainingSeen, retrySeen, limitSeen time.Time
 	// updatedAt is the time of the last announcement.
 	updatedAt time.Duration
 }
@@ -33,14 +79,18 @@
 //
 // An outdated row does not revoke the announcement. It ends only with another process at the
 // address or under the ID.
-func (f *Fleet) RecordDraining(b catalog.Backend, now time.Duration) bool {
-	a := f.announcementFor(b, now)
-	if a == nil || a.draining {
+func (f *Fleet) RecordDraining(answer Answer, now time.Duration) bool {
+	a := f.announcementFor(answer, now)
+	if a == nil {
+		return false
+	}
+	a.drainingSeen = laterOf(a.drainingSeen, answer.RunningAt)
+	if a.draining {
 		return false
 	}
 	a.draining = true
 	f.updateMembership(now)
-	f.syncRouter(b.ID, now)
+	f.syncRouter(answer.Backend.ID, now)
 	return true
 }
 
@@ -49,7 +99,7 @@
 // is listed again. It returns true if this is new.
 func (f *Fleet) RecordConnectionClose(b catalog.Backend, now time.Duration) bool {
 	s, ok := f.servers[b.ID]
-	if !ok || s.missingSince == 0 || s.closesConnections {
+	if !ok || s.missingSince == 0 || s.closesConnections || f.Superseded(b) {
 		return false
 	}
 	s.closesConnections = true
@@ -62,15 +112,17 @@
 //
 // Requests keep an overloaded server from recovering. The latest time that the process asked for
 // applies.
-func (f *Fleet) RecordRetryAfter(b catalog.Backend, retryAfter, now time.Duration) bool {
-	a := f.announcementFor(b, now)
+func (f *Fleet) RecordRetryAfter(answer Answer, retryAfter, now time.Duration) bool {
+	a := f.announcementFor(answer, now)
 	if a == nil {
 		return false
 	}
 	accepted := now >= a.retryAt
-	a.retryAt = max(a.retryAt, now+retryAfter)
-	f.recheck[b.ID] = true
-	f.syncRouter(b.ID, now)
+	if until := now + retryAfter; until > a.retryAt {
+		a.retryAt, a.retrySeen = until, answer.RunningAt
+	}
+	f.recheck[answer.Backend.ID] = true
+	f.syncRouter(answer.Backend.ID, now)
 	return accepted
 }
 
@@ -82,11 +134,12 @@
 	return 0
 }
 
-// announcementFor returns the announcement of a process, creating it if needed; nil if another
-// process has replaced it.
-func (f *Fleet) announcementFor(b catalog.Backend, now time.Duration) *announcement {
+// announcementFor returns the announcement of the process that answered, creating it if needed; nil
+// if another process has replaced it.
+func (f *Fleet) announcementFor(answer Answer, now time.Duration) *announcement {
+	b := answer.Backend
 	s, ok := f.servers[b.ID]
-	if !ok || f.Superseded(b) {
+	if !ok || f.Superseded(b) && !(b.Boot < s.backend.Boot && startedBy(s.backend.Boot, answer.RunningAt)) {
 		return nil
 	}
 	a, ok := f.announcements[b.ID]
@@ -100,6 +153,37 @@
 	return a
 }
 
+// attributeAnnouncements applies the announcements of a server to the process that now runs there,
+// and drops those of the processes before it.
+//
+// The row or report of a process may arrive after its first answers, seconds later while the store
+// is unavailable. If the process has an earlier boot, the server's clock was set back, and times
+// before and after the restart are not comparable.
+func (f *Fleet) attributeAnnouncements(current catalog.Backend, now time.Duration) {
+	a, ok := f.announcements[current.ID]
+	if !ok || current.Boot == 0 || a.boot == current.Boot {
+		return
+	}
+	if a.boot == 0 {
+		a.boot = current.Boot
+		return
+	}
+	ascending := a.boot < current.Boot
+	made := func(at time.Time) bool { return ascending && startedBy(current.Boot, at) }
+	a.boot = current.Boot
+	a.draining = a.draining && made(a.drainingSeen)
+	if !made(a.retrySeen) {
+		a.retryAt = 0
+	}
+	if a.limit.perSecond > 0 && made(a.limitSeen) {
+		// Other entries ignored reports about the process that was replaced.
+		a.limit.reportAt, a.limit.reports = now, 0
+	} else {
+		a.limit = rateLimit{}
+		f.dropRateLimit(current.ID)
+	}
+}
+
 // pruneAnnouncements removes the expired announcements of servers that are no longer tracked.
 func (f *Fleet) pruneAnnouncements(now time.Duration) {
 	for id, a := range f.announcements {
@@ -126,9 +210,5 @@
 // process may have left while the request waited for a connection.
 func (f *Fleet) Accepts(b catalog.Backend, now time.Duration) bool {
 	s, ok := f.servers[b.ID]
-	if !ok || f.draining(s.backend) || f.isRemoved(s, now) {
-		return false
-	}
-	a, ok := f.announcements[b.ID]
-	return !ok || !a.matches(b) || !a.draining && now >= a.retryAt
+	return ok && !f.draining(s.backend) && !f.isRemoved(s, now) && now >= f.retryAt(s)
 }
--- a/internal/coordination/fleet/announcements_test.go
+++ b/internal/coordination/fleet/announcements_test.go
@@ -55,7 +55,7 @@
 		}, other},
 		{"it answers correctly", func(f *Fleet, all []catalog.Backend) { f.RecordSuccess("o1", time.Second) }, other},
 		{"the other server fails", func(f *Fleet, all []catalog.Backend) { f.RecordFailure("o2", 10*time.Second) }, other},
-		{"the other server drains too", func(f *Fleet, all []catalog.Backend) { f.RecordDraining(all[1], time.Second) }, map[string]bool{}},
+		{"the other server drains too", func(f *Fleet, all []catalog.Backend) { f.RecordDraining(Answer{Backend: all[1]}, time.Second) }, map[string]bool{}},
 		{"it restarts under its ID", func(f *Fleet, all []catalog.Backend) {
 			first, second := all[0], all[0]
 			first.Boot, second.Boot = 1764723093000, 1764723099000
@@ -63,7 +63,7 @@
 			qt.Assert(t, pickedServers(f, time.Second), qt.DeepEquals, other)
 			f.Apply([]catalog.Backend{second}, nil, false, time.Second)
 			// A late announcement of the old process does not apply to the new process.
-			f.RecordDraining(first, 2*time.Second)
+			f.RecordDraining(Answer{Backend: first}, 2*time.Second)
 		}, both},
 		{"another server takes its address", func(f *Fleet, all []catalog.Backend) {
 			next := all[0]
@@ -74,8 +74,8 @@
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
 			f, all := newFleetWithTwoServers()
-			qt.Assert(t, f.RecordDraining(all[0], 0), qt.IsTrue)
-			qt.Assert(t, f.RecordDraining(all[0], 0), qt.IsFalse)
+			qt.Assert(t, f.RecordDraining(Answer{Backend: all[0]}, 0), qt.IsTrue)
+			qt.Assert(t, f.RecordDraining(Answer{Backend: all[0]}, 0), qt.IsFalse)
 			qt.Assert(t, f.Accepts(all[0], 0), qt.IsFalse)
 			test.action(f, all)
 			qt.Assert(t, pickedServers(f, 10*time.Second), qt.DeepEquals, test.want)
@@ -96,10 +96,14 @@
 	}{
 		{"nothing happens", func(*Fleet, []catalog.Backend) {}, other},
 		{"its row is written again", func(f *Fleet, all []catalog.Backend) { f.Apply(all, nil, true, time.Second) }, other},
-		{"it sends a shorter time", func(f *Fleet, all []catalog.Backend) { f.RecordRetryAfter(all[0], time.Millisecond, time.Second) }, other},
+		{"it sends a shorter time", func(f *Fleet, all []catalog.Backend) {
+			f.RecordRetryAfter(Answer{Backend: all[0]}, time.Millisecond, time.Second)
+		}, other},
 		{"it answers a request sent before", func(f *Fleet, all []catalog.Backend) { f.RecordSuccess("o1", time.Second) }, other},
 		{"the other server fails", func(f *Fleet, all []catalog.Backend) { f.RecordFailure("o2", retryAfter-100*time.Millisecond) }, other},
-		{"the other server sends a retry time too", func(f *Fleet, all []catalog.Backend) { f.RecordRetryAfter(all[1], retryAfter, time.Second) }, map[string]bool{}},
+		{"the other server sends a retry time too", func(f *Fleet, all []catalog.Backend) {
+			f.RecordRetryAfter(Answer{Backend: all[1]}, retryAfter, time.Second)
+		}, map[string]bool{}},
 		{"another server takes its address", func(f *Fleet, all []catalog.Backend) {
 			next := all[0]
 			next.ID, next.Revision = "o3", 1
@@ -109,8 +113,8 @@
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
 			f, all := newFleetWithTwoServers()
-			qt.Assert(t, f.RecordRetryAfter(all[0], retryAfter, 0), qt.IsTrue)
-			qt.Assert(t, f.RecordRetryAfter(all[0], retryAfter, 0), qt.IsFalse)
+			qt.Assert(t, f.RecordRetryAfter(Answer{Backend: all[0]}, retryAfter, 0), qt.IsTrue)
+			qt.Assert(t, f.RecordRetryAfter(Answer{Backend: all[0]}, retryAfter, 0), qt.IsFalse)
 			test.action(f, all)
 			qt.Assert(t, f.Accepts(all[0], retryAfter-time.Millisecond), qt.IsFalse)
 			qt.Assert(t, pickedServers(f, retryAfter-time.Millisecond), qt.DeepEquals, test.want)
@@ -118,7 +122,7 @@
 				qt.Assert(t, f.ReadyIn(Request{Service: plainService}, retryAfter-time.Millisecond), qt.Equals, time.Millisecond)
 			}
 			f, all = newFleetWithTwoServers()
-			f.RecordRetryAfter(all[0], retryAfter, 0)
+			f.RecordRetryAfter(Answer{Backend: all[0]}, retryAfter, 0)
 			qt.Assert(t, f.Accepts(all[0], retryAfter), qt.IsTrue)
 			qt.Assert(t, pickedServers(f, retryAfter+healthCheckInterval), qt.DeepEquals, both)
 		})
@@ -206,7 +210,7 @@
 			at := rapid.IntRange(0, 1).Draw(t, "server")
 			switch rapid.IntRange(0, 5).Draw(t, "event") {
 			case 0:
-				f.RecordDraining(all[at], now)
+				f.RecordDraining(Answer{Backend: all[at]}, now)
 				if f.Contains(all[at].ID) {
 					draining[fmt.Sprint(all[at].ID, all[at].Boot)] = true
 				}
@@ -217,7 +221,7 @@
 			case 3:
 				f.RecordFailure(all[at].ID, now)
 			case 5:
-				f.RecordRetryAfter(all[at], time.Duration(rapid.IntRange(0, 5000).Draw(t, "retryAfter"))*time.Millisecond, now)
+				f.RecordRetryAfter(Answer{Backend: all[at]}, time.Duration(rapid.IntRange(0, 5000).Draw(t, "retryAfter"))*time.Millisecond, now)
 			case 4:
 				if all[at].Boot == 0 {
 					all[at].Boot, draining[fmt.Sprint(all[at].ID, boots[0])] = boots[0], draining[fmt.Sprint(all[at].ID, 0)]
@@ -239,3 +243,91 @@
 		}
 	})
 }
+
+// A server restarted under its ID and announced something before its new boot was known. The row with
+// the boot cleared that, as it was taken for the announcement of the process before.
+func TestAnnouncementsApplyToTheProcessThatMadeThem(t *testing.T) {
+	const firstBoot, secondBoot = catalog.Boot(1764723093000), catalog.Boot(1764723099500)
+	limit := 1.0
+	announcements := map[string]func(f *Fleet, answer Answer){
+		"draining":    func(f *Fleet, answer Answer) { f.RecordDraining(answer, time.Second) },
+		"retry after": func(f *Fleet, answer Answer) { f.RecordRetryAfter(answer, time.Minute, time.Second) },
+		"rate limit":  func(f *Fleet, answer Answer) { f.RecordRateLimit(answer, &limit, time.Second, time.Second) },
+	}
+	at := func(boot catalog.Boot, after time.Duration) time.Time { return time.UnixMilli(int64(boot)).Add(after) }
+	tests := []struct {
+		name      string
+		runningAt time.Time
+		boot      catalog.Boot
+		// before is what happens between the announcement and the row.
+		before func(f *Fleet, first catalog.Backend)
+		// late is true if the announcement arrives after the row.
+		late, want bool
+	}{
+		{name: "the new process made it", runningAt: at(secondBoot, 0), want: true},
+		{name: "and its row arrived before it", runningAt: at(secondBoot, 0), late: true, want: true},
+		{name: "and the row of the old one expired", runningAt: at(secondBoot, 0), want: true, before: func(f *Fleet, first catalog.Backend) {
+			f.Apply(nil, []string{first.ID}, false, 2*time.Second)
+		}},
+		{name: "the old process made it", runningAt: at(secondBoot, -1)},
+		{name: "and the row of the new one arrived before it", runningAt: at(secondBoot, -1), late: true},
+		{name: "and the server's clock was set back", runningAt: at(firstBoot, 0), boot: firstBoot - 5000},
+		{name: "unknown", want: false},
+	}
+	for kind, announce := range announcements {
+		for _, test := range tests {
+			t.Run(kind+"/"+test.name, func(t *testing.T) {
+				f, all := newFleetWithTwoServers()
+				first := all[0]
+				first.Boot, first.Revision = firstBoot, 1
+				f.Apply([]catalog.Backend{first}, nil, false, 0)
+				second := first
+				second.Boot, second.Revision = secondBoot, 2
+				if test.boot != 0 {
+					second.Boot = test.boot
+				}
+				answer := Answer{Backend: first, RunningAt: test.runningAt}
+				if !test.late {
+					announce(f, answer)
+				}
+				if test.before != nil {
+					test.before(f, first)
+				}
+				f.Apply([]catalog.Backend{second}, nil, false, 3*time.Second)
+				if test.late {
+					announce(f, answer)
+				}
+				qt.Assert(t, !pickedServers(f, 4*time.Second)["o1"], qt.Equals, test.want)
+			})
+		}
+	}
+}
+
+// A request that waited for a connection was sent to a process that had refused others with a retry
+// time, as it was placed at the process before.
+func TestRetryAfterAppliesToRequestsPlacedBefore(t *testing.T) {
+	f, all := newFleetWithTwoServers()
+	first, second := all[0], all[0]
+	first.Boot, second.Boot, second.Revision = 1000, 2000, 2
+	f.Apply([]catalog.Backend{first}, nil, false, 0)
+	f.Apply([]catalog.Backend{second}, nil, false, 0)
+	f.RecordRetryAfter(Answer{Backend: second}, time.Second, 0)
+	qt.Assert(t, f.Accepts(first, 0), qt.IsFalse)
+	qt.Assert(t, f.Accepts(first, time.Second), qt.IsTrue)
+}
+
+// A server that announced draining and restarted got no requests from an entry whose clock was ahead.
+func TestRunningAt(t *testing.T) {
+	date := time.Unix(1764723099, 0)
+	for _, test := range []struct {
+		name               string
+		sentAt, date, want time.Time
+	}{
+		{"within the second of the answer", date.Add(300 * time.Millisecond), date, date.Add(300 * time.Millisecond)},
+		{"sent before it", date.Add(-time.Minute), date, date},
+		{"the entry's clock is ahead", date.Add(time.Minute), date, date.Add(999 * time.Millisecond)},
+		{"without a date", date, time.Time{}, date.Add(-maxClockOffset)},
+	} {
+		qt.Check(t, RunningAt(test.sentAt, test.date), qt.Equals, test.want, qt.Commentf(test.name))
+	}
+}
--- a/internal/coordination/fleet/boots.go
+++ b/internal/coordination/fleet/boots.go
@@ -64,6 +64,7 @@
 		delete(f.byAddress, old)
 	}
 	s.backend = backend
+	f.attributeAnnouncements(backend, now)
 	f.byAddress[backend.Address] = backend.ID
 	if a, limited := f.rateLimits[backend.ID]; limited && !ok {
 		f.setRateShare(backend.ID, a)
@@ -105,6 +106,7 @@
 		return true
 	case current == 0:
 		s.backend.Boot = report.Boot
+		f.attributeAnnouncements(s.backend, now)
 		return true
 	case slices.Contains(report.PreviousBoots, current):
 		// The agent observed that this process replaced the current one.
@@ -127,8 +129,8 @@
 
 // applyRestart discards the state of the replaced process.
 //
-// A server that restarts under its ID holds no models. Its counts, its draining announcement and
-// its suspicion belonged to the old process.
+// A server that restarts under its ID holds no models. Its counts and its suspicion belonged to the
+// old process, as did those announcements that the new one has not made.
 func (f *Fleet) applyRestart(s *server, source Source, boot catalog.Boot, models []catalog.Model, now time.Duration) {
 	old := s.backend
 	f.recordReplaced(old)
@@ -140,8 +142,7 @@
 	backend.Boot, backend.Models, backend.Draining = boot, nil, false
 	delete(f.busy, old.ID)
 	delete(f.unresponsive, old.ID)
-	delete(f.announcements, old.ID)
-	f.dropRateLimit(old.ID)
+	f.attributeAnnouncements(backend, now)
 	f.removeFromReportOrder(s)
 	*s = server{backend: backend, lastRow: s.lastRow, missingSince: s.missingSince, restartedAt: max(now, 1)}
 	f.markUsable(s, false)
--- a/internal/coordination/fleet/ratelimit.go
+++ b/internal/coordination/fleet/ratelimit.go
@@ -54,11 +54,11 @@
 //
 // An answer without a limit lifts it only if its request was sent after the last announcement, as
 // answers may arrive out of order. Of two announcements in unknown order the lower one applies.
-func (f *Fleet) RecordRateLimit(b catalog.Backend, perSecond *float64, placedAt, now time.Duration) bool {
+func (f *Fleet) RecordRateLimit(answer Answer, perSecond *float64, placedAt, now time.Duration) bool {
 	if perSecond == nil {
-		return f.liftRateLimit(b, placedAt, now)
+		return f.liftRateLimit(answer.Backend, placedAt, now)
 	}
-	a := f.announcementFor(b, now)
+	a := f.announcementFor(answer, now)
 	if a == nil {
 		return false
 	}
@@ -66,8 +66,8 @@
 	if placedAt < a.limit.announcedAt && a.limit.perSecond > 0 {
 		rate = min(rate, a.limit.perSecond)
 	}
-	a.limit.heardAt = now
-	return f.setRateLimit(b.ID, a, rate, now, now)
+	a.limit.heardAt, a.limitSeen = now, laterOf(a.limitSeen, answer.RunningAt)
+	return f.setRateLimit(answer.Backend.ID, a, rate, now, now)
 }
 
 // liftRateLimit records an answer that announces no limit.
--- a/internal/coordination/fleet/ratelimit_test.go
+++ b/internal/coordination/fleet/ratelimit_test.go
@@ -132,7 +132,7 @@
 		case e.report != nil:
 			e.fleet.ApplyRateReport(*e.report, now)
 		default:
-			e.fleet.RecordRateLimit(limitedServer(), e.limit, e.placedAt, now)
+			e.fleet.RecordRateLimit(Answer{Backend: limitedServer()}, e.limit, e.placedAt, now)
 			if e.limit != nil && s.informedAt[e.entry] < 0 {
 				s.informedAt[e.entry] = now
 			}
@@ -290,7 +290,7 @@
 					b.Boot = server.Boot
 				}
 				if !a.report {
-					f.RecordRateLimit(b, a.limit, a.placedAt, a.at)
+					f.RecordRateLimit(Answer{Backend: b}, a.limit, a.placedAt, a.at)
 					continue
 				}
 				r := RateReport{Backend: b.ID, Boot: b.Boot}
@@ -318,7 +318,7 @@
 	server := limitedServer()
 	server.Boot = 1
 	f.Apply([]catalog.Backend{server}, nil, true, 0)
-	f.RecordRateLimit(server, rate(1), 0, 0)
+	f.RecordRateLimit(Answer{Backend: server}, rate(1), 0, 0)
 	f.RateReports(0)
 	c.Assert(f.activeRateLimit(f.servers[server.ID]), qt.IsNotNil)
 	server.Boot, server.Revision = 2, 2
@@ -333,7 +333,7 @@
 	c := qt.New(t)
 	f := newColdFleets(3)[0]
 	f.Apply([]catalog.Backend{limitedServer()}, nil, true, 0)
-	f.RecordRateLimit(limitedServer(), rate(1), 0, 0)
+	f.RecordRateLimit(Answer{Backend: limitedServer()}, rate(1), 0, 0)
 	f.Apply(nil, nil, true, time.Second)
 	c.Assert(f.Contains(limitedServer().ID), qt.IsFalse)
 	entries := f.entries
@@ -352,7 +352,7 @@
 	f.Apply([]catalog.Backend{limitedServer()}, nil, true, 0)
 	before := f.Choose(Request{Service: plainService}, 0)
 	c.Assert(f.WithinRateLimit(before), qt.IsTrue)
-	f.RecordRateLimit(limitedServer(), rate(1), 0, time.Second)
+	f.RecordRateLimit(Answer{Backend: limitedServer()}, rate(1), 0, time.Second)
 	c.Assert(f.WithinRateLimit(before), qt.IsFalse)
 	f.ReleaseIfCurrent(before.Backend)
 	after := f.Choose(Request{Service: plainService}, 20*time.Second)
--- a/internal/coordination/fleet/ratereports.go
+++ b/internal/coordination/fleet/ratereports.go
@@ -88,7 +88,7 @@
 		return false
 	}
 	if !known {
-		a = f.announcementFor(s.backend, now)
+		a = f.announcementFor(Answer{Backend: s.backend}, now)
 	}
 	changed := f.setRateLimit(r.Backend, a, r.PerSecond, at, now)
 	if changed {
--- a/internal/transport/gateway/announcements.go
+++ b/internal/transport/gateway/announcements.go
@@ -31,15 +31,17 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := boottime.Now()
+	sentAt := time.Now().Add(t.sentAt - now)
+	answer := fleet.Answer{Backend: backend, RunningAt: fleet.RunningAt(sentAt, reply.Date)}
 	if reply.Draining {
-		t.reportAnnouncement(announcedDraining, reply, g.fleet.RecordDraining(backend, now))
+		t.reportAnnouncement(announcedDraining, reply, g.fleet.RecordDraining(answer, now))
 	}
 	if reply.ConnectionClose && g.fleet.RecordConnectionClose(backend, now) {
 		t.reportAnnouncement(announcedClose, reply, true)
 	}
-	t.recordRateLimit(reply, now)
+	t.recordRateLimit(reply, answer, now)
 	if reply.RetryAfter > 0 {
-		t.reportAnnouncement(announcedRetryAfter, reply, g.fleet.RecordRetryAfter(backend, reply.RetryAfter, now))
+		t.reportAnnouncement(announcedRetryAfter, reply, g.fleet.RecordRetryAfter(answer, reply.RetryAfter, now))
 	}
 }
 
@@ -60,7 +62,7 @@
 
 // recordRateLimit records the rate limit in the head of an answer. Only a success without a limit
 // lifts it, as it is not known whether refusals carry the limit too. The caller holds g.mu.
-func (t *attempt) recordRateLimit(reply *Reply, now time.Duration) {
+func (t *attempt) recordRateLimit(reply *Reply, answer fleet.Answer, now time.Duration) {
 	g, backend := t.gateway, t.Backend
 	if reply.RateLimitErr != nil {
 		g.log.Warn("unreadable rate limit of a backend server", zap.String("Request", t.call.ID), zap.String("Backend", backend.ID), zap.Error(reply.RateLimitErr))
@@ -69,7 +71,7 @@
 	if reply.RateLimit == nil && (!reply.Verified || reply.Status >= http.StatusMultipleChoices) {
 		return
 	}
-	changed := g.fleet.RecordRateLimit(backend, reply.RateLimit, t.placedAt, now)
+	changed := g.fleet.RecordRateLimit(answer, reply.RateLimit, t.placedAt, now)
 	switch {
 	case reply.RateLimit != nil:
 		t.reportAnnouncement(announcedRateLimit, reply, changed)
--- a/internal/transport/gateway/ports.go
+++ b/internal/transport/gateway/ports.go
@@ -90,6 +90,8 @@
 	Misdirected bool
 	// ActualServer identifies the server that answered if it is not the expected one.
 	ActualServer string
+	// Date is the date of the response by the server's clock, in whole seconds; zero if unknown.
+	Date time.Time
 	// Draining is true if the server announces that it is about to stop.
 	Draining bool
 	// ConnectionClose is true if the server closes the connection after this response.
