Fleet: a restored list does not bring back a server that restarted and left

Cause: an entry remembers the process of a removed server, and ignores its row in a store that was restored from an older copy. A copy from before a restart lists the process before that one, which was not recognised, so that the removed server got requests again. Found by reading for announcements and rows that are taken for those of another process of a server.

Change: rows of processes that are known to have been replaced are ignored for servers that are removed or missing.

Result: the new case of TestRestoredListDoesNotRevertServers fails without the change and passes with it, as do the other tests of the package.

--- a/internal/coordination/fleet/restored.go
+++ b/internal/coordination/fleet/restored.go
@@ -21,7 +21,8 @@
 		s, tracked := f.servers[backend.ID]
 		same := tracked && (backend.Boot == 0 || s.backend.Boot == 0 || backend.Boot == s.backend.Boot)
 		switch {
-		case same && s.missingSince != 0, !tracked && f.hasDeparted(backend, now):
+		case same && s.missingSince != 0, !tracked && f.hasDeparted(backend, now),
+			(!tracked || s.missingSince != 0) && f.hasEnded(process{backend.ID, backend.Boot}, now):
 			continue
 		case same && s.backend.Draining:
 			backend.Draining = true
--- a/internal/coordination/fleet/restored_test.go
+++ b/internal/coordination/fleet/restored_test.go
@@ -29,8 +29,8 @@
 	return ids
 }
 
-// A copy of the store reverted what was known of servers: one that was draining or had been removed
-// got requests, and one that had registered since got none.
+// A copy of the store reverted what was known of servers: one that was draining or had been removed,
+// also after a restart, got requests, and one that had registered since got none.
 func TestRestoredListDoesNotRevertServers(t *testing.T) {
 	const restoredAt = 10 * time.Second
 	row := func(id, address string, number uint64, change func(b *catalog.Backend)) catalog.Backend {
@@ -42,6 +42,9 @@
 		return b
 	}
 	draining := func(b *catalog.Backend) { b.Draining = true }
+	boot := func(start catalog.Boot) func(b *catalog.Backend) {
+		return func(b *catalog.Backend) { b.Boot = start }
+	}
 	inNewEra := func(b *catalog.Backend) { b.Revision = revision.New(1, b.Revision) }
 	only := func(ids ...string) map[string]bool {
 		servers := map[string]bool{}
@@ -74,6 +77,12 @@
 			}},
 		{name: "removed since", copied: []catalog.Backend{o1, o2}, atOnce: only("o2"), later: only("o2"),
 			before: func(f *Fleet) { f.Apply(nil, []string{"o1"}, false, time.Second) }},
+		{name: "restarted and removed since", copied: []catalog.Backend{row("o1", "10.0.0.1:1", 6, boot(1000)), o2}, atOnce: only("o2"), later: only("o2"),
+			before: func(f *Fleet) {
+				f.Apply([]catalog.Backend{row("o1", "10.0.0.1:1", 6, boot(1000))}, nil, false, time.Second)
+				f.Apply([]catalog.Backend{row("o1", "10.0.0.1:1", 7, boot(2000))}, nil, false, time.Second)
+				f.Apply(nil, []string{"o1"}, false, 2*time.Second)
+			}},
 		{name: "removed since, registered again", copied: []catalog.Backend{o1, o2}, after: []catalog.Backend{row("o1", "10.0.0.1:1", 8, inNewEra)}, atOnce: only("o2"), later: only("o1", "o2"),
 			before: func(f *Fleet) { f.Apply(nil, []string{"o1"}, false, time.Second) }},
 		{name: "replaced at its address since", copied: []catalog.Backend{o1, o2}, atOnce: only("o2", "o3"), later: only("o2"),
