Agent: ask a server that may be leaving for its next reports at once

Cause: an agent recognises a leaving server by three reports in a row that close their connection, 0.2 s apart. A server that is paused time and again answers only in between.

Change: between the first and the third closing report the agent asks every 40 ms, as for a server that is unreachable.

--- a/internal/coordination/drain/closedetector.go
+++ b/internal/coordination/drain/closedetector.go
@@ -25,3 +25,9 @@
 
 // Leaving reports whether the server is leaving.
 func (c *CloseDetector) Leaving() bool { return c.keptAlive && c.consecutive >= minConsecutiveCloses }
+
+// Undecided reports whether the latest responses closed their connections, but too few of them to
+// tell whether the server is leaving.
+func (c *CloseDetector) Undecided() bool {
+	return c.keptAlive && c.consecutive > 0 && !c.Leaving()
+}
--- a/internal/transport/sidecar/reports.go
+++ b/internal/transport/sidecar/reports.go
@@ -36,6 +36,7 @@
 		}
 		all := s.broadcastNext || round%reportsPerBroadcast == 0
 		s.broadcastNext = false
+		undecided := err == nil && s.drainDetector.Undecided()
 		s.mu.Unlock()
 		if err == nil {
 			s.sendReport(all)
@@ -43,19 +44,21 @@
 		select {
 		case <-ctx.Done():
 			return
-		case <-time.After(nextReportDelay(unreachable, boottime.Now()-lastReportAt) - (boottime.Now() - requestedAt)):
+		case <-time.After(nextReportDelay(unreachable, undecided, boottime.Now()-lastReportAt) - (boottime.Now() - requestedAt)):
 		}
 	}
 }
 
 // nextReportDelay returns the time between two report requests to a server whose last
-// report was requested sinceLast ago.
+// report was requested sinceLast ago. undecided is true if the last reports closed their
+// connections, but too few to tell whether the server is leaving.
 //
 // A server that is starting is polled more often, because nothing is loaded into it until
-// its first report.
-func nextReportDelay(unreachable bool, sinceLast time.Duration) time.Duration {
-	if unreachable && sinceLast < fastPollDuration {
-		return unreachablePollInterval
+// its first report. One that may be leaving is polled more often, because it may answer
+// only for moments.
+func nextReportDelay(unreachable, undecided bool, sinceLast time.Duration) time.Duration {
+	if undecided || unreachable && sinceLast < fastPollDuration {
+		return fastPollInterval
 	}
 	return reportInterval
 }
--- a/internal/transport/sidecar/sidecar.go
+++ b/internal/transport/sidecar/sidecar.go
@@ -86,10 +86,10 @@
 	// reportInterval is the interval between load reports. A shorter one has no use, because
 	// the engines' own reports are some hundred milliseconds old.
 	reportInterval = 200 * time.Millisecond
-	// unreachablePollInterval is the interval between report requests to an unreachable
-	// server, for fastPollDuration after its last report.
-	unreachablePollInterval = 40 * time.Millisecond
-	fastPollDuration        = 3 * time.Second
+	// fastPollInterval is the interval between report requests to an unreachable server, for
+	// fastPollDuration after its last report, and to a server that may be leaving.
+	fastPollInterval = 40 * time.Millisecond
+	fastPollDuration = 3 * time.Second
 	// reportsPerBroadcast is how many reports are sent for each one that also goes to the
 	// entries of other sites. Bandwidth between regions is scarce, and those entries count
 	// the requests that they and others send.
