Announcements state ages, so that agents whose reports are handled late do not read their view again

An entry took the age of a version in an agent's report as that of the moment in which it handled the report. If that was more than 50 ms after the agent had written it, the agent, which had all of its view, counted as outdated and read it again.

The entry now adds its own ages of the versions to the announcement, and the agent reads its view only if these are ahead of its own. An announcement that is handled late makes versions appear younger, never older. A negative age, possible if a version is named while a message waits for the lock, is 0 now, as receivers drop messages with negative ages.

Builds: an earlier agent ignores the new field and reads its view as before; an announcement of an earlier entry has no ages, and a new agent reads its view as before.

--- a/internal/transport/gateway/datagrams.go
+++ b/internal/transport/gateway/datagrams.go
@@ -81,7 +81,7 @@
 		g.logSpeedChanges()
 		g.logRestarts()
 		if g.isAgentOutdated(d.Load, now) {
-			g.reply(Datagram{Changed: true}, from)
+			g.reply(Datagram{Changed: true, Named: g.namedAgesAt(d.Load.Load.Address, now)}, from)
 		}
 	}
 }
--- a/internal/transport/gateway/messages.go
+++ b/internal/transport/gateway/messages.go
@@ -23,12 +23,15 @@
 	Counts *Counts `cbor:"2,keyasint,omitempty"`
 	// Load is an agent's report on its backend server.
 	Load *LoadReport `cbor:"3,keyasint,omitempty"`
-	// Changed notifies an agent that its view of the named versions is outdated.
+	// Changed notifies an agent that its view of the named versions is probably outdated.
 	Changed bool `cbor:"4,keyasint,omitempty"`
 	// Crashes reports requests that crash backend servers.
 	Crashes *quarantine.CrashReport `cbor:"5,keyasint,omitempty"`
 	// RateReports are what the entry reports about the rate limits of backend servers.
 	RateReports []fleet.RateReport `cbor:"6,keyasint,omitempty"`
+	// Named are, with Changed, the sender's named versions of the server's models. Earlier
+	// builds send none, and expect the view to be read again in any case.
+	Named []NamedAge `cbor:"7,keyasint,omitempty"`
 }
 
 // Heartbeat reports the state of an entry to the others.
@@ -127,7 +130,7 @@
 	if err := decMode.Unmarshal(data, &d); err != nil {
 		return nil, fmt.Errorf("decode datagram: %w", err)
 	}
-	if err := errors.Join(d.Heartbeat.check(), d.Counts.check(), d.Load.check(), d.Crashes.Validate(), checkRateReports(d.RateReports)); err != nil {
+	if err := errors.Join(d.Heartbeat.check(), d.Counts.check(), d.Load.check(), d.Crashes.Validate(), checkRateReports(d.RateReports), checkNamed(d.Named)); err != nil {
 		return nil, fmt.Errorf("decode datagram: %w", err)
 	}
 	return &d, nil
--- a/internal/transport/gateway/messages_test.go
+++ b/internal/transport/gateway/messages_test.go
@@ -88,7 +88,7 @@
 func TestDatagramRoundTrip(t *testing.T) {
 	c := qt.New(t)
 	for _, d := range []Datagram{
-		{Changed: true},
+		{Changed: true, Named: []NamedAge{{Model: "d", Version: 2, Age: time.Second, Known: true}}},
 		{Heartbeat: &Heartbeat{Entry: Entry{Host: "e", Site: "a", Region: "ra", Callers: "10.0.0.1:1", Peers: "10.0.0.1:2", Datagrams: "10.0.0.1:3", Incarnation: "x"},
 			Ready: true, StoreUnreachable: true, Named: []NamedAge{{Model: "d", Version: 2, Age: time.Second, Known: true}}}},
 		{Counts: &Counts{From: "e", Sequence: 1 << 60, Requests: map[string]int{"i-1": 3}, Silent: []string{"i-2"}, Boots: map[string]catalog.Boot{"i-1": 7},
--- a/internal/transport/gateway/named_test.go
+++ b/internal/transport/gateway/named_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"testing"
 	"time"
 
@@ -72,6 +73,26 @@
 	c.Check(g.isAgentOutdated(&LoadReport{Load: fleet.Report{Address: "10.0.0.9:9"}, Named: []NamedAge{reportedAge(1, 0, false)}}, now), qt.IsFalse)
 }
 
+// An agent that has all versions appears outdated if its report is handled late. The announcement
+// must state the entry's ages, by which the agent recognises that nothing is missing.
+func TestAnnouncementStatesAgesOfEntry(t *testing.T) {
+	c := qt.New(t)
+	g, agent := newEntryWithServer(t, 1), newEntryWithServer(t, 1).socket
+	namedAt := boottime.Now() - time.Second
+	g.versionsByModel[switchoverModel] = []namedVersion{{version: 2, namedAt: namedAt}}
+	agentAges := func(delay time.Duration) []NamedAge {
+		return []NamedAge{{Model: switchoverModel, Version: 2, Age: boottime.Now() - namedAt - delay, Known: true}}
+	}
+	g.handleDatagram(&Datagram{Load: &LoadReport{Load: fleet.Report{Address: "10.0.0.1:1"}, Named: agentAges(400 * time.Millisecond)}}, agent.Address())
+	c.Assert(agent.Receive(func(data []byte, _ net.Addr) {
+		d, err := DecodeDatagram(data)
+		c.Assert(err, qt.IsNil)
+		c.Check(d.Changed, qt.IsTrue)
+		c.Check(Lacks(agentAges(0), d.Named, g.config.MaxStaleness), qt.IsFalse)
+		c.Check(Lacks(agentAges(400*time.Millisecond), d.Named, g.config.MaxStaleness), qt.IsTrue)
+	}), qt.IsNil)
+}
+
 // A request sent to old weights just before the deadline may wait longer than predicted. It must
 // be cancelled before it starts, without counting as its server's failure. A started one continues.
 func TestRequestThatWouldStartTooLateIsCancelled(t *testing.T) {
--- a/internal/transport/gateway/views.go
+++ b/internal/transport/gateway/views.go
@@ -41,7 +41,7 @@
 func (g *Gateway) namedAgesOf(model string, now time.Duration) []NamedAge {
 	var ages []NamedAge
 	for _, n := range g.versionsByModel[model] {
-		ages = append(ages, NamedAge{Model: model, Version: n.version, Age: now - n.namedAt, Known: !n.estimated})
+		ages = append(ages, NamedAge{Model: model, Version: n.version, Age: max(now-n.namedAt, 0), Known: !n.estimated})
 	}
 	return ages
 }
@@ -107,19 +107,25 @@
 // compares the versions in the agent's report, whichever entry they came from. A change counter of
 // an entry would mean nothing to an agent that asked another entry, and the agent would read its view
 // again with each report.
+//
+// A report that is handled late makes its agent appear outdated. The announcement therefore has the
+// entry's ages, and the agent decides. Delay makes these appear younger, never older.
 func (g *Gateway) isAgentOutdated(report *LoadReport, now time.Duration) bool {
 	if report.Named == nil {
 		// The agent has no view yet and asks for one in any case.
 		return false
 	}
-	for _, model := range g.modelsAt(report.Load.Address) {
-		for _, n := range g.versionsByModel[model] {
-			if g.isMissingFrom(model, n, report.Named, now) {
-				return true
-			}
-		}
+	return Lacks(report.Named, g.namedAgesAt(report.Load.Address, now), g.config.MaxStaleness)
+}
+
+// namedAgesAt returns the ages of the named versions of the models of the server at an address.
+// The caller holds the lock.
+func (g *Gateway) namedAgesAt(address string, now time.Duration) []NamedAge {
+	var ages []NamedAge
+	for _, model := range g.modelsAt(address) {
+		ages = append(ages, g.namedAgesOf(model, now)...)
 	}
-	return false
+	return ages
 }
 
 // modelsAt returns the models of the service of the server at an address. The caller
@@ -132,20 +138,24 @@
 	return state.Services[service].Engine.Models
 }
 
-// isMissingFrom reports whether a named version is missing from a report, or is there with a
-// later naming time.
-func (g *Gateway) isMissingFrom(model string, n namedVersion, reported []NamedAge, now time.Duration) bool {
+// Lacks reports whether one of the named versions is missing from the known ones, or is there
+// with a later naming time. Versions are superseded maxStaleness after a newer one was named.
+func Lacks(known, named []NamedAge, maxStaleness time.Duration) bool {
+	return slices.ContainsFunc(named, func(n NamedAge) bool { return n.isMissingFrom(known, maxStaleness) })
+}
+
+func (n NamedAge) isMissingFrom(known []NamedAge, maxStaleness time.Duration) bool {
 	newest := uint64(0)
-	for _, r := range reported {
-		if r.Model != model {
+	for _, k := range known {
+		if k.Model != n.Model {
 			continue
 		}
-		newest = max(newest, r.Version)
-		if r.Version == n.version {
-			return !n.estimated && (!r.Known || now-n.namedAt > r.Age+ageTolerance)
+		newest = max(newest, k.Version)
+		if k.Version == n.Version {
+			return n.Known && (!k.Known || n.Age > k.Age+ageTolerance)
 		}
 	}
 	// A version that a newer one has superseded is pruned, by some entries sooner than by
 	// others.
-	return n.version > newest || now-n.namedAt < g.config.MaxStaleness
+	return n.Version > newest || n.Age < maxStaleness
 }
--- a/internal/transport/sidecar/sidecar.go
+++ b/internal/transport/sidecar/sidecar.go
@@ -17,6 +17,7 @@
 	"github.com/filbertlever/filbertlever/internal/coordination/catalog"
 	"github.com/filbertlever/filbertlever/internal/coordination/drain"
 	"github.com/filbertlever/filbertlever/internal/coordination/switchover"
+	"github.com/filbertlever/filbertlever/internal/transport/boottime"
 	"github.com/filbertlever/filbertlever/internal/transport/datagrams"
 	"github.com/filbertlever/filbertlever/internal/transport/gateway"
 	"github.com/filbertlever/filbertlever/internal/transport/relay"
@@ -215,7 +216,7 @@
 		s.metrics.invalidDatagrams.Inc()
 		return
 	}
-	if !d.Changed {
+	if !d.Changed || !s.isOutdated(d.Named) {
 		return
 	}
 	s.mu.Lock()
@@ -227,6 +228,14 @@
 	}
 }
 
+// isOutdated reports whether an announcement of these versions is a reason to read the view. An
+// entry of an earlier build announces none, and has compared them itself.
+func (s *Sidecar) isOutdated(announced []gateway.NamedAge) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return announced == nil || gateway.Lacks(s.namedVersions(boottime.Now()), announced, s.config.MaxStaleness)
+}
+
 func (s *Sidecar) closeSocketOnDone(ctx context.Context) {
 	<-ctx.Done()
 	_ = s.socket.Close()
--- a/internal/transport/sidecar/views_test.go
+++ b/internal/transport/sidecar/views_test.go
@@ -72,6 +72,35 @@
 	c.Assert(s.notifier, qt.Equals, from.Address().String())
 }
 
+// Agents read an unchanged view again because entries had handled their reports late and taken them
+// for outdated. Only what an announcement adds to the agent's view, or its age, counts.
+func TestAnnouncementThatAddsNothingDoesNotWakeAgent(t *testing.T) {
+	c := qt.New(t)
+	const age = 10 * time.Second
+	named := func(version uint64, age time.Duration) gateway.NamedAge {
+		return gateway.NamedAge{Model: "drafter", Version: version, Age: age, Known: true}
+	}
+	for _, test := range []struct {
+		name      string
+		announced []gateway.NamedAge
+		woken     bool
+	}{
+		{"an earlier build announces no ages", nil, true},
+		{"the same", []gateway.NamedAge{named(2, age)}, false},
+		{"the same, read late", []gateway.NamedAge{named(2, age-time.Second)}, false},
+		{"a version is missing", []gateway.NamedAge{named(2, age), named(3, 0)}, true},
+		{"a version was named earlier", []gateway.NamedAge{named(2, age+time.Minute)}, true},
+	} {
+		s := newAgent(&fakeEntry{}, &fakeEngine{}, Config{MaxStaleness: 5 * time.Second})
+		s.viewChanged = make(chan struct{}, 1)
+		s.hasView, s.viewReadAt, s.view.Named = true, boottime.Now(), []gateway.NamedAge{named(2, age)}
+		data, err := gateway.EncodeDatagram(gateway.Datagram{Changed: true, Named: test.announced})
+		c.Assert(err, qt.IsNil)
+		s.handleDatagram(data, s.socket.Address())
+		c.Check(len(s.viewChanged) == 1, qt.Equals, test.woken, qt.Commentf(test.name))
+	}
+}
+
 // The ages of the versions that an agent reports increase with the time since it read its
 // view.
 func TestReportedVersionAgesIncrease(t *testing.T) {
