--- a/internal/transport/hangup/hangup.go
+++ b/internal/transport/hangup/hangup.go
@@ -12,7 +12,8 @@
 var signals = make(chan os.Signal, 1)
 
 // A platform may change a settings file and signal a process that has just started. By
-// default the signal terminates the process, so it is caught before settings are read.
+// default the signal terminates the process, so it is caught before settings are read. Until then
+// only the starter can prevent that: a process inherits that the signal is ignored.
 func init() { signal.Notify(signals, syscall.SIGHUP) }
 
 // Received returns a channel of the signals since the start. Signals that have not been
