Quarantine: crashes under attempts that followed each other count each

Since crashes within 0.1 s count once for whole requests too, a lookup that is retried within a millisecond and crashes both servers counted as one crash.

What counts once are crashes of servers that held the request at the same time. An entry knows when it sent its own attempts: one that was sent after the last crash counts separately.

--- a/internal/coordination/quarantine/evidence.go
+++ b/internal/coordination/quarantine/evidence.go
@@ -50,10 +50,11 @@
 //
 // Servers may lose their power together, or begin at once what they received while they were paused.
 // Crashes of servers at one moment then say nothing of what they ran, and count once. They do so for
-// all kinds of features alike, as the feature with the most crashes is held.
+// all kinds of features alike, as the feature with the most crashes is held. A request that was sent after
+// one crash and caused another did not wait at both servers, so that these count each.
 func (t *Table) evidence(s *suspect, until horizon) evidence {
-	window := t.config.SimultaneousWindow
-	if t.recentlyAnswered(s.feature, s.kind, until.crashed) {
+	window, answered := t.config.SimultaneousWindow, t.recentlyAnswered(s.feature, s.kind, until.crashed)
+	if answered {
 		window = t.config.CorrelationWindow
 	}
 	var e evidence
@@ -66,7 +67,8 @@
 		if !e.varied {
 			narrower, e.varied = c.vary(s, narrower)
 		}
-		if e.crashes > 0 && c.at-last < window {
+		sentAfter := s.kind == KindRequest && !answered && c.sent > last
+		if e.crashes > 0 && c.at-last < window && !sentAfter {
 			continue
 		}
 		if e.crashes++; e.crashes == 1 {
--- a/internal/coordination/quarantine/quarantine.go
+++ b/internal/coordination/quarantine/quarantine.go
@@ -40,6 +40,8 @@
 	// begun is true if its answer had begun. Such a request did not crash the process as it began,
 	// so that its parts are not suspected.
 	begun bool
+	// sent is when this entry sent it; 0 if another entry did.
+	sent time.Duration
 }
 
 // crash is a process that ended with requests in flight.
@@ -180,7 +182,7 @@
 func (t *Table) RecordFailure(a Attempt, now time.Duration) {
 	if c, ok := t.crashes[a.Process]; ok && now-c.at < t.config.CorrelationWindow {
 		if a.sentBefore(c.at) {
-			t.addLocalCrash(inFlight{a.Request, a.Begun}, c, now)
+			t.addLocalCrash(inFlight{a.Request, a.Begun, a.Sent}, c, now)
 		}
 		return
 	}
@@ -246,7 +248,7 @@
 	}
 	for _, f := range t.failures[process] {
 		if max(f.at-c.at, c.at-f.at) < t.config.CorrelationWindow && f.sentBefore(c.at) {
-			t.addLocalCrash(inFlight{f.Request, f.Begun}, c, now)
+			t.addLocalCrash(inFlight{f.Request, f.Begun, f.Sent}, c, now)
 		}
 	}
 	delete(t.failures, process)
@@ -273,7 +275,7 @@
 	c.add(r)
 	for f, kind := range r.features() {
 		if r.mayCause(kind) {
-			t.suspectCrash(f, kind, suspectedCrash{c, r.begun, now})
+			t.suspectCrash(f, kind, suspectedCrash{c, r.begun, r.sent, now})
 		}
 	}
 }
--- a/internal/coordination/quarantine/reports.go
+++ b/internal/coordination/quarantine/reports.go
@@ -162,10 +162,10 @@
 func (c *Crash) inFlight() []inFlight {
 	requests := make([]inFlight, 0, len(c.Requests))
 	for _, f := range c.Requests {
-		requests = append(requests, inFlight{&Request{Fingerprint: f}, true})
+		requests = append(requests, inFlight{Request: &Request{Fingerprint: f}, begun: true})
 	}
 	for _, p := range c.Pending {
-		requests[p.Index] = inFlight{&Request{Fingerprint: c.Requests[p.Index], Organisation: p.Organisation, Parts: p.Parts}, false}
+		requests[p.Index] = inFlight{Request: &Request{Fingerprint: c.Requests[p.Index], Organisation: p.Organisation, Parts: p.Parts}}
 	}
 	return requests
 }
@@ -328,7 +328,7 @@
 // reports would be several times as large, and each entry would reply with its answers.
 func (t *Table) queueCrash(r inFlight, c *crash, now time.Duration) {
 	if r.begun {
-		t.unsentCrashes = append(t.unsentCrashes, localCrash{inFlight{&Request{Fingerprint: r.Fingerprint}, true}, c, now, now})
+		t.unsentCrashes = append(t.unsentCrashes, localCrash{inFlight{Request: &Request{Fingerprint: r.Fingerprint}, begun: true}, c, now, now})
 		return
 	}
 	early, late := *r.Request, *r.Request
@@ -340,9 +340,9 @@
 			early.Parts = append(early.Parts, id)
 		}
 	}
-	t.unsentCrashes = append(t.unsentCrashes, localCrash{inFlight{&early, false}, c, now, now})
+	t.unsentCrashes = append(t.unsentCrashes, localCrash{inFlight{Request: &early}, c, now, now})
 	if len(late.Parts) > 0 {
-		t.unsentCrashes = append(t.unsentCrashes, localCrash{inFlight{&late, false}, c, now, now + answeredPartDelay})
+		t.unsentCrashes = append(t.unsentCrashes, localCrash{inFlight{Request: &late}, c, now, now + answeredPartDelay})
 	}
 }
 
--- a/internal/coordination/quarantine/suspects.go
+++ b/internal/coordination/quarantine/suspects.go
@@ -31,6 +31,8 @@
 	*crash
 	// begun is true if the answers to all requests with the feature had begun at the crash.
 	begun bool
+	// sent is when this entry last sent one of these requests; 0 if it sent none.
+	sent time.Duration
 	// known is when the crash was added.
 	known time.Duration
 }
@@ -43,6 +45,7 @@
 	for i := range s.crashes {
 		if s.crashes[i].crash == c.crash {
 			s.crashes[i].begun = s.crashes[i].begun && c.begun
+			s.crashes[i].sent = max(s.crashes[i].sent, c.sent)
 			return false
 		}
 	}
