Agents count the ages of a view from their request, not from the answer

An agent took the ages in an answer for those of the moment in which it had read it. After an answer that took long, versions appeared younger to it than they are: its server would change after the deadline, and entries whose ages were over 50 ms ahead announced them again with each report, so that it read its view again and again (up to 8 times in 2 s). The ages count from the request now, as those that entries read from the store do. They are too high by at most the time of the answer, and a server changes earlier by as much.

Measured: TestAgesOfSlowAnswerAreNotTooLow fails before.

--- a/internal/transport/sidecar/views.go
+++ b/internal/transport/sidecar/views.go
@@ -79,6 +79,7 @@
 // viewAnswer is an entry's answer to a request for the view.
 type viewAnswer struct {
 	address string
+	askedAt time.Duration
 	view    gateway.View
 	err     error
 }
@@ -166,18 +167,20 @@
 }
 
 func (s *Sidecar) askEntry(ctx context.Context, address string, answers chan<- viewAnswer) {
+	askedAt := boottime.Now()
 	view, err := s.fetchView(ctx, address)
 	select {
-	case answers <- viewAnswer{address: address, view: view, err: err}:
+	case answers <- viewAnswer{address: address, askedAt: askedAt, view: view, err: err}:
 	case <-ctx.Done():
 	}
 }
 
+// setView sets the view. Its ages count from the request, as those of an answer that took long would
+// otherwise be too low, and the server would change its version after the deadline.
 func (s *Sidecar) setView(answer viewAnswer) {
-	now := boottime.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.view, s.viewReadAt, s.hasView = answer.view, now, true
+	s.view, s.viewReadAt, s.hasView = answer.view, answer.askedAt, true
 	if len(answer.view.Entries) > 0 {
 		s.entries = answer.view.Entries
 	}
--- a/internal/transport/sidecar/views_test.go
+++ b/internal/transport/sidecar/views_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"io"
 	"net"
@@ -115,6 +116,24 @@
 	c.Assert(s.view.Named[0].Age, qt.Equals, time.Second)
 }
 
+// Versions in an answer that took long appeared younger to the agent than they are, so entries
+// announced them again, and the server would have changed after the deadline.
+func TestAgesOfSlowAnswerAreNotTooLow(t *testing.T) {
+	c := qt.New(t)
+	namedAt := boottime.Now() - time.Second
+	slow := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		view := gateway.View{Named: []gateway.NamedAge{{Model: "drafter", Version: 2, Age: boottime.Now() - namedAt, Known: true}}}
+		time.Sleep(20 * time.Millisecond)
+		_ = json.NewEncoder(w).Encode(view)
+	}))
+	defer slow.Close()
+	s, answers := newAgent(&fakeEntry{}, &fakeEngine{}, Config{}), make(chan viewAnswer, 1)
+	s.askEntry(context.Background(), strings.TrimPrefix(slow.URL, "http://"), answers)
+	s.setView(<-answers)
+	now := boottime.Now()
+	c.Assert(s.namedVersions(now)[0].Age >= now-namedAt, qt.IsTrue)
+}
+
 // fakeStore is a store that counts the reads of its entries.
 type fakeStore struct {
 	entries []gateway.Entry
