Large regions in tests: narrow the links once the region runs, a tenth of the rates and sizes

With the fleet's sizes the processors of one machine limit the test, and with the race detector more so.

--- a/internal/bench/links/links.go
+++ b/internal/bench/links/links.go
@@ -51,6 +51,14 @@
 	return limiter
 }
 
+// SetRate changes the rate, in bytes per second in each direction.
+func (l *Link) SetRate(bytesPerSecond float64) {
+	for _, limiter := range []*rate.Limiter{l.inLimiter, l.outLimiter} {
+		limiter.SetLimit(rate.Limit(bytesPerSecond))
+		limiter.SetBurst(max(int(bytesPerSecond/200), 2*maxTransfer))
+	}
+}
+
 // Stall blocks all transfers on the link without closing connections.
 func (l *Link) Stall() { l.stallOnce.Do(func() { close(l.stalled) }) }
 
