Entries with an old desired state no longer deny unknown routes and keys

A key was refused with 503 once the view was too old, but an unknown route with 404 at any age, and an unknown key with 401 until the view was as old as a revoked key may work.

The deployment's bound for changes is now a setting, Bounds.Apply. With an older view, the refusal is 503 with a Retry-After, as the request has not run and another entry can tell.

--- a/internal/settings/installation.go
+++ b/internal/settings/installation.go
@@ -60,6 +60,9 @@
 
 // Bounds holds the limits that the users require of the system.
 type Bounds struct {
+	// Apply is the maximum time until a confirmed change of the desired state takes effect. With an older
+	// view, an entry refuses requests that it does not know for a moment only. 0 means no limit.
+	Apply document.Duration `yaml:"Apply"`
 	// Revoke is the maximum time until a revoked key stops working. 0 means no
 	// bound.
 	Revoke document.Duration `yaml:"Revoke"`
@@ -148,6 +151,7 @@
 	c.Require(s.Bounds.RetryRatio >= 0 && s.Bounds.RetryRatio <= 1, "Bounds.RetryRatio", s.Bounds.RetryRatio, "expected a share from 0 to 1")
 	c.Require(s.Bounds.RetrySlack >= 0, "Bounds.RetrySlack", s.Bounds.RetrySlack, "expected 0 or more requests")
 	c.Require(s.Bounds.RetryWindow > 0, "Bounds.RetryWindow", time.Duration(s.Bounds.RetryWindow), "expected more than 0")
+	c.Require(s.Bounds.Apply >= 0, "Bounds.Apply", time.Duration(s.Bounds.Apply), "expected 0 or more")
 	c.Require(s.Bounds.Revoke >= 0, "Bounds.Revoke", time.Duration(s.Bounds.Revoke), "expected 0 or more")
 	c.Require(s.Bounds.Version >= 0, "Bounds.Version", time.Duration(s.Bounds.Version), "expected 0 or more")
 	c.Require(s.Bounds.Keep > 0, "Bounds.Keep", time.Duration(s.Bounds.Keep), "expected more than 0")
--- a/internal/transport/gateway/gateway.go
+++ b/internal/transport/gateway/gateway.go
@@ -31,6 +31,10 @@
 	Self Entry
 	// Regions maps each site to its region.
 	Regions map[string]string
+	// ApplyDelay is the maximum time until a confirmed change of the desired state takes effect. An
+	// unknown route or key is refused for good only if the desired state is more recent than this. 0
+	// means no limit.
+	ApplyDelay time.Duration
 	// RevocationDelay is the maximum time for which a revoked key still works. Keys are refused
 	// once the desired state is older than this. 0 means no limit.
 	RevocationDelay time.Duration
@@ -84,6 +88,8 @@
 	started    time.Duration
 	// revocationDelay is Config.RevocationDelay, which Reconfigure may change.
 	revocationDelay atomic.Int64
+	// applyDelay is Config.ApplyDelay, which Reconfigure may change.
+	applyDelay atomic.Int64
 
 	mu           sync.Mutex
 	rng          *rand.Rand
@@ -136,6 +142,7 @@
 		stop: drain.New(drain.Config{GracePeriod: config.DrainGracePeriod, MoveStreamsAfter: config.DrainTimeout}),
 	}
 	g.revocationDelay.Store(int64(config.RevocationDelay))
+	g.applyDelay.Store(int64(config.ApplyDelay))
 	g.relay = relay.New(relays.Entry{Host: config.Self.Host, Site: config.Self.Site}, relayView{g}, origin, client, log, registry)
 	for _, loop := range []func(context.Context){g.runDesired, g.runBackends, g.runEntries, g.runHeartbeat, g.runCounts, g.runSeeds, g.runRestore, g.runVersions, g.runLevels} {
 		go loop(ctx)
@@ -160,9 +167,19 @@
 // is nearly as old as the revocation delay. The age counts from when that read was sent, on a clock
 // that also advances while the host is suspended.
 func (g *Gateway) keysFresh(now time.Duration) bool {
+	return g.stateYoungerThan(time.Duration(g.revocationDelay.Load()), now)
+}
+
+// includesConfirmedChanges reports whether the desired state includes all changes that must be in force
+// by now. With an older one, an unknown route or key may have been added in the meantime.
+func (g *Gateway) includesConfirmedChanges(now time.Duration) bool {
+	return g.stateYoungerThan(time.Duration(g.applyDelay.Load()), now)
+}
+
+// stateYoungerThan reports whether the age of the desired state is safely below a limit; 0 means none.
+func (g *Gateway) stateYoungerThan(limit, now time.Duration) bool {
 	age, ok := g.stateAge(now)
-	delay := time.Duration(g.revocationDelay.Load())
-	return ok && (delay <= 0 || age < delay-revokeMargin)
+	return ok && (limit <= 0 || age < limit-revokeMargin)
 }
 
 // Ready reports whether new callers should use this entry.
@@ -230,6 +247,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.revocationDelay.Store(int64(config.RevocationDelay))
+	g.applyDelay.Store(int64(config.ApplyDelay))
 	g.config.MaxStaleness, g.config.LocateTTL = config.MaxStaleness, config.LocateTTL
 	g.config.RetryRatio, g.config.RetrySlack = config.RetryRatio, config.RetrySlack
 	g.resizeRetryBudgets()
--- a/internal/transport/gateway/serve.go
+++ b/internal/transport/gateway/serve.go
@@ -50,6 +50,7 @@
 const (
 	reasonNoState            = "no desired state is known yet"
 	reasonStale              = "the view of the keys is too old"
+	reasonStaleState         = "the view of the desired state is too old"
 	reasonDraining           = "this entry is leaving"
 	reasonMalformed          = "malformed request"
 	reasonHeaderTooLarge     = "headers are too large"
@@ -135,7 +136,7 @@
 	}
 	route, ok := x.state.Route(call.Host, call.Path)
 	if !ok {
-		return &errorResponse{status: http.StatusNotFound, reason: reasonNoRoute}
+		return x.refuseUnknown(http.StatusNotFound, reasonNoRoute)
 	}
 	x.route = route
 	x.service = route.PickService(call.ID)
@@ -218,7 +219,7 @@
 	}
 	organisation, ok := x.state.Organisation(x.call.Key)
 	if !ok {
-		return &errorResponse{status: http.StatusUnauthorized, reason: reasonNoKey}
+		return x.refuseUnknown(http.StatusUnauthorized, reasonNoKey)
 	}
 	x.organisation = organisation
 	x.regions = x.route.Regions.Intersect(organisation.Regions)
@@ -228,6 +229,15 @@
 	return nil
 }
 
+// refuseUnknown refuses a request whose route or key is not in the desired state. If that is too old to
+// tell whether it has been added, another entry can.
+func (x *exchange) refuseUnknown(status int, reason string) *errorResponse {
+	if !x.gateway.includesConfirmedChanges(boottime.Now()) {
+		return &errorResponse{status: http.StatusServiceUnavailable, reason: reasonStaleState, retryAfter: retryAfterLocal, closeConnection: true}
+	}
+	return &errorResponse{status: status, reason: reason}
+}
+
 // setDeadline sets the request's deadline to the smaller of the caller's timeout and the route's
 // timeout.
 func (x *exchange) setDeadline() {
--- a/internal/transport/installation/roles.go
+++ b/internal/transport/installation/roles.go
@@ -131,7 +131,7 @@
 			Host: s.Host, Site: s.Site, Region: s.Region, Callers: s.Listen.Callers, Peers: s.Listen.Peers,
 			Datagrams: s.Listen.Datagrams, Incarnation: filbertlever.Incarnation(strconv.FormatInt(time.Now().UnixNano(), 36)),
 		},
-		Regions: s.Regions, RevocationDelay: time.Duration(s.Bounds.Revoke), MaxStaleness: time.Duration(s.Bounds.Version),
+		Regions: s.Regions, ApplyDelay: time.Duration(s.Bounds.Apply), RevocationDelay: time.Duration(s.Bounds.Revoke), MaxStaleness: time.Duration(s.Bounds.Version),
 		RetryRatio: s.Bounds.RetryRatio, RetrySlack: s.Bounds.RetrySlack, RetryWindow: time.Duration(s.Bounds.RetryWindow), Seeds: s.Seeds, LocateTTL: time.Duration(s.Bounds.Keep),
 		DrainGracePeriod: time.Duration(acceptShare * float64(stop)), DrainTimeout: stop,
 	}
