Changes reach a region through a tree of entries

Confirmed changes were not in force in time on the whole fleet. The reader of a region sent each change to all 96 others over one link, whatever the link. A call that was not complete within 1.1 s was ended, and each follower fetched the same bytes from the store, uncompressed, over the link between regions. There they were ended after 4 s and begun again. With two large changes the region did not recover: 3,490 calls of the store for three changes.

Each entry now passes a change on to four others, in a tree that all derive from the hosts alive. A transfer continues while bytes arrive; a slow one continues beside a second one. A source that is silent, dead or too old is replaced by another entry above. The store is asked by one entry of a region after the other, 0.6 s apart. Of a large row only the newest version is kept and sent. A view is confirmed down the tree as soon as the reader's is, so that its age does not grow with the depth. A reader that the store does not answer is known to the whole region at once, by a heartbeat, and its followers for all tables.

The fake store of the tests no longer reports progress of calls that it leaves unanswered.

Each call to another entry is counted by source and result, the delay from the reader to each entry is a histogram, and each change of the desired state is logged with its source, bytes and times.

--- a/internal/transport/gateway/datagrams.go
+++ b/internal/transport/gateway/datagrams.go
@@ -140,6 +140,14 @@
 	}
 }
 
+// requestHeartbeat requests an immediate heartbeat to the region.
+func (g *Gateway) requestHeartbeat() {
+	select {
+	case g.heartbeatNow <- struct{}{}:
+	default:
+	}
+}
+
 // sendTurn sends the heartbeat of one interval: to the region, and, if this entry is a delegate of its
 // region, to one in heartbeatsPerRemote of the other entries, each in its turn. It also sends the
 // recent crash reports, to the region once in a round of turns.
--- a/internal/transport/gateway/deadline_test.go
+++ b/internal/transport/gateway/deadline_test.go
@@ -143,7 +143,7 @@
 	return rows(head, `[{}]`), nil
 }
 
-func (s *burstStore) Follow(ctx context.Context, _ Table, after uint64, wait time.Duration) (Rows, error) {
+func (s *burstStore) Follow(ctx context.Context, _ Table, after uint64, wait time.Duration, _ func()) (Rows, error) {
 	head, changed := s.current()
 	if head <= after {
 		select {
--- a/internal/transport/gateway/feeds_test.go
+++ b/internal/transport/gateway/feeds_test.go
@@ -29,18 +29,18 @@
 	f := newFeeds()
 	f.reset(TableDesired, rows(5, `[{"a":1}]`), time.Second)
 	f.publish(TableDesired, 5, rows(7, `[{"b":2}]`), 2*time.Second)
-	response, ok := f.changesSince(context.Background(), TableDesired, 0)
+	response, ok := f.changesSince(context.Background(), FeedRequest{Table: TableDesired, After: 0})
 	c.Assert(ok, qt.IsTrue)
 	c.Assert(response.Revision, qt.Equals, uint64(7))
 	lists, err := decompressRows(response.Compressed)
 	c.Assert(err, qt.IsNil)
-	c.Assert(string(joinRows(lists)), qt.Equals, `[{"a":1},{"b":2}]`)
+	c.Assert(string(joinRows(rawOf(lists))), qt.Equals, `[{"a":1},{"b":2}]`)
 	for n := range uint64(maxFeedBatches) {
 		f.publish(TableDesired, 7+n, rows(8+n, `[{"c":3}]`), 3*time.Second)
 	}
-	_, ok = f.changesSince(context.Background(), TableDesired, 0)
+	_, ok = f.changesSince(context.Background(), FeedRequest{Table: TableDesired, After: 0})
 	c.Assert(ok, qt.IsFalse)
-	_, ok = f.changesSince(context.Background(), TableDesired, 20)
+	_, ok = f.changesSince(context.Background(), FeedRequest{Table: TableDesired, After: 20})
 	c.Assert(ok, qt.IsTrue)
 }
 
@@ -58,7 +58,7 @@
 	for _, batch := range f.tables[TableDesired].batches {
 		lists, err := decompressRows(batch.compressed)
 		c.Assert(err, qt.IsNil)
-		total += len(joinRows(lists))
+		total += len(joinRows(rawOf(lists)))
 	}
 	c.Assert(total <= maxFeedBytes, qt.IsTrue)
 	c.Assert(total, qt.Equals, f.tables[TableDesired].batchBytes)
@@ -73,7 +73,7 @@
 		time.Sleep(20 * time.Millisecond)
 		f.reset(TableBackends, rows(3, `[{"a":1}]`), time.Second)
 	}()
-	response, ok := f.changesSince(context.Background(), TableBackends, 0)
+	response, ok := f.changesSince(context.Background(), FeedRequest{Table: TableBackends, After: 0})
 	c.Assert(ok, qt.IsTrue)
 	c.Assert(response.Revision, qt.Equals, uint64(3))
 }
@@ -85,11 +85,11 @@
 	f := newFeeds()
 	f.reset(TableDesired, rows(5, `[{"a":1}]`), time.Second)
 	f.publish(TableDesired, 9, rows(12, `[{"c":3}]`), 2*time.Second)
-	_, ok := f.changesSince(context.Background(), TableDesired, 0)
+	_, ok := f.changesSince(context.Background(), FeedRequest{Table: TableDesired, After: 0})
 	c.Assert(ok, qt.IsFalse)
-	_, ok = f.changesSince(context.Background(), TableDesired, 7)
+	_, ok = f.changesSince(context.Background(), FeedRequest{Table: TableDesired, After: 7})
 	c.Assert(ok, qt.IsFalse)
-	response, ok := f.changesSince(context.Background(), TableDesired, 9)
+	response, ok := f.changesSince(context.Background(), FeedRequest{Table: TableDesired, After: 9})
 	c.Assert(ok, qt.IsTrue)
 	c.Assert(response.Revision, qt.Equals, uint64(12))
 }
@@ -102,11 +102,11 @@
 	f.reset(TableBackends, rows(3, `[{"a":1}]`), time.Second)
 	began := time.Now()
 	time.AfterFunc(20*time.Millisecond, func() { f.markUnreachable(TableBackends) })
-	_, ok := f.changesSince(context.Background(), TableBackends, 3)
+	_, ok := f.changesSince(context.Background(), FeedRequest{Table: TableBackends, After: 3})
 	c.Assert(ok, qt.IsFalse)
 	c.Assert(time.Since(began) < feedPollWait/2, qt.IsTrue)
 	f.publish(TableBackends, 3, rows(4, `[{"b":1}]`), 2*time.Second)
-	response, ok := f.changesSince(context.Background(), TableBackends, 3)
+	response, ok := f.changesSince(context.Background(), FeedRequest{Table: TableBackends, After: 3})
 	c.Assert(ok, qt.IsTrue)
 	c.Assert(response.Revision, qt.Equals, uint64(4))
 }
@@ -143,7 +143,7 @@
 	}))
 	t.Cleanup(server.Close)
 	g := &Gateway{crashes: newCrashes(), client: server.Client()}
-	response, err := g.fetchFeed(context.Background(), server.Listener.Addr().String(), TableDesired, 5, feedTimeout)
+	response, err := g.fetchFeed(context.Background(), server.Listener.Addr().String(), FeedRequest{Table: TableDesired, After: 5}, feedTimeout, nil)
 	c.Assert(err, qt.IsNil)
 	c.Assert(response.Revision, qt.Equals, uint64(6))
 	c.Assert(string(joinRows(response.Raw)), qt.Equals, string(large))
@@ -185,11 +185,11 @@
 	changed, err := w.poll(context.Background())
 	c.Assert(err, qt.IsNil)
 	c.Assert(changed, qt.IsTrue)
-	response, ok := g.feeds.changesSince(context.Background(), TableDesired, 5)
+	response, ok := g.feeds.changesSince(context.Background(), FeedRequest{Table: TableDesired, After: 5})
 	c.Assert(ok, qt.IsTrue)
 	c.Assert(response.Revision, qt.Equals, uint64(6))
 	c.Assert(response.Age < maxFeedAge, qt.IsTrue, qt.Commentf("age %v", response.Age))
-	whole, ok := g.feeds.changesSince(context.Background(), TableDesired, 0)
+	whole, ok := g.feeds.changesSince(context.Background(), FeedRequest{Table: TableDesired, After: 0})
 	c.Assert(ok, qt.IsTrue)
 	c.Assert(whole.Revision, qt.Equals, uint64(6))
 }
@@ -250,11 +250,11 @@
 	f := newFeeds()
 	f.reset(TableDesired, rows(5, `[{"a":1}]`), boottime.Now()-time.Second)
 	f.markUnreachable(TableDesired)
-	response, ok := f.changesSince(context.Background(), TableDesired, 0)
+	response, ok := f.changesSince(context.Background(), FeedRequest{Table: TableDesired, After: 0})
 	c.Assert(ok, qt.IsTrue)
 	c.Assert(response.Revision, qt.Equals, uint64(5))
 	c.Assert(response.Age >= time.Second, qt.IsTrue)
-	_, ok = f.changesSince(context.Background(), TableDesired, 5)
+	_, ok = f.changesSince(context.Background(), FeedRequest{Table: TableDesired, After: 5})
 	c.Assert(ok, qt.IsFalse)
 }
 
@@ -265,13 +265,13 @@
 	f := newFeeds()
 	f.reset(TableBackends, rows(5, ""), boottime.Now())
 	began := time.Now()
-	response, ok := f.changesSince(context.Background(), TableBackends, 0)
+	response, ok := f.changesSince(context.Background(), FeedRequest{Table: TableBackends, After: 0})
 	c.Assert(ok, qt.IsTrue)
 	c.Assert(response.Revision, qt.Equals, uint64(5))
 	c.Assert(time.Since(began) < feedPollWait/2, qt.IsTrue, qt.Commentf("served after %v", time.Since(began)))
 	// A call for changes still waits.
 	began = time.Now()
-	_, ok = f.changesSince(context.Background(), TableBackends, 5)
+	_, ok = f.changesSince(context.Background(), FeedRequest{Table: TableBackends, After: 5})
 	c.Assert(ok, qt.IsTrue)
 	c.Assert(time.Since(began) >= feedPollWait, qt.IsTrue)
 }
--- a/internal/transport/gateway/gateway.go
+++ b/internal/transport/gateway/gateway.go
@@ -143,6 +143,8 @@
 	}
 	g.revocationDelay.Store(int64(config.RevocationDelay))
 	g.applyDelay.Store(int64(config.ApplyDelay))
+	g.feeds.rowKey = store.RowKey
+	g.feeds.register(registry)
 	g.relay = relay.New(relays.Entry{Host: config.Self.Host, Site: config.Self.Site}, relayView{g}, origin, client, log, registry)
 	for _, loop := range []func(context.Context){g.runDesired, g.runBackends, g.runEntries, g.runHeartbeat, g.runCounts, g.runSeeds, g.runRestore, g.runVersions, g.runLevels} {
 		go loop(ctx)
--- a/internal/transport/gateway/peers.go
+++ b/internal/transport/gateway/peers.go
@@ -179,6 +179,12 @@
 	return p.suspensions.Elapsed(other.heartbeatAt, now) < heartbeatTimeout
 }
 
+// isHostAlive reports whether the entry of a host counts as alive.
+func (p *peers) isHostAlive(host filbertlever.HostID, now time.Duration) bool {
+	other, ok := p.byHost[host]
+	return ok && p.isAlive(other, now)
+}
+
 // inRegion reports whether an entry is in this entry's region.
 func (p *peers) inRegion(host filbertlever.HostID) bool {
 	other, ok := p.byHost[host]
--- a/internal/transport/gateway/ports.go
+++ b/internal/transport/gateway/ports.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
@@ -146,8 +147,14 @@
 	Revision uint64
 	// Raw is opaque. It is empty if there are no rows.
 	Raw []byte
-	// compressed is Raw as another entry compressed it; nil if the rows came from the store.
-	compressed []byte
+	// batches is Raw as another entry sent it; nil if the rows came from the store.
+	batches []rowList
+	// observedAge is how long ago the region's reader received the newest rows.
+	observedAge time.Duration
+	// source is the entry that sent the rows; empty if it was the store. waited is how long its response
+	// took to begin, and transferred how long it then took to arrive.
+	source              filbertlever.HostID
+	waited, transferred time.Duration
 }
 
 // Cause is why a row cannot be used.
@@ -242,13 +249,15 @@
 	Bad     []BadRow
 }
 
-// Store is an entry's access to the platform's store. Follow returns after wait at the latest, even
-// if nothing has changed. DecodeDesired, DecodeBackends and DecodeEntries decode the rows that are
+// Store is an entry's access to the platform's store. Follow begins to answer after wait at the latest,
+// even if nothing has changed, and calls onProgress whenever a part of the answer has arrived. RowKey
+// returns the key of a row in a list of rows; it is empty if it cannot be read. DecodeDesired, DecodeBackends and DecodeEntries decode the rows that are
 // newer than a revision. Each row is decoded on its own, so they fail only if the rows cannot be
 // separated.
 type Store interface {
 	Read(ctx context.Context, table Table) (Rows, error)
-	Follow(ctx context.Context, table Table, after uint64, wait time.Duration) (Rows, error)
+	Follow(ctx context.Context, table Table, after uint64, wait time.Duration, onProgress func()) (Rows, error)
+	RowKey(row json.RawMessage) string
 	DecodeDesired(rows Rows, after uint64) (Desired, error)
 	DecodeBackends(rows Rows, after uint64) (Backends, error)
 	DecodeEntries(rows Rows, after uint64) (Entries, error)
--- a/internal/transport/gateway/restored.go
+++ b/internal/transport/gateway/restored.go
@@ -49,11 +49,12 @@
 // readWhole returns the whole table.
 func (w *tableWatch) readWhole(ctx context.Context) (Rows, error) {
 	g := w.gateway
-	_, address, remote := g.snapshotSource(boottime.Now())
-	if !remote || w.rereads > maxRereadsFromEntry {
+	from := g.snapshotSources(boottime.Now(), true)
+	if len(from.hosts) == 0 || w.rereads > maxRereadsFromEntry {
 		return g.store.Read(ctx, w.table)
 	}
-	response, err := g.fetchFeed(ctx, address, w.table, 0, feedTimeout)
+	host := from.hosts[(w.rereads-1)%len(from.hosts)]
+	response, err := g.fetchFeed(ctx, from.addresses[host], FeedRequest{Table: w.table}, feedTimeout, nil)
 	if err == nil && response.Age > maxAgeOf(w.table) {
 		err = errOldView
 	}
--- a/internal/transport/gateway/restored_test.go
+++ b/internal/transport/gateway/restored_test.go
@@ -43,7 +43,7 @@
 			t.Cleanup(server.Close)
 			g := &Gateway{client: server.Client(), log: zap.NewNop()}
 			sentAt := boottime.Now()
-			response, err := g.fetchFeed(context.Background(), server.Listener.Addr().String(), TableDesired, test.after, 5*time.Second)
+			response, err := g.fetchFeed(context.Background(), server.Listener.Addr().String(), FeedRequest{Table: TableDesired, After: test.after}, 5*time.Second, nil)
 			if test.err != nil {
 				c.Assert(err, qt.ErrorIs, test.err)
 				c.Assert(err == ErrStoreRestored, qt.Equals, test.err == ErrStoreRestored)
@@ -109,7 +109,7 @@
 	}
 	c.Assert(applied, qt.HasLen, 1)
 	c.Assert(w.revision, qt.Equals, current)
-	_, ok := g.feeds.changesSince(context.Background(), TableDesired, current)
+	_, ok := g.feeds.changesSince(context.Background(), FeedRequest{Table: TableDesired, After: current})
 	c.Assert(ok, qt.IsTrue)
 }
 
--- a/internal/transport/gateway/uptime.go
+++ b/internal/transport/gateway/uptime.go
@@ -57,10 +57,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if !g.hasRecentStoreAnswer(now) {
-		select {
-		case g.heartbeatNow <- struct{}{}:
-		default:
-		}
+		g.requestHeartbeat()
 	}
 	g.storeAnsweredAt = now
 	g.recordStoreUptime(uptime.Span{First: now, Last: now}, now)
--- a/internal/transport/gateway/watch.go
+++ b/internal/transport/gateway/watch.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"strconv"
@@ -8,6 +9,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/filbertlever/filbertlever"
 	"github.com/filbertlever/filbertlever/internal/coordination/catalog"
 	"github.com/filbertlever/filbertlever/internal/coordination/retry"
 	"github.com/filbertlever/filbertlever/internal/coordination/revision"
@@ -39,6 +41,9 @@
 	// entry are notified that the store is unreachable. It is longer than a slow store
 	// takes, and short enough that the next reader has a change within its deadline.
 	followGrace = 400 * time.Millisecond
+	// maxStoreTransfer is how long an answer of the store may take to arrive before another entry reads
+	// the store for the region.
+	maxStoreTransfer = 2 * time.Second
 	// confirmWait is the wait of a call that only has to confirm the view.
 	confirmWait = time.Millisecond
 )
@@ -70,6 +75,12 @@
 	initial bool
 	// unreachable is true while calls fail.
 	unreachable bool
+	// failingSince is when the other entries began to fail as sources; 0 if they do not.
+	failingSince time.Duration
+	// suspects are sources that did not respond, and until when they are asked last.
+	suspects map[filbertlever.HostID]time.Duration
+	// fromPeer is true if the last rows came from another entry.
+	fromPeer bool
 }
 
 // run reads the table and follows it until ctx ends.
@@ -82,7 +93,7 @@
 		case errors.Is(err, ErrRevisionPruned):
 			w.gateway.log.Warn("store dropped its history", w.fields(zap.Error(err))...)
 			w.revision, w.droppedRevision = 0, w.revision
-		case errors.Is(err, errReaderDisconnected):
+		case errors.Is(err, errReaderDisconnected), errors.Is(err, errSourcesFailed):
 			w.noteUnreachable(ctx, err)
 			w.gateway.sleepJittered(ctx, readerRetryDelay)
 		case err != nil:
@@ -92,7 +103,7 @@
 		default:
 			w.noteReachable()
 			backoff = initialBackoff
-			if changed {
+			if changed && !w.fromPeer {
 				w.gateway.sleepJittered(ctx, batchDelayFor(w.table))
 			}
 		}
@@ -123,10 +134,14 @@
 		}
 		return false, w.readAll(ctx)
 	}
-	rows, at, ok, err := g.followReader(ctx, w.table, w.revision)
+	if w.suspects == nil {
+		w.suspects = map[filbertlever.HostID]time.Duration{}
+	}
+	rows, at, ok, err := w.followReader(ctx)
 	if err != nil {
 		return false, err
 	}
+	w.fromPeer = ok
 	if ok {
 		// Entries may disagree temporarily on which one is the reader, so that some follow an
 		// entry that itself follows another one. Each entry forwards the changes it receives.
@@ -135,10 +150,8 @@
 	}
 	rows, sent, err := w.follow(ctx)
 	if err != nil {
-		// Other errors do not hand the reading over to another entry: a late answer may be a
-		// large change on a busy link, which that entry would fetch again.
 		if errors.Is(err, ErrStoreRejected) {
-			g.markStoreUnreachable(w.table)
+			g.markStoreUnreachable()
 		}
 		return false, err
 	}
@@ -149,23 +162,35 @@
 
 // follow calls the store for changes. It also returns when the call was sent.
 //
-// If the store does not answer in time, the followers of this entry are notified, and one of
-// them reads the store for all.
+// If the store does not begin to answer in time, or its answer takes too long, another entry reads the
+// store for the region. An answer that is arriving may be a large change on a busy link, which that
+// entry would fetch again.
 //
 // The view of an entry that takes over is as old as that of the previous reader. Its first call
 // returns without waiting for a change. Otherwise the followers would reject its view as too
 // old and take over in turn.
 func (w *tableWatch) follow(ctx context.Context) (Rows, time.Duration, error) {
+	g := w.gateway
 	sent, wait := boottime.Now(), w.wait
-	if w.gateway.feeds.age(w.table, sent) > w.wait+followGrace {
+	if g.feeds.age(w.table, sent) > w.wait+followGrace {
 		wait = confirmWait
 	}
-	late := time.AfterFunc(wait+followGrace, func() { w.gateway.feeds.markUnreachable(w.table) })
+	late := time.AfterFunc(wait+followGrace, g.markStoreUnreachable)
 	defer late.Stop()
-	rows, err := w.gateway.store.Follow(ctx, w.table, w.revision, wait)
+	var arrivingAt time.Duration
+	rows, err := g.store.Follow(ctx, w.table, w.revision, wait, func() {
+		g.feeds.markArriving(w.table)
+		if arrivingAt == 0 {
+			arrivingAt = boottime.Now()
+			late.Reset(maxStoreTransfer)
+		}
+	})
 	if err != nil && !errors.Is(err, ErrRevisionPruned) {
 		// A call that fails immediately must also notify the followers.
-		w.gateway.feeds.markUnreachable(w.table)
+		g.feeds.markUnreachable(w.table)
+	}
+	if arrivingAt > 0 {
+		rows.waited, rows.transferred = arrivingAt-sent, boottime.Now()-arrivingAt
 	}
 	return rows, sent, err
 }
@@ -185,10 +210,14 @@
 
 // applyRows applies rows that were complete at a time, and confirms the view.
 func (w *tableWatch) applyRows(rows Rows, at time.Duration, whole bool) error {
-	after := w.revision
+	after, started := w.revision, boottime.Now()
 	if err := w.apply(rows, after, whole, w.initial); err != nil {
 		return err
 	}
+	if len(rows.Raw) > 0 {
+		w.gateway.feeds.changeDelay.WithLabelValues(string(w.table)).Observe((boottime.Now() - started + rows.observedAge).Seconds())
+		w.logChange(rows, whole, started)
+	}
 	era := revision.Era(rows.Revision)
 	if !w.initial && era > w.era {
 		w.rereadAt, w.rereads = boottime.Now()+w.gateway.jitter(restoredGracePeriod, rereadSpread), 0
@@ -201,6 +230,23 @@
 	return nil
 }
 
+// logChange logs where rows came from and how long they took.
+func (w *tableWatch) logChange(rows Rows, whole bool, applyStarted time.Duration) {
+	if w.table != TableDesired {
+		return
+	}
+	bytes := len(rows.Raw)
+	if rows.batches != nil {
+		bytes = 0
+		for _, list := range rows.batches {
+			bytes += len(list.compressed)
+		}
+	}
+	w.gateway.log.Info("table changed", append([]zap.Field{zap.String("Table", string(w.table))}, append(revisionFields(rows.Revision),
+		zap.String("Source", string(cmp.Or(rows.source, "Store"))), zap.Bool("Whole", whole), zap.Int("Bytes", bytes), zap.Duration("Waited", rows.waited),
+		zap.Duration("Transferred", rows.transferred), zap.Duration("Applied", boottime.Now()-applyStarted), zap.Duration("SinceReader", boottime.Now()-applyStarted+rows.observedAge))...)...)
+}
+
 // noteUnreachable logs the first of a series of failed calls.
 func (w *tableWatch) noteUnreachable(ctx context.Context, err error) {
 	if !w.unreachable && ctx.Err() == nil {
--- a/internal/transport/gateway/watch_test.go
+++ b/internal/transport/gateway/watch_test.go
@@ -22,7 +22,7 @@
 	read   func() Rows
 }
 
-func (s fakeStore) Follow(ctx context.Context, _ Table, after uint64, wait time.Duration) (Rows, error) {
+func (s fakeStore) Follow(ctx context.Context, _ Table, after uint64, wait time.Duration, _ func()) (Rows, error) {
 	return s.follow(ctx, after, wait)
 }
 
@@ -89,7 +89,7 @@
 	w := &tableWatch{gateway: g, table: TableDesired, wait: 10 * time.Millisecond, revision: 5}
 	go func() { _, _ = w.poll(ctx) }()
 	start := time.Now()
-	_, ok := g.feeds.changesSince(ctx, TableDesired, 5)
+	_, ok := g.feeds.changesSince(ctx, FeedRequest{Table: TableDesired, After: 5})
 	c.Assert(ok, qt.IsFalse)
 	c.Assert(g.feeds.isUnreachable(TableDesired), qt.IsTrue)
 	c.Assert(time.Since(start) < feedPollWait, qt.IsTrue)
