--- a/internal/transport/gateway/gateway.go
+++ b/internal/transport/gateway/gateway.go
@@ -172,10 +172,28 @@
 	return g.stateYoungerThan(time.Duration(g.revocationDelay.Load()), now)
 }
 
-// includesConfirmedChanges reports whether the desired state includes all changes that must be in force
-// by now. With an older one, an unknown route or key may have been added in the meantime.
-func (g *Gateway) includesConfirmedChanges(now time.Duration) bool {
-	return g.stateYoungerThan(time.Duration(g.applyDelay.Load()), now)
+// confirmationGrace is how long a request may wait for the desired state to be confirmed. An entry in
+// touch with the store confirms it about once a second.
+const (
+	confirmationGrace    = 400 * time.Millisecond
+	confirmationInterval = 20 * time.Millisecond
+)
+
+// awaitConfirmedChanges reports whether the desired state includes all changes that must be in force by
+// now. With an older one, an unknown route or key may have been added in the meantime. It waits briefly
+// if the state is due to be confirmed.
+func (g *Gateway) awaitConfirmedChanges(ctx context.Context) bool {
+	limit := time.Duration(g.applyDelay.Load())
+	for {
+		now := boottime.Now()
+		if g.stateYoungerThan(limit, now) {
+			return true
+		}
+		if ctx.Err() != nil || !g.stateYoungerThan(limit+confirmationGrace, now) {
+			return false
+		}
+		time.Sleep(confirmationInterval)
+	}
 }
 
 // stateYoungerThan reports whether the age of the desired state is safely below a limit; 0 means none.
--- a/internal/transport/gateway/serve.go
+++ b/internal/transport/gateway/serve.go
@@ -232,7 +232,7 @@
 // refuseUnknown refuses a request whose route or key is not in the desired state. If that is too old to
 // tell whether it has been added, another entry can.
 func (x *exchange) refuseUnknown(status int, reason string) *errorResponse {
-	if !x.gateway.includesConfirmedChanges(boottime.Now()) {
+	if !x.gateway.awaitConfirmedChanges(x.request.Context()) {
 		return &errorResponse{status: http.StatusServiceUnavailable, reason: reasonStaleState, retryAfter: retryAfterLocal, closeConnection: true}
 	}
 	return &errorResponse{status: status, reason: reason}
