Sources that die while they are asked are no answer; failed sources are asked last

A follower whose sources all stopped sending heartbeats during a call took that for an answer without changes, of era 0. A source that failed for any reason, not only by silence, is now asked last for 3 s: with a parent that refused at once, a follower asked the next one 20 times a second.

--- a/internal/coordination/relays/following.go
+++ b/internal/coordination/relays/following.go
@@ -12,7 +12,7 @@
 	slowTransfer = 700 * time.Millisecond
 	// maxParallelFetches is the number of sources that an entry asks at the same time.
 	maxParallelFetches = 2
-	// SuspicionTTL is how long a source that did not respond is asked last.
+	// SuspicionTTL is how long a source that failed is asked last.
 	SuspicionTTL = 3 * time.Second
 	// immediateStoreTurns is the number of entries that read the store as soon as their sources fail.
 	immediateStoreTurns = 1
--- a/internal/transport/gateway/following.go
+++ b/internal/transport/gateway/following.go
@@ -87,6 +87,9 @@
 	return Rows{}, 0, false, errReaderDisconnected
 }
 
+// errSourcesDead means that all sources stopped sending heartbeats while they were asked.
+var errSourcesDead = errors.New("the other entries count as dead")
+
 // errSourcesFailed means that no other entry has a usable view, and that it is not this entry's turn to
 // ask the store.
 var errSourcesFailed = errors.New("no other entry has a recent view")
@@ -128,7 +131,8 @@
 	arriving, ended := make(chan *sourceCall, len(from.hosts)), make(chan *sourceCall, len(from.hosts))
 	state := relays.Following{Sources: relays.PreferResponsive(from.hosts, w.isSuspected), Position: from.position, FailingSince: w.failingSince}
 	index := map[*sourceCall]int{}
-	var err, pruned error
+	var pruned error
+	err := errSourcesDead
 	for {
 		state.Now = boottime.Now()
 		w.gateway.failDead(state.Attempts, state.Now)
@@ -172,9 +176,8 @@
 				return Rows{}, 0, step.Kind, err
 			case errors.Is(err, ErrRevisionPruned):
 				pruned = err
-			case errors.Is(err, errSourceSilent), errors.Is(err, errSourceStalled):
-				w.suspects[call.host] = boottime.Now() + relays.SuspicionTTL
 			}
+			w.suspects[call.host] = boottime.Now() + relays.SuspicionTTL
 		}
 	}
 }
@@ -210,7 +213,7 @@
 	return errOldView
 }
 
-// isSuspected reports whether a source did not respond recently.
+// isSuspected reports whether a source failed recently.
 func (w *tableWatch) isSuspected(host filbertlever.HostID) bool {
 	until, ok := w.suspects[host]
 	if ok && boottime.Now() >= until {
--- a/internal/transport/gateway/following_test.go
+++ b/internal/transport/gateway/following_test.go
@@ -5,6 +5,8 @@
 	"encoding/json"
 	"fmt"
 	"math/rand/v2"
+	"net/http"
+	"net/http/httptest"
 	"strings"
 	"testing"
 	"time"
@@ -12,6 +14,7 @@
 	qt "github.com/frankban/quicktest"
 	"go.uber.org/zap"
 
+	"github.com/filbertlever/filbertlever"
 	"github.com/filbertlever/filbertlever/internal/transport/boottime"
 )
 
@@ -95,3 +98,23 @@
 	}
 	return Rows{Revision: after}, nil
 }
+
+// A follower whose only source died while it was asked took that for an answer without changes.
+func TestDeadSourceIsNoAnswer(t *testing.T) {
+	c := qt.New(t)
+	server := httptest.NewServer(http.HandlerFunc(serveNothing))
+	t.Cleanup(server.Close)
+	t.Cleanup(server.CloseClientConnections)
+	now, self := boottime.Now(), entryAt("e1", "a", "ra")
+	g := &Gateway{crashes: newCrashes(), config: Config{Self: self}, peers: newPeers(self, now), feeds: newFeeds(), client: server.Client(), log: zap.NewNop(), rng: rand.New(rand.NewPCG(1, 2))}
+	g.readerSuspendedUntil.Store(int64(now + time.Minute))
+	reader := entryAt("e2", "a", "ra")
+	reader.Peers = server.Listener.Addr().String()
+	g.peers.observeHeartbeat(reader, true, false, now-heartbeatTimeout+livenessInterval)
+	w := &tableWatch{gateway: g, table: TableDesired, revision: 5, suspects: map[filbertlever.HostID]time.Duration{}}
+	_, _, ok, err := w.followReader(context.Background())
+	c.Assert(ok, qt.IsFalse)
+	// The only entry that is left asks the store.
+	c.Assert(err, qt.IsNil)
+	c.Assert(boottime.Now()-now < feedTimeout, qt.IsTrue)
+}
--- a/internal/transport/gateway/watch.go
+++ b/internal/transport/gateway/watch.go
@@ -77,7 +77,7 @@
 	unreachable bool
 	// failingSince is when the other entries began to fail as sources; 0 if they do not.
 	failingSince time.Duration
-	// suspects are sources that did not respond, and until when they are asked last.
+	// suspects are sources that failed, and until when they are asked last.
 	suspects map[filbertlever.HostID]time.Duration
 	// fromPeer is true if the last rows came from another entry.
 	fromPeer bool
