--- a/internal/transport/gateway/snapshots.go
+++ b/internal/transport/gateway/snapshots.go
@@ -42,9 +42,6 @@
 // its history, as their views become outdated. A reader that asked its own followers then would get
 // no newer table, and therefore reads the store.
 func (g *Gateway) fetchSnapshot(ctx context.Context, table Table, goneRevision uint64) (Rows, time.Duration, bool) {
-	if goneRevision > 0 && g.isReader(boottime.Now()) {
-		return Rows{}, 0, false
-	}
 	if table == TableEntries {
 		g.awaitPeers(ctx)
 	} else {
