Entries that failed to read a whole table take turns

A region of the fleet had no desired state in 35 s, and its callers were served elsewhere or not at all. An entry that had failed to read a whole table from the store tried again after a time by its rank, so that the reads of all entries grew with the harmonic sum of the region: 135 in 9 s by 90 entries, some 740 KB for the three tables, over a border of 4 MB/s. None ended before its timeout.

The first entry still tries again soon. The others wait as many turns as the region has entries, and get the table from the first one that has it. Two reads in 0.6 s at any size; the test of the rate fails without it. What it changes on the fleet has not been played yet.

--- a/internal/coordination/relays/reader.go
+++ b/internal/coordination/relays/reader.go
@@ -63,3 +63,16 @@
 	}
 	return SnapshotInterval * time.Duration(max(rank, 1))
 }
+
+// SnapshotRetryWait returns how long the entry with a rank among n entries of its region waits for a copy
+// of a whole table after it failed to read the store. The first one tries again soon, and the others take
+// turns.
+//
+// If each waited by its rank again, the rate of their reads would grow with the region. From some number
+// on they fill the link to the store, and no read ends before its timeout.
+func SnapshotRetryWait(rank, n int) time.Duration {
+	if rank <= 0 {
+		return SnapshotInterval
+	}
+	return SnapshotInterval * time.Duration(n)
+}
--- a/internal/coordination/relays/relays_test.go
+++ b/internal/coordination/relays/relays_test.go
@@ -156,3 +156,15 @@
 		}
 	}
 }
+
+// Entries that failed to read a whole table tried again, each after a time by its rank. From some 90
+// entries on their reads filled the link to the store for good.
+func TestRepeatedReadsOfWholeTablesStayAtAConstantRate(t *testing.T) {
+	for _, n := range []int{1, 3, 20, 97, 500, 5000} {
+		perSecond := 0.0
+		for rank := range n {
+			perSecond += 1 / SnapshotRetryWait(rank, n).Seconds()
+		}
+		qt.Check(t, perSecond <= 2/SnapshotInterval.Seconds()+1e-9, qt.IsTrue, qt.Commentf("%.1f reads a second by %d entries", perSecond, n))
+	}
+}
--- a/internal/transport/gateway/snapshots.go
+++ b/internal/transport/gateway/snapshots.go
@@ -41,7 +41,7 @@
 // The first few time out together if the reading entry does not respond, or after the store dropped
 // its history, as their views become outdated. A reader that asked its own followers then would get
 // no newer table, and therefore reads the store.
-func (g *Gateway) fetchSnapshot(ctx context.Context, table Table, goneRevision uint64) (Rows, time.Duration, bool) {
+func (g *Gateway) fetchSnapshot(ctx context.Context, table Table, goneRevision uint64, failedReads int) (Rows, time.Duration, bool) {
 	if table == TableEntries {
 		g.awaitPeers(ctx)
 	} else {
@@ -49,7 +49,7 @@
 	}
 	g.sleepJittered(ctx, heartbeatReplyWait)
 	startedAt := boottime.Now()
-	ctx, cancel := context.WithTimeout(ctx, maxSnapshotTransfer+g.snapshotWait(startedAt, true))
+	ctx, cancel := context.WithTimeout(ctx, maxSnapshotTransfer+g.snapshotWait(startedAt, true, failedReads))
 	defer cancel()
 	failed := 0
 	for lastEmptyAt := startedAt; ctx.Err() == nil; {
@@ -60,7 +60,7 @@
 		}
 		host := from.hosts[failed%len(from.hosts)]
 		reading := goneRevision == 0 && sentAt-lastEmptyAt < relays.SnapshotInterval
-		timeout := startedAt + g.snapshotWait(sentAt, reading) - sentAt
+		timeout := startedAt + g.snapshotWait(sentAt, reading, failedReads) - sentAt
 		if timeout <= 0 {
 			break
 		}
@@ -73,7 +73,7 @@
 			failed++
 		}
 		if errors.Is(err, ErrRevisionPruned) {
-			if g.snapshotWait(sentAt, false) <= relays.SnapshotInterval {
+			if g.snapshotWait(sentAt, false, failedReads) <= relays.SnapshotInterval {
 				break
 			}
 			g.sleepJittered(ctx, readerRetryDelay)
@@ -140,12 +140,16 @@
 }
 
 // snapshotWait returns how long this entry waits for a snapshot before it reads the store. reading is
-// true if the entry that it asks is known to be reading the table.
-func (g *Gateway) snapshotWait(now time.Duration, reading bool) time.Duration {
+// true if the entry that it asks is known to be reading the table, and failedReads is how often this
+// entry has failed to read it.
+func (g *Gateway) snapshotWait(now time.Duration, reading bool, failedReads int) time.Duration {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	_, all, _ := g.observedEntries(now)
 	rank := relays.Rank(g.config.Self.Host, all, g.config.Self.Region, readerHashKey)
+	if failedReads > 0 {
+		return relays.SnapshotRetryWait(rank, len(all))
+	}
 	return relays.SnapshotWait(rank, reading)
 }
 
--- a/internal/transport/gateway/watch.go
+++ b/internal/transport/gateway/watch.go
@@ -71,6 +71,8 @@
 	// rereads counts the attempts.
 	rereadAt time.Duration
 	rereads  int
+	// failedReads counts the attempts to read the whole table from the store since it was last known.
+	failedReads int
 	// initial is true until rows have been applied.
 	initial bool
 	// unreachable is true while calls fail.
@@ -128,7 +130,8 @@
 		return false, w.reread(ctx)
 	}
 	if w.revision == 0 {
-		if rows, at, ok := g.fetchSnapshot(ctx, w.table, w.droppedRevision); ok {
+		if rows, at, ok := g.fetchSnapshot(ctx, w.table, w.droppedRevision, w.failedReads); ok {
+			w.failedReads = 0
 			g.feeds.reset(w.table, rows, at)
 			return false, w.applyRows(rows, at, true)
 		}
@@ -201,8 +204,10 @@
 	sent := boottime.Now()
 	rows, err := g.store.Read(ctx, w.table)
 	if err != nil {
+		w.failedReads++
 		return err
 	}
+	w.failedReads = 0
 	g.recordStoreAnswer()
 	g.feeds.reset(w.table, rows, sent)
 	return w.applyRows(rows, sent, true)
--- a/internal/transport/gateway/wholetable_test.go
+++ b/internal/transport/gateway/wholetable_test.go
@@ -91,10 +91,20 @@
 			t.Cleanup(server.Close)
 			t.Cleanup(server.CloseClientConnections)
 			g, start := newEntryWithRank(test.rank, server, test.dropped > 0), time.Now()
-			_, _, ok := g.fetchSnapshot(context.Background(), TableBackends, test.dropped)
+			_, _, ok := g.fetchSnapshot(context.Background(), TableBackends, test.dropped, 0)
 			took := time.Since(start)
 			qt.Check(t, ok, qt.Equals, test.want)
 			qt.Check(t, took >= test.earliest*9/10 && took <= test.latest, qt.IsTrue, qt.Commentf("%v", took))
 		})
 	}
 }
+
+// An entry that failed to read a whole table from the store tried again after the same time, as did all
+// others, so that their reads filled the link to the store.
+func TestFailedReadOfAWholeTableWaitsForItsTurn(t *testing.T) {
+	server := httptest.NewServer(http.HandlerFunc(serveNothing))
+	t.Cleanup(server.Close)
+	g, now := newEntryWithRank(2, server, false), boottime.Now()
+	qt.Check(t, g.snapshotWait(now, false, 0), qt.Equals, relays.SnapshotInterval)
+	qt.Check(t, g.snapshotWait(now, false, 1), qt.Equals, 3*relays.SnapshotInterval)
+}
