--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -3,4 +3,4 @@
 # TROUBLE=0 plays it without the disturbance. Needs the build of the deploy file and review/build.sh.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/filbertlever ] && [ -x target/review-stand ] || { echo "not built" >&2; exit 2; }
-exec target/review-stand manifest target/filbertlever review/1/record.txt
+exec target/review-stand late target/filbertlever review/1/record.txt
--- a/review/stand/frozen.go
+++ b/review/stand/frozen.go
@@ -21,7 +21,7 @@
 	versionTime = 8 * time.Second
 )
 
-// playFrozen plays case 2: one machine beside a model server freezes after its agent has read back the staged pieces for
+// playFrozen plays the case of the frozen agent: one machine beside a model server freezes after its agent has read back the staged pieces for
 // the last time and before it orders the server to load them. Meanwhile some of the pieces turn bad. If the
 // freeze missed that moment, another machine freezes after the first one has woken.
 func playFrozen(in *installation, trouble bool) (bool, error) {
--- a/review/stand/manifest.go
+++ b/review/stand/manifest.go
@@ -17,7 +17,7 @@
 	watchTime = 40 * time.Second
 )
 
-// playManifest plays case 1: all machines lose power right after a change was acknowledged. While they start again, one
+// playManifest plays the case of the spoilt manifest: all machines lose power right after a change was acknowledged. While they start again, one
 // answer of the origin of weights is spoilt: one digit in the manifest of the version that the servers need.
 func playManifest(in *installation, trouble bool) (bool, error) {
 	if err := in.startServers(1); err != nil {
--- a/review/stand/model.go
+++ b/review/stand/model.go
@@ -96,7 +96,7 @@
 	return nil
 }
 
-// powerOff ends the boot. Its row expires three heartbeats later.
+// powerOff ends the boot. Its row expires after three heartbeats of silence.
 func (m *modelServer) powerOff() {
 	m.stop()
 	_ = m.server.Close()
@@ -104,50 +104,27 @@
 
 const heartbeat = 1200 * time.Millisecond
 
+// heartbeat writes the server's row until the boot ends. A server that stands still writes nothing.
 func (m *modelServer) heartbeat(ctx context.Context, store *operator, id string) {
 	ticker := time.NewTicker(heartbeat)
 	defer ticker.Stop()
-	last := ""
 	for {
 		m.mu.Lock()
-		if m.pausedTo.After(time.Now()) {
-			m.mu.Unlock()
-			// The row of a server that stands still expires as well, and is back when it goes on.
-			if !m.beatsWithin(ctx, 3*heartbeat) {
-				store.remove("servers", id)
-				last = ""
-				m.awaitPause()
-			}
-			continue
-		}
+		paused := m.pausedTo.After(time.Now())
 		row := map[string]any{"service": m.service, "address": m.address, "zone": m.zone, "version": "v1", "slots": slots,
 			"state": "ready", "coldLeftMs": 0, "seqNo": m.orders, "stage": "colocated", "models": m.heldLocked()}
 		m.mu.Unlock()
-		if text, _ := json.Marshal(row); string(text) != last {
-			last = string(text)
-			store.put("servers", id, row)
+		if !paused {
+			store.beat(id, row)
 		}
 		select {
 		case <-ctx.Done():
-			time.AfterFunc(3*heartbeat, func() { store.remove("servers", id) })
 			return
 		case <-ticker.C:
 		}
 	}
 }
 
-// beatsWithin waits until the server goes on, for at most limit, and reports whether it did.
-func (m *modelServer) beatsWithin(ctx context.Context, limit time.Duration) bool {
-	m.mu.Lock()
-	wait := time.Until(m.pausedTo)
-	m.mu.Unlock()
-	select {
-	case <-ctx.Done():
-	case <-time.After(min(wait, limit)):
-	}
-	return wait <= limit
-}
-
 func (m *modelServer) heldLocked() []map[string]any {
 	if m.version == 0 {
 		return []map[string]any{}
--- a/review/stand/system.go
+++ b/review/stand/system.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"encoding/json"
 	"fmt"
 	"net"
 	"net/http"
@@ -19,13 +20,68 @@
 type operator struct {
 	store  *standin.Store
 	origin string
+	record *record
+
 	mu     sync.Mutex
 	config uint64
+	// rows are the servers' rows in the store, and beatAt when each server last wrote.
+	rows   map[string]string
+	beatAt map[string]time.Time
+	// lateFrom and lateTo are the period in which the servers' writes are performed lateBy later.
+	// writesFrom is since when writes and lateWrites are counted, until lateTo.
+	lateFrom, lateTo, writesFrom time.Time
+	lateBy                       time.Duration
+	writes, lateWrites           int
 }
 
 func (o *operator) put(table, key string, value any) { _ = o.store.Put(table, key, value) }
 
-func (o *operator) remove(table, key string) { o.store.Remove(table, key) }
+// beat is a server's write of its row. A write that gets no answer may be performed seconds later.
+func (o *operator) beat(id string, row map[string]any) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	now := time.Now()
+	if now.After(o.writesFrom) && now.Before(o.lateTo) {
+		o.writes++
+	}
+	if now.Before(o.lateFrom) || now.After(o.lateTo) {
+		o.writeLocked(id, row)
+		return
+	}
+	o.lateWrites++
+	o.record.note("the write of server %s is not answered, and performed %v later", id, o.lateBy)
+	time.AfterFunc(o.lateBy, func() {
+		o.mu.Lock()
+		defer o.mu.Unlock()
+		o.record.note("the late write of server %s is performed", id)
+		o.writeLocked(id, row)
+	})
+}
+
+// writeLocked writes a server's row. The row changes only if its content does.
+func (o *operator) writeLocked(id string, row map[string]any) {
+	o.beatAt[id] = time.Now()
+	text, _ := json.Marshal(row)
+	if o.rows[id] != string(text) {
+		o.rows[id] = string(text)
+		o.put("servers", id, row)
+	}
+}
+
+// expire removes the rows of servers that have been silent for three heartbeats.
+func (o *operator) expire() {
+	for range time.Tick(100 * time.Millisecond) {
+		o.mu.Lock()
+		for id := range o.rows {
+			if time.Since(o.beatAt[id]) > 3*heartbeat {
+				o.record.note("the row of server %s expires", id)
+				delete(o.rows, id)
+				o.store.Remove("servers", id)
+			}
+		}
+		o.mu.Unlock()
+	}
+}
 
 // Names in the desired state.
 const (
@@ -142,7 +198,8 @@
 	}
 	in := &installation{record: r, binary: binary, dir: dir, origin: newOrigin(r)}
 	storeAddress, originAddress := next(), next()
-	in.store = &operator{store: standin.NewStore(), origin: originAddress}
+	in.store = &operator{store: standin.NewStore(), origin: originAddress, record: r, rows: map[string]string{}, beatAt: map[string]time.Time{}}
+	go in.store.expire()
 	if err := in.serve(storeAddress, in.store.store); err != nil {
 		return nil, err
 	}
