--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -12,11 +12,6 @@
 	"time"
 )
 
-// errNotRun means that the case could not run.
-type errNotRun struct{ err error }
-
-func (e errNotRun) Error() string { return e.err.Error() }
-
 // scenario plays a case and reports whether the rule was broken.
 type scenario func(in *installation, trouble bool) (broken bool, err error)
 
--- a/review/stand/model.go
+++ b/review/stand/model.go
@@ -61,7 +61,6 @@
 	pieces   map[int]staged
 	pausedTo time.Time
 	faults   []tokenFault
-	served   int
 	// cleanPass counts the pieces that were read back in order and were right, and passes the complete
 	// passes. onPass is called after each of them, when its last response has been written.
 	cleanPass int
@@ -340,7 +339,6 @@
 		return false
 	}
 	m.running++
-	m.served++
 	return true
 }
 
@@ -356,8 +354,11 @@
 		m.running--
 		m.mu.Unlock()
 	}()
-	m.record.run(id)
-	w.Header().Set("X-Server-Stamp", "stamp."+m.id+"."+id)
+	m.mu.Lock()
+	server := m.id
+	m.mu.Unlock()
+	m.record.run(id, server)
+	w.Header().Set("X-Server-Stamp", "stamp."+server+"."+id)
 	if m.service != serviceModels {
 		time.Sleep(firstToken)
 		_, _ = io.WriteString(w, "done "+id)
--- a/review/stand/record.go
+++ b/review/stand/record.go
@@ -12,7 +12,6 @@
 	mu      sync.Mutex
 	file    *os.File
 	started time.Time
-	runs    map[string]int
 }
 
 func newRecord(path string) (*record, error) {
@@ -20,7 +19,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &record{file: file, started: time.Now(), runs: map[string]int{}}, nil
+	return &record{file: file, started: time.Now()}, nil
 }
 
 // note writes a line.
@@ -31,9 +30,4 @@
 }
 
 // run notes that a server began to work on a request.
-func (r *record) run(id string) {
-	r.mu.Lock()
-	r.runs[id]++
-	r.mu.Unlock()
-	r.note("request %s runs", id)
-}
+func (r *record) run(id, server string) { r.note("request %s runs at server %s", id, server) }
