A load order relies on a recent verification of the staged pieces, or is not sent

Callers got answers of corrupt weights as complete ones. An agent verified the staged pieces, its host was suspended for 4 s before the order, three pieces turned bad meanwhile, and the order was sent on the old verification.

Cause: between the last verification and the order nothing compared how long ago the pieces had been read (sidecar, loadTask.execute). Not the sleep until the order's time: a suspension anywhere in between does it.

Change: a verification is a freshness.Check with the time at which it began, on the clock that goes on during a suspension. The order's own connection compares its age right before the write and sends nothing if it is over 2 s, and the pieces are verified again. What is accepted later than 3 s after the verification is verified once more behind the order. Pieces that are intact then were intact when the server read them. Otherwise the agent's reports omit the version, to all sites, until the server loads another one or starts again.

--- a/internal/transport/sidecar/boots.go
+++ b/internal/transport/sidecar/boots.go
@@ -76,7 +76,7 @@
 	s.switching, s.broadcastNext = false, true
 	s.drainDetector = drain.CloseDetector{}
 	for _, m := range s.models {
-		m.switchAt, m.loadedAt = 0, 0
+		m.switchAt, m.loadedAt, m.unproven = 0, 0, 0
 		m.cancelLoad(errServerRestarted)
 		if m.fetching && m.fetchThrottled {
 			m.cancelFetch(errServerRestarted)
--- a/internal/transport/sidecar/late_order_test.go
+++ b/internal/transport/sidecar/late_order_test.go
@@ -9,6 +9,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"github.com/filbertlever/filbertlever/internal/coordination/catalog"
+	"github.com/filbertlever/filbertlever/internal/coordination/freshness"
 )
 
 // lateOrderEngine is a model server that was suspended: the order times out, and the
@@ -18,10 +19,10 @@
 	accepted sync.WaitGroup
 }
 
-func (e *lateOrderEngine) Load(ctx context.Context, model string, version uint64) error {
+func (e *lateOrderEngine) Load(ctx context.Context, model string, version uint64, check freshness.Check) error {
 	e.accepted.Go(func() {
 		time.Sleep(100 * time.Millisecond)
-		_ = e.fakeEngine.Load(ctx, model, version)
+		_ = e.fakeEngine.Load(ctx, model, version, check)
 	})
 	return context.DeadlineExceeded
 }
--- a/internal/transport/sidecar/load_test.go
+++ b/internal/transport/sidecar/load_test.go
@@ -22,6 +22,7 @@
 	"go.uber.org/zap"
 
 	"github.com/filbertlever/filbertlever/internal/coordination/catalog"
+	"github.com/filbertlever/filbertlever/internal/coordination/freshness"
 	"github.com/filbertlever/filbertlever/internal/transport/boottime"
 	"github.com/filbertlever/filbertlever/internal/transport/datagrams"
 	"github.com/filbertlever/filbertlever/internal/transport/gateway"
@@ -82,7 +83,10 @@
 	return e.report, nil
 }
 
-func (e *fakeEngine) Load(context.Context, string, uint64) error {
+func (e *fakeEngine) Load(_ context.Context, _ string, _ uint64, check freshness.Check) error {
+	if err := check.Confirm(boottime.Now()); err != nil {
+		return err
+	}
 	if e.beforeLoad != nil {
 		e.beforeLoad()
 	}
--- a/internal/transport/sidecar/reports.go
+++ b/internal/transport/sidecar/reports.go
@@ -70,9 +70,12 @@
 	if !s.hasReport {
 		return
 	}
+	models, withheld := s.servedModels()
+	// Entries without a fresh report rely on the server's row, which lists the withheld model.
+	all = all || withheld
 	load := fleet.Report{
 		Address: s.config.Address, Boot: s.report.Boot, PreviousBoots: s.endedBoots, Sequence: uint64(time.Now().UnixNano()),
-		Running: s.report.Running, Queued: s.report.Queued, Pace: s.report.Slowdown, Switching: s.switching, Models: s.report.Models, FreeMemory: s.report.FreeMemory,
+		Running: s.report.Running, Queued: s.report.Queued, Pace: s.report.Slowdown, Switching: s.switching, Models: models, FreeMemory: s.report.FreeMemory,
 		Leaving: s.drainDetector.Leaving(),
 	}
 	now := boottime.Now()
--- a/internal/transport/sidecar/sidecar.go
+++ b/internal/transport/sidecar/sidecar.go
@@ -16,6 +16,7 @@
 
 	"github.com/filbertlever/filbertlever/internal/coordination/catalog"
 	"github.com/filbertlever/filbertlever/internal/coordination/drain"
+	"github.com/filbertlever/filbertlever/internal/coordination/freshness"
 	"github.com/filbertlever/filbertlever/internal/coordination/switchover"
 	"github.com/filbertlever/filbertlever/internal/transport/boottime"
 	"github.com/filbertlever/filbertlever/internal/transport/datagrams"
@@ -54,9 +55,12 @@
 	ReadStaged(ctx context.Context, model string, piece int) ([]byte, error)
 	// ListStaged returns the numbers of the pieces in the staging area.
 	ListStaged(ctx context.Context, model string) ([]int, error)
-	// Load orders the server to load the staged pieces. If it returns an error other than
-	// ErrOrderRejected, the server may have accepted the order or may still accept it.
-	Load(ctx context.Context, model string, version uint64) error
+	// Load orders the server to load the staged pieces, which check has verified. It compares
+	// the check's age right before it writes the order, and returns a *freshness.ExpiredError
+	// without having written anything if the check is too old. If it returns an error other
+	// than this or ErrOrderRejected, the server may have accepted the order or may still
+	// accept it.
+	Load(ctx context.Context, model string, version uint64, check freshness.Check) error
 }
 
 // ErrOrderRejected means that the server did not accept an order and never will.
@@ -153,6 +157,7 @@
 	fetchedBytes  prometheus.Counter
 	corruptPieces prometheus.Counter
 	fetchSeconds  prometheus.Histogram
+	unprovenLoads prometheus.Counter
 
 	invalidDatagrams prometheus.Counter
 }
@@ -172,11 +177,14 @@
 			Name: "filbertlever_agent_fetch_seconds", Help: "Time to fetch and verify a whole set of weights.",
 			Buckets: []float64{.5, 1, 2, 2.5, 3, 4, 6, 10, 20},
 		}),
+		unprovenLoads: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "filbertlever_agent_unproven_loads_total", Help: "Loads whose pieces may have been corrupt, so that the version gets no requests at the server.",
+		}),
 		invalidDatagrams: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "filbertlever_agent_bad_datagrams_total", Help: "Messages that could not be read.",
 		}),
 	}
-	registry.MustRegister(m.loads, m.fetchedBytes, m.corruptPieces, m.fetchSeconds, m.invalidDatagrams)
+	registry.MustRegister(m.loads, m.fetchedBytes, m.corruptPieces, m.fetchSeconds, m.unprovenLoads, m.invalidDatagrams)
 	return m
 }
 
@@ -258,6 +266,27 @@
 	s.sendReport(true)
 }
 
+// setUnproven sets the version of a model that may have been loaded from corrupt pieces; 0 if
+// there is none.
+func (s *Sidecar) setUnproven(m *modelState, version uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	m.unproven = version
+}
+
+// servedModels returns the models that the server may answer with, and whether it holds another
+// one that it may not. The caller holds the lock.
+func (s *Sidecar) servedModels() (served []catalog.Model, withheld bool) {
+	for _, model := range s.report.Models {
+		if m := s.models[model.Name]; m != nil && m.unproven != 0 && m.unproven == model.Version {
+			withheld = true
+			continue
+		}
+		served = append(served, model)
+	}
+	return served, withheld
+}
+
 // currentEntries returns the entries of the last view.
 func (s *Sidecar) currentEntries() []gateway.Entry {
 	s.mu.Lock()
--- a/internal/transport/sidecar/steps.go
+++ b/internal/transport/sidecar/steps.go
@@ -64,6 +64,9 @@
 	// loadedAt is when the load in progress is expected to finish; 0 if there is none or it
 	// was cancelled.
 	loadedAt time.Duration
+	// unproven is the version that the server may have loaded from corrupt pieces; 0 if there is
+	// none. Reports omit it, so that entries send no requests for it.
+	unproven uint64
 }
 
 func newModelState() *modelState {
--- a/internal/transport/sidecar/unanswered_order_test.go
+++ b/internal/transport/sidecar/unanswered_order_test.go
@@ -10,6 +10,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"github.com/filbertlever/filbertlever/internal/coordination/catalog"
+	"github.com/filbertlever/filbertlever/internal/coordination/freshness"
 	"github.com/filbertlever/filbertlever/internal/transport/boottime"
 )
 
@@ -21,7 +22,7 @@
 	accepts bool
 }
 
-func (e *orderResultEngine) Load(_ context.Context, model string, version uint64) error {
+func (e *orderResultEngine) Load(_ context.Context, model string, version uint64, _ freshness.Check) error {
 	if e.accepts {
 		e.mu.Lock()
 		e.report.Models = []catalog.Model{{Name: model, Version: version}}
