The time that a request has left counts the suspension of the host, up to the write

The deadline is now on the clock that goes on, the time left is computed and compared right before the write, and a request without any is not sent. The new test fails without the comparison.

--- a/internal/transport/gateway/announcements.go
+++ b/internal/transport/gateway/announcements.go
@@ -109,11 +109,16 @@
 var (
 	errNotAccepting = errors.New("the server no longer accepts requests")
 	errRateLimited  = errors.New("the server has limited its rate since the request was placed")
+	// errDeadlinePassed is returned if the host was suspended, whose timers then fire late.
+	errDeadlinePassed = errors.New("the request's deadline has passed")
 )
 
 // checkBeforeSend returns an error if the request must no longer be sent to its server. It is
 // called when a connection is available, which may be some time after placement.
 func (t *attempt) checkBeforeSend() error {
+	if t.remaining() <= 0 {
+		return errDeadlinePassed
+	}
 	if t.checkQuarantine() != nil {
 		return errQuarantined
 	}
--- a/internal/transport/gateway/attempt.go
+++ b/internal/transport/gateway/attempt.go
@@ -161,7 +161,7 @@
 func (t *attempt) dispatch() *Dispatch {
 	d := &Dispatch{
 		Call: t.call, Backend: t.Backend, Organisation: t.organisation.ID,
-		Priority: min(max(t.priority, 0), lowestPriority), TimeLeft: max(t.remaining(), 0), Version: t.Version,
+		Priority: min(max(t.priority, 0), lowestPriority), TimeLeft: func() time.Duration { return max(t.remaining(), 0) }, Version: t.Version,
 		BeforeSend: t.checkBeforeSend,
 	}
 	t.sentAfter = t.delivered.snapshot()
--- a/internal/transport/gateway/boots_test.go
+++ b/internal/transport/gateway/boots_test.go
@@ -150,7 +150,7 @@
 	g, _ := newEntryWithBoot(t)
 	now := boottime.Now()
 	a := &attempts{exchange: &exchange{gateway: g, call: &Call{ID: "o1"}, service: "orders", route: &catalog.Route{Kind: catalog.KindIdempotent, MaxAttempts: 2, FirstByteGoal: time.Second},
-		ctx: context.Background(), deadline: time.Now().Add(time.Minute)}, Attempts: forward.Attempts{Class: forward.Class{Repeatable: true, MaxServers: 2}}}
+		ctx: context.Background(), deadlineAt: boottime.Now() + time.Minute}, Attempts: forward.Attempts{Class: forward.Class{Repeatable: true, MaxServers: 2}}}
 	w := &attemptWatch{attempts: a, current: a.newAttempt(chosenServer{Placement: g.fleet.Choose(fleet.Request{Service: "orders"}, now)})}
 	other := bootRow(1000, 2)
 	other.ID, other.Address = "i-2", "10.0.0.2:1"
--- a/internal/transport/gateway/deadline_test.go
+++ b/internal/transport/gateway/deadline_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -195,3 +196,18 @@
 		}
 	})
 }
+
+// A host was suspended while a request waited for a connection, and the request was sent after its
+// caller's deadline with the time that had been left before: timers stop during the suspension.
+func TestNothingIsSentAfterDeadline(t *testing.T) {
+	g := newEntryWithServer(t, 1)
+	for _, left := range []time.Duration{-time.Second, time.Minute} {
+		a := newSwitchoverAttempt(g, 900, false)
+		a.ctx, a.deadline, a.deadlineAt = context.Background(), time.Now().Add(time.Minute), boottime.Now()+left
+		a.organisation.ID = "o"
+		placement := g.fleet.Choose(a.placementRequest(boottime.Now()), boottime.Now())
+		attempt := a.newAttempt(chosenServer{Placement: placement})
+		err := attempt.checkBeforeSend()
+		qt.Check(t, errors.Is(err, errDeadlinePassed), qt.Equals, left < 0, qt.Commentf("%v", err))
+	}
+}
--- a/internal/transport/gateway/ports.go
+++ b/internal/transport/gateway/ports.go
@@ -60,8 +60,9 @@
 	Organisation filbertlever.OrganisationID
 	// Priority is 0 for the most urgent requests. If negative, no priority is sent.
 	Priority int
-	// TimeLeft is the time that the server has to answer.
-	TimeLeft time.Duration
+	// TimeLeft returns the time that the server has to answer. It is called immediately before the
+	// request is sent, because a connection may take some time to open.
+	TimeLeft func() time.Duration
 	// Version is the only version of the weights that may answer; 0 means any.
 	Version uint64
 	// LastEvent is the ID of the event after which a stream is resumed; may be empty.
--- a/internal/transport/gateway/serve.go
+++ b/internal/transport/gateway/serve.go
@@ -78,7 +78,7 @@
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	g.inFlight.Add(1)
 	defer g.inFlight.Add(-1)
-	x := &exchange{gateway: g, writer: w, request: r, arrived: time.Now()}
+	x := &exchange{gateway: g, writer: w, request: r, arrived: time.Now(), arrivedAt: boottime.Now()}
 	if response := x.prepare(); response != nil {
 		x.refuse(response)
 		return
@@ -93,6 +93,8 @@
 	writer  http.ResponseWriter
 	request *http.Request
 	arrived time.Time
+	// arrivedAt is when the request arrived, on the clock of deadlineAt.
+	arrivedAt time.Duration
 
 	call         *Call
 	state        *catalog.State
@@ -105,9 +107,12 @@
 	// service, is not 0.
 	priority int
 	levels   int
-	deadline time.Time
-	ctx      context.Context
-	cancel   context.CancelFunc
+	// deadline is when the request times out. deadlineAt is the same on a clock that advances
+	// while the host is suspended, as the callers' clocks do.
+	deadline   time.Time
+	deadlineAt time.Duration
+	ctx        context.Context
+	cancel     context.CancelFunc
 	// cachedFingerprint is set once the request's fingerprint has been computed.
 	cachedFingerprint atomic.Pointer[quarantine.Feature]
 	// cachedParts is set once the IDs of the parts of the prompt have been computed.
@@ -248,7 +253,7 @@
 	if x.route.Timeout > 0 {
 		timeout = min(timeout, x.route.Timeout)
 	}
-	x.deadline = x.arrived.Add(timeout)
+	x.deadline, x.deadlineAt = x.arrived.Add(timeout), x.arrivedAt+timeout
 	x.ctx, x.cancel = context.WithDeadline(x.request.Context(), x.deadline)
 }
 
@@ -284,7 +289,7 @@
 }
 
 // remaining returns the time until the request's deadline.
-func (x *exchange) remaining() time.Duration { return time.Until(x.deadline) }
+func (x *exchange) remaining() time.Duration { return x.deadlineAt - boottime.Now() }
 
 // unavailable returns a 503 response with a retry delay.
 func unavailable(reason string, retryAfter time.Duration) *errorResponse {
--- a/internal/transport/gateway/waitqueue_test.go
+++ b/internal/transport/gateway/waitqueue_test.go
@@ -10,6 +10,7 @@
 	"github.com/filbertlever/filbertlever/internal/coordination/admission"
 	"github.com/filbertlever/filbertlever/internal/coordination/catalog"
 	"github.com/filbertlever/filbertlever/internal/coordination/fleet"
+	"github.com/filbertlever/filbertlever/internal/transport/boottime"
 )
 
 // A request that should wait is refused, or one that waits takes the place of others. Late requests
@@ -40,7 +41,7 @@
 		"a late request during a long overload":    {"models", late, false, fleet.Placement{Found: true}, true, false},
 		"a plain service":                          {"orders", late, false, fleet.Placement{Found: true}, false, false},
 	} {
-		x := &exchange{gateway: g, route: route, service: test.service, call: &Call{HasTimeout: true}, deadline: time.Now().Add(test.left)}
+		x := &exchange{gateway: g, route: route, service: test.service, call: &Call{HasTimeout: true}, deadlineAt: boottime.Now() + test.left}
 		a := &attempts{exchange: x}
 		if test.started {
 			a.delivered.begun = true
@@ -59,7 +60,7 @@
 	c := qt.New(t)
 	g := &Gateway{rng: rand.New(rand.NewPCG(1, 2)), outages: map[string]*admission.Outage{}}
 	route := &catalog.Route{FirstByteGoal: time.Second, Timeout: 6 * time.Second}
-	x := &exchange{gateway: g, route: route, service: "orders", call: &Call{HasTimeout: true}, deadline: time.Now().Add(route.Timeout)}
+	x := &exchange{gateway: g, route: route, service: "orders", call: &Call{HasTimeout: true}, deadlineAt: boottime.Now() + route.Timeout}
 	a := &attempts{exchange: x}
 	c.Check(a.retryDelayWithoutServer(fleet.Placement{SilentFor: time.Second}, time.Second) < route.FirstByteGoal, qt.IsTrue)
 	c.Check(a.retryDelayWithoutServer(fleet.Placement{}, time.Second) > route.FirstByteGoal, qt.IsTrue)
