The server at an address follows from the listed rows, and returns when a later row goes away

Callers of a service were refused without end after a loss of power: the last write of a server that had ended was performed late, outranked the row of the server that now runs at the address by its revision, and removed that one from every entry. When the late row expired nothing brought the other one back, as its row did not change (fleet, removeReplaced).

Cause: a server was deleted by an inference from the order of two rows, and the inference was not repeated when the rows changed. Revisions order writes, not processes.

Change: all rows stay in the fleet, and the occupant of an address is elected from those that are listed whenever they change: by when a process was first seen and when it last proved that it runs there (its answers, the ID in a 421 answer, the boot that its agent reports), then by boot and revision. A row that was seen before is older, whatever its revision. A server that was not found at its address returns after 5 s if the server that was named instead is not listed. draining is final for a process until the store is restored from a copy.

--- a/internal/coordination/fleet/boots.go
+++ b/internal/coordination/fleet/boots.go
@@ -56,6 +56,7 @@
 		f.servers[backend.ID] = s
 	}
 	s.missingSince, s.lostAt, s.closesConnections = 0, 0, false
+	listed := processOf(backend)
 	changed := backend.Revision == 0 || backend.Revision > s.lastRow.revision
 	if !f.acceptRow(s, &backend, now) {
 		return
@@ -63,7 +64,7 @@
 	if old := s.backend.Address; old != backend.Address && f.byAddress[old] == backend.ID {
 		delete(f.byAddress, old)
 	}
-	s.backend = backend
+	s.backend, s.sighting = backend, f.sightings[listed]
 	f.attributeAnnouncements(backend, now)
 	f.byAddress[backend.Address] = backend.ID
 	if a, limited := f.rateLimits[backend.ID]; limited && !ok {
--- a/internal/coordination/fleet/counts.go
+++ b/internal/coordination/fleet/counts.go
@@ -42,6 +42,7 @@
 
 // ApplyReport applies the report of a server's agent.
 func (f *Fleet) ApplyReport(report Report, now time.Duration) {
+	f.confirmReported(&report, now)
 	s, ok := f.servers[f.byAddress[report.Address]]
 	if !ok || !f.acceptReport(s, &report, now) {
 		return
--- a/internal/coordination/fleet/fleet.go
+++ b/internal/coordination/fleet/fleet.go
@@ -95,6 +95,8 @@
 	// has it.
 	backend catalog.Backend
 	lastRow rowVersion
+	// sighting is that of the process of the last row; nil if the process started after that row.
+	sighting *sighting
 	// ownRequests is the number of requests of this entry in flight at the server.
 	ownRequests int
 	// progressAt is when the server last sent a part of an answer or the first of the requests in
@@ -173,10 +175,20 @@
 	state   *catalog.State
 	members *membership.Table
 	routers map[string]*routing.Router
+	// servers are the occupants of the listed addresses, and servers that are missing from the list
+	// but may return.
 	servers map[string]*server
-	// byAddress maps each address to the ID of the server with the newest row for it.
+	// byAddress maps each address to its occupant.
 	byAddress map[string]string
-	revision  uint64
+	// rows are the rows of the server list by ID, and rowsAt their IDs by address.
+	rows   map[string]listing
+	rowsAt map[string][]string
+	// sightings are the processes that are listed or were listed recently.
+	sightings         map[process]*sighting
+	sightingsPrunedAt time.Duration
+	// denials are the servers that were recently not found at their address, by address.
+	denials  map[string]denial
+	revision uint64
 	// announcements are what servers announced in their answers, by server ID.
 	announcements map[string]*announcement
 	// rateLimits are the announcements of the servers that limit their rate or did so recently, and
@@ -249,6 +261,10 @@
 		routers:         map[string]*routing.Router{},
 		servers:         map[string]*server{},
 		byAddress:       map[string]string{},
+		rows:            map[string]listing{},
+		rowsAt:          map[string][]string{},
+		sightings:       map[process]*sighting{},
+		denials:         map[string]denial{},
 		announcements:   map[string]*announcement{},
 		rateLimits:      map[string]*announcement{},
 		rateSenders:     map[string]*server{},
@@ -317,17 +333,25 @@
 // Apply applies changes of the server list. If complete is true, present is the whole list and all
 // other servers are removed from it.
 func (f *Fleet) Apply(present []catalog.Backend, removed []string, complete bool, now time.Duration) {
+	present = slices.Clone(present)
 	listed := map[string]bool{}
 	for _, backend := range present {
 		listed[backend.ID] = true
-		f.applyRow(backend, now)
 	}
-	f.removeReplaced(present, now)
 	if complete {
-		for id := range f.servers {
-			if !listed[id] {
-				removed = append(removed, id)
-			}
+		removed = append(slices.Clone(removed), f.unlistedBy(listed)...)
+	}
+	var applied []string
+	for _, address := range f.recordRows(present, removed, now) {
+		if occupant := f.settle(address, now); occupant != "" && !listed[occupant] {
+			applied = append(applied, occupant)
+			f.occupy(occupant, now)
+		}
+	}
+	for _, backend := range present {
+		if f.byAddress[backend.Address] == backend.ID {
+			applied = append(applied, backend.ID)
+			f.applyRow(backend, now)
 		}
 	}
 	for _, id := range removed {
@@ -337,36 +361,26 @@
 		}
 	}
 	f.updateMembership(now)
-	for _, backend := range present {
-		if f.Contains(backend.ID) {
-			f.syncRouter(backend.ID, now)
-		}
+	for _, id := range applied {
+		f.syncRouter(id, now)
 	}
 	f.refresh(now)
 }
 
-// removeReplaced removes servers whose address has since been taken by another server.
-//
-// After a power failure every server has a new ID at its old address. The rows of the old servers
-// stay for seconds, and requests would use up their retries on them.
-func (f *Fleet) removeReplaced(present []catalog.Backend, now time.Duration) {
-	newest := map[string]string{}
-	for id, s := range f.servers {
-		old, ok := f.servers[newest[s.backend.Address]]
-		if !ok || s.backend.Revision > old.backend.Revision {
-			newest[s.backend.Address] = id
+// unlistedBy returns the known servers that a whole list lacks.
+func (f *Fleet) unlistedBy(listed map[string]bool) []string {
+	var unlisted []string
+	for id := range f.rows {
+		if !listed[id] {
+			unlisted = append(unlisted, id)
 		}
 	}
-	for _, backend := range present {
-		f.byAddress[backend.Address] = newest[backend.Address]
-	}
-	for id, s := range f.servers {
-		other, ok := f.servers[newest[s.backend.Address]]
-		if ok && newest[s.backend.Address] != id && s.backend.Revision < other.backend.Revision {
-			f.recordReplaced(s.backend)
-			f.remove(id, s, now)
+	for id := range f.servers {
+		if !listed[id] && !f.Lists(id) {
+			unlisted = append(unlisted, id)
 		}
 	}
+	return unlisted
 }
 
 // updateMembership passes the current servers to the membership table.
--- a/internal/coordination/fleet/fleet_test.go
+++ b/internal/coordination/fleet/fleet_test.go
@@ -358,7 +358,7 @@
 	f := newFleet()
 	f.SetState(testState(), 0)
 	f.Apply([]catalog.Backend{newBackend("o1", plainService, "10.0.0.1:1", 0)}, nil, true, 0)
-	f.RecordReplaced("o1", 0)
+	f.RecordReplaced("o1", "o9", 0)
 	c.Assert(f.Choose(Request{Service: plainService}, 0).Found, qt.IsFalse)
 }
 
--- a/internal/coordination/fleet/health.go
+++ b/internal/coordination/fleet/health.go
@@ -87,6 +87,9 @@
 	if s.ownRequests > 0 && now-s.progressAt > f.config.PlainStallTimeout {
 		s.silenceEndedAt, s.silenceObserved = now, false
 	}
+	if s.sighting != nil {
+		s.sighting.confirmedAt = now
+	}
 	s.progressAt, s.lastEventAt, s.failing = now, now, false
 	if s.silentSince != 0 {
 		s.silentSince, s.probeAt = 0, 0
@@ -310,16 +313,6 @@
 	return s.unreachableAt != 0 && now-s.unreachableAt < unreachableBackoff
 }
 
-// RecordReplaced records that another server answers at the address of this one, and removes this
-// one.
-func (f *Fleet) RecordReplaced(id string, now time.Duration) {
-	if s, ok := f.servers[id]; ok {
-		f.recordReplaced(s.backend)
-		f.remove(id, s, now)
-		f.updateMembership(now)
-	}
-}
-
 // RecordModelMissing records that a server does not hold the model that it was expected to hold.
 //
 // The list lags by a heartbeat interval, and after a power failure it shows what every server held
@@ -401,6 +394,7 @@
 
 // refresh applies the changes that depend on time alone.
 func (f *Fleet) refresh(now time.Duration) {
+	f.refreshDenials(now)
 	f.checkHealth(now)
 	f.refreshCold(now)
 	f.refreshRateLimits(now)
--- a/internal/coordination/fleet/scale_test.go
+++ b/internal/coordination/fleet/scale_test.go
@@ -116,7 +116,7 @@
 				clearCounts(id)
 				writeRow(id)
 			case 2:
-				f.RecordReplaced(id, now)
+				f.RecordReplaced(id, "other", now)
 				clearCounts(id)
 			case 3:
 				entry := filbertlever.HostID(rapid.SampledFrom([]string{"e1", "e2"}).Draw(t, "entry"))
--- a/internal/coordination/fleet/speeds_test.go
+++ b/internal/coordination/fleet/speeds_test.go
@@ -75,7 +75,7 @@
 		c.Assert(f.servers["m1"].routedSlowdown(), qt.Equals, 1.0)
 		f.RecordGaps(old, slices.Repeat([]EventGap{{Gap: time.Second, At: at}}, 4), at)
 	}
-	f.RecordReplaced("m1", 12*time.Second)
+	f.RecordReplaced("m1", "m9", 12*time.Second)
 	c.Check(f.speeds.Slowdown("m1", 12*time.Second), qt.Equals, 1.0)
 }
 
--- a/internal/transport/gateway/attempt.go
+++ b/internal/transport/gateway/attempt.go
@@ -285,7 +285,7 @@
 		return
 	}
 	if reply.ActualServer != "" {
-		g.fleet.RecordReplaced(id, boottime.Now())
+		g.fleet.RecordReplaced(id, reply.ActualServer, boottime.Now())
 		return
 	}
 	g.fleet.RecordModelMissing(id, boottime.Now())
--- a/internal/transport/gateway/badrows.go
+++ b/internal/transport/gateway/badrows.go
@@ -88,7 +88,7 @@
 	}
 	for _, id := range b.Removed {
 		delete(g.badRows.withheld, id)
-		if g.fleet.Contains(id) {
+		if g.fleet.Contains(id) || g.fleet.Lists(id) {
 			removed = append(removed, id)
 		}
 	}
@@ -99,7 +99,7 @@
 			continue
 		}
 		g.badRows.withheld[backend.ID] = backend
-		if g.fleet.Contains(backend.ID) {
+		if g.fleet.Contains(backend.ID) || g.fleet.Lists(backend.ID) {
 			removed = append(removed, backend.ID)
 		}
 	}
