A manifest is replaced when pieces speak against it

No server loaded a version, and its service was refused without end: the first manifest that the origin sent had one wrong hexadecimal digit. It was decoded, kept for good and passed on to all entries (relay, Manifest).

Cause: an answer without a second witness was kept although evidence against it came in. Not the pieces: all were right.

Change: each version has one manifest in use. Pieces that do not match are counted by the digest of their bytes. The same bytes twice speak against the manifest, as bytes that were corrupted on the way differ each time; it is then fetched again, with an interval that doubles from 0.1 to 5 s, and replaced if the copy differs. The request names the doubted copy, so that an entry that has the same one fetches its own again and cannot bring it back; after two such copies the origin is asked. Agents name the copy that their pieces did not match. A piece that did not match is fetched again after 50 ms to 2 s. A number of digests that contradicts the desired state needs two equal copies.

The new tests fail without the change's parts (guards).

--- a/internal/coordination/catalog/catalog.go
+++ b/internal/coordination/catalog/catalog.go
@@ -98,6 +98,8 @@
 	Layers   int
 	LayerMB  float64
 	MemoryMB float64
+	// Pieces is the number of pieces of each model's weights; 0 if unknown.
+	Pieces int
 }
 
 // longPromptFactor is the ratio of the longest prompts to the mean prompt. It was
@@ -303,6 +305,16 @@
 	return Service{}, false
 }
 
+// PieceCount returns the number of pieces of a model's weights; 0 if unknown.
+func (s *State) PieceCount(model string) int {
+	for _, service := range s.Services {
+		if service.Engine != nil && slices.Contains(service.Engine.Models, model) {
+			return service.Engine.Pieces
+		}
+	}
+	return 0
+}
+
 // Model is a model that a backend server holds.
 type Model struct {
 	Name    string `cbor:"1,keyasint"`
--- a/internal/transport/gateway/gateway.go
+++ b/internal/transport/gateway/gateway.go
@@ -338,6 +338,15 @@
 	return v.gateway.fleet.Holders(named.Model, named.Version, boottime.Now())
 }
 
+// PieceCount returns the number of pieces of a model's versions by the desired state; 0 if unknown.
+func (v relayView) PieceCount(model string) int {
+	state := v.gateway.state.Load()
+	if state == nil {
+		return 0
+	}
+	return state.PieceCount(model)
+}
+
 // Entries returns the live entries and their peer addresses.
 func (v relayView) Entries() ([]relays.Entry, map[filbertlever.HostID]string) {
 	v.gateway.mu.Lock()
--- a/internal/transport/relay/fetch.go
+++ b/internal/transport/relay/fetch.go
@@ -14,9 +14,10 @@
 	"github.com/filbertlever/filbertlever/internal/coordination/relays"
 )
 
-// FetchManifest fetches a manifest from an entry, on behalf of an agent.
-func FetchManifest(ctx context.Context, client *http.Client, address string, id catalog.ModelVersion) (Manifest, error) {
-	return fetchManifest(ctx, client, address, id, relays.RoleAny)
+// FetchManifest fetches a manifest from an entry, on behalf of an agent. doubted is the ID of a copy
+// that the entry should fetch again before it returns it; empty if there is none.
+func FetchManifest(ctx context.Context, client *http.Client, address string, id catalog.ModelVersion, doubted string) (Manifest, error) {
+	return fetchManifest(ctx, client, address, id, relays.RoleAny, doubted)
 }
 
 // FetchPiece fetches a piece from an entry, on behalf of an agent. It does not verify
@@ -36,10 +37,18 @@
 	return nil
 }
 
-// fetchManifest fetches a manifest from an entry, which is asked in a role.
-func fetchManifest(ctx context.Context, client *http.Client, address string, id catalog.ModelVersion, role relays.Role) (Manifest, error) {
+// doubtedParam is the query parameter with the ID of a copy of a manifest that the requester doubts.
+const doubtedParam = "Doubted"
+
+// fetchManifest fetches a manifest from an entry, which is asked in a role. doubted is the ID of a
+// copy that the entry should fetch again before it returns it; empty if there is none.
+func fetchManifest(ctx context.Context, client *http.Client, address string, id catalog.ModelVersion, role relays.Role, doubted string) (Manifest, error) {
 	var manifest Manifest
-	data, err := fetch(ctx, client, address, pathManifest, pieceValues(id, nil, role), timeoutFor(role))
+	values := pieceValues(id, nil, role)
+	if doubted != "" {
+		values.Set(doubtedParam, doubted)
+	}
+	data, err := fetch(ctx, client, address, pathManifest, values, timeoutFor(role))
 	if err == nil {
 		err = json.Unmarshal(data, &manifest)
 	}
--- a/internal/transport/relay/holders_test.go
+++ b/internal/transport/relay/holders_test.go
@@ -23,6 +23,8 @@
 	holders []relays.Holder
 }
 
+func (holdersView) PieceCount(string) int { return 0 }
+
 func (v holdersView) Holders(catalog.ModelVersion) []relays.Holder { return v.holders }
 
 // startHolder starts a server that serves one piece, as an agent does.
--- a/internal/transport/relay/manifest.go
+++ b/internal/transport/relay/manifest.go
@@ -19,6 +19,9 @@
 // manifestTimeout limits a manifest fetch from another entry.
 const manifestTimeout = 150 * time.Millisecond
 
+// recheckTimeout limits a fetch of another copy of a manifest, for which an entry may ask the origin.
+const recheckTimeout = 2 * time.Second
+
 // Manifest lists the pieces of one version of a model's weights.
 type Manifest struct {
 	Model      string
@@ -34,39 +37,150 @@
 	return piece >= 0 && piece < len(m.Digests) && hex.EncodeToString(sum[:]) == m.Digests[piece]
 }
 
+// ID returns a digest of the manifest, by which copies are compared.
+func (m *Manifest) ID() string {
+	h := sha256.New()
+	_, _ = fmt.Fprintf(h, "%q %d %d %q", m.Model, m.Version, m.PieceBytes, m.Digests)
+	return hex.EncodeToString(h.Sum(nil))
+}
+
 // Manifest returns the manifest of a version. The parameter assumed is the role that
 // the requester assumes this entry has.
 func (r *Relay) Manifest(ctx context.Context, id catalog.ModelVersion, assumed relays.Role) (Manifest, error) {
 	role := max(assumed, r.roleOf(id, -1))
 	r.mu.Lock()
 	v := r.ensureState(id)
-	for _, cached := range v.manifests {
-		if cached.completed() && cached.err == nil {
-			r.mu.Unlock()
-			return cached.value, nil
-		}
+	if v.manifest != nil {
+		defer r.mu.Unlock()
+		return *v.manifest, nil
 	}
-	f := v.manifests[role]
-	if f == nil || f.failed() {
+	f := v.manifestFetches[role]
+	if f == nil || f.completed() {
 		f = &sharedFetch[Manifest]{done: make(chan struct{})}
-		v.manifests[role] = f
+		v.manifestFetches[role] = f
 		go r.runManifestFetch(id, role, f)
 	}
 	r.mu.Unlock()
 	return f.wait(ctx)
 }
 
+// otherManifest returns the manifest of a version for a requester that doubts a copy of it. If this
+// entry has the same copy, it fetches the manifest again. The result may still be the same copy.
+func (r *Relay) otherManifest(ctx context.Context, id catalog.ModelVersion, assumed relays.Role, doubted string) (Manifest, error) {
+	manifest, err := r.Manifest(ctx, id, assumed)
+	if err != nil || manifest.ID() != doubted {
+		return manifest, err
+	}
+	return r.recheckManifest(ctx, id, max(assumed, r.roleOf(id, -1)), doubted)
+}
+
+// recheckManifest fetches a manifest again, unless it was fetched again recently or the copy in use
+// is not the doubted one any more, and returns the copy in use afterwards.
+func (r *Relay) recheckManifest(ctx context.Context, id catalog.ModelVersion, role relays.Role, doubted string) (Manifest, error) {
+	now := boottime.Now()
+	r.mu.Lock()
+	v := r.ensureState(id)
+	f := v.recheck
+	switch {
+	case v.manifest == nil:
+		r.mu.Unlock()
+		return r.Manifest(ctx, id, role)
+	case f != nil && !f.completed():
+	case v.manifest.ID() != doubted || !v.doubts.MayRecheck(now):
+		defer r.mu.Unlock()
+		return *v.manifest, nil
+	default:
+		v.doubts.BeginRecheck(now)
+		f = &sharedFetch[Manifest]{done: make(chan struct{})}
+		v.recheck = f
+		go r.runRecheck(id, role, doubted, v.doubts.ShouldAskOrigin(), f)
+	}
+	r.mu.Unlock()
+	return f.wait(ctx)
+}
+
+// runRecheck fetches a manifest again and uses the new copy if it differs from the doubted one.
+//
+// An origin sent a manifest with one wrong digit. It was kept for good, so that each right piece
+// counted as corrupt and no server loaded the version.
+func (r *Relay) runRecheck(id catalog.ModelVersion, role relays.Role, doubted string, askOrigin bool, f *sharedFetch[Manifest]) {
+	defer close(f.done)
+	source, address, sourceRole := r.pickSource(id, -1, role, failures{})
+	if origin, _, ok := r.view.Origin(); ok && askOrigin {
+		source, address, sourceRole = originName, origin, relays.RoleOriginFetcher
+	}
+	fetch := &manifestFetch{relay: r, id: id, source: source, address: address, sourceRole: sourceRole, doubted: doubted, result: make(chan manifestResult, 1)}
+	go fetch.run()
+	manifest, err := fetch.wait()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	v := r.ensureState(id)
+	fields := []zap.Field{zap.String("Model", id.Model), zap.Uint64("Version", id.Version), zap.String("Source", source)}
+	switch {
+	case err != nil:
+		r.log.Warn("manifest could not be fetched again", append(fields, zap.Error(err))...)
+	case manifest.ID() == doubted:
+		r.log.Info("manifest is the same again", fields...)
+	case v.manifest == nil || v.manifest.ID() == doubted:
+		r.metrics.replacedManifests.Inc()
+		r.log.Warn("manifest replaced", append(fields, zap.Ints("Pieces", differingPieces(v.manifest, &manifest)))...)
+		v.manifest = &manifest
+		v.doubts.ReplaceManifest()
+		r.evictPieces()
+	}
+	if v.manifest != nil {
+		f.value = *v.manifest
+	} else {
+		f.err = err
+	}
+}
+
+// maxLoggedPieces limits the numbers of pieces in one line of the log.
+const maxLoggedPieces = 8
+
+// differingPieces returns the first pieces whose digests differ between two copies of a manifest.
+func differingPieces(a, b *Manifest) []int {
+	var pieces []int
+	for i := range b.Digests {
+		if len(pieces) < maxLoggedPieces && (a == nil || i >= len(a.Digests) || a.Digests[i] != b.Digests[i]) {
+			pieces = append(pieces, i)
+		}
+	}
+	return pieces
+}
+
+// doubtManifest records that the bytes of a piece do not match the manifest. It fetches the
+// manifest again if that is more likely to be wrong than the piece.
+func (r *Relay) doubtManifest(id catalog.ModelVersion, manifest *Manifest, piece int, data []byte, role relays.Role) {
+	sum := sha256.Sum256(data)
+	r.mu.Lock()
+	v := r.ensureState(id)
+	// A fetch may still use a copy that has been replaced.
+	current := v.manifest != nil && v.manifest.ID() == manifest.ID()
+	recheck := current && v.doubts.RecordMismatch(piece, hex.EncodeToString(sum[:]), boottime.Now())
+	r.mu.Unlock()
+	if recheck {
+		// runRecheck logs a failure.
+		_, _ = r.recheckManifest(context.Background(), id, max(role, r.roleOf(id, -1)), manifest.ID())
+	}
+}
+
 // runManifestFetch fetches a manifest, with retries.
 func (r *Relay) runManifestFetch(id catalog.ModelVersion, role relays.Role, f *sharedFetch[Manifest]) {
 	defer close(f.done)
 	failed := failures{}
 	startedAt := boottime.Now()
+	contradicting := ""
 	for attempt := 0; shouldRetry(attempt, failed, startedAt); attempt++ {
 		source, address, sourceRole := r.pickSource(id, -1, role, failed)
 		fetch := &manifestFetch{relay: r, id: id, source: source, address: address, sourceRole: sourceRole, result: make(chan manifestResult, 1)}
 		go fetch.run()
 		f.value, f.err = fetch.wait()
 		if f.err == nil {
+			contradicting, f.err = r.checkPieceCount(&f.value, contradicting)
+		}
+		if f.err == nil {
+			f.value = r.useManifest(id, f.value)
 			return
 		}
 		r.log.Warn("manifest fetch failed", zap.String("Model", id.Model), zap.Uint64("Version", id.Version),
@@ -82,6 +196,32 @@
 	}
 }
 
+// useManifest makes a manifest the one in use, unless there is one already, and returns the one in
+// use.
+func (r *Relay) useManifest(id catalog.ModelVersion, manifest Manifest) Manifest {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	v := r.ensureState(id)
+	if v.manifest == nil {
+		v.manifest = &manifest
+	}
+	return *v.manifest
+}
+
+// errPieceCount means that a manifest lists another number of pieces than the desired state.
+var errPieceCount = errors.New("the number of pieces differs from the desired state")
+
+// checkPieceCount returns errPieceCount, and the manifest's id, if the manifest contradicts the
+// desired state. It is accepted if the copy before was the same: the desired state may be the one
+// that is wrong or outdated. Without the last pieces a server would load those of another version.
+func (r *Relay) checkPieceCount(manifest *Manifest, contradicting string) (string, error) {
+	want := r.view.PieceCount(manifest.Model)
+	if copyID := manifest.ID(); want != 0 && len(manifest.Digests) != want && copyID != contradicting {
+		return copyID, fmt.Errorf("%d digests, expected %d: %w", len(manifest.Digests), want, errPieceCount)
+	}
+	return "", nil
+}
+
 // manifestFetch is one attempt to fetch a manifest from one source.
 type manifestFetch struct {
 	relay      *Relay
@@ -89,7 +229,10 @@
 	source     string
 	address    string
 	sourceRole relays.Role
-	result     chan manifestResult
+	// doubted is the ID of a copy that the source should not return without fetching it again; empty
+	// if there is none.
+	doubted string
+	result  chan manifestResult
 }
 
 type manifestResult struct {
@@ -113,7 +256,7 @@
 	}
 	ctx, cancel := f.relay.contextWhileAlive(filbertlever.HostID(f.source))
 	defer cancel()
-	return fetchManifest(ctx, f.relay.client, f.address, f.id, f.sourceRole)
+	return fetchManifest(ctx, f.relay.client, f.address, f.id, f.sourceRole, f.doubted)
 }
 
 // wait returns the result of the fetch, or errTimeout. The timeout for another entry is
@@ -123,7 +266,10 @@
 // and then its host does not even refuse a connection. The next source is asked.
 func (f *manifestFetch) wait() (Manifest, error) {
 	timeout := manifestTimeout
-	if f.source == originName {
+	switch {
+	case f.doubted != "":
+		timeout = recheckTimeout
+	case f.source == originName:
 		timeout = peerTimeout
 	}
 	timer := time.NewTimer(timeout)
--- a/internal/transport/relay/originslot_test.go
+++ b/internal/transport/relay/originslot_test.go
@@ -77,6 +77,8 @@
 
 func (entriesView) Origin() (address, site string, ok bool) { return "origin", "a", true }
 
+func (entriesView) PieceCount(string) int { return 0 }
+
 func (entriesView) Holders(catalog.ModelVersion) []relays.Holder { return nil }
 
 func (v entriesView) Entries() ([]relays.Entry, map[filbertlever.HostID]string) {
--- a/internal/transport/relay/originstatus_test.go
+++ b/internal/transport/relay/originstatus_test.go
@@ -120,6 +120,8 @@
 	address string
 }
 
+func (singleHolderView) PieceCount(string) int { return 0 }
+
 func (v singleHolderView) Holders(id catalog.ModelVersion) []relays.Holder {
 	if id != v.id {
 		return nil
--- a/internal/transport/relay/peercache.go
+++ b/internal/transport/relay/peercache.go
@@ -111,14 +111,9 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	v := r.lookupState(id)
-	if v == nil {
+	if v == nil || v.manifest == nil || piece < 0 || piece >= len(v.manifest.Digests) {
 		return nil, false
 	}
-	for _, f := range v.manifests {
-		if f.completed() && f.err == nil && piece >= 0 && piece < len(f.value.Digests) {
-			data, ok := r.piecesByDigest[f.value.Digests[piece]]
-			return data, ok
-		}
-	}
-	return nil, false
+	data, ok := r.piecesByDigest[v.manifest.Digests[piece]]
+	return data, ok
 }
--- a/internal/transport/relay/peercache_test.go
+++ b/internal/transport/relay/peercache_test.go
@@ -71,6 +71,8 @@
 
 func (*changingView) Origin() (address, site string, ok bool) { return "origin", "a", true }
 
+func (*changingView) PieceCount(string) int { return 0 }
+
 func (*changingView) Holders(catalog.ModelVersion) []relays.Holder { return nil }
 
 func (v *changingView) Entries() ([]relays.Entry, map[filbertlever.HostID]string) {
--- a/internal/transport/relay/plan.go
+++ b/internal/transport/relay/plan.go
@@ -110,12 +110,8 @@
 func (r *Relay) cachedManifest(id catalog.ModelVersion) (Manifest, bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if v := r.lookupState(id); v != nil {
-		for _, f := range v.manifests {
-			if f.completed() && f.err == nil {
-				return f.value, true
-			}
-		}
+	if v := r.lookupState(id); v != nil && v.manifest != nil {
+		return *v.manifest, true
 	}
 	return Manifest{}, false
 }
--- a/internal/transport/relay/priority_test.go
+++ b/internal/transport/relay/priority_test.go
@@ -43,6 +43,8 @@
 	version uint64
 }
 
+func (holdingSiteView) PieceCount(string) int { return 0 }
+
 func (v holdingSiteView) Holders(id catalog.ModelVersion) []relays.Holder {
 	if id.Version != v.version {
 		return nil
--- a/internal/transport/relay/relay.go
+++ b/internal/transport/relay/relay.go
@@ -40,6 +40,9 @@
 	Entries() ([]relays.Entry, map[filbertlever.HostID]string)
 	// Holders returns the hosts of this site whose backend servers hold a version.
 	Holders(id catalog.ModelVersion) []relays.Holder
+	// PieceCount returns the number of pieces of a model's versions by the desired state; 0 if
+	// unknown.
+	PieceCount(model string) int
 }
 
 // Limits, timeouts and retry settings of a relay.
@@ -118,10 +121,15 @@
 // versionState is the state of one version of a model's weights.
 type versionState struct {
 	id catalog.ModelVersion
-	// manifests and pieces are the fetches that were started, by the role in which
-	// this entry was asked.
-	manifests map[relays.Role]*sharedFetch[Manifest]
-	pieces    map[pieceRequest]*sharedFetch[[]byte]
+	// manifest is the copy of the manifest that is in use; nil if there is none. doubts are what
+	// speaks against it, and recheck is the last fetch of another copy.
+	manifest *Manifest
+	doubts   relays.Doubts
+	recheck  *sharedFetch[Manifest]
+	// manifestFetches and pieces are the fetches that were started, by the role in which this
+	// entry was asked.
+	manifestFetches map[relays.Role]*sharedFetch[Manifest]
+	pieces          map[pieceRequest]*sharedFetch[[]byte]
 	// prefetching is true while this entry's own pieces are to be prefetched, until
 	// prefetchDeadline. requested is true once a prefetch was requested.
 	prefetching      bool
@@ -159,8 +167,9 @@
 }
 
 type metrics struct {
-	bytes   *prometheus.CounterVec
-	corrupt prometheus.Counter
+	bytes             *prometheus.CounterVec
+	corrupt           prometheus.Counter
+	replacedManifests prometheus.Counter
 }
 
 // New returns the Relay of the entry self.
@@ -174,8 +183,12 @@
 			Name: "filbertlever_relay_corrupt_total",
 			Help: "Pieces that did not match their digest.",
 		}),
+		replacedManifests: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "filbertlever_relay_replaced_manifests_total",
+			Help: "Manifests that were replaced by another copy because pieces did not match them.",
+		}),
 	}
-	registry.MustRegister(m.bytes, m.corrupt)
+	registry.MustRegister(m.bytes, m.corrupt, m.replacedManifests)
 	r := &Relay{self: self, view: view, origin: origin, client: client, log: log, metrics: m,
 		originSlots: relays.NewPrioritySemaphore(originConcurrency), newerSlots: relays.NewPrioritySemaphore(newerConcurrency), holderLimit: make(chan struct{}, holderConcurrency), piecesByDigest: map[string][]byte{}, plans: map[string]Plan{}}
 	r.originSlots.Deferred, r.newerSlots.Deferred = r.hasLowestPriority, r.hasLowestPriority
@@ -211,7 +224,7 @@
 	if f == nil || f.failed() {
 		f = &sharedFetch[[]byte]{done: make(chan struct{})}
 		v.pieces[request] = f
-		go r.runPieceFetch(id, &manifest, request, f)
+		go r.runPieceFetch(id, request, f)
 	}
 	r.mu.Unlock()
 	return f.wait(ctx)
@@ -221,7 +234,7 @@
 //
 // The origin or another entry may send a corrupt piece. Each piece is checked against
 // the manifest before it is cached, and fetched again if its digest differs.
-func (r *Relay) runPieceFetch(id catalog.ModelVersion, manifest *Manifest, request pieceRequest, f *sharedFetch[[]byte]) {
+func (r *Relay) runPieceFetch(id catalog.ModelVersion, request pieceRequest, f *sharedFetch[[]byte]) {
 	defer close(f.done)
 	piece := request.piece
 	failed := failures{}
@@ -229,6 +242,12 @@
 	slot := &originSlot{relay: r, id: id, startedAt: startedAt}
 	defer slot.release()
 	for attempt := 0; shouldRetry(attempt, failed, startedAt); attempt++ {
+		// The manifest may have been replaced since the last attempt.
+		manifest, delay := r.manifestOfPiece(id, piece)
+		if manifest == nil {
+			f.err = fmt.Errorf("piece %d of %s version %d: %w", piece, id.Model, id.Version, errNoPiece)
+			return
+		}
 		if data, ok := r.cachedPiece(manifest.Digests[piece]); ok {
 			f.value, f.err = data, nil
 			return
@@ -248,15 +267,22 @@
 				return
 			}
 		}
+		if delay > 0 {
+			slot.release()
+			time.Sleep(delay)
+		}
 		data, err := r.fetchPieceFrom(id, piece, source, address, sourceRole, slot)
 		if err == nil && !manifest.Verify(piece, data) {
 			r.metrics.corrupt.Inc()
+			slot.release()
+			r.doubtManifest(id, manifest, piece, data, request.role)
 			err = fmt.Errorf("piece %d of %s version %d from %s: digest differs", piece, id.Model, id.Version, source)
 		}
 		slot.attemptDone(err)
 		if err == nil {
 			r.metrics.bytes.WithLabelValues(sourceLabel(source)).Add(float64(len(data)))
 			r.storePiece(manifest.Digests[piece], data)
+			r.recordMatch(id, piece)
 			f.value, f.err = data, nil
 			return
 		}
@@ -271,6 +297,27 @@
 	}
 }
 
+// manifestOfPiece returns the manifest in use, or nil if it has no such piece, and how long to wait
+// before the piece is fetched, because it did not match its digest the last time.
+func (r *Relay) manifestOfPiece(id catalog.ModelVersion, piece int) (*Manifest, time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	v := r.lookupState(id)
+	if v == nil || v.manifest == nil || piece < 0 || piece >= len(v.manifest.Digests) {
+		return nil, 0
+	}
+	return v.manifest, v.doubts.PieceDelay(piece, boottime.Now())
+}
+
+// recordMatch records that a piece matched its digest.
+func (r *Relay) recordMatch(id catalog.ModelVersion, piece int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if v := r.lookupState(id); v != nil {
+		v.doubts.RecordMatch(piece)
+	}
+}
+
 // sourceLabel returns the metric label for the source of a piece.
 // sourceLabel returns the metric label for the source of a piece.
 func sourceLabel(source string) string {
@@ -356,7 +403,7 @@
 			return v
 		}
 	}
-	v := &versionState{id: id, manifests: map[relays.Role]*sharedFetch[Manifest]{}, pieces: map[pieceRequest]*sharedFetch[[]byte]{}}
+	v := &versionState{id: id, manifestFetches: map[relays.Role]*sharedFetch[Manifest]{}, pieces: map[pieceRequest]*sharedFetch[[]byte]{}}
 	r.versions = append(r.versions, v)
 	if len(r.versions) > maxVersions {
 		r.versions = r.versions[1:]
@@ -370,13 +417,11 @@
 func (r *Relay) evictPieces() {
 	listed := map[string]bool{}
 	for _, v := range r.versions {
-		for _, manifest := range v.manifests {
-			if !manifest.completed() {
-				continue
-			}
-			for _, digest := range manifest.value.Digests {
-				listed[digest] = true
-			}
+		if v.manifest == nil {
+			continue
+		}
+		for _, digest := range v.manifest.Digests {
+			listed[digest] = true
 		}
 	}
 	for digest := range r.piecesByDigest {
--- a/internal/transport/relay/relay_test.go
+++ b/internal/transport/relay/relay_test.go
@@ -57,6 +57,8 @@
 
 func (singleEntryView) Origin() (address, site string, ok bool) { return "origin", "a", true }
 
+func (singleEntryView) PieceCount(string) int { return 0 }
+
 func (singleEntryView) Holders(catalog.ModelVersion) []relays.Holder { return nil }
 
 func (singleEntryView) Entries() ([]relays.Entry, map[filbertlever.HostID]string) {
@@ -152,6 +154,8 @@
 
 func (twoSiteView) Origin() (address, site string, ok bool) { return "origin", "a", true }
 
+func (twoSiteView) PieceCount(string) int { return 0 }
+
 func (twoSiteView) Holders(catalog.ModelVersion) []relays.Holder { return nil }
 
 func (v twoSiteView) Entries() ([]relays.Entry, map[filbertlever.HostID]string) {
@@ -211,6 +215,8 @@
 
 func (otherEntryView) Origin() (address, site string, ok bool) { return "origin", "a", true }
 
+func (otherEntryView) PieceCount(string) int { return 0 }
+
 func (otherEntryView) Holders(catalog.ModelVersion) []relays.Holder { return nil }
 
 func (v otherEntryView) Entries() ([]relays.Entry, map[filbertlever.HostID]string) {
--- a/internal/transport/relay/serve.go
+++ b/internal/transport/relay/serve.go
@@ -47,7 +47,7 @@
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
-	manifest, err := r.Manifest(req.Context(), id, requestedRole(req))
+	manifest, err := r.otherManifest(req.Context(), id, requestedRole(req), req.URL.Query().Get(doubtedParam))
 	if err != nil {
 		http.Error(w, err.Error(), statusCode(err))
 		return
--- a/internal/transport/sidecar/fetch.go
+++ b/internal/transport/sidecar/fetch.go
@@ -28,6 +28,10 @@
 	maxPiecesAwaited = 16
 )
 
+// errDigestMismatch means that a piece does not match its digest in the manifest. Either may be
+// wrong.
+var errDigestMismatch = errors.New("digest mismatch")
+
 // errSuperseded means that a version is no longer worth fetching.
 var errSuperseded = errors.New("superseded by a newer version")
 
@@ -76,6 +80,10 @@
 	defer s.mu.Unlock()
 	f.state.fetching = false
 	f.state.cancelFetch(nil)
+	delete(f.state.doubted, f.target.Version)
+	if errors.Is(err, errDigestMismatch) {
+		f.state.doubted[f.target.Version] = manifest.ID()
+	}
 	if err != nil {
 		return
 	}
@@ -104,9 +112,12 @@
 }
 
 func (f *fetchTask) fetchManifest(ctx context.Context) (relay.Manifest, error) {
+	f.sidecar.mu.Lock()
+	doubted := f.state.doubted[f.target.Version]
+	f.sidecar.mu.Unlock()
 	var lastErr error = errNoEntry
 	for _, entry := range f.sources(-1) {
-		manifest, err := relay.FetchManifest(ctx, f.sidecar.client, entry.Peers, f.target)
+		manifest, err := relay.FetchManifest(ctx, f.sidecar.client, entry.Peers, f.target, doubted)
 		if err == nil && len(manifest.Digests) > 0 {
 			return manifest, nil
 		}
@@ -201,7 +212,7 @@
 		}
 		if !manifest.Verify(piece, data) {
 			s.metrics.corruptPieces.Inc()
-			lastErr = fmt.Errorf("piece %d from %s: digest mismatch", piece, entry.Host)
+			lastErr = fmt.Errorf("piece %d from %s: %w", piece, entry.Host, errDigestMismatch)
 			s.log.Warn("piece is corrupt", zap.Int("Piece", piece), zap.String("Entry", string(entry.Host)))
 			continue
 		}
--- a/internal/transport/sidecar/load_test.go
+++ b/internal/transport/sidecar/load_test.go
@@ -129,6 +129,8 @@
 	sent     atomic.Int32
 	// beforeSend runs before each piece is sent.
 	beforeSend func()
+	// stale is a manifest that is sent unless the requester doubts it; nil if there is none.
+	stale *relay.Manifest
 }
 
 func newFakeEntry(t *testing.T, version uint64, count int) *fakeEntry {
@@ -148,7 +150,11 @@
 func (e *fakeEntry) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	text := r.URL.Query().Get("Piece")
 	if text == "" {
-		_ = json.NewEncoder(w).Encode(e.manifest)
+		manifest := &e.manifest
+		if e.stale != nil && r.URL.Query().Get("Doubted") != e.stale.ID() {
+			manifest = e.stale
+		}
+		_ = json.NewEncoder(w).Encode(manifest)
 		return
 	}
 	if r.URL.Query().Has("Await") {
@@ -225,6 +231,26 @@
 	}
 }
 
+// An agent got the same wrong manifest from its entry again and again: the entry had not needed the
+// piece with the wrong digest, and nothing told it.
+func TestAgentDoubtsManifestThatPiecesDoNotMatch(t *testing.T) {
+	c := qt.New(t)
+	entry := newFakeEntry(t, 2, 4)
+	stale := entry.manifest
+	stale.Digests = slices.Clone(stale.Digests)
+	stale.Digests[1] = stale.Digests[2]
+	entry.stale = &stale
+	s := newAgent(entry, &fakeEngine{staged: map[int][]byte{}}, Config{})
+	m := newModelState()
+	s.models["drafter"] = m
+	for range 2 {
+		f := &fetchTask{sidecar: s, state: m, target: catalog.ModelVersion{Model: "drafter", Version: 2}}
+		f.run(context.Background())
+	}
+	c.Assert(m.complete[2], qt.IsNotNil)
+	c.Assert(m.complete[2].Digests, qt.DeepEquals, entry.manifest.Digests)
+}
+
 // When servers are added during a burst, an agent starts a second before its server
 // responds. Callers waited longer because the agent did not fetch until then.
 func TestWeightsAreFetchedBeforeServerAnswers(t *testing.T) {
--- a/internal/transport/sidecar/steps.go
+++ b/internal/transport/sidecar/steps.go
@@ -37,8 +37,10 @@
 	complete   map[uint64]*relay.Manifest
 	manifests  map[uint64]*relay.Manifest
 	completeAt map[uint64]time.Duration
-	fetching   bool
-	loading    bool
+	// doubted holds the IDs of the manifests that pieces did not match in the last fetch.
+	doubted  map[uint64]string
+	fetching bool
+	loading  bool
 	// idle is true while the server has no requests for the model and receives none, and
 	// will not receive any once the load in progress has finished.
 	idle bool
@@ -70,7 +72,7 @@
 }
 
 func newModelState() *modelState {
-	return &modelState{complete: map[uint64]*relay.Manifest{}, manifests: map[uint64]*relay.Manifest{}, completeAt: map[uint64]time.Duration{}, cancelFetch: func(error) {}, cancelLoad: func(error) {}}
+	return &modelState{complete: map[uint64]*relay.Manifest{}, manifests: map[uint64]*relay.Manifest{}, completeAt: map[uint64]time.Duration{}, doubted: map[uint64]string{}, cancelFetch: func(error) {}, cancelLoad: func(error) {}}
 }
 
 // loadedIn estimates the time until the server holds the version that is being fetched or
