The size of the pieces in a manifest is checked like their number, and limits what is read

A wrong digit in a manifest's piece size is the same fault as one in a digest: it was kept for good. It is now compared with the desired state like the number of digests. A piece from another entry or an agent was read up to 64 MiB, 16 at a time on a host of 152 MB; now up to the size in the manifest.

--- a/internal/coordination/catalog/catalog.go
+++ b/internal/coordination/catalog/catalog.go
@@ -98,8 +98,10 @@
 	Layers   int
 	LayerMB  float64
 	MemoryMB float64
-	// Pieces is the number of pieces of each model's weights; 0 if unknown.
-	Pieces int
+	// Pieces is the number of pieces of each version of a model, and PieceBytes their size; 0 if
+	// unknown.
+	Pieces     int
+	PieceBytes int
 }
 
 // longPromptFactor is the ratio of the longest prompts to the mean prompt. It was
@@ -305,14 +307,15 @@
 	return Service{}, false
 }
 
-// PieceCount returns the number of pieces of a model's weights; 0 if unknown.
-func (s *State) PieceCount(model string) int {
+// Pieces returns the number of pieces of each version of a model and their size in bytes; 0 if
+// unknown.
+func (s *State) Pieces(model string) (count, size int) {
 	for _, service := range s.Services {
 		if service.Engine != nil && slices.Contains(service.Engine.Models, model) {
-			return service.Engine.Pieces
+			return service.Engine.Pieces, service.Engine.PieceBytes
 		}
 	}
-	return 0
+	return 0, 0
 }
 
 // Model is a model that a backend server holds.
--- a/internal/transport/gateway/gateway.go
+++ b/internal/transport/gateway/gateway.go
@@ -338,13 +338,14 @@
 	return v.gateway.fleet.Holders(named.Model, named.Version, boottime.Now())
 }
 
-// PieceCount returns the number of pieces of a model's versions by the desired state; 0 if unknown.
-func (v relayView) PieceCount(model string) int {
+// Pieces returns the number of pieces of each version of a model and their size in bytes; 0 if
+// unknown.
+func (v relayView) Pieces(model string) (count, size int) {
 	state := v.gateway.state.Load()
 	if state == nil {
-		return 0
+		return 0, 0
 	}
-	return state.PieceCount(model)
+	return state.Pieces(model)
 }
 
 // Entries returns the live entries and their peer addresses.
--- a/internal/transport/relay/failures.go
+++ b/internal/transport/relay/failures.go
@@ -17,6 +17,9 @@
 // errTimeout means that a source did not respond within its timeout.
 var errTimeout = errors.New("no answer in time")
 
+// errTooLarge means that a response exceeds its limit.
+var errTooLarge = errors.New("the response exceeds its limit")
+
 // errNoSource means that an entry knows no source for a piece.
 var errNoSource = errors.New("no source is known")
 
--- a/internal/transport/relay/fetch.go
+++ b/internal/transport/relay/fetch.go
@@ -20,10 +20,10 @@
 	return fetchManifest(ctx, client, address, id, relays.RoleAny, doubted)
 }
 
-// FetchPiece fetches a piece from an entry, on behalf of an agent. It does not verify
-// the piece.
-func FetchPiece(ctx context.Context, client *http.Client, address string, id catalog.ModelVersion, piece int) ([]byte, error) {
-	return fetchPiece(ctx, client, address, id, piece, relays.RoleAny)
+// FetchPiece fetches a piece of at most limit bytes from an entry, on behalf of an agent. It does
+// not verify the piece.
+func FetchPiece(ctx context.Context, client *http.Client, address string, id catalog.ModelVersion, piece int, limit int64) ([]byte, error) {
+	return fetchPiece(ctx, client, address, id, piece, relays.RoleAny, limit)
 }
 
 // AwaitPiece waits until an entry has cached a piece, without transferring it. Agents
@@ -31,7 +31,7 @@
 func AwaitPiece(ctx context.Context, client *http.Client, address string, id catalog.ModelVersion, piece int) error {
 	values := pieceValues(id, &piece, relays.RoleAny)
 	values.Set("Await", "1")
-	if _, err := fetch(ctx, client, address, PathPiece, values, agentTimeout); err != nil {
+	if _, err := fetch(ctx, client, address, PathPiece, values, agentTimeout, maxErrorBytes); err != nil {
 		return fmt.Errorf("await piece %d of %s version %d at %s: %w", piece, id.Model, id.Version, address, err)
 	}
 	return nil
@@ -48,7 +48,7 @@
 	if doubted != "" {
 		values.Set(doubtedParam, doubted)
 	}
-	data, err := fetch(ctx, client, address, pathManifest, values, timeoutFor(role))
+	data, err := fetch(ctx, client, address, pathManifest, values, timeoutFor(role), maxManifestBytes)
 	if err == nil {
 		err = json.Unmarshal(data, &manifest)
 	}
@@ -58,10 +58,10 @@
 	return manifest, nil
 }
 
-// fetchPiece fetches a piece from an entry, which is asked in a role. It does not
-// verify the piece.
-func fetchPiece(ctx context.Context, client *http.Client, address string, id catalog.ModelVersion, piece int, role relays.Role) ([]byte, error) {
-	data, err := fetch(ctx, client, address, PathPiece, pieceValues(id, &piece, role), timeoutFor(role))
+// fetchPiece fetches a piece of at most limit bytes from an entry, which is asked in a role. It
+// does not verify the piece.
+func fetchPiece(ctx context.Context, client *http.Client, address string, id catalog.ModelVersion, piece int, role relays.Role, limit int64) ([]byte, error) {
+	data, err := fetch(ctx, client, address, PathPiece, pieceValues(id, &piece, role), timeoutFor(role), limit)
 	if err != nil {
 		return nil, fmt.Errorf("piece %d of %s version %d from %s: %w", piece, id.Model, id.Version, address, err)
 	}
@@ -89,8 +89,8 @@
 	return values
 }
 
-// fetch sends a GET request and returns the body of the response.
-func fetch(ctx context.Context, client *http.Client, address, path string, values url.Values, timeout time.Duration) ([]byte, error) {
+// fetch sends a GET request and returns the body of the response, of at most limit bytes.
+func fetch(ctx context.Context, client *http.Client, address, path string, values url.Values, timeout time.Duration, limit int64) ([]byte, error) {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+path+"?"+values.Encode(), nil)
@@ -102,10 +102,16 @@
 		return nil, err
 	}
 	defer func() { _ = response.Body.Close() }()
-	data, err := io.ReadAll(io.LimitReader(response.Body, maxPieceBytes))
+	if response.StatusCode != http.StatusOK {
+		limit = maxErrorBytes
+	}
+	data, err := io.ReadAll(io.LimitReader(response.Body, limit+1))
 	if err != nil {
 		return nil, err
 	}
+	if response.StatusCode == http.StatusOK && int64(len(data)) > limit {
+		return nil, fmt.Errorf("%w of %d bytes", errTooLarge, limit)
+	}
 	switch response.StatusCode {
 	case http.StatusGone:
 		return nil, ErrRemoved
--- a/internal/transport/relay/holders.go
+++ b/internal/transport/relay/holders.go
@@ -42,7 +42,7 @@
 	r.holderLimit <- struct{}{}
 	defer func() { <-r.holderLimit }()
 	for _, holder := range holders {
-		data, err := fetch(context.Background(), r.client, holder.Address, PathPiece, pieceValues(id, &piece, relays.RoleAny), holderTimeout)
+		data, err := fetch(context.Background(), r.client, holder.Address, PathPiece, pieceValues(id, &piece, relays.RoleAny), holderTimeout, manifest.PieceLimit())
 		if err == nil && !manifest.Verify(piece, data) {
 			err = fmt.Errorf("piece %d of %s version %d: digest differs", piece, id.Model, id.Version)
 		}
--- a/internal/transport/relay/holders_test.go
+++ b/internal/transport/relay/holders_test.go
@@ -23,7 +23,7 @@
 	holders []relays.Holder
 }
 
-func (holdersView) PieceCount(string) int { return 0 }
+func (holdersView) Pieces(string) (count, size int) { return 0, 0 }
 
 func (v holdersView) Holders(catalog.ModelVersion) []relays.Holder { return v.holders }
 
--- a/internal/transport/relay/manifest.go
+++ b/internal/transport/relay/manifest.go
@@ -37,6 +37,14 @@
 	return piece >= 0 && piece < len(m.Digests) && hex.EncodeToString(sum[:]) == m.Digests[piece]
 }
 
+// PieceLimit returns the highest number of bytes of a piece.
+func (m *Manifest) PieceLimit() int64 {
+	if m.PieceBytes <= 0 || m.PieceBytes > maxPieceBytes {
+		return maxPieceBytes
+	}
+	return int64(m.PieceBytes)
+}
+
 // ID returns a digest of the manifest, by which copies are compared.
 func (m *Manifest) ID() string {
 	h := sha256.New()
@@ -177,7 +185,7 @@
 		go fetch.run()
 		f.value, f.err = fetch.wait()
 		if f.err == nil {
-			contradicting, f.err = r.checkPieceCount(&f.value, contradicting)
+			contradicting, f.err = r.checkPieces(&f.value, contradicting)
 		}
 		if f.err == nil {
 			f.value = r.useManifest(id, f.value)
@@ -208,16 +216,17 @@
 	return *v.manifest
 }
 
-// errPieceCount means that a manifest lists another number of pieces than the desired state.
-var errPieceCount = errors.New("the number of pieces differs from the desired state")
+// errPieces means that a manifest lists other pieces than the desired state.
+var errPieces = errors.New("the number or size of the pieces differs from the desired state")
 
-// checkPieceCount returns errPieceCount, and the manifest's id, if the manifest contradicts the
-// desired state. It is accepted if the copy before was the same: the desired state may be the one
-// that is wrong or outdated. Without the last pieces a server would load those of another version.
-func (r *Relay) checkPieceCount(manifest *Manifest, contradicting string) (string, error) {
-	want := r.view.PieceCount(manifest.Model)
-	if copyID := manifest.ID(); want != 0 && len(manifest.Digests) != want && copyID != contradicting {
-		return copyID, fmt.Errorf("%d digests, expected %d: %w", len(manifest.Digests), want, errPieceCount)
+// checkPieces returns errPieces and the manifest's ID if the manifest contradicts the desired state.
+// It is accepted if the copy before was the same: the desired state may be the one that is wrong or
+// outdated. Without the last pieces a server would load those of another version.
+func (r *Relay) checkPieces(manifest *Manifest, contradicting string) (string, error) {
+	count, size := r.view.Pieces(manifest.Model)
+	matches := (count == 0 || len(manifest.Digests) == count) && (size == 0 || manifest.PieceBytes == size)
+	if copyID := manifest.ID(); !matches && copyID != contradicting {
+		return copyID, fmt.Errorf("%d pieces of %d bytes, expected %d of %d: %w", len(manifest.Digests), manifest.PieceBytes, count, size, errPieces)
 	}
 	return "", nil
 }
--- a/internal/transport/relay/manifest_test.go
+++ b/internal/transport/relay/manifest_test.go
@@ -25,8 +25,10 @@
 
 // spoiltOrigin is an origin whose first manifests are spoilt, or one piece of which always is.
 type spoiltOrigin struct {
-	// spoil changes the n-th manifest that is sent.
-	spoil func(n int, digests []string) []string
+	// spoil changes the digests of the n-th manifest that is sent. The first spoiltSizes manifests
+	// have a wrong size.
+	spoil       func(n int, digests []string) []string
+	spoiltSizes int
 	// badPiece is the piece whose bytes are always wrong; negative if there is none.
 	badPiece int
 
@@ -44,6 +46,9 @@
 		m.Digests = append(m.Digests, hex.EncodeToString(sum[:]))
 	}
 	m.Digests = o.spoil(o.manifests, m.Digests)
+	if o.manifests < o.spoiltSizes {
+		m.PieceBytes = 2
+	}
 	o.manifests++
 	return m, nil
 }
@@ -71,7 +76,7 @@
 // countedView is a view of a desired state that names the number of pieces.
 type countedView struct{ twoSiteView }
 
-func (countedView) PieceCount(string) int { return spoiltPieces }
+func (countedView) Pieces(string) (count, size int) { return spoiltPieces, 8 }
 
 // newSpoiltRelays returns the entries of an installation with an origin.
 func newSpoiltRelays(t *testing.T, origin Origin) []*Relay {
@@ -107,6 +112,7 @@
 		spoil func(n int, digests []string) []string
 	}{
 		{"Sound", func(_ int, digests []string) []string { return digests }},
+		{"FirstHasWrongSize", func(_ int, digests []string) []string { return digests }},
 		{"First", func(n int, digests []string) []string {
 			if n == 0 {
 				return flip(digests, 7)
@@ -142,6 +148,9 @@
 		t.Run(test.name, func(t *testing.T) {
 			t.Parallel()
 			origin := &spoiltOrigin{spoil: test.spoil, badPiece: -1}
+			if test.name == "FirstHasWrongSize" {
+				origin.spoiltSizes = 1
+			}
 			ctx, cancel := context.WithTimeout(context.Background(), versionBound)
 			defer cancel()
 			var group sync.WaitGroup
--- a/internal/transport/relay/originslot_test.go
+++ b/internal/transport/relay/originslot_test.go
@@ -77,7 +77,7 @@
 
 func (entriesView) Origin() (address, site string, ok bool) { return "origin", "a", true }
 
-func (entriesView) PieceCount(string) int { return 0 }
+func (entriesView) Pieces(string) (count, size int) { return 0, 0 }
 
 func (entriesView) Holders(catalog.ModelVersion) []relays.Holder { return nil }
 
--- a/internal/transport/relay/originstatus_test.go
+++ b/internal/transport/relay/originstatus_test.go
@@ -120,7 +120,7 @@
 	address string
 }
 
-func (singleHolderView) PieceCount(string) int { return 0 }
+func (singleHolderView) Pieces(string) (count, size int) { return 0, 0 }
 
 func (v singleHolderView) Holders(id catalog.ModelVersion) []relays.Holder {
 	if id != v.id {
--- a/internal/transport/relay/peercache.go
+++ b/internal/transport/relay/peercache.go
@@ -58,7 +58,7 @@
 	for _, host := range relays.HomesToQuery(r.self, entries, pieceKey(id, piece)) {
 		values := pieceValues(id, &piece, relays.RoleAny)
 		values.Set(cachedOnlyParam, "1")
-		data, err := fetch(context.Background(), r.client, addresses[host], PathPiece, values, peerCacheTimeout)
+		data, err := fetch(context.Background(), r.client, addresses[host], PathPiece, values, peerCacheTimeout, manifest.PieceLimit())
 		if err == nil && !manifest.Verify(piece, data) {
 			err = fmt.Errorf("piece %d of %s version %d: digest differs", piece, id.Model, id.Version)
 		}
--- a/internal/transport/relay/peercache_test.go
+++ b/internal/transport/relay/peercache_test.go
@@ -71,7 +71,7 @@
 
 func (*changingView) Origin() (address, site string, ok bool) { return "origin", "a", true }
 
-func (*changingView) PieceCount(string) int { return 0 }
+func (*changingView) Pieces(string) (count, size int) { return 0, 0 }
 
 func (*changingView) Holders(catalog.ModelVersion) []relays.Holder { return nil }
 
--- a/internal/transport/relay/priority_test.go
+++ b/internal/transport/relay/priority_test.go
@@ -43,7 +43,7 @@
 	version uint64
 }
 
-func (holdingSiteView) PieceCount(string) int { return 0 }
+func (holdingSiteView) Pieces(string) (count, size int) { return 0, 0 }
 
 func (v holdingSiteView) Holders(id catalog.ModelVersion) []relays.Holder {
 	if id.Version != v.version {
--- a/internal/transport/relay/relay.go
+++ b/internal/transport/relay/relay.go
@@ -40,9 +40,9 @@
 	Entries() ([]relays.Entry, map[filbertlever.HostID]string)
 	// Holders returns the hosts of this site whose backend servers hold a version.
 	Holders(id catalog.ModelVersion) []relays.Holder
-	// PieceCount returns the number of pieces of a model's versions by the desired state; 0 if
-	// unknown.
-	PieceCount(model string) int
+	// Pieces returns the number of pieces of each version of a model and their size in bytes, as
+	// the desired state has them; 0 if unknown.
+	Pieces(model string) (count, size int)
 }
 
 // Limits, timeouts and retry settings of a relay.
@@ -77,8 +77,11 @@
 	// failed before another entry is asked. After that, the fault is more likely in
 	// the entry itself.
 	maxUpstreamFailures = 3
-	// maxPieceBytes limits the body of a response.
-	maxPieceBytes = 64 << 20
+	// maxPieceBytes limits a piece whose size the manifest doesn't say, maxManifestBytes a
+	// manifest and maxErrorBytes the text of an error.
+	maxPieceBytes    = 16 << 20
+	maxManifestBytes = 4 << 20
+	maxErrorBytes    = 1 << 10
 )
 
 // Relay fetches, caches and serves pieces of weights for one entry.
@@ -271,7 +274,7 @@
 			slot.release()
 			time.Sleep(delay)
 		}
-		data, err := r.fetchPieceFrom(id, piece, source, address, sourceRole, slot)
+		data, err := r.fetchPieceFrom(id, manifest, piece, source, address, sourceRole, slot)
 		if err == nil && !manifest.Verify(piece, data) {
 			r.metrics.corrupt.Inc()
 			slot.release()
@@ -328,7 +331,7 @@
 }
 
 // fetchPieceFrom fetches a piece from one source without verifying it.
-func (r *Relay) fetchPieceFrom(id catalog.ModelVersion, piece int, source, address string, sourceRole relays.Role, slot *originSlot) ([]byte, error) {
+func (r *Relay) fetchPieceFrom(id catalog.ModelVersion, manifest *Manifest, piece int, source, address string, sourceRole relays.Role, slot *originSlot) ([]byte, error) {
 	if address == "" {
 		return nil, fmt.Errorf("piece %d of %s: %w", piece, id.Model, errNoSource)
 	}
@@ -336,7 +339,7 @@
 		slot.release()
 		ctx, cancel := r.contextWhileAlive(filbertlever.HostID(source))
 		defer cancel()
-		return fetchPiece(ctx, r.client, address, id, piece, sourceRole)
+		return fetchPiece(ctx, r.client, address, id, piece, sourceRole, manifest.PieceLimit())
 	}
 	return r.fetchOriginPiece(address, id, piece, slot)
 }
--- a/internal/transport/relay/relay_test.go
+++ b/internal/transport/relay/relay_test.go
@@ -57,7 +57,7 @@
 
 func (singleEntryView) Origin() (address, site string, ok bool) { return "origin", "a", true }
 
-func (singleEntryView) PieceCount(string) int { return 0 }
+func (singleEntryView) Pieces(string) (count, size int) { return 0, 0 }
 
 func (singleEntryView) Holders(catalog.ModelVersion) []relays.Holder { return nil }
 
@@ -140,7 +140,7 @@
 	address := server.Listener.Addr().String()
 	b.ReportAllocs()
 	for b.Loop() {
-		if _, err := FetchPiece(context.Background(), http.DefaultClient, address, drafter, 0); err != nil {
+		if _, err := FetchPiece(context.Background(), http.DefaultClient, address, drafter, 0, maxPieceBytes); err != nil {
 			b.Fatal(err)
 		}
 	}
@@ -154,7 +154,7 @@
 
 func (twoSiteView) Origin() (address, site string, ok bool) { return "origin", "a", true }
 
-func (twoSiteView) PieceCount(string) int { return 0 }
+func (twoSiteView) Pieces(string) (count, size int) { return 0, 0 }
 
 func (twoSiteView) Holders(catalog.ModelVersion) []relays.Holder { return nil }
 
@@ -215,7 +215,7 @@
 
 func (otherEntryView) Origin() (address, site string, ok bool) { return "origin", "a", true }
 
-func (otherEntryView) PieceCount(string) int { return 0 }
+func (otherEntryView) Pieces(string) (count, size int) { return 0, 0 }
 
 func (otherEntryView) Holders(catalog.ModelVersion) []relays.Holder { return nil }
 
--- a/internal/transport/sidecar/fetch.go
+++ b/internal/transport/sidecar/fetch.go
@@ -205,7 +205,7 @@
 	s := f.sidecar
 	var lastErr error = errNoEntry
 	for _, entry := range f.sources(piece) {
-		data, err := f.transferPiece(ctx, entry.Peers, piece)
+		data, err := f.transferPiece(ctx, entry.Peers, piece, manifest.PieceLimit())
 		if err != nil {
 			lastErr = err
 			continue
@@ -226,7 +226,7 @@
 
 // transferPiece downloads a piece from an entry. Beside a server that serves, it first
 // waits until the entry has the piece, so that no slot is held during the wait.
-func (f *fetchTask) transferPiece(ctx context.Context, address string, piece int) ([]byte, error) {
+func (f *fetchTask) transferPiece(ctx context.Context, address string, piece int, limit int64) ([]byte, error) {
 	slots := f.idleSlots
 	if !f.serverIdle() {
 		slots = f.servingSlots
@@ -236,7 +236,7 @@
 	}
 	slots <- struct{}{}
 	defer func() { <-slots }()
-	return relay.FetchPiece(ctx, f.sidecar.client, address, f.target, piece)
+	return relay.FetchPiece(ctx, f.sidecar.client, address, f.target, piece, limit)
 }
 
 // reuseStaged reads back the staged pieces that belong to the version. A server that
