Responses without end are given up, and use little memory

Bytes that are no answer may come without end.

Change: a head with the informational responses before it is read up to 32 KiB, five informational responses, and 16 MiB for all heads together beyond the first 4 KiB of each; one constant for all clients (network.MaxResponseHead). A stream may send 64 KiB between two events with an ID or data. What precedes the first event no longer begins the response, so that another server can still be tried. A response over a limit counts as lost: the connection is reset, the server counts as failing, a lookup goes to another server and an order, which may have run, gets 502.

Found on the way by the new test, and repaired: the rest of a stream that had begun on a route that cannot be resumed was fetched from another server and joined with it, also when that one did not answer with a stream.

--- a/internal/transport/channel/channel.go
+++ b/internal/transport/channel/channel.go
@@ -16,6 +16,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"golang.org/x/sys/unix"
@@ -102,6 +103,8 @@
 	idle   map[string][]*conn
 	// expiry closes expired connections; nil while none is idle.
 	expiry *time.Timer
+	// largeHeads is the number of bytes of heads being read beyond readBufferSize of each.
+	largeHeads atomic.Int64
 }
 
 // New returns an empty pool and a function that closes its connections.
@@ -118,6 +121,7 @@
 type conn struct {
 	net.Conn
 	reader *bufio.Reader
+	head   *headReader
 	server Server
 	// expiresAt is when the idle connection must not be used any more.
 	expiresAt time.Time
@@ -282,13 +286,22 @@
 }
 
 // read returns the head of the next response and skips informational (1xx) responses.
+//
+// A faulty server may send a head, or informational responses, without end.
 func (c *conn) read(request *Request) (*http.Response, error) {
-	for {
+	c.head.begin()
+	defer c.head.end()
+	for range maxInformational + 1 {
 		response, err := http.ReadResponse(c.reader, &http.Request{Method: request.Method})
+		if err != nil && c.head.exceeded {
+			// The line that was cut off may be reported as malformed.
+			return nil, ErrHeadTooLarge
+		}
 		if err != nil || response.StatusCode >= 200 {
 			return response, err
 		}
 	}
+	return nil, ErrHeadTooLarge
 }
 
 // get returns a healthy idle connection to the same process, or a new connection.
@@ -312,7 +325,8 @@
 	if err != nil {
 		return nil, err
 	}
-	return &conn{Conn: raw, reader: bufio.NewReaderSize(raw, readBufferSize), server: server}, nil
+	head := &headReader{reader: raw, total: &p.largeHeads}
+	return &conn{Conn: raw, reader: bufio.NewReaderSize(head, readBufferSize), head: head, server: server}, nil
 }
 
 // healthy reports whether an idle connection is open and has no unread data.
--- a/internal/transport/gateway/attempt.go
+++ b/internal/transport/gateway/attempt.go
@@ -46,6 +46,8 @@
 	cancel func(by forward.EndedBy)
 	// gaps are those between the events that were not recorded yet.
 	gaps gapCollector
+	// fillerBytes is the number of bytes since the last event with an ID or data.
+	fillerBytes int
 	// endedBy is who ended the attempt without a complete answer, and silent how long its server had
 	// sent nothing by then.
 	endedBy forward.EndedBy
--- a/internal/transport/gateway/attempts.go
+++ b/internal/transport/gateway/attempts.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"errors"
 	"io"
 	"net/http"
 	"strconv"
@@ -213,6 +214,12 @@
 		a.disconnect(zap.String("Backend", t.Backend.ID))
 		return false
 	}
+	if a.begun() && !a.route.Resumable {
+		// What another server sends would not continue what the caller has received.
+		failure.discard()
+		a.fail(a.errorFor(forward.StepUnknown))
+		return false
+	}
 	g.mu.Lock()
 	step := a.NextStep(end, g.retryBudget(a.service), a.remaining(), boottime.Now(), true)
 	sent := a.Sent()
@@ -281,11 +288,18 @@
 	a.finish(response)
 }
 
+// errNoStream means that a server that should resume a stream answered with another body.
+var errNoStream = errors.New("the response that should resume a stream is not a stream")
+
 // forward forwards the answer of an attempt that went on. It returns 0 if the caller has its final
 // response.
 func (t *attempt) forward(received beginning) forward.End {
-	if received.reply.Stream {
+	switch {
+	case received.reply.Stream:
 		return t.relayStream(received)
+	case t.begun():
+		received.discard()
+		return t.handleFailure(forward.EndLost, errNoStream)
 	}
 	return t.forwardBody(received)
 }
--- a/internal/transport/gateway/serve.go
+++ b/internal/transport/gateway/serve.go
@@ -155,6 +155,9 @@
 	return x.readBody()
 }
 
+// maxBodyBytes limits the body of a request, whatever the desired state allows.
+const maxBodyBytes = 1 << 30
+
 // Timeouts of an entry that has just started.
 const (
 	// stateWaitTimeout is how long a request waits for the desired state, which normally arrives
@@ -266,8 +269,8 @@
 	controller := http.NewResponseController(x.writer)
 	_ = controller.SetReadDeadline(time.Now().Add(bodyReadTimeout))
 	limit := x.state.Limits.MaxBodyBytes
-	if limit <= 0 {
-		limit = 1 << 30
+	if limit <= 0 || limit > maxBodyBytes {
+		limit = maxBodyBytes
 	}
 	body, err := io.ReadAll(io.LimitReader(x.request.Body, limit+1))
 	_ = controller.SetReadDeadline(time.Time{})
--- a/internal/transport/gateway/stream.go
+++ b/internal/transport/gateway/stream.go
@@ -20,6 +20,9 @@
 // maxEventBytes limits the size of one event.
 const maxEventBytes = 1 << 20
 
+// maxFillerBytes limits what a server may send between two events, such as comments and blank lines.
+const maxFillerBytes = 64 << 10
+
 // receiveStream waits for the first event of a stream.
 func (t *attempt) receiveStream(reply *Reply) (beginning, forward.End) {
 	received := beginning{reply: reply, reader: bufio.NewReaderSize(reply.Body, 4<<10)}
@@ -37,8 +40,17 @@
 }
 
 // nextEvent reads the next event of a stream. It returns io.EOF only if the stream ended completely.
+//
+// What precedes the first event with an ID or data is returned with that event. Until then the
+// request can still be sent to another server.
 func (t *attempt) nextEvent(received beginning, first bool) (event, error) {
-	e, err := readEvent(received.reader)
+	e, err := t.readEvent(received.reader)
+	for first && err == nil && e.filler {
+		var next event
+		next, err = t.readEvent(received.reader)
+		next.raw = append(e.raw, next.raw...)
+		e = next
+	}
 	if err == nil {
 		t.markStarted()
 		t.progressAt.Store(int64(boottime.Now()))
@@ -53,6 +65,18 @@
 	return e, err
 }
 
+// readEvent reads an event and limits what is sent between two events.
+func (t *attempt) readEvent(reader *bufio.Reader) (event, error) {
+	e, err := readEvent(reader)
+	if t.fillerBytes += len(e.raw); !e.filler {
+		t.fillerBytes = 0
+	}
+	if err == nil && t.fillerBytes > maxFillerBytes {
+		err = errNoEvents
+	}
+	return e, err
+}
+
 // relayStream forwards the events of a response as they arrive, complete events only.
 func (t *attempt) relayStream(received beginning) forward.End {
 	reply := received.reply
@@ -175,18 +199,23 @@
 type event struct {
 	id  string
 	raw []byte
+	// filler is true if the event has neither an ID nor data.
+	filler bool
 }
 
 // errWriteToCaller means that a response could not be forwarded.
 var errWriteToCaller = errors.New("write to the caller")
 
+// errNoEvents means that a server sent comments or blank lines without end.
+var errNoEvents = fmt.Errorf("no event within %d bytes", maxFillerBytes)
+
 // errIncompleteEvent means that a stream ended in the middle of an event.
 var errIncompleteEvent = errors.New("stream ended in the middle of an event")
 
 // readEvent reads up to the blank line that ends an event. It returns io.EOF only if the stream
 // ended between two events.
 func readEvent(r *bufio.Reader) (event, error) {
-	var e event
+	e := event{filler: true}
 	for {
 		line, err := r.ReadSlice('\n')
 		e.raw = append(e.raw, line...)
@@ -209,6 +238,7 @@
 		if id, ok := bytes.CutPrefix(line, []byte("id:")); ok {
 			e.id = string(bytes.TrimSpace(id))
 		}
+		e.filler = e.filler && !bytes.HasPrefix(line, []byte("id")) && !bytes.HasPrefix(line, []byte("data"))
 	}
 }
 
--- a/internal/transport/installation/roles.go
+++ b/internal/transport/installation/roles.go
@@ -15,6 +15,7 @@
 	"github.com/filbertlever/filbertlever"
 	"github.com/filbertlever/filbertlever/internal/settings"
 	"github.com/filbertlever/filbertlever/internal/transport/gateway"
+	"github.com/filbertlever/filbertlever/internal/transport/network"
 	"github.com/filbertlever/filbertlever/internal/transport/relay"
 	"github.com/filbertlever/filbertlever/internal/transport/sidecar"
 )
@@ -142,7 +143,8 @@
 	dialer := &net.Dialer{Timeout: dialTimeout, KeepAliveConfig: net.KeepAliveConfig{
 		Enable: true, Idle: time.Second, Interval: 500 * time.Millisecond, Count: 3}}
 	return &http.Client{Transport: &http.Transport{
-		DialContext: dialer.DialContext, DisableCompression: true, MaxIdleConnsPerHost: 8, IdleConnTimeout: 30 * time.Second}}
+		DialContext: dialer.DialContext, DisableCompression: true, MaxIdleConnsPerHost: 8, IdleConnTimeout: 30 * time.Second,
+		MaxResponseHeaderBytes: network.MaxResponseHead}}
 }
 
 // RunAgent runs an agent until ctx is cancelled.
--- a/internal/transport/network/network.go
+++ b/internal/transport/network/network.go
@@ -30,3 +30,7 @@
 	dialer := net.Dialer{Timeout: t.DialTimeout, KeepAlive: keepAliveInterval}
 	return dialer.DialContext(ctx, network, address)
 }
+
+// MaxResponseHead is the largest head of a response, including the informational responses before
+// it, that is read from any server.
+const MaxResponseHead = 32 << 10
--- a/internal/transport/peer/clients.go
+++ b/internal/transport/peer/clients.go
@@ -82,6 +82,8 @@
 		WriteBufferSize:     bufferSize,
 		ReadBufferSize:      bufferSize,
 		DisableCompression:  true,
+
+		MaxResponseHeaderBytes: network.MaxResponseHead,
 	}
 }
 
