Entries ask the store again in turns while their reader is disconnected

An entry ran requests by a desired state that was up to 2.9 s old, where 2 s are allowed, with two ordinary faults in a row: an outage of the store, and then a store that leaves other entries of the region unanswered. After the outage each entry counted itself as unavailable for 3 s (readerBackoff). The one that kept trying for all was left unanswered, and an entry that the store would have answered kept asking that one.

Cause: that the store had failed an entry was kept for a fixed time, without a second look, although the reader's failure spoke for one. Such an entry now asks the store again once its last failure for the table is 0.6 s times the entries of the region old, so that the rate of all does not depend on their number. An answer ends the 3 s if the failure is over a second old.

--- a/internal/coordination/relays/following.go
+++ b/internal/coordination/relays/following.go
@@ -111,6 +111,11 @@
 	return SnapshotInterval * time.Duration(max(position-immediateStoreTurns, 0))
 }
 
+// StoreRetryInterval returns how long an entry that the store did not answer waits before it asks the
+// store again, while the reader of its region of n entries is disconnected too. The entries ask one
+// after the other, so that the one that the store answers again becomes known soon.
+func StoreRetryInterval(n int) time.Duration { return SnapshotInterval * time.Duration(max(n, 1)) }
+
 // PreferResponsive moves the suspected sources to the end.
 func PreferResponsive(sources []filbertlever.HostID, suspected func(filbertlever.HostID) bool) []filbertlever.HostID {
 	ordered := slices.Clone(sources)
--- a/internal/transport/gateway/following.go
+++ b/internal/transport/gateway/following.go
@@ -31,7 +31,8 @@
 // one slow link.
 //
 // If the store answers no entry, one entry keeps trying and the others ask the readers again
-// a little later.
+// a little later. They also ask the store one after the other: that it did not answer an entry may
+// be due to an outage that has ended, after which it does not answer the one that keeps trying.
 //
 // Readers whose calls the store leaves unanswered notice it one after the other, which takes
 // too long to remove servers that leave within their time limit. The rows of servers are small,
@@ -84,6 +85,10 @@
 		}
 		return Rows{}, 0, false, fmt.Errorf("%w: %w", errSourcesFailed, err)
 	}
+	if w.mayRetryStore(boottime.Now()) {
+		g.log.Info("asking the store again instead of the disconnected reader", w.fields(zap.String("Reader", string(previous)))...)
+		return Rows{}, 0, false, nil
+	}
 	return Rows{}, 0, false, errReaderDisconnected
 }
 
--- a/internal/transport/gateway/readers.go
+++ b/internal/transport/gateway/readers.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"cmp"
 	"time"
 
 	"github.com/filbertlever/filbertlever"
@@ -100,6 +101,22 @@
 // entries before it tries again.
 const readerBackoff = 3 * time.Second
 
+// mayRetryStore reports whether this entry, which the store recently did not answer, may ask it for
+// changes of the table again before readerBackoff has passed. The last failure of this table counts, if
+// there is one: a call for another table may have been left unanswered long before.
+func (w *tableWatch) mayRetryStore(now time.Duration) bool {
+	g := w.gateway
+	g.mu.Lock()
+	n := len(g.viewRegion(now).readers)
+	g.mu.Unlock()
+	return now-cmp.Or(w.storeFailedAt, g.storeFailedAt()) >= relays.StoreRetryInterval(n)
+}
+
+// storeFailedAt returns when the store last did not answer this entry.
+func (g *Gateway) storeFailedAt() time.Duration {
+	return time.Duration(g.readerSuspendedUntil.Load()) - readerBackoff
+}
+
 // markStoreUnreachable records that the store refuses to serve this entry, or does not answer it in
 // time. Its followers and, if that is new, the region are informed: another entry reads the store for
 // them, and those that the store answers become known.
--- a/internal/transport/gateway/uptime.go
+++ b/internal/transport/gateway/uptime.go
@@ -50,8 +50,12 @@
 	return ok && now-span.Last < uptime.MinOutage
 }
 
+// minFailureAge is how old a failure of the store must be for an answer to outweigh it. A store that
+// answers some of an entry's calls must not make it the reader between its failures.
+const minFailureAge = time.Second
+
 // recordStoreAnswer records that the store has just answered this entry. If it is the first
-// answer within storeAnswerTTL, a heartbeat informs the region.
+// answer within storeAnswerTTL, or since the store failed, a heartbeat informs the region.
 func (g *Gateway) recordStoreAnswer() {
 	now := boottime.Now()
 	g.mu.Lock()
@@ -60,6 +64,10 @@
 		g.requestHeartbeat()
 	}
 	g.storeAnsweredAt = now
+	if g.storeUnreachable(now) && now-g.storeFailedAt() >= minFailureAge {
+		g.readerSuspendedUntil.Store(0)
+		g.requestHeartbeat()
+	}
 	g.recordStoreUptime(uptime.Span{First: now, Last: now}, now)
 }
 
--- a/internal/transport/gateway/watch.go
+++ b/internal/transport/gateway/watch.go
@@ -79,6 +79,8 @@
 	unreachable bool
 	// failingSince is when the other entries began to fail as sources; 0 if they do not.
 	failingSince time.Duration
+	// storeFailedAt is when the store last failed to answer a call for changes; 0 if it never did.
+	storeFailedAt time.Duration
 	// suspects are sources that failed, and until when they are asked last.
 	suspects map[filbertlever.HostID]time.Duration
 	// fromPeer is true if the last rows came from another entry.
@@ -153,6 +155,7 @@
 	}
 	rows, sent, err := w.follow(ctx)
 	if err != nil {
+		w.storeFailedAt = boottime.Now()
 		if errors.Is(err, ErrStoreRejected) {
 			g.markStoreUnreachable()
 		}
