A fetch of a piece goes on when its version is evicted meanwhile

Since manifests may be replaced, a fetch of a piece took its manifest from the version's state, and would have failed when a fourth version evicted that. It keeps the last one, as before.

--- a/internal/transport/relay/relay.go
+++ b/internal/transport/relay/relay.go
@@ -227,7 +227,7 @@
 	if f == nil || f.failed() {
 		f = &sharedFetch[[]byte]{done: make(chan struct{})}
 		v.pieces[request] = f
-		go r.runPieceFetch(id, request, f)
+		go r.runPieceFetch(id, &manifest, request, f)
 	}
 	r.mu.Unlock()
 	return f.wait(ctx)
@@ -237,7 +237,7 @@
 //
 // The origin or another entry may send a corrupt piece. Each piece is checked against
 // the manifest before it is cached, and fetched again if its digest differs.
-func (r *Relay) runPieceFetch(id catalog.ModelVersion, request pieceRequest, f *sharedFetch[[]byte]) {
+func (r *Relay) runPieceFetch(id catalog.ModelVersion, manifest *Manifest, request pieceRequest, f *sharedFetch[[]byte]) {
 	defer close(f.done)
 	piece := request.piece
 	failed := failures{}
@@ -245,9 +245,9 @@
 	slot := &originSlot{relay: r, id: id, startedAt: startedAt}
 	defer slot.release()
 	for attempt := 0; shouldRetry(attempt, failed, startedAt); attempt++ {
-		// The manifest may have been replaced since the last attempt.
-		manifest, delay := r.manifestOfPiece(id, piece)
-		if manifest == nil {
+		var delay time.Duration
+		manifest, delay = r.currentManifest(id, piece, manifest)
+		if piece >= len(manifest.Digests) {
 			f.err = fmt.Errorf("piece %d of %s version %d: %w", piece, id.Model, id.Version, errNoPiece)
 			return
 		}
@@ -300,14 +300,16 @@
 	}
 }
 
-// manifestOfPiece returns the manifest in use, or nil if it has no such piece, and how long to wait
-// before the piece is fetched, because it did not match its digest the last time.
-func (r *Relay) manifestOfPiece(id catalog.ModelVersion, piece int) (*Manifest, time.Duration) {
+// currentManifest returns the manifest in use, which may have replaced the one that a fetch used
+// before, and how long to wait before the piece is fetched, because it did not match its digest the
+// last time.
+func (r *Relay) currentManifest(id catalog.ModelVersion, piece int, before *Manifest) (*Manifest, time.Duration) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	v := r.lookupState(id)
-	if v == nil || v.manifest == nil || piece < 0 || piece >= len(v.manifest.Digests) {
-		return nil, 0
+	if v == nil || v.manifest == nil {
+		// The version was evicted meanwhile.
+		return before, 0
 	}
 	return v.manifest, v.doubts.PieceDelay(piece, boottime.Now())
 }
