A draining server may become ready again, as before

Its servers are draining for a while and then ready again under the same ID, and draining had been made final for a process. The existing test stands, and that part is taken back. A draining process still loses its address to one that is not, unless it proved that it runs there.

--- a/internal/coordination/fleet/occupants.go
+++ b/internal/coordination/fleet/occupants.go
@@ -27,9 +27,6 @@
 	seenAt time.Duration
 	// confirmedAt is when the process last proved that it runs at its address; 0 if it never did.
 	confirmedAt time.Duration
-	// draining is true once a row listed the process as draining. A process never stops draining,
-	// but an older row may be written late.
-	draining bool
 	// unlistedAt is when the row of the process was removed; 0 while it is listed.
 	unlistedAt time.Duration
 }
@@ -56,6 +53,7 @@
 type claim struct {
 	id       string
 	sighting sighting
+	draining bool
 	boot     catalog.Boot
 	revision uint64
 }
@@ -66,7 +64,7 @@
 	switch {
 	case c.sighting.confirmedAt > 0:
 		return max(c.sighting.seenAt, c.sighting.confirmedAt+confirmationTTL)
-	case c.sighting.draining:
+	case c.draining:
 		return -1
 	}
 	return c.sighting.seenAt
@@ -103,9 +101,7 @@
 			affected = append(affected, old.backend.Address)
 			listed = false
 		}
-		s := f.sight(*backend, now)
-		s.draining = s.draining || backend.Draining
-		backend.Draining = s.draining
+		f.sight(*backend, now)
 		f.rows[backend.ID] = listing{backend: *backend, receivedAt: now}
 		if !listed {
 			f.rowsAt[backend.Address] = append(f.rowsAt[backend.Address], backend.ID)
@@ -117,8 +113,8 @@
 
 func processOf(b catalog.Backend) process { return process{b.ID, b.Boot} }
 
-// sight returns the sighting of a listed process.
-func (f *Fleet) sight(b catalog.Backend, now time.Duration) *sighting {
+// sight records that a process is listed.
+func (f *Fleet) sight(b catalog.Backend, now time.Duration) {
 	p := processOf(b)
 	s, ok := f.sightings[p]
 	if !ok || s.unlistedAt != 0 && now-s.unlistedAt >= sightingTTL {
@@ -126,7 +122,6 @@
 		f.sightings[p] = s
 	}
 	s.unlistedAt = 0
-	return s
 }
 
 // unlist removes a row.
@@ -158,7 +153,7 @@
 	for _, id := range f.rowsAt[address] {
 		b := f.rows[id].backend
 		if !f.isDenied(b, now) {
-			claims = append(claims, claim{id: id, sighting: *f.sightings[processOf(b)], boot: b.Boot, revision: b.Revision})
+			claims = append(claims, claim{id: id, sighting: *f.sightings[processOf(b)], draining: b.Draining, boot: b.Boot, revision: b.Revision})
 		}
 	}
 	if len(claims) == 0 {
--- a/internal/coordination/fleet/restored.go
+++ b/internal/coordination/fleet/restored.go
@@ -36,10 +36,6 @@
 		}
 	}
 	f.Apply(known, nil, true, now)
-	// Servers write their rows again. What they write counts, not what they wrote before.
-	for _, s := range f.sightings {
-		s.draining = false
-	}
 }
 
 // recordDeparted remembers a process that is no longer listed.
