Log and count how the end of a response without a length is checked

One line of log and a counter per check, and the framing of the server's response in the line of each completed stream. No logic changed.

--- a/internal/transport/gateway/crashes.go
+++ b/internal/transport/gateway/crashes.go
@@ -204,7 +204,25 @@
 // looks complete.
 func (t *attempt) serverCrashed() bool {
 	time.Sleep(firstProbeDelay)
-	return errors.Is(t.gateway.sender.Probe(t.Backend), syscall.ECONNREFUSED)
+	start := boottime.Now()
+	err := t.gateway.sender.Probe(t.Backend)
+	t.logEndCheck(boottime.Now()-start, err)
+	return errors.Is(err, syscall.ECONNREFUSED)
+}
+
+// logEndCheck logs what a check found whose result decides whether a response is complete.
+func (t *attempt) logEndCheck(took time.Duration, err error) {
+	outcome := "Connected"
+	switch {
+	case errors.Is(err, syscall.ECONNREFUSED):
+		outcome = "Refused"
+	case err != nil:
+		outcome = "Failed"
+	}
+	t.gateway.metrics.endChecks.WithLabelValues(t.service, outcome).Inc()
+	t.gateway.log.Info("end of a response without a length checked", zap.String("Request", t.call.ID), zap.String("Backend", t.Backend.ID),
+		zap.Int64("Boot", int64(t.Backend.Boot)), zap.String("Outcome", outcome), zap.Duration("Took", took), zap.Duration("Left", t.remaining()),
+		zap.String("LastEvent", t.delivered.snapshot().lastEvent), zap.Error(err))
 }
 
 // probeServer checks whether the process of a server that truncated a response has ended.
--- a/internal/transport/gateway/metrics.go
+++ b/internal/transport/gateway/metrics.go
@@ -17,6 +17,7 @@
 	startPredictionError *prometheus.HistogramVec
 	cancelledAttempts    *prometheus.CounterVec
 	serverCrashes        *prometheus.CounterVec
+	endChecks            *prometheus.CounterVec
 	quarantined          prometheus.Gauge
 	quarantinedParts     prometheus.Gauge
 	announcements        *prometheus.CounterVec
@@ -68,6 +69,10 @@
 			Name: "filbertlever_gateway_server_ends_total",
 			Help: "Backend servers whose process ended with requests of this entry under way, by service.",
 		}, []string{"Service"}),
+		endChecks: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "filbertlever_gateway_end_checks_total",
+			Help: "Checks of the server's process at the end of a response without a length, by service and outcome.",
+		}, []string{"Service", "Outcome"}),
 		quarantined: prometheus.NewGauge(prometheus.GaugeOpts{
 			Name: "filbertlever_gateway_quarantined",
 			Help: "Requests that are kept from all servers, as servers end under them.",
@@ -123,7 +128,7 @@
 		}, []string{"Service", "Level", "Reason"}),
 	}
 	registry.MustRegister(m.slowServers, m.placedSlowdown, m.pressure, m.levelReserve, m.levelDecisions)
-	registry.MustRegister(m.outcomes, m.unanswered, m.hedges, m.retries, m.firstByte, m.startPredictionError, m.cancelledAttempts, m.serverCrashes, m.quarantined, m.quarantinedParts, m.announcements, m.rateLimited, m.storeRestored, m.placedMissing, m.badDatagrams, m.badRows)
+	registry.MustRegister(m.outcomes, m.unanswered, m.hedges, m.retries, m.firstByte, m.startPredictionError, m.cancelledAttempts, m.serverCrashes, m.endChecks, m.quarantined, m.quarantinedParts, m.announcements, m.rateLimited, m.storeRestored, m.placedMissing, m.badDatagrams, m.badRows)
 	return m
 }
 
--- a/internal/transport/gateway/ports.go
+++ b/internal/transport/gateway/ports.go
@@ -110,6 +110,17 @@
 	Finish func(whole bool)
 }
 
+// framing names what ends the body, for the log.
+func (r *Reply) framing() string {
+	switch {
+	case r.UntilClose:
+		return "UntilClose"
+	case r.Length >= 0:
+		return "Length"
+	}
+	return "Chunks"
+}
+
 // Sender sends requests to backend servers. An error that is a *channel.SendError indicates whether
 // the request may have reached the server.
 type Sender interface {
--- a/internal/transport/gateway/stream.go
+++ b/internal/transport/gateway/stream.go
@@ -156,7 +156,7 @@
 	t.gateway.mu.Lock()
 	servers := t.Sent() + 1
 	t.gateway.mu.Unlock()
-	t.recordOutcome(reply.Status, "", zap.String("Backend", t.Backend.ID), zap.String("LastEvent", t.delivered.snapshot().lastEvent), zap.Int("Servers", servers))
+	t.recordOutcome(reply.Status, "", zap.String("Backend", t.Backend.ID), zap.String("LastEvent", t.delivered.snapshot().lastEvent), zap.Int("Servers", servers), zap.String("Framing", reply.framing()))
 	return 0
 }
 
