A response without a length is complete only if its server's process is seen to run after its end

Callers got streams that ended as complete before their last event, and complete empty answers to requests that crashed their servers.

Cause: the end of such a response is the end of its connection, also if its server crashes. The entry connected to the address 30 ms later and took everything but a refusal for a sign of life: the next process, a listener that sends nothing, a time-out, an error of the check itself. The same connect kept crashes from being counted, so that crashing requests were not quarantined. The class is evidence by absence: complete, or alive, because nothing spoke against it.

Change: package liveness decides Alive, Ended or Unknown, in one place, from the identity of what answers a health check that was sent after the end. All responses of a process that ended before it share one check. Unknown is not complete: a resumable stream goes on at another server, others are cut visibly or get 502. Where servers keep their IDs, the process is identified by its boot, or because it ran before the request was sent. An answer of another process no longer counts as a sign of life of the expected one. A truncated long response now counts as a failed attempt.

RecordRunning replaces the second check: an answer to something sent after a failure shows that the failure was no crash.

--- a/internal/coordination/catalog/catalog.go
+++ b/internal/coordination/catalog/catalog.go
@@ -129,6 +129,8 @@
 	Engine *Engine
 	// MaxConnections limits the connections to one server from all callers together.
 	MaxConnections int
+	// HealthPath is the path at which a server names itself; empty if there is none.
+	HealthPath string
 	// ColdStart is how long a server is cold after its start, and ColdRate how many requests a
 	// second it can take meanwhile, from all entries together. 0 means no limit.
 	ColdStart time.Duration
--- a/internal/coordination/quarantine/quarantine.go
+++ b/internal/coordination/quarantine/quarantine.go
@@ -203,10 +203,19 @@
 // break off too, and were taken for its cause.
 func (a *Attempt) sentBefore(crash time.Duration) bool { return a.Sent < crash+crashTimeTolerance }
 
-// RecordAlive records that an answer, or a part of one, arrived from a process, or that it accepted a
-// connection after one had broken.
+// RecordAlive records that an answer, or a part of one, arrived from a process.
 func (t *Table) RecordAlive(process Process, now time.Duration) { t.alive[process] = now }
 
+// RecordRunning records that a process answered something that was sent to it at a time. Attempts that
+// failed before that were not ended by a crash.
+func (t *Table) RecordRunning(process Process, sent time.Duration) {
+	t.failures[process] = slices.DeleteFunc(t.failures[process], func(f failedAttempt) bool { return f.at < sent })
+	if len(t.failures[process]) == 0 {
+		delete(t.failures, process)
+	}
+	t.alive[process] = max(t.alive[process], sent)
+}
+
 // RecordCrash records that a process was found to have crashed, and returns the requests
 // that this entry had in flight there. The time of the crash is when the server first closed a
 // connection of this entry without a complete answer and sent nothing more.
--- a/internal/transport/channel/before_send_test.go
+++ b/internal/transport/channel/before_send_test.go
@@ -40,15 +40,15 @@
 
 // An unreachable host was taken for one whose process had ended, and the requests in flight
 // there were blamed for a crash. Only a refused connection shows that no process listens.
-func TestProbeIsRefusedOnlyIfConnectionIsRefused(t *testing.T) {
+func TestConnectIsRefusedOnlyIfConnectionIsRefused(t *testing.T) {
 	c := qt.New(t)
 	pool, closePool := channel.New()
 	defer closePool()
 	listener, err := net.Listen("tcp4", "127.0.0.1:0")
 	c.Assert(err, qt.IsNil)
-	c.Assert(pool.Probe(listener.Addr().String()), qt.IsNil)
+	c.Assert(pool.Connect(t.Context(), listener.Addr().String()), qt.IsNil)
 	c.Assert(listener.Close(), qt.IsNil)
-	c.Assert(errors.Is(pool.Probe(listener.Addr().String()), syscall.ECONNREFUSED), qt.IsTrue)
-	err = pool.Probe("no address")
+	c.Assert(errors.Is(pool.Connect(t.Context(), listener.Addr().String()), syscall.ECONNREFUSED), qt.IsTrue)
+	err = pool.Connect(t.Context(), "no address")
 	c.Assert(err != nil && !errors.Is(err, syscall.ECONNREFUSED), qt.IsTrue)
 }
--- a/internal/transport/channel/channel.go
+++ b/internal/transport/channel/channel.go
@@ -20,6 +20,8 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"github.com/filbertlever/filbertlever/internal/transport/boottime"
 )
 
 // Connection timeouts and limits.
@@ -125,6 +127,8 @@
 	server Server
 	// expiresAt is when the idle connection must not be used any more.
 	expiresAt time.Time
+	// openedAt is when the connection was open, on the clock of package boottime.
+	openedAt time.Duration
 	// used is true once a response was read completely on the connection.
 	used bool
 	// bodyWritten is closed when the body has been written. It is nil if the body was
@@ -140,6 +144,8 @@
 	stop func() bool
 	// unmatched is true if the connection delivered responses to other requests.
 	unmatched bool
+	// OpenedAt is when the connection was open, on the clock of package boottime.
+	OpenedAt time.Duration
 }
 
 // MatchFunc reports whether a response belongs to a request. The argument first is true if
@@ -182,7 +188,7 @@
 	if err := c.write(request); err != nil {
 		return fail(fmt.Errorf("write: %w", err))
 	}
-	result := &Response{pool: p, conn: c, stop: stop}
+	result := &Response{pool: p, conn: c, stop: stop, OpenedAt: c.openedAt}
 	for range maxUnmatchedResponses + 1 {
 		response, err := c.read(request)
 		if err != nil {
@@ -326,7 +332,7 @@
 		return nil, err
 	}
 	head := &headReader{reader: raw, total: &p.largeHeads}
-	return &conn{Conn: raw, reader: bufio.NewReaderSize(head, readBufferSize), head: head, server: server}, nil
+	return &conn{Conn: raw, reader: bufio.NewReaderSize(head, readBufferSize), head: head, server: server, openedAt: boottime.Now()}, nil
 }
 
 // healthy reports whether an idle connection is open and has no unread data.
@@ -376,10 +382,10 @@
 	}
 }
 
-// Probe connects to an address and closes the connection. The error is ECONNREFUSED if no
+// Connect connects to an address and closes the connection. The error is ECONNREFUSED if no
 // process listens there. A timeout is not a refusal: the host may be unreachable.
-func (p *Pool) Probe(address string) error {
-	c, err := p.dialer.Dial("tcp", address)
+func (p *Pool) Connect(ctx context.Context, address string) error {
+	c, err := p.dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
 		return err
 	}
--- a/internal/transport/gateway/attempt.go
+++ b/internal/transport/gateway/attempt.go
@@ -148,11 +148,14 @@
 }
 
 // recordAlive records the head of a response, which shows that the server's process runs. Refusals count
-// too: a server that only refuses after a silence makes progress.
+// too: a server that only refuses after a silence makes progress. Other heads may come from another process.
 func (t *attempt) recordAlive(reply *Reply) {
 	g, now := t.gateway, boottime.Now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	if reply.Misdirected || !reply.Verified && !reply.NotRun {
+		return
+	}
 	g.crashes.RecordAlive(processOf(t.Backend), now)
 	if (reply.Verified || reply.NotRun && !reply.Misdirected) && !g.fleet.Superseded(t.Backend) {
 		g.fleet.RecordProgress(t.Backend.ID, now)
@@ -180,8 +183,8 @@
 // receiveBody reads a response that is not a stream, up to maxBufferedResponse.
 func (t *attempt) receiveBody(reply *Reply) (beginning, forward.End) {
 	body, err := io.ReadAll(io.LimitReader(reply.Body, maxBufferedResponse+1))
-	if err == nil && reply.UntilClose && t.serverCrashed() {
-		err = errCrashed
+	if err == nil && reply.UntilClose && len(body) <= maxBufferedResponse {
+		err = t.confirmEnd()
 	}
 	if err != nil {
 		reply.Finish(false)
--- a/internal/transport/gateway/attempts.go
+++ b/internal/transport/gateway/attempts.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"strconv"
@@ -328,21 +329,34 @@
 		t.writer.Header().Set("Content-Length", strconv.FormatInt(reply.Length, 10))
 	}
 	t.writer.WriteHeader(reply.Status)
-	_, err := t.writer.Write(body)
+	caller := callerWriter{t.writer}
+	_, err := caller.Write(body)
 	if err == nil {
-		_, err = io.Copy(t.writer, reply.Body)
+		_, err = io.Copy(caller, reply.Body)
 	}
-	if err == nil && reply.UntilClose && t.serverCrashed() {
-		err = errCrashed
+	if err == nil && reply.UntilClose {
+		err = t.confirmEnd()
 	}
 	reply.Finish(err == nil)
 	if err != nil {
+		t.handleFailure(forward.EndLost, err)
 		t.abort(reply.Status, t.whoEnded(err), zap.String("Backend", id), zap.Error(err))
 	}
 	t.recordOutcome(reply.Status, "", zap.String("Backend", id))
 	return 0
 }
 
+// callerWriter writes to a caller. Its errors are told apart from those of reading from a server.
+type callerWriter struct{ io.Writer }
+
+func (w callerWriter) Write(data []byte) (int, error) {
+	n, err := w.Writer.Write(data)
+	if err != nil {
+		err = fmt.Errorf("%w: %w", errWriteToCaller, err)
+	}
+	return n, err
+}
+
 func copyHeader(to, from http.Header) {
 	for name, values := range from {
 		to[name] = append([]string(nil), values...)
--- a/internal/transport/gateway/contention_test.go
+++ b/internal/transport/gateway/contention_test.go
@@ -19,6 +19,7 @@
 	"github.com/filbertlever/filbertlever/internal/coordination/catalog"
 	"github.com/filbertlever/filbertlever/internal/coordination/contention"
 	"github.com/filbertlever/filbertlever/internal/coordination/fleet"
+	"github.com/filbertlever/filbertlever/internal/coordination/liveness"
 	"github.com/filbertlever/filbertlever/internal/coordination/retry"
 	"github.com/filbertlever/filbertlever/internal/coordination/shares"
 	"github.com/filbertlever/filbertlever/internal/transport/boottime"
@@ -79,7 +80,9 @@
 	s[d.Call.ID] = d
 	return &Reply{Status: http.StatusOK, Body: strings.NewReader("answer"), Verified: true, Finish: func(bool) {}}, nil
 }
-func (recordingSender) Probe(catalog.Backend) error { return nil }
+func (recordingSender) Probe(context.Context, catalog.Backend, string) (liveness.Check, error) {
+	return liveness.Check{}, nil
+}
 
 // pathCodec takes the ID of a request from its query.
 type pathCodec struct{}
--- a/internal/transport/gateway/crashes.go
+++ b/internal/transport/gateway/crashes.go
@@ -2,7 +2,6 @@
 
 import (
 	"errors"
-	"fmt"
 	"io"
 	"net"
 	"slices"
@@ -13,6 +12,7 @@
 
 	"github.com/filbertlever/filbertlever/internal/coordination/catalog"
 	"github.com/filbertlever/filbertlever/internal/coordination/forward"
+	"github.com/filbertlever/filbertlever/internal/coordination/liveness"
 	"github.com/filbertlever/filbertlever/internal/coordination/quarantine"
 	"github.com/filbertlever/filbertlever/internal/transport/boottime"
 )
@@ -25,16 +25,6 @@
 	// retryAfterSuspected is sent to a caller whose suspected request is already running at a
 	// server.
 	retryAfterSuspected = time.Second
-	// firstProbeDelay and secondProbeDelay are the delays after a truncated response before it is
-	// checked whether the server still listens. A process that ends closes its connections before
-	// its listening socket.
-	firstProbeDelay  = 30 * time.Millisecond
-	secondProbeDelay = 300 * time.Millisecond
-	// probeInterval is the minimum time between two checks of the same process, so that only one of
-	// them runs. A server that still listens may truncate some of its responses for a long time.
-	probeInterval = firstProbeDelay + secondProbeDelay
-	// maxProbedProcesses limits the processes whose last check is remembered.
-	maxProbedProcesses = 4096
 	// maxHoldRepliesPerSecond limits the replies to entries that hold different requests.
 	maxHoldRepliesPerSecond = 8
 )
@@ -44,8 +34,8 @@
 	*quarantine.Table
 	// inFlight are the requests being served.
 	inFlight map[*attempts]bool
-	// probedAt is when a process was last checked for still listening.
-	probedAt map[quarantine.Process]time.Duration
+	// checks are the last checks of processes, and probing those that follow truncated responses.
+	checks, probing map[quarantine.Process]*processCheck
 	// repliesSince is the start of the period in which replies counts the replies with holds, for
 	// maxHoldRepliesPerSecond.
 	repliesSince time.Duration
@@ -53,7 +43,7 @@
 }
 
 func newCrashes() *crashes {
-	return &crashes{Table: quarantine.New(quarantine.DefaultConfig()), inFlight: map[*attempts]bool{}, probedAt: map[quarantine.Process]time.Duration{}}
+	return &crashes{Table: quarantine.New(quarantine.DefaultConfig()), inFlight: map[*attempts]bool{}, checks: map[quarantine.Process]*processCheck{}, probing: map[quarantine.Process]*processCheck{}}
 }
 
 // identity returns what stays the same when the caller retries the request.
@@ -120,12 +110,12 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.crashes.RecordFailure(quarantine.Attempt{Request: r, Process: process, Sent: t.sentAt, Begun: t.phase.hasStarted(), ClosedByServer: byPeer}, now)
-	if at, ok := g.crashes.probedAt[process]; byPeer && (!ok || now-at > probeInterval) {
-		if len(g.crashes.probedAt) >= maxProbedProcesses {
-			clear(g.crashes.probedAt)
-		}
-		g.crashes.probedAt[process] = now
-		go g.probeServer(backend)
+	var ended *endError
+	switch {
+	case errors.As(err, &ended) && ended.outcome == liveness.Ended:
+		g.noteServerCrash(backend, ended.evidence)
+	case byPeer:
+		g.probeServer(backend)
 	}
 }
 
@@ -195,59 +185,6 @@
 	return false
 }
 
-// errCrashed means that a response ended because the process of its server did.
-var errCrashed = fmt.Errorf("the server crashed at the end of its response: %w", io.ErrUnexpectedEOF)
-
-// serverCrashed reports whether the process that sent a response has ended since.
-//
-// A response with neither a length nor chunks ends with its connection. If its server crashes, it
-// looks complete.
-func (t *attempt) serverCrashed() bool {
-	time.Sleep(firstProbeDelay)
-	start := boottime.Now()
-	err := t.gateway.sender.Probe(t.Backend)
-	t.logEndCheck(boottime.Now()-start, err)
-	return errors.Is(err, syscall.ECONNREFUSED)
-}
-
-// logEndCheck logs what a check found whose result decides whether a response is complete.
-func (t *attempt) logEndCheck(took time.Duration, err error) {
-	outcome := "Connected"
-	switch {
-	case errors.Is(err, syscall.ECONNREFUSED):
-		outcome = "Refused"
-	case err != nil:
-		outcome = "Failed"
-	}
-	t.gateway.metrics.endChecks.WithLabelValues(t.service, outcome).Inc()
-	t.gateway.log.Info("end of a response without a length checked", zap.String("Request", t.call.ID), zap.String("Backend", t.Backend.ID),
-		zap.Int64("Boot", int64(t.Backend.Boot)), zap.String("Outcome", outcome), zap.Duration("Took", took), zap.Duration("Left", t.remaining()),
-		zap.String("LastEvent", t.delivered.snapshot().lastEvent), zap.Error(err))
-}
-
-// probeServer checks whether the process of a server that truncated a response has ended.
-//
-// Responses are lost and connections are reset while servers keep running. If that counted as a
-// crash, three such events in a row would quarantine a harmless request. Nor do such events count
-// if the process ends seconds later: it accepts connections in between.
-func (g *Gateway) probeServer(backend catalog.Backend) {
-	var err error
-	for _, delay := range []time.Duration{firstProbeDelay, secondProbeDelay} {
-		time.Sleep(delay)
-		if err = g.sender.Probe(backend); errors.Is(err, syscall.ECONNREFUSED) {
-			g.mu.Lock()
-			g.noteServerCrash(backend, "ConnectionRefused")
-			g.mu.Unlock()
-			return
-		}
-	}
-	if err == nil {
-		g.mu.Lock()
-		g.crashes.RecordAlive(processOf(backend), boottime.Now())
-		g.mu.Unlock()
-	}
-}
-
 // noteServerCrash records that a server's process has ended. The caller holds g.mu.
 func (g *Gateway) noteServerCrash(backend catalog.Backend, evidence string) {
 	now := boottime.Now()
--- /dev/null
+++ b/internal/transport/gateway/liveness.go
@@ -0,0 +1,193 @@
+package gateway
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/filbertlever/filbertlever/internal/coordination/catalog"
+	"github.com/filbertlever/filbertlever/internal/coordination/liveness"
+	"github.com/filbertlever/filbertlever/internal/transport/boottime"
+)
+
+// Timeouts of the checks of servers' processes.
+const (
+	// firstProbeDelay is the delay before a process is checked after a response ended, and
+	// secondProbeDelay the delay before it is checked again if nothing is known then. A process that
+	// ends may close its connections one after the other.
+	firstProbeDelay  = 30 * time.Millisecond
+	secondProbeDelay = 300 * time.Millisecond
+	// probeTimeout bounds one check. A server may answer only once a slot is free.
+	probeTimeout = 400 * time.Millisecond
+	// probeInterval is the minimum time between two checks of the same process after truncated responses.
+	probeInterval = firstProbeDelay + secondProbeDelay
+	// maxProbedProcesses limits the processes whose last check is remembered.
+	maxProbedProcesses = 4096
+)
+
+// processCheck is a check of a server's process. All responses of the process that ended before it is
+// sent share it.
+type processCheck struct {
+	gateway *Gateway
+	backend catalog.Backend
+	path    string
+	// sendAt is when the check is sent.
+	sendAt time.Duration
+	// done is closed when found and err are set.
+	done  chan struct{}
+	found liveness.Check
+	err   error
+}
+
+// checkProcess returns a check of a process that is sent within delay, or by the time at which the
+// process may be checked again if that is later and rateLimited is true. The caller holds g.mu.
+func (g *Gateway) checkProcess(backend catalog.Backend, delay time.Duration, rateLimited bool) *processCheck {
+	now, process := boottime.Now(), processOf(backend)
+	sendAt := now + delay
+	if last, ok := g.crashes.checks[process]; ok {
+		if rateLimited {
+			sendAt = max(sendAt, last.sendAt+probeInterval)
+		}
+		if now < last.sendAt && last.sendAt <= sendAt {
+			return last
+		}
+	}
+	c := &processCheck{gateway: g, backend: backend, sendAt: sendAt, done: make(chan struct{})}
+	if state := g.state.Load(); state != nil {
+		c.path = state.Services[backend.Service].HealthPath
+	}
+	if len(g.crashes.checks) >= maxProbedProcesses {
+		clear(g.crashes.checks)
+	}
+	g.crashes.checks[process] = c
+	go c.run()
+	return c
+}
+
+// run performs the check.
+func (c *processCheck) run() {
+	defer close(c.done)
+	time.Sleep(c.sendAt - boottime.Now())
+	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
+	defer cancel()
+	c.found, c.err = c.gateway.sender.Probe(ctx, c.backend, c.path)
+	g, outcome := c.gateway, c.judge(c.sendAt)
+	g.metrics.processChecks.WithLabelValues(c.backend.Service, outcome.String()).Inc()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	switch {
+	case outcome == liveness.Alive:
+		g.crashes.RecordRunning(processOf(c.backend), c.found.SentAt)
+	case c.found.Server != "" && c.found.Server != c.backend.ID && !g.fleet.Superseded(c.backend):
+		g.fleet.RecordReplaced(c.backend.ID, c.found.Server, boottime.Now())
+	}
+}
+
+// judge returns what the check shows of its process at a time.
+func (c *processCheck) judge(at time.Duration) liveness.Outcome {
+	return c.exchange(at, at).Judge(c.found)
+}
+
+func (c *processCheck) exchange(sentAt, endedAt time.Duration) liveness.Exchange {
+	return liveness.Exchange{Process: liveness.Process{Server: c.backend.ID, Boot: c.backend.Boot}, SentAt: sentAt, EndedAt: endedAt}
+}
+
+// endError means that a response ended with its connection, and that its server's process is not known
+// to have run after that. The response is not complete.
+type endError struct {
+	outcome  liveness.Outcome
+	evidence string
+}
+
+func (e *endError) Error() string {
+	return fmt.Sprintf("the response ended with its connection, process of its server: %s", e.outcome)
+}
+
+func (e *endError) Unwrap() error { return io.ErrUnexpectedEOF }
+
+// confirmEnd checks that a response with neither a length nor chunks is complete.
+//
+// Such a response ends with its connection, also if its server crashes. Only a process that still runs
+// has ended it on purpose.
+func (t *attempt) confirmEnd() error {
+	endedAt, outcome := boottime.Now(), liveness.Unknown
+	delays := []time.Duration{firstProbeDelay, secondProbeDelay}
+	if t.canContinue() {
+		// Another server can go on sooner than a second check would end.
+		delays = delays[:1]
+	}
+	for _, delay := range delays {
+		t.gateway.mu.Lock()
+		c := t.gateway.checkProcess(t.Backend, delay, false)
+		t.gateway.mu.Unlock()
+		select {
+		case <-c.done:
+		case <-t.ctx.Done():
+			return t.ctx.Err()
+		}
+		outcome = c.exchange(t.sentAt, endedAt).Judge(c.found)
+		t.logEndCheck(c, outcome, endedAt)
+		switch outcome {
+		case liveness.Alive:
+			return t.ctx.Err()
+		case liveness.Ended:
+			return &endError{outcome, c.found.Evidence()}
+		}
+	}
+	return &endError{outcome: outcome}
+}
+
+// canContinue reports whether another server can continue or repeat the answer.
+func (t *attempt) canContinue() bool {
+	if t.begun() {
+		return t.route.Resumable
+	}
+	return t.Class.Repeatable && t.Class.MaxServers > 1
+}
+
+// logEndCheck logs a check whose outcome decides whether a response is complete.
+func (t *attempt) logEndCheck(c *processCheck, outcome liveness.Outcome, endedAt time.Duration) {
+	t.gateway.metrics.endChecks.WithLabelValues(t.service, outcome.String()).Inc()
+	t.gateway.log.Info("end of a response without a length checked", zap.String("Request", t.call.ID), zap.String("Backend", t.Backend.ID),
+		zap.Int64("Boot", int64(t.Backend.Boot)), zap.Stringer("Outcome", outcome), zap.String("Evidence", c.found.Evidence()),
+		zap.String("Found", c.found.Server), zap.Int64("FoundBoot", int64(c.found.Boot)), zap.Duration("Took", boottime.Now()-endedAt),
+		zap.Duration("Left", t.remaining()), zap.String("LastEvent", t.delivered.snapshot().lastEvent), zap.Error(c.err))
+}
+
+// probeServer checks whether the process of a server that truncated a response has ended.
+//
+// Responses are lost and connections are reset while servers keep running. If that counted as a
+// crash, three such events in a row would quarantine a harmless request. The caller holds g.mu.
+func (g *Gateway) probeServer(backend catalog.Backend) {
+	c := g.checkProcess(backend, firstProbeDelay, true)
+	if g.crashes.probing[processOf(backend)] == c {
+		return
+	}
+	if len(g.crashes.probing) >= maxProbedProcesses {
+		clear(g.crashes.probing)
+	}
+	g.crashes.probing[processOf(backend)] = c
+	go c.runProbe()
+}
+
+// runProbe records a crash if the check shows that the process has ended. If nothing is known, it checks once
+// more.
+func (c *processCheck) runProbe() {
+	g := c.gateway
+	<-c.done
+	if c.judge(c.sendAt) == liveness.Unknown {
+		g.mu.Lock()
+		second := g.checkProcess(c.backend, secondProbeDelay, false)
+		g.mu.Unlock()
+		<-second.done
+		c = second
+	}
+	if c.judge(c.sendAt) == liveness.Ended {
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		g.noteServerCrash(c.backend, c.found.Evidence())
+	}
+}
--- a/internal/transport/gateway/metrics.go
+++ b/internal/transport/gateway/metrics.go
@@ -18,6 +18,7 @@
 	cancelledAttempts    *prometheus.CounterVec
 	serverCrashes        *prometheus.CounterVec
 	endChecks            *prometheus.CounterVec
+	processChecks        *prometheus.CounterVec
 	quarantined          prometheus.Gauge
 	quarantinedParts     prometheus.Gauge
 	announcements        *prometheus.CounterVec
@@ -73,6 +74,10 @@
 			Name: "filbertlever_gateway_end_checks_total",
 			Help: "Checks of the server's process at the end of a response without a length, by service and outcome.",
 		}, []string{"Service", "Outcome"}),
+		processChecks: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "filbertlever_gateway_process_checks_total",
+			Help: "Health checks of backend servers after responses that ended early or without a length, by service and outcome.",
+		}, []string{"Service", "Outcome"}),
 		quarantined: prometheus.NewGauge(prometheus.GaugeOpts{
 			Name: "filbertlever_gateway_quarantined",
 			Help: "Requests that are kept from all servers, as servers end under them.",
@@ -128,7 +133,7 @@
 		}, []string{"Service", "Level", "Reason"}),
 	}
 	registry.MustRegister(m.slowServers, m.placedSlowdown, m.pressure, m.levelReserve, m.levelDecisions)
-	registry.MustRegister(m.outcomes, m.unanswered, m.hedges, m.retries, m.firstByte, m.startPredictionError, m.cancelledAttempts, m.serverCrashes, m.endChecks, m.quarantined, m.quarantinedParts, m.announcements, m.rateLimited, m.storeRestored, m.placedMissing, m.badDatagrams, m.badRows)
+	registry.MustRegister(m.outcomes, m.unanswered, m.hedges, m.retries, m.firstByte, m.startPredictionError, m.cancelledAttempts, m.serverCrashes, m.endChecks, m.processChecks, m.quarantined, m.quarantinedParts, m.announcements, m.rateLimited, m.storeRestored, m.placedMissing, m.badDatagrams, m.badRows)
 	return m
 }
 
--- a/internal/transport/gateway/ports.go
+++ b/internal/transport/gateway/ports.go
@@ -14,6 +14,7 @@
 
 	"github.com/filbertlever/filbertlever"
 	"github.com/filbertlever/filbertlever/internal/coordination/catalog"
+	"github.com/filbertlever/filbertlever/internal/coordination/liveness"
 	"github.com/filbertlever/filbertlever/internal/coordination/quarantine"
 	"github.com/filbertlever/filbertlever/internal/coordination/revision"
 )
@@ -125,8 +126,10 @@
 // the request may have reached the server.
 type Sender interface {
 	Send(ctx context.Context, dispatch *Dispatch) (*Reply, error)
-	// Probe connects to a server's address. The error is ECONNREFUSED if nothing listens there.
-	Probe(backend catalog.Backend) error
+	// Probe asks what runs at a server's address for its identity, at the path at which servers name
+	// themselves. If path is empty, it only finds out whether the address refuses connections. The error
+	// explains why the check names no server.
+	Probe(ctx context.Context, backend catalog.Backend, path string) (liveness.Check, error)
 }
 
 // ErrRevisionPruned means that a feed no longer holds all changes since the requested revision.
--- a/internal/transport/gateway/stream.go
+++ b/internal/transport/gateway/stream.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"cmp"
 	"errors"
 	"fmt"
 	"io"
@@ -59,8 +60,8 @@
 			t.noteBegun()
 		}
 	}
-	if err == io.EOF && received.reply.UntilClose && t.serverCrashed() {
-		err = errCrashed
+	if err == io.EOF && received.reply.UntilClose {
+		err = cmp.Or(t.confirmEnd(), err)
 	}
 	return e, err
 }
