A stream is resumed only where its events can be placed, and a resumed run that ended earlier is not its end

Callers of a stream whose events have no IDs, or IDs that are no numbers, got the stream of a second server from its beginning after a part of the first, or lost events as repeated ones; a resumed run that ended before the last delivered event passed as the end.

The order of events accepted what could not be placed, as nothing spoke against it: an ID that was missing was not compared, one that was no number counted as -1.

Change: Events knows attempts. An attempt that continues the answer must send numbers; an answer with an unnumbered event is not resumed, nor is a second server asked beside it; a complete end counts only if the attempt did not end before what was delivered.

--- a/internal/transport/gateway/attempts.go
+++ b/internal/transport/gateway/attempts.go
@@ -78,6 +78,9 @@
 	lastEvent string
 	// version is the version of the weights that started the response.
 	version uint64
+	// unnumbered is true if an event was delivered after which a stream cannot be resumed, because it
+	// has no number.
+	unnumbered bool
 }
 
 func (d *delivered) snapshot() deliveredPart {
@@ -95,12 +98,17 @@
 // begun reports whether the caller has received a part of a streamed response.
 func (a *attempts) begun() bool { return a.delivered.snapshot().begun }
 
+// resumable reports whether another server can continue what the caller has received.
+func (a *attempts) resumable() bool {
+	return a.route.Resumable && !a.delivered.snapshot().unnumbered
+}
+
 // run sends the request until it has a final response.
 func (x *exchange) run() {
 	a := &attempts{exchange: x, Attempts: forward.Attempts{
 		Class: forward.Class{Repeatable: x.route.Retryable(), MaxServers: x.route.MaxAttempts}}}
 	a.delivered.lastEvent = x.call.LastEvent
-	a.events.ResumeAfter(eventNumber(x.call.LastEvent))
+	a.events.ResumeAfter(x.call.LastEvent)
 	x.gateway.track(a)
 	defer x.gateway.untrack(a)
 	for first := true; ; first = false {
@@ -215,7 +223,7 @@
 		a.disconnect(zap.String("Backend", t.Backend.ID))
 		return false
 	}
-	if a.begun() && !a.route.Resumable {
+	if a.begun() && !a.resumable() {
 		// What another server sends would not continue what the caller has received.
 		failure.discard()
 		a.fail(a.errorFor(forward.StepUnknown))
--- a/internal/transport/gateway/hedge.go
+++ b/internal/transport/gateway/hedge.go
@@ -155,7 +155,7 @@
 // available.
 func (w *attemptWatch) startHedge(status forward.Running, reason forward.EndedBy) {
 	a, g := w.attempts, w.gateway
-	if a.callerDisconnected() || a.checkQuarantine() != nil || a.oneCrashFromHold() {
+	if a.begun() && !a.resumable() || a.callerDisconnected() || a.checkQuarantine() != nil || a.oneCrashFromHold() {
 		return
 	}
 	h := w.reserveSecond(reason)
--- a/internal/transport/gateway/liveness.go
+++ b/internal/transport/gateway/liveness.go
@@ -143,7 +143,7 @@
 // canContinue reports whether another server can continue or repeat the answer.
 func (t *attempt) canContinue() bool {
 	if t.begun() {
-		return t.route.Resumable
+		return t.resumable()
 	}
 	return t.Class.Repeatable && t.Class.MaxServers > 1
 }
--- a/internal/transport/gateway/stream.go
+++ b/internal/transport/gateway/stream.go
@@ -8,7 +8,6 @@
 	"fmt"
 	"io"
 	"net/http"
-	"strconv"
 	"time"
 
 	"go.uber.org/zap"
@@ -82,6 +81,7 @@
 func (t *attempt) relayStream(received beginning) forward.End {
 	reply := received.reply
 	defer t.recordLastGaps()
+	t.events.BeginAttempt()
 	e, err := received.event, error(nil)
 	if received.empty {
 		err = io.EOF
@@ -95,6 +95,9 @@
 			break
 		}
 	}
+	if err == io.EOF && !t.events.Completes() {
+		err = errOtherRun
+	}
 	switch {
 	case err == io.EOF && t.goesOn(true):
 		return t.endStream(reply, !received.empty)
@@ -164,12 +167,12 @@
 // forwardEvent forwards one event unless the caller already has it.
 func (t *attempt) forwardEvent(reply *Reply, event event) error {
 	part := t.delivered.snapshot()
-	if event.id != "" {
-		switch t.events.Check(eventNumber(event.id)) {
+	if !event.filler {
+		switch t.events.Check(event.id) {
 		case stream.VerdictDrop:
 			return nil
 		case stream.VerdictBroken:
-			return fmt.Errorf("event %s is out of order after event %s", event.id, part.lastEvent)
+			return fmt.Errorf("event %.40q does not follow event %.40q", event.id, part.lastEvent)
 		}
 	}
 	if !part.begun {
@@ -192,6 +195,7 @@
 	if event.id != "" {
 		part.lastEvent = event.id
 	}
+	part.unnumbered = !t.events.Resumable()
 	t.delivered.set(part)
 	return nil
 }
@@ -207,6 +211,9 @@
 // errWriteToCaller means that a response could not be forwarded.
 var errWriteToCaller = errors.New("write to the caller")
 
+// errOtherRun means that a stream that was resumed ended before the last event that the caller has.
+var errOtherRun = errors.New("the resumed stream ended before the last event that the caller has")
+
 // errNoEvents means that a server sent comments or blank lines without end.
 var errNoEvents = fmt.Errorf("no event within %d bytes", maxFillerBytes)
 
@@ -242,12 +249,3 @@
 		e.filler = e.filler && !bytes.HasPrefix(line, []byte("id")) && !bytes.HasPrefix(line, []byte("data"))
 	}
 }
-
-// eventNumber returns the number in an event ID, or -1 if the ID is not a number.
-func eventNumber(id string) int64 {
-	n, err := strconv.ParseInt(id, 10, 64)
-	if err != nil {
-		return -1
-	}
-	return n
-}
