The end of a response is checked for longer if no other server can continue it

The check ended after 0.4 s although the request had seconds left. It is now repeated for up to 2 s, after which callers leave a stream, unless another server can continue at once.

--- a/internal/transport/gateway/liveness.go
+++ b/internal/transport/gateway/liveness.go
@@ -22,6 +22,9 @@
 	secondProbeDelay = 300 * time.Millisecond
 	// probeTimeout bounds one check. A server may answer only once a slot is free.
 	probeTimeout = 400 * time.Millisecond
+	// maxConfirmTime is how long the end of a response is checked that no other server can continue. A
+	// server that is silent for a while answers then. Callers leave a stream that pauses for longer.
+	maxConfirmTime = 2 * time.Second
 	// probeInterval is the minimum time between two checks of the same process after truncated responses.
 	probeInterval = firstProbeDelay + secondProbeDelay
 	// maxProbedProcesses limits the processes whose last check is remembered.
@@ -113,13 +116,8 @@
 // Such a response ends with its connection, also if its server crashes. Only a process that still runs
 // has ended it on purpose.
 func (t *attempt) confirmEnd() error {
-	endedAt, outcome := boottime.Now(), liveness.Unknown
-	delays := []time.Duration{firstProbeDelay, secondProbeDelay}
-	if t.canContinue() {
-		// Another server can go on sooner than a second check would end.
-		delays = delays[:1]
-	}
-	for _, delay := range delays {
+	endedAt := boottime.Now()
+	for delay := firstProbeDelay; ; delay = secondProbeDelay {
 		t.gateway.mu.Lock()
 		c := t.gateway.checkProcess(t.Backend, delay, false)
 		t.gateway.mu.Unlock()
@@ -128,24 +126,25 @@
 		case <-t.ctx.Done():
 			return t.ctx.Err()
 		}
-		outcome = c.exchange(t.sentAt, endedAt).Judge(c.found)
+		outcome := c.exchange(t.sentAt, endedAt).Judge(c.found)
 		t.logEndCheck(c, outcome, endedAt)
-		switch outcome {
-		case liveness.Alive:
+		switch {
+		case outcome == liveness.Alive:
 			return t.ctx.Err()
-		case liveness.Ended:
+		case outcome == liveness.Ended, t.canContinue(), boottime.Now()-endedAt > maxConfirmTime:
 			return &endError{outcome, c.found.Evidence()}
 		}
 	}
-	return &endError{outcome: outcome}
 }
 
 // canContinue reports whether another server can continue or repeat the answer.
 func (t *attempt) canContinue() bool {
-	if t.begun() {
-		return t.resumable()
+	if t.begun() && !t.resumable() {
+		return false
 	}
-	return t.Class.Repeatable && t.Class.MaxServers > 1
+	t.gateway.mu.Lock()
+	defer t.gateway.mu.Unlock()
+	return t.Class.Repeatable && t.serversLeft() > 0
 }
 
 // logEndCheck logs a check whose outcome decides whether a response is complete.
