A stream that was delivered whole is not cut when its server answers late

That end is now kept, and checked once more before the stream is cut. If its server then answers and nothing was delivered since, the stream is complete.

--- a/internal/transport/gateway/attempts.go
+++ b/internal/transport/gateway/attempts.go
@@ -48,6 +48,8 @@
 	// forwarded if no other server answers; nil if there is none.
 	failed  *attempt
 	failure beginning
+	// unconfirmed is the last end of the stream that may turn out to be complete; nil if there is none.
+	unconfirmed *unconfirmedEnd
 	// endedBy and silent are those of the last attempt that ended without a complete answer.
 	endedBy forward.EndedBy
 	silent  time.Duration
@@ -288,6 +290,9 @@
 		a.failed.forwardBody(a.failure)
 		return
 	}
+	if a.begun() && a.completeLate() {
+		return
+	}
 	if mayHaveRun && response.retryAfter > 0 {
 		response = a.errorFor(forward.StepUnknown)
 	}
--- a/internal/transport/gateway/liveness.go
+++ b/internal/transport/gateway/liveness.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"time"
@@ -103,6 +104,7 @@
 type endError struct {
 	outcome  liveness.Outcome
 	evidence string
+	endedAt  time.Duration
 }
 
 func (e *endError) Error() string {
@@ -116,27 +118,60 @@
 // Such a response ends with its connection, also if its server crashes. Only a process that still runs
 // has ended it on purpose.
 func (t *attempt) confirmEnd() error {
-	endedAt := boottime.Now()
+	return t.confirmEndAt(t.ctx, boottime.Now())
+}
+
+// confirmEndAt is confirmEnd for a response that ended earlier.
+func (t *attempt) confirmEndAt(ctx context.Context, endedAt time.Duration) error {
 	for delay := firstProbeDelay; ; delay = secondProbeDelay {
 		t.gateway.mu.Lock()
 		c := t.gateway.checkProcess(t.Backend, delay, false)
 		t.gateway.mu.Unlock()
 		select {
 		case <-c.done:
-		case <-t.ctx.Done():
-			return t.ctx.Err()
+		case <-ctx.Done():
+			return ctx.Err()
 		}
 		outcome := c.exchange(t.sentAt, endedAt).Judge(c.found)
 		t.logEndCheck(c, outcome, endedAt)
 		switch {
 		case outcome == liveness.Alive:
-			return t.ctx.Err()
+			return ctx.Err()
 		case outcome == liveness.Ended, t.canContinue(), boottime.Now()-endedAt > maxConfirmTime:
-			return &endError{outcome, c.found.Evidence()}
+			return &endError{outcome, c.found.Evidence(), endedAt}
 		}
 	}
 }
 
+// unconfirmedEnd is the end of a stream whose server's process was not known to run.
+type unconfirmedEnd struct {
+	*attempt
+	status  int
+	endedAt time.Duration
+	// after is what had been delivered.
+	after deliveredPart
+}
+
+// noteUnconfirmed keeps the end of a stream that may turn out to be complete.
+func (t *attempt) noteUnconfirmed(reply *Reply, err error) {
+	var end *endError
+	if errors.As(err, &end) && end.outcome == liveness.Unknown {
+		t.unconfirmed = &unconfirmedEnd{t, reply.Status, end.endedAt, t.delivered.snapshot()}
+	}
+}
+
+// completeLate reports whether the stream, which no server can continue, has turned out to be complete: the
+// process of the server that ended it runs, and nothing was delivered since.
+func (a *attempts) completeLate() bool {
+	u := a.unconfirmed
+	if u == nil || u.after != a.delivered.snapshot() || u.confirmEndAt(a.ctx, u.endedAt) != nil {
+		return false
+	}
+	a.noteAnswered()
+	a.recordOutcome(u.status, "", zap.String("Backend", u.Backend.ID), zap.String("LastEvent", u.after.lastEvent))
+	return true
+}
+
 // canContinue reports whether another server can continue or repeat the answer.
 func (t *attempt) canContinue() bool {
 	if t.begun() && !t.resumable() {
--- a/internal/transport/gateway/stream.go
+++ b/internal/transport/gateway/stream.go
@@ -107,6 +107,7 @@
 		return 0
 	}
 	reply.Finish(false)
+	t.noteUnconfirmed(reply, err)
 	return t.handleFailure(forward.EndLost, err)
 }
 
