--- a/internal/coordination/quarantine/quarantine.go
+++ b/internal/coordination/quarantine/quarantine.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/filbertlever/filbertlever/internal/coordination/catalog"
+	"github.com/filbertlever/filbertlever/internal/coordination/liveness"
 )
 
 // Process is one process of a backend server.
@@ -206,14 +207,16 @@
 // RecordAlive records that an answer, or a part of one, arrived from a process.
 func (t *Table) RecordAlive(process Process, now time.Duration) { t.alive[process] = now }
 
-// RecordRunning records that a process answered something that was sent to it at a time. Attempts that
-// failed before that were not ended by a crash.
-func (t *Table) RecordRunning(process Process, sent time.Duration) {
-	t.failures[process] = slices.DeleteFunc(t.failures[process], func(f failedAttempt) bool { return f.at < sent })
-	if len(t.failures[process]) == 0 {
+// RecordCheck records what a check of a process found. Attempts after whose failure the process still ran
+// were not ended by a crash.
+func (t *Table) RecordCheck(process Process, check liveness.Check) {
+	ran := func(f failedAttempt) bool {
+		e := liveness.Exchange{Process: liveness.Process(process), SentAt: f.Sent, EndedAt: f.at}
+		return e.Judge(check) == liveness.Alive
+	}
+	if t.failures[process] = slices.DeleteFunc(t.failures[process], ran); len(t.failures[process]) == 0 {
 		delete(t.failures, process)
 	}
-	t.alive[process] = max(t.alive[process], sent)
 }
 
 // RecordCrash records that a process was found to have crashed, and returns the requests
--- a/internal/transport/gateway/crashes.go
+++ b/internal/transport/gateway/crashes.go
@@ -34,8 +34,8 @@
 	*quarantine.Table
 	// inFlight are the requests being served.
 	inFlight map[*attempts]bool
-	// checks are the last checks of processes, and probing those that follow truncated responses.
-	checks, probing map[quarantine.Process]*processCheck
+	// checks are the last checks of processes.
+	checks map[quarantine.Process]*processCheck
 	// repliesSince is the start of the period in which replies counts the replies with holds, for
 	// maxHoldRepliesPerSecond.
 	repliesSince time.Duration
@@ -43,7 +43,7 @@
 }
 
 func newCrashes() *crashes {
-	return &crashes{Table: quarantine.New(quarantine.DefaultConfig()), inFlight: map[*attempts]bool{}, checks: map[quarantine.Process]*processCheck{}, probing: map[quarantine.Process]*processCheck{}}
+	return &crashes{Table: quarantine.New(quarantine.DefaultConfig()), inFlight: map[*attempts]bool{}, checks: map[quarantine.Process]*processCheck{}}
 }
 
 // identity returns what stays the same when the caller retries the request.
--- a/internal/transport/gateway/liveness.go
+++ b/internal/transport/gateway/liveness.go
@@ -40,6 +40,8 @@
 	path    string
 	// sendAt is when the check is sent.
 	sendAt time.Duration
+	// probes is true if a crash is recorded should the process have ended. It is guarded by the gateway's mu.
+	probes bool
 	// done is closed when found and err are set.
 	done  chan struct{}
 	found liveness.Check
@@ -78,25 +80,22 @@
 	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
 	defer cancel()
 	c.found, c.err = c.gateway.sender.Probe(ctx, c.backend, c.path)
-	g, outcome := c.gateway, c.judge(c.sendAt)
-	g.metrics.processChecks.WithLabelValues(c.backend.Service, outcome.String()).Inc()
+	g := c.gateway
+	g.metrics.processChecks.WithLabelValues(c.backend.Service, c.outcome().String()).Inc()
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	switch {
-	case outcome == liveness.Alive:
-		g.crashes.RecordRunning(processOf(c.backend), c.found.SentAt)
-	case c.found.Server != "" && c.found.Server != c.backend.ID && !g.fleet.Superseded(c.backend):
+	g.crashes.RecordCheck(processOf(c.backend), c.found)
+	if c.found.Server != "" && c.found.Server != c.backend.ID && !g.fleet.Superseded(c.backend) {
 		g.fleet.RecordReplaced(c.backend.ID, c.found.Server, boottime.Now())
 	}
 }
 
-// judge returns what the check shows of its process at a time.
-func (c *processCheck) judge(at time.Duration) liveness.Outcome {
-	return c.exchange(at, at).Judge(c.found)
-}
+// outcome returns what the check shows whatever response it is for.
+func (c *processCheck) outcome() liveness.Outcome { return c.judge(0, c.sendAt) }
 
-func (c *processCheck) exchange(sentAt, endedAt time.Duration) liveness.Exchange {
-	return liveness.Exchange{Process: liveness.Process{Server: c.backend.ID, Boot: c.backend.Boot}, SentAt: sentAt, EndedAt: endedAt}
+// judge returns what the check shows after a response to a request that was sent at a time.
+func (c *processCheck) judge(sentAt, endedAt time.Duration) liveness.Outcome {
+	return liveness.Exchange{Process: liveness.Process(processOf(c.backend)), SentAt: sentAt, EndedAt: endedAt}.Judge(c.found)
 }
 
 // endError means that a response ended with its connection, and that its server's process is not known
@@ -132,7 +131,7 @@
 		case <-ctx.Done():
 			return ctx.Err()
 		}
-		outcome := c.exchange(t.sentAt, endedAt).Judge(c.found)
+		outcome := c.judge(t.sentAt, endedAt)
 		t.logEndCheck(c, outcome, endedAt)
 		switch {
 		case outcome == liveness.Alive:
@@ -197,14 +196,10 @@
 // crash, three such events in a row would quarantine a harmless request. The caller holds g.mu.
 func (g *Gateway) probeServer(backend catalog.Backend) {
 	c := g.checkProcess(backend, firstProbeDelay, true)
-	if g.crashes.probing[processOf(backend)] == c {
-		return
-	}
-	if len(g.crashes.probing) >= maxProbedProcesses {
-		clear(g.crashes.probing)
+	if !c.probes {
+		c.probes = true
+		go c.runProbe()
 	}
-	g.crashes.probing[processOf(backend)] = c
-	go c.runProbe()
 }
 
 // runProbe records a crash if the check shows that the process has ended. If nothing is known, it checks once
@@ -212,14 +207,14 @@
 func (c *processCheck) runProbe() {
 	g := c.gateway
 	<-c.done
-	if c.judge(c.sendAt) == liveness.Unknown {
+	if c.outcome() == liveness.Unknown {
 		g.mu.Lock()
 		second := g.checkProcess(c.backend, secondProbeDelay, false)
 		g.mu.Unlock()
 		<-second.done
 		c = second
 	}
-	if c.judge(c.sendAt) == liveness.Ended {
+	if c.outcome() == liveness.Ended {
 		g.mu.Lock()
 		defer g.mu.Unlock()
 		g.noteServerCrash(c.backend, c.found.Evidence())
