--- a/internal/transport/gateway/liveness.go
+++ b/internal/transport/gateway/liveness.go
@@ -159,7 +159,7 @@
 	}
 }
 
-// completeLate reports whether the stream, which no server can continue, has turned out to be complete: the
+// completeLate reports whether a stream that no server can continue is complete after all: the
 // process of the server that ended it runs, and nothing was delivered since.
 func (a *attempts) completeLate() bool {
 	u := a.unconfirmed
