A response without a length that ends at its server's deadline is not complete

Callers got streams that ended as complete before their last event, near the end of their time.

Cause: a server stops work at the deadline that it was given, the request's own in whole milliseconds. If it ends a stream there in an orderly way, with the last chunk, the entry read that end a moment before its own deadline and took it for the end of the stream. Nothing spoke against it.

Change: the end of a response without a length is at the deadline if less than 2 ms are left, and the response is cut, or gets 504 if nothing was sent. A length that was reached is evidence enough.

--- a/internal/transport/gateway/attempt.go
+++ b/internal/transport/gateway/attempt.go
@@ -183,8 +183,8 @@
 // receiveBody reads a response that is not a stream, up to maxBufferedResponse.
 func (t *attempt) receiveBody(reply *Reply) (beginning, forward.End) {
 	body, err := io.ReadAll(io.LimitReader(reply.Body, maxBufferedResponse+1))
-	if err == nil && reply.UntilClose && len(body) <= maxBufferedResponse {
-		err = t.confirmEnd()
+	if err == nil && len(body) <= maxBufferedResponse {
+		err = t.confirmEnd(reply)
 	}
 	if err != nil {
 		reply.Finish(false)
--- a/internal/transport/gateway/attempts.go
+++ b/internal/transport/gateway/attempts.go
@@ -347,8 +347,8 @@
 	if err == nil {
 		_, err = io.Copy(caller, reply.Body)
 	}
-	if err == nil && reply.UntilClose {
-		err = t.confirmEnd()
+	if err == nil {
+		err = t.confirmEnd(reply)
 	}
 	reply.Finish(err == nil)
 	if err != nil {
--- a/internal/transport/gateway/ending.go
+++ b/internal/transport/gateway/ending.go
@@ -32,7 +32,7 @@
 		return forward.EndedByRateLimit
 	case t.callerDisconnected():
 		return forward.EndedByCaller
-	case t.remaining() <= 0:
+	case t.remaining() <= 0, errors.Is(err, errAtDeadline):
 		return forward.EndedByDeadline
 	case errors.Is(err, errWriteToCaller):
 		return forward.EndedByCallerWrite
--- a/internal/transport/gateway/liveness.go
+++ b/internal/transport/gateway/liveness.go
@@ -112,15 +112,31 @@
 
 func (e *endError) Unwrap() error { return io.ErrUnexpectedEOF }
 
-// confirmEnd checks that a response with neither a length nor chunks is complete.
+// errAtDeadline means that a response ended at the deadline that its server was given, where servers stop
+// work. It is not complete.
+var errAtDeadline = fmt.Errorf("the response ended at its deadline: %w", context.DeadlineExceeded)
+
+// deadlineTolerance is how long before its deadline the end of a response counts as at the deadline. Servers
+// get it in whole milliseconds, and their clocks run at slightly different rates.
+const deadlineTolerance = 2 * time.Millisecond
+
+// confirmEnd checks that a response whose end was read is complete.
 //
-// Such a response ends with its connection, also if its server crashes. Only a process that still runs
-// has ended it on purpose.
-func (t *attempt) confirmEnd() error {
-	return t.confirmEndAt(t.ctx, boottime.Now())
+// A response with neither a length nor chunks ends with its connection, also if its server crashes. Only a
+// process that still runs has ended it on purpose.
+func (t *attempt) confirmEnd(reply *Reply) error {
+	switch {
+	case reply.Length >= 0:
+		return nil
+	case t.remaining() < deadlineTolerance:
+		return errAtDeadline
+	case reply.UntilClose:
+		return t.confirmEndAt(t.ctx, boottime.Now())
+	}
+	return nil
 }
 
-// confirmEndAt is confirmEnd for a response that ended earlier.
+// confirmEndAt checks that a response that ended with its connection at a time is complete.
 func (t *attempt) confirmEndAt(ctx context.Context, endedAt time.Duration) error {
 	for delay := firstProbeDelay; ; delay = secondProbeDelay {
 		t.gateway.mu.Lock()
--- a/internal/transport/gateway/stream.go
+++ b/internal/transport/gateway/stream.go
@@ -59,8 +59,8 @@
 			t.noteBegun()
 		}
 	}
-	if err == io.EOF && received.reply.UntilClose {
-		err = cmp.Or(t.confirmEnd(), err)
+	if err == io.EOF {
+		err = cmp.Or(t.confirmEnd(received.reply), err)
 	}
 	return e, err
 }
