--- a/internal/bench/cluster/cluster.go
+++ b/internal/bench/cluster/cluster.go
@@ -41,6 +41,8 @@
 	Network func(filbertlever.Host) network.Network
 	// Organisations may send requests. Each one's token is its name.
 	Organisations []filbertlever.OrganisationID
+	// RunEntry runs an entry until ctx ends. Nil means in this process.
+	RunEntry func(ctx context.Context, s *settings.Settings) error
 }
 
 // Model is the model that every agent serves.
@@ -196,6 +198,10 @@
 		hostNetwork = config.Network(host)
 	}
 	log := zap.NewNop()
+	if host.Role == filbertlever.RoleEntry && config.RunEntry != nil {
+		c.group.Go(func() { _ = config.RunEntry(ctx, &s) })
+		return nil
+	}
 	if host.Role == filbertlever.RoleEntry {
 		c.group.Go(func() { _ = process.RunEntryWithRouting(ctx, &s, config.Routing, hostNetwork, log) })
 		return nil
