--- a/Makefile
+++ b/Makefile
@@ -57,6 +57,7 @@
 	go test -run '^$$' -fuzz '^FuzzDecodeManifest$$' -fuzztime 10s ./pkg/bundle
 	go test -run '^$$' -fuzz '^FuzzParse$$' -fuzztime 10s ./internal/settings
 	go test -run '^$$' -fuzz '^FuzzAnyOrderOfEvents$$' -fuzztime 10s ./internal/coordination/order
+	go test -run '^$$' -fuzz '^FuzzAnyOrderOfRequests$$' -fuzztime 10s ./internal/coordination/intake
 	go test -run '^$$' -fuzz '^FuzzRows$$' -fuzztime 10s ./platform
 	go test -run '^$$' -fuzz '^FuzzServer$$' -fuzztime 10s ./platform
 	go test -run '^$$' -fuzz '^FuzzConfig$$' -fuzztime 10s ./platform
