Bound the memory for bodies, and let stalled ones give way

Callers saw an entry end for lack of memory. It read each body whole, up to maxBodyBytes (1 GiB if none is set) and for 5 s whatever its size, and nothing bounded how many at once: 200 bodies of 1 MiB that stop short of their end held 265 MB on a host with 128 MiB.

Package inbound applies the decisions of package intake. Bodies are read into segments, which are not copied as they grow; what they hold comes from one budget that follows from the host's memory. A body that does not fit is refused with 503 and Retry-After, as nothing of it has run; one that gave way is woken and gets the same. In place of the fixed 5 s a body must keep 16 KiB/s with 5 s of grace, and arrive by the request's deadline (408 as before). A body larger than the host can hold gets 413, whatever the desired state allows. A refused request is read for 0.5 s more at the most: after the 408 the server used to wait for the missing bytes without a limit, and kept the connection.

--- a/internal/coordination/quarantine/feature.go
+++ b/internal/coordination/quarantine/feature.go
@@ -13,6 +13,8 @@
 	"encoding/hex"
 	"iter"
 	"slices"
+
+	"github.com/filbertlever/filbertlever/internal/coordination/intake"
 )
 
 // Identity holds the parts of a request that stay the same when a caller retries it. The ID
@@ -25,7 +27,7 @@
 	Method       string
 	Host         string
 	Target       string
-	Body         []byte
+	Body         intake.Body
 }
 
 // tagBytes is the length of the first part of a feature. Of a request it is a hash of everything
@@ -43,7 +45,7 @@
 		text = binary.AppendUvarint(text, uint64(len(part)))
 		text = append(text, part...)
 	}
-	text = binary.AppendUvarint(text, uint64(len(i.Body)))
+	text = binary.AppendUvarint(text, uint64(i.Body.Len()))
 	return firstBytes(text)
 }
 
@@ -51,8 +53,11 @@
 func (i *Identity) Fingerprint() Feature {
 	var f Feature
 	binary.BigEndian.PutUint64(f[:tagBytes], i.MetadataHash())
-	sum := sha256.Sum256(i.Body)
-	copy(f[tagBytes:], sum[:])
+	sum := sha256.New()
+	for _, segment := range i.Body {
+		_, _ = sum.Write(segment)
+	}
+	copy(f[tagBytes:], sum.Sum(nil))
 	return f
 }
 
--- a/internal/proof/crowd/process.go
+++ b/internal/proof/crowd/process.go
@@ -33,6 +33,8 @@
 	// were not read, in bytes.
 	Memory      int64
 	Descriptors int
+	// Resident and Unread are the parts of Memory at its peak.
+	Resident, Unread int64
 }
 
 const sampleInterval = 10 * time.Millisecond
@@ -118,11 +120,14 @@
 func (p *Process) sample() {
 	folder := filepath.Join("/proc", strconv.Itoa(p.command.Process.Pid))
 	resident, peak := residentMemory(folder)
-	memory := max(peak, resident+p.unreadBytes())
+	unread := p.unreadBytes()
+	memory := max(peak, resident+unread)
 	descriptors, _ := os.ReadDir(filepath.Join(folder, "fd"))
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.usage.Memory = max(p.usage.Memory, memory)
+	if memory > p.usage.Memory {
+		p.usage.Memory, p.usage.Resident, p.usage.Unread = memory, resident, unread
+	}
 	p.usage.Descriptors = max(p.usage.Descriptors, len(descriptors))
 }
 
--- a/internal/settings/installation.go
+++ b/internal/settings/installation.go
@@ -82,8 +82,11 @@
 
 // Machine holds the resources that the host grants a process.
 type Machine struct {
-	Cores  int           `yaml:"Cores"`
-	Memory document.Size `yaml:"Memory"`
+	Cores int `yaml:"Cores"`
+	// Memory and Descriptors bound what the process holds of what clients send. 0 means as much as the
+	// system states.
+	Memory      document.Size `yaml:"Memory"`
+	Descriptors int           `yaml:"Descriptors"`
 }
 
 // DefaultInstallation returns the default settings, which a file overrides.
@@ -158,4 +161,5 @@
 	c.Require(s.Bounds.Stop > 0, "Bounds.Stop", time.Duration(s.Bounds.Stop), "expected more than 0")
 	c.Require(s.Machine.Cores > 0, "Machine.Cores", s.Machine.Cores, "expected 1 or more")
 	c.Require(s.Machine.Memory >= 0, "Machine.Memory", s.Machine.Memory, "expected 0 or more")
+	c.Require(s.Machine.Descriptors >= 0, "Machine.Descriptors", s.Machine.Descriptors, "expected 0 or more")
 }
--- a/internal/transport/channel/channel.go
+++ b/internal/transport/channel/channel.go
@@ -21,6 +21,7 @@
 
 	"golang.org/x/sys/unix"
 
+	"github.com/filbertlever/filbertlever/internal/coordination/intake"
 	"github.com/filbertlever/filbertlever/internal/transport/boottime"
 )
 
@@ -60,7 +61,7 @@
 	Target string
 	Host   string
 	Header http.Header
-	Body   []byte
+	Body   intake.Body
 	// BeforeSend is called when a connection is available, before anything is written. If it
 	// returns an error, the request is not sent. It may be nil.
 	BeforeSend func() error
@@ -265,12 +266,15 @@
 	if err := request.Header.Write(&head); err != nil {
 		return err
 	}
-	if len(request.Body) > 0 || request.Method == http.MethodPost || request.Method == http.MethodPut {
-		head.WriteString("Content-Length: " + strconv.Itoa(len(request.Body)) + "\r\n")
+	size := request.Body.Len()
+	if size > 0 || request.Method == http.MethodPost || request.Method == http.MethodPut {
+		head.WriteString("Content-Length: " + strconv.Itoa(size) + "\r\n")
 	}
 	head.WriteString("\r\n")
-	if len(request.Body) <= maxInlineBody {
-		head.Write(request.Body)
+	if size <= maxInlineBody {
+		for _, segment := range request.Body {
+			head.Write(segment)
+		}
 		_, err := c.Write(head.Bytes())
 		return err
 	}
@@ -285,8 +289,10 @@
 // writeBody writes a long body while Do waits for the response. If the write fails,
 // bodyWritten is never closed, so that the connection is not reused, and reading the
 // response fails too.
-func (c *conn) writeBody(body []byte) {
-	if _, err := c.Write(body); err == nil {
+func (c *conn) writeBody(body intake.Body) {
+	// Writing consumes the list of segments, which a further attempt needs.
+	segments := net.Buffers(slices.Clone(body))
+	if _, err := segments.WriteTo(c.Conn); err == nil {
 		close(c.bodyWritten)
 	}
 }
--- a/internal/transport/channel/channel_test.go
+++ b/internal/transport/channel/channel_test.go
@@ -15,6 +15,8 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+
+	"github.com/filbertlever/filbertlever/internal/coordination/intake"
 )
 
 // scriptedServer is a server that calls step for each request, with its number from 1.
@@ -227,7 +229,7 @@
 	})
 	pool, closePool := New()
 	defer closePool()
-	long := &Request{Method: http.MethodPost, Target: "/x", Host: "h", Header: http.Header{"Id": {"1"}}, Body: []byte(strings.Repeat("x", 16<<20))}
+	long := &Request{Method: http.MethodPost, Target: "/x", Host: "h", Header: http.Header{"Id": {"1"}}, Body: intake.Body{[]byte(strings.Repeat("x", 16<<20))}}
 	body, err := do(pool, s, "1", long)
 	c.Assert(err, qt.IsNil)
 	c.Assert(body, qt.Equals, "fine")
--- a/internal/transport/gateway/contention_test.go
+++ b/internal/transport/gateway/contention_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"github.com/prometheus/client_golang/prometheus"
 	"go.uber.org/zap"
 	"go.uber.org/zap/zaptest/observer"
 
@@ -19,10 +20,12 @@
 	"github.com/filbertlever/filbertlever/internal/coordination/catalog"
 	"github.com/filbertlever/filbertlever/internal/coordination/contention"
 	"github.com/filbertlever/filbertlever/internal/coordination/fleet"
+	"github.com/filbertlever/filbertlever/internal/coordination/intake"
 	"github.com/filbertlever/filbertlever/internal/coordination/liveness"
 	"github.com/filbertlever/filbertlever/internal/coordination/retry"
 	"github.com/filbertlever/filbertlever/internal/coordination/shares"
 	"github.com/filbertlever/filbertlever/internal/transport/boottime"
+	"github.com/filbertlever/filbertlever/internal/transport/inbound"
 )
 
 // fakeController is contended, and requires a reserve of requests less urgent than level 0.
@@ -121,6 +124,7 @@
 	now, state := boottime.Now(), levelledState(1, 12, priorities...)
 	e.log, e.codec, e.feeds, e.peers = zap.New(core), pathCodec{}, newFeeds(), newPeers(Entry{Host: "self", Region: "ra"}, now)
 	e.Gateway.sender, e.levelled, e.retryBudgets, e.waitQueue, e.outages = e.sender, map[string]*levelledService{}, map[string]*retry.Window{}, newWaitQueue(), map[string]*admission.Outage{}
+	e.inbound = inbound.New(intake.LimitsOf(inbound.HostOf(0, 0)), zap.NewNop(), prometheus.NewRegistry())
 	e.peers.observeHeartbeat(Entry{Host: "near", Region: "ra"}, true, false, now)
 	e.peers.observeHeartbeat(Entry{Host: "far", Region: "rb"}, true, false, now)
 	e.state.Store(state)
--- a/internal/transport/gateway/crashes.go
+++ b/internal/transport/gateway/crashes.go
@@ -125,7 +125,7 @@
 
 // noteAnswered records that the server kept running after it ran the request.
 func (a *attempts) noteAnswered() {
-	if len(a.call.Body) > maxHashedBody && !a.maybeSuspected() {
+	if a.call.Body.Len() > maxHashedBody && !a.maybeSuspected() {
 		return
 	}
 	g, f := a.gateway, a.fingerprint()
@@ -137,7 +137,7 @@
 // noteBegun records that a server began to answer the request.
 func (a *attempts) noteBegun() {
 	r := &quarantine.Request{Parts: a.parts()}
-	if len(a.call.Body) <= maxHashedBody || a.maybeSuspected() {
+	if a.call.Body.Len() <= maxHashedBody || a.maybeSuspected() {
 		r.Fingerprint = a.fingerprint()
 	}
 	g := a.gateway
--- a/internal/transport/gateway/ending.go
+++ b/internal/transport/gateway/ending.go
@@ -58,9 +58,10 @@
 	if response.closeConnection {
 		header.Set("Connection", "close")
 	}
+	x.held.Refuse()
 	http.Error(x.writer, response.reason, response.status)
 	fields := append(response.fields, zap.Duration("RetryAfter", response.retryAfter))
-	if response.status == http.StatusServiceUnavailable && x.call != nil && len(x.call.Body) <= maxHashedBody {
+	if response.status == http.StatusServiceUnavailable && x.call != nil && x.call.Body.Len() <= maxHashedBody {
 		// The caller retries under another ID. The fingerprint stays the same.
 		fields = append(fields, zap.Stringer("Fingerprint", x.fingerprint()))
 	}
--- a/internal/transport/gateway/gateway.go
+++ b/internal/transport/gateway/gateway.go
@@ -22,6 +22,7 @@
 	"github.com/filbertlever/filbertlever/internal/coordination/uptime"
 	"github.com/filbertlever/filbertlever/internal/transport/boottime"
 	"github.com/filbertlever/filbertlever/internal/transport/datagrams"
+	"github.com/filbertlever/filbertlever/internal/transport/inbound"
 	"github.com/filbertlever/filbertlever/internal/transport/relay"
 )
 
@@ -67,6 +68,8 @@
 	metrics *metrics
 	socket  *datagrams.Socket
 	client  *http.Client
+	// inbound bounds what callers' requests hold of this host.
+	inbound *inbound.Limiter
 	feeds   *feeds
 
 	state atomic.Pointer[catalog.State]
@@ -131,12 +134,12 @@
 // New returns a gateway whose loops run until ctx ends. The socket receives heartbeats and load
 // reports.
 func New(ctx context.Context, config Config, store Store, codec Codec, sender Sender, origin relay.Origin,
-	client *http.Client, socket net.PacketConn, log *zap.Logger, registry prometheus.Registerer, rng *rand.Rand) *Gateway {
+	client *http.Client, limiter *inbound.Limiter, socket net.PacketConn, log *zap.Logger, registry prometheus.Registerer, rng *rand.Rand) *Gateway {
 	fleetConfig := fleet.DefaultConfig()
 	fleetConfig.Host, fleetConfig.Site, fleetConfig.Region, fleetConfig.Regions = config.Self.Host, config.Self.Site, config.Self.Region, config.Regions
 	g := &Gateway{
 		stateKnown: make(chan struct{}), started: boottime.Now(), heartbeatNow: make(chan struct{}, 1), writeAgain: make(chan struct{}, 1), tableEras: map[Table]uint64{}, namedChanged: make(chan struct{}, 1),
-		config: config, store: store, codec: codec, sender: sender, log: log, socket: datagrams.New(socket), client: client, feeds: newFeeds(),
+		config: config, store: store, codec: codec, sender: sender, log: log, socket: datagrams.New(socket), client: client, inbound: limiter, feeds: newFeeds(),
 		metrics: newMetrics(registry), rng: rng, fleet: fleet.New(fleetConfig, rng), gate: admission.DefaultEntryGate(),
 		retryBudgets: map[string]*retry.Window{}, outages: map[string]*admission.Outage{}, waitQueue: newWaitQueue(), levelled: map[string]*levelledService{}, crashes: newCrashes(), peers: newPeers(config.Self, boottime.Now()), versionsByModel: map[string][]namedVersion{},
 		stop: drain.New(drain.Config{GracePeriod: config.DrainGracePeriod, MoveStreamsAfter: config.DrainTimeout}),
--- a/internal/transport/gateway/ports.go
+++ b/internal/transport/gateway/ports.go
@@ -14,6 +14,7 @@
 
 	"github.com/filbertlever/filbertlever"
 	"github.com/filbertlever/filbertlever/internal/coordination/catalog"
+	"github.com/filbertlever/filbertlever/internal/coordination/intake"
 	"github.com/filbertlever/filbertlever/internal/coordination/liveness"
 	"github.com/filbertlever/filbertlever/internal/coordination/quarantine"
 	"github.com/filbertlever/filbertlever/internal/coordination/revision"
@@ -46,7 +47,7 @@
 	AnswerTokens int
 	// LastEvent is the ID of the last stream event that the caller has received; may be empty.
 	LastEvent string
-	Body      []byte
+	Body      intake.Body
 }
 
 // Codec parses the head of callers' requests.
--- a/internal/transport/gateway/serve.go
+++ b/internal/transport/gateway/serve.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -13,8 +12,10 @@
 	"github.com/filbertlever/filbertlever"
 	"github.com/filbertlever/filbertlever/internal/coordination/admission"
 	"github.com/filbertlever/filbertlever/internal/coordination/catalog"
+	"github.com/filbertlever/filbertlever/internal/coordination/intake"
 	"github.com/filbertlever/filbertlever/internal/coordination/quarantine"
 	"github.com/filbertlever/filbertlever/internal/transport/boottime"
+	"github.com/filbertlever/filbertlever/internal/transport/inbound"
 )
 
 // Timeouts and retry delays of callers' requests.
@@ -23,8 +24,6 @@
 	defaultTimeout = time.Minute
 	// maxRequestDuration is how long requests that were read under an earlier desired state may run.
 	maxRequestDuration = defaultTimeout
-	// bodyReadTimeout limits the time for reading a request body.
-	bodyReadTimeout = 5 * time.Second
 	// retryAfterLocal is sent with refusals that are due to this process and not to load: another
 	// entry can serve the request immediately.
 	retryAfterLocal = 100 * time.Millisecond
@@ -56,6 +55,7 @@
 	reasonHeaderTooLarge     = "headers are too large"
 	reasonBodyTooLarge       = "body is too large"
 	reasonBodyTimeout        = "body did not arrive in time"
+	reasonNoMemory           = "the memory for requests is used up"
 	reasonNoRoute            = "no such route"
 	reasonNoKey              = "unknown key"
 	reasonNoServer           = "no server can take the request"
@@ -78,7 +78,8 @@
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	g.inFlight.Add(1)
 	defer g.inFlight.Add(-1)
-	x := &exchange{gateway: g, writer: w, request: r, arrived: time.Now(), arrivedAt: boottime.Now()}
+	x := &exchange{gateway: g, writer: w, request: r, held: g.inbound.Begin(w, r), arrived: time.Now(), arrivedAt: boottime.Now()}
+	defer x.held.End()
 	if response := x.prepare(); response != nil {
 		x.refuse(response)
 		return
@@ -92,6 +93,8 @@
 	gateway *Gateway
 	writer  http.ResponseWriter
 	request *http.Request
+	// held is what the request holds of this host's memory.
+	held    *inbound.Request
 	arrived time.Time
 	// arrivedAt is when the request arrived, on the clock of deadlineAt.
 	arrivedAt time.Duration
@@ -155,9 +158,6 @@
 	return x.readBody()
 }
 
-// maxBodyBytes limits the body of a request, whatever the desired state allows.
-const maxBodyBytes = 1 << 30
-
 // Timeouts of an entry that has just started.
 const (
 	// stateWaitTimeout is how long a request waits for the desired state, which normally arrives
@@ -210,7 +210,7 @@
 			return &errorResponse{status: http.StatusRequestHeaderFieldsTooLarge, reason: reasonHeaderTooLarge, closeConnection: true}
 		}
 	}
-	if limits.MaxBodyBytes > 0 && x.request.ContentLength > limits.MaxBodyBytes {
+	if x.request.ContentLength > x.maxBodyBytes() {
 		return &errorResponse{status: http.StatusRequestEntityTooLarge, reason: reasonBodyTooLarge, closeConnection: true}
 	}
 	return nil
@@ -260,30 +260,38 @@
 	x.ctx, x.cancel = context.WithDeadline(x.request.Context(), x.deadline)
 }
 
+// maxBodyBytes returns the largest body that a request may have: as the desired state says, but no more
+// than this host's memory allows.
+func (x *exchange) maxBodyBytes() int64 {
+	largest := x.gateway.inbound.LargestBody()
+	if limit := x.state.Limits.MaxBodyBytes; limit > 0 {
+		return min(limit, largest)
+	}
+	return largest
+}
+
 // readBody reads the whole body, so that the request can be retried and a disconnect of the caller
 // is detected from then on.
 func (x *exchange) readBody() *errorResponse {
-	if x.request.Body == nil || x.request.ContentLength == 0 {
-		return nil
+	group := intake.Group(x.organisation.ID)
+	if group == "" {
+		group = inbound.CallerGroup(x.request)
 	}
-	controller := http.NewResponseController(x.writer)
-	_ = controller.SetReadDeadline(time.Now().Add(bodyReadTimeout))
-	limit := x.state.Limits.MaxBodyBytes
-	if limit <= 0 || limit > maxBodyBytes {
-		limit = maxBodyBytes
-	}
-	body, err := io.ReadAll(io.LimitReader(x.request.Body, limit+1))
-	_ = controller.SetReadDeadline(time.Time{})
-	if err != nil {
-		x.cancel()
-		return &errorResponse{status: http.StatusRequestTimeout, reason: reasonBodyTimeout, closeConnection: true}
+	body, err := x.held.ReadBody(group, x.maxBodyBytes(), x.deadline)
+	if err == nil {
+		x.call.Body = body
+		return nil
 	}
-	if int64(len(body)) > limit {
-		x.cancel()
+	x.cancel()
+	switch {
+	case errors.Is(err, inbound.ErrTooLarge):
 		return &errorResponse{status: http.StatusRequestEntityTooLarge, reason: reasonBodyTooLarge, closeConnection: true}
+	case errors.Is(err, inbound.ErrNoMemory):
+		response := unavailable(reasonNoMemory, x.gateway.retryDelay())
+		response.closeConnection = true
+		return response
 	}
-	x.call.Body = body
-	return nil
+	return &errorResponse{status: http.StatusRequestTimeout, reason: reasonBodyTimeout, closeConnection: true}
 }
 
 // callerDisconnected reports whether the caller itself has cancelled the request.
--- /dev/null
+++ b/internal/transport/inbound/limiter_test.go
@@ -0,0 +1,220 @@
+package inbound
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/prometheus/client_golang/prometheus"
+	"go.uber.org/zap"
+
+	"github.com/filbertlever/filbertlever/internal/coordination/intake"
+)
+
+const (
+	testBodyLimit = 128 << 10
+	testGrace     = 400 * time.Millisecond
+	// testTimeout is how long a test waits for what must happen.
+	testTimeout = 10 * time.Second
+)
+
+// testServer is a server with small limits. It answers with the length of the body, or with a status for
+// each error.
+type testServer struct {
+	*qt.C
+	*Limiter
+	address string
+}
+
+func newTestServer(t *testing.T) *testServer {
+	limits := intake.Limits{Bytes: 320 << 10, Reserve: 32 << 10, SmallBytes: 16 << 10, LeastRate: 64 << 10, Grace: testGrace,
+		Patience: 50 * time.Millisecond, Connections: [3]int{6, 2, 2}}
+	s := &testServer{C: qt.New(t), Limiter: New(limits, zap.NewNop(), prometheus.NewRegistry())}
+	s.address = s.serve(http.HandlerFunc(s.handle))
+	return s
+}
+
+func (s *testServer) serve(handler http.Handler) string {
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	s.Assert(err, qt.IsNil)
+	server := &http.Server{Handler: handler}
+	go func() { _ = server.Serve(listener) }()
+	s.TB.Cleanup(func() { _ = server.Close() })
+	return listener.Addr().String()
+}
+
+func (s *testServer) handle(w http.ResponseWriter, request *http.Request) {
+	r := s.Begin(w, request)
+	defer r.End()
+	body, err := r.ReadBody("hauler-1", testBodyLimit, time.Now().Add(testTimeout))
+	status := map[error]int{ErrTooLarge: 413, ErrTooSlow: 408, ErrNoMemory: 503}[err]
+	if err != nil {
+		w.Header().Set("Connection", "close")
+		r.Refuse()
+		http.Error(w, err.Error(), status)
+		return
+	}
+	if request.URL.Path == "/hold" {
+		<-request.Context().Done()
+	}
+	_, _ = fmt.Fprint(w, body.Len())
+}
+
+// testConn is a connection of a caller.
+type testConn struct {
+	net.Conn
+	reader *bufio.Reader
+	c      *qt.C
+}
+
+func (s *testServer) dial(address string) *testConn {
+	conn, err := net.Dial("tcp4", address)
+	s.Assert(err, qt.IsNil)
+	s.TB.Cleanup(func() { _ = conn.Close() })
+	_ = conn.SetDeadline(time.Now().Add(testTimeout))
+	return &testConn{Conn: conn, reader: bufio.NewReader(conn), c: s.C}
+}
+
+func (t *testConn) send(text string) {
+	// The server may have closed the connection.
+	_, _ = io.WriteString(t.Conn, text)
+}
+
+// status reads a response and returns its status and body; 0 if the connection was closed.
+func (t *testConn) status() (int, string) {
+	response, err := http.ReadResponse(t.reader, nil)
+	if err != nil {
+		return 0, err.Error()
+	}
+	body, _ := io.ReadAll(response.Body)
+	return response.StatusCode, strings.TrimSpace(string(body))
+}
+
+// isClosed waits until the server closes the connection.
+func (t *testConn) isClosed() bool {
+	_, err := io.Copy(io.Discard, t.reader)
+	var timeout net.Error
+	return !errors.As(err, &timeout) || !timeout.Timeout()
+}
+
+func post(path, framing string) string {
+	return "POST " + path + " HTTP/1.1\r\nHost: h\r\n" + framing + "\r\n\r\n"
+}
+
+func text(n int) string { return strings.Repeat("x", n) }
+
+// A caller that sends a body that is refused must read the refusal, and must not keep its connection.
+func TestRefusalReachesCallerThatSends(t *testing.T) {
+	for _, test := range []struct {
+		name, head, body string
+		status           int
+	}{
+		{"announced too large", post("/", "Content-Length: 100000000"), text(200 << 10), 413},
+		{"announced too large, waits to continue", post("/", "Content-Length: 100000000\r\nExpect: 100-continue"), "", 413},
+		{"too large in chunks", post("/", "Transfer-Encoding: chunked"), strings.Repeat("4000\r\n"+text(0x4000)+"\r\n", 10), 413},
+		{"one byte missing", post("/", "Content-Length: 5000"), text(4999), 408},
+		{"last chunk missing", post("/", "Transfer-Encoding: chunked"), "4000\r\n" + text(0x4000) + "\r\n", 408},
+		{"nothing sent", post("/", "Content-Length: 10"), "", 408},
+		{"nothing sent, waits to continue", post("/", "Content-Length: 10\r\nExpect: 100-continue"), "", 100},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			s := newTestServer(t)
+			conn := s.dial(s.address)
+			conn.send(test.head + test.body)
+			status, text := conn.status()
+			s.Check(status, qt.Equals, test.status, qt.Commentf("%s", text))
+			s.Check(conn.isClosed(), qt.IsTrue)
+			s.eventuallyHolds(0)
+		})
+	}
+}
+
+// eventuallyHolds waits until the requests hold an amount of memory.
+func (s *testServer) eventuallyHolds(want int64) {
+	held := func() int64 {
+		s.Limiter.mu.Lock()
+		defer s.Limiter.mu.Unlock()
+		return s.budget.Held()
+	}
+	for deadline := time.Now().Add(testTimeout); held() != want && time.Now().Before(deadline); {
+		time.Sleep(time.Millisecond)
+	}
+	s.Check(held(), qt.Equals, want)
+}
+
+// A body that comes at the least rate takes longer than the grace period, and must arrive.
+func TestSlowBodyArrives(t *testing.T) {
+	s := newTestServer(t)
+	conn := s.dial(s.address)
+	conn.send(post("/", "Content-Length: 81920"))
+	for range 80 {
+		conn.send(text(1 << 10))
+		time.Sleep(10 * time.Millisecond)
+	}
+	status, body := conn.status()
+	s.Check(status, qt.Equals, 200)
+	s.Check(body, qt.Equals, "81920")
+}
+
+// A body that stalled must give its memory to one that arrives, and get a status that says that it did not run.
+func TestStalledBodyIsRefusedForOneThatArrives(t *testing.T) {
+	s := newTestServer(t)
+	whole := s.dial(s.address)
+	whole.send(post("/hold", "Content-Length: 100000") + text(100000))
+	s.eventuallyHolds(100000)
+	stalled, arriving := s.dial(s.address), s.dial(s.address)
+	stalled.send(post("/", "Content-Length: 131072") + text(130000))
+	s.eventuallyHolds(100000 + 131072)
+	time.Sleep(2 * s.limits.Patience)
+	arriving.send(post("/", "Content-Length: 131072") + text(131072))
+	status, body := arriving.status()
+	s.Check(status, qt.Equals, 200)
+	s.Check(body, qt.Equals, "131072")
+	status, _ = stalled.status()
+	s.Check(status, qt.Equals, 503)
+	s.Check(stalled.isClosed(), qt.IsTrue)
+	_ = whole.Close()
+	s.eventuallyHolds(0)
+}
+
+func (t *testConn) request(text string) (int, string) {
+	t.send(text)
+	return t.status()
+}
+
+// Requests that need no body kept their connections until a body that was announced had arrived.
+func TestUnusedBodies(t *testing.T) {
+	s := newTestServer(t)
+	address := s.serve(s.WithoutBodies(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = io.WriteString(w, "ok")
+	})))
+	for _, test := range []struct {
+		name, text string
+		kept       bool
+	}{
+		{"none", "GET / HTTP/1.1\r\nHost: h\r\n\r\n", true},
+		{"small", post("/", "Content-Length: 10") + text(10), true},
+		{"cut short", post("/", "Content-Length: 10") + text(9), false},
+		{"large", post("/", "Content-Length: 100000000") + text(9), false},
+		{"in chunks", post("/", "Transfer-Encoding: chunked") + "1\r\nx\r\n", false},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			conn := s.dial(address)
+			if status, body := conn.request(test.text); test.kept {
+				c.Check(status, qt.Equals, 200, qt.Commentf("%s", body))
+				status, _ = conn.request("GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+				c.Check(status, qt.Equals, 200)
+				return
+			}
+			c.Check(conn.isClosed(), qt.IsTrue)
+		})
+	}
+}
--- a/internal/transport/installation/installation.go
+++ b/internal/transport/installation/installation.go
@@ -22,16 +22,15 @@
 
 	"github.com/filbertlever/filbertlever"
 	"github.com/filbertlever/filbertlever/internal/coordination/catalog"
+	"github.com/filbertlever/filbertlever/internal/coordination/intake"
 	"github.com/filbertlever/filbertlever/internal/settings"
+	"github.com/filbertlever/filbertlever/internal/transport/inbound"
 	"github.com/filbertlever/filbertlever/internal/transport/logsink"
 )
 
 // Limits of a process and its listeners.
 const (
 	maxHeaderBytes = 64 << 10
-	// memoryShare is the part of the host's memory that is set as the garbage collector's
-	// soft limit.
-	memoryShare = 0.6
 	// shutdownTimeout is the time at the end of a stop to finish responses and close idle
 	// connections.
 	shutdownTimeout = 500 * time.Millisecond
@@ -42,6 +41,7 @@
 	log       *zap.Logger
 	level     zap.AtomicLevel
 	registry  *prometheus.Registry
+	inbound   *inbound.Limiter
 	servers   []*http.Server
 	serveErrs chan error
 	cleanups  []func()
@@ -50,9 +50,8 @@
 // start sets up a process whose log is written to out.
 func start(s *settings.Installation, role filbertlever.Role, out io.Writer) (*process, error) {
 	runtime.GOMAXPROCS(s.Machine.Cores)
-	if s.Machine.Memory > 0 {
-		debug.SetMemoryLimit(int64(memoryShare * float64(s.Machine.Memory)))
-	}
+	host := inbound.HostOf(int64(s.Machine.Memory), s.Machine.Descriptors)
+	debug.SetMemoryLimit(intake.SoftLimit(host.Memory))
 	level, err := zapcore.ParseLevel(s.Log.Level)
 	if err != nil {
 		return nil, fmt.Errorf("log level: %w", err)
@@ -66,6 +65,7 @@
 		Name: "filbertlever_log_dropped_total",
 		Help: "Log lines dropped because the output could not take them.",
 	}, func() float64 { return float64(sink.Dropped()) }))
+	p.inbound = inbound.New(intake.LimitsOf(host), p.log, p.registry)
 	if s.Listen.Metrics != "" {
 		mux := http.NewServeMux()
 		mux.Handle("GET /metrics", promhttp.HandlerFor(p.registry, promhttp.HandlerOpts{}))
@@ -94,9 +94,9 @@
 	}
 }
 
-// listen serves on an address with the default connection limits.
+// listen serves requests without bodies on an address, with the default connection limits.
 func (p *process) listen(address string, handler http.Handler) error {
-	return p.listenWithLimits(address, handler, func() catalog.Limits { return catalog.Limits{} })
+	return p.listenWithLimits(address, p.inbound.WithoutBodies(handler), func() catalog.Limits { return catalog.Limits{} })
 }
 
 // listenWithLimits serves on an address with connection limits that may change.
--- a/internal/transport/installation/roles.go
+++ b/internal/transport/installation/roles.go
@@ -73,7 +73,7 @@
 	runCtx, cancelRun := context.WithCancel(context.Background())
 	defer cancelRun()
 	g := gateway.New(runCtx, gatewayConfig(s), ports.Store, ports.Codec, ports.Sender, ports.Origin, newClient(),
-		socket, p.log, p.registry, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
+		p.inbound, socket, p.log, p.registry, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
 	g.Register(p.registry)
 	if err := p.listenEntry(s, g, ports); err != nil {
 		return err
