Bound the connections of clients of each listener

Connections that sent nothing, or a small body that never ended, took all descriptors of an entry (1,024 of 1,024): accepting failed, connections to servers could not be opened, and no ordinary request was answered beside 1,200 small bodies that lack a byte.

The listeners for callers, for the public (list of entries, readiness, metrics) and for other processes have a bound each, which follows from the host's descriptors and memory; the connections that the process opens itself get the rest. At the bound a new connection replaces, in this order, one whose last response was sent, the one that has waited longest for a request, the one that has been idle longest, one whose request is stalled. Only if all carry requests is the new one closed.

--- a/internal/transport/gateway/ending.go
+++ b/internal/transport/gateway/ending.go
@@ -58,7 +58,7 @@
 	if response.closeConnection {
 		header.Set("Connection", "close")
 	}
-	x.held.Refuse()
+	x.held.Refuse(response.closeConnection)
 	http.Error(x.writer, response.reason, response.status)
 	fields := append(response.fields, zap.Duration("RetryAfter", response.retryAfter))
 	if response.status == http.StatusServiceUnavailable && x.call != nil && x.call.Body.Len() <= maxHashedBody {
--- a/internal/transport/inbound/handlers.go
+++ b/internal/transport/inbound/handlers.go
@@ -17,7 +17,7 @@
 			if closes {
 				w.Header().Set("Connection", "close")
 			}
-			r.Refuse()
+			r.Refuse(closes)
 		}
 		next.ServeHTTP(w, request)
 	})
--- a/internal/transport/inbound/limiter.go
+++ b/internal/transport/inbound/limiter.go
@@ -1,4 +1,5 @@
-// Package inbound bounds what a process holds of what clients send, by the decisions of package intake.
+// Package inbound bounds what a process holds of what clients send, by the decisions of package intake. It
+// owns the connections that clients open and the memory of their requests' headers and bodies.
 package inbound
 
 import (
@@ -20,8 +21,9 @@
 	metrics *metrics
 	notices *notices
 
-	mu     sync.Mutex
-	budget *intake.Budget
+	mu          sync.Mutex
+	budget      *intake.Budget
+	connections *intake.Connections
 	// giveWay are the requests that must be woken because they give way to others.
 	giveWay []*Request
 }
@@ -30,10 +32,11 @@
 func New(limits intake.Limits, log *zap.Logger, registry prometheus.Registerer) *Limiter {
 	l := &Limiter{
 		limits: limits, started: time.Now(), notices: newNotices(log),
-		budget: intake.NewBudget(limits),
+		budget: intake.NewBudget(limits), connections: intake.NewConnections(limits),
 	}
 	l.metrics = newMetrics(registry, l)
-	log.Info("limits of clients", zap.Int64("Bytes", limits.Bytes), zap.Int64("LargestRequest", limits.LargestRequest()))
+	log.Info("limits of clients", zap.Int64("Bytes", limits.Bytes), zap.Int64("LargestRequest", limits.LargestRequest()),
+		zap.Ints("Connections", limits.Connections[:]))
 	return l
 }
 
@@ -42,9 +45,10 @@
 
 // Bounds that a request or a connection may meet, in metrics and logs.
 const (
-	boundBytes = "Bytes"
-	boundRate  = "LeastRate"
-	boundSize  = "MaxBodyBytes"
+	boundBytes       = "Bytes"
+	boundRate        = "LeastRate"
+	boundSize        = "MaxBodyBytes"
+	boundConnections = "Connections"
 )
 
 // refused counts and logs that a bound was met.
@@ -67,6 +71,54 @@
 	return ok
 }
 
+// Listen returns a listener whose connections are bounded. The server must report their states to
+// OnStateChange.
+func (l *Limiter) Listen(inner net.Listener, kind intake.Listener) net.Listener {
+	return &listener{Listener: inner, limiter: l, kind: kind}
+}
+
+type listener struct {
+	net.Listener
+	limiter *Limiter
+	kind    intake.Listener
+}
+
+// Accept returns the next connection that the bounds allow.
+func (s *listener) Accept() (net.Conn, error) {
+	for {
+		raw, err := s.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		if c := s.limiter.open(raw, s.kind); c != nil {
+			return c, nil
+		}
+		_ = raw.Close()
+	}
+}
+
+// open adds a connection; nil if it must be closed.
+func (l *Limiter) open(raw net.Conn, kind intake.Listener) *conn {
+	c := &conn{Conn: raw, limiter: l}
+	l.mu.Lock()
+	var stalled *intake.Connection
+	if l.connections.Full(kind) {
+		stalled = l.budget.Stalled(kind, l.now())
+	}
+	opened, replaced, ok := l.connections.Open(kind, stalled, l.now(), c.closeRaw)
+	c.entry = opened
+	l.mu.Unlock()
+	if !ok {
+		l.refused(boundConnections, "Refused", zap.Stringer("Listener", kind), zap.Stringer("Caller", raw.RemoteAddr()))
+		return nil
+	}
+	if replaced != nil {
+		l.refused(boundConnections, "Replaced", zap.Stringer("Listener", kind))
+		replaced.Close()
+	}
+	return c
+}
+
 // CallerGroup returns the group of a caller that is known by its address only.
 func CallerGroup(request *http.Request) intake.Group {
 	host, _, err := net.SplitHostPort(request.RemoteAddr)
@@ -75,3 +127,35 @@
 	}
 	return intake.Group("address " + host)
 }
+
+// OnStateChange is the ConnState hook of the servers whose listeners the limiter bounds.
+func (l *Limiter) OnStateChange(c net.Conn, state http.ConnState) {
+	conn := connOf(c)
+	if conn == nil {
+		return
+	}
+	switch state {
+	case http.StateActive:
+		conn.setPhase(intake.PhaseActive)
+	case http.StateIdle:
+		conn.endRequest()
+		conn.setPhase(intake.PhaseIdle)
+	case http.StateClosed, http.StateHijacked:
+		conn.endRequest()
+		conn.remove()
+	}
+}
+
+// connOf returns the connection beneath a server's connection; nil if it is not bounded.
+func connOf(c net.Conn) *conn {
+	for {
+		switch inner := c.(type) {
+		case *conn:
+			return inner
+		case interface{ NetConn() net.Conn }:
+			c = inner.NetConn()
+		default:
+			return nil
+		}
+	}
+}
--- a/internal/transport/inbound/limiter_test.go
+++ b/internal/transport/inbound/limiter_test.go
@@ -37,15 +37,15 @@
 	limits := intake.Limits{Bytes: 320 << 10, Reserve: 32 << 10, SmallBytes: 16 << 10, LeastRate: 64 << 10, Grace: testGrace,
 		Patience: 50 * time.Millisecond, Connections: [3]int{6, 2, 2}}
 	s := &testServer{C: qt.New(t), Limiter: New(limits, zap.NewNop(), prometheus.NewRegistry())}
-	s.address = s.serve(http.HandlerFunc(s.handle))
+	s.address = s.serve(intake.ListenerCallers, http.HandlerFunc(s.handle))
 	return s
 }
 
-func (s *testServer) serve(handler http.Handler) string {
+func (s *testServer) serve(kind intake.Listener, handler http.Handler) string {
 	listener, err := net.Listen("tcp4", "127.0.0.1:0")
 	s.Assert(err, qt.IsNil)
-	server := &http.Server{Handler: handler}
-	go func() { _ = server.Serve(listener) }()
+	server := &http.Server{Handler: handler, ConnState: s.OnStateChange, ConnContext: s.ConnContext}
+	go func() { _ = server.Serve(s.Listen(listener, kind)) }()
 	s.TB.Cleanup(func() { _ = server.Close() })
 	return listener.Addr().String()
 }
@@ -57,7 +57,7 @@
 	status := map[error]int{ErrTooLarge: 413, ErrTooSlow: 408, ErrNoMemory: 503}[err]
 	if err != nil {
 		w.Header().Set("Connection", "close")
-		r.Refuse()
+		r.Refuse(true)
 		http.Error(w, err.Error(), status)
 		return
 	}
@@ -192,7 +192,7 @@
 // Requests that need no body kept their connections until a body that was announced had arrived.
 func TestUnusedBodies(t *testing.T) {
 	s := newTestServer(t)
-	address := s.serve(s.WithoutBodies(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+	address := s.serve(intake.ListenerPublic, s.WithoutBodies(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		_, _ = io.WriteString(w, "ok")
 	})))
 	for _, test := range []struct {
@@ -218,3 +218,18 @@
 		})
 	}
 }
+
+// Connections beyond the bound must replace those that send nothing, and must not be accepted without end.
+func TestConnectionsAreBounded(t *testing.T) {
+	s := newTestServer(t)
+	var silent []*testConn
+	for range 3 * s.limits.Connections[intake.ListenerCallers] {
+		silent = append(silent, s.dial(s.address))
+	}
+	status, _ := s.dial(s.address).request("GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+	s.Check(status, qt.Equals, 200)
+	s.Check(silent[0].isClosed(), qt.IsTrue)
+	s.Limiter.mu.Lock()
+	defer s.Limiter.mu.Unlock()
+	s.Check(s.connections.Count(intake.ListenerCallers) <= s.limits.Connections[intake.ListenerCallers], qt.IsTrue)
+}
--- a/internal/transport/inbound/metrics.go
+++ b/internal/transport/inbound/metrics.go
@@ -6,6 +6,8 @@
 
 	"github.com/prometheus/client_golang/prometheus"
 	"go.uber.org/zap"
+
+	"github.com/filbertlever/filbertlever/internal/coordination/intake"
 )
 
 type metrics struct {
@@ -25,6 +27,17 @@
 		}),
 		gauge("filbertlever_inbound_bytes_limit", "Bound of the memory for headers and bodies of requests.", nil,
 			func() float64 { return float64(l.limits.Bytes) }))
+	for _, listener := range intake.Listeners() {
+		labels := prometheus.Labels{"Listener": listener.String()}
+		registry.MustRegister(
+			gauge("filbertlever_inbound_connections", "Open connections of clients, by listener.", labels, func() float64 {
+				l.mu.Lock()
+				defer l.mu.Unlock()
+				return float64(l.connections.Count(listener))
+			}),
+			gauge("filbertlever_inbound_connections_limit", "Bound of the open connections of clients, by listener.", labels,
+				func() float64 { return float64(l.connections.Limit(listener)) }))
+	}
 	return m
 }
 
--- a/internal/transport/inbound/request.go
+++ b/internal/transport/inbound/request.go
@@ -40,6 +40,7 @@
 type Request struct {
 	limiter    *Limiter
 	held       *intake.Request
+	conn       *conn
 	controller *http.ResponseController
 	request    *http.Request
 	// received is true once the request was received whole. Only its handler uses it.
@@ -52,20 +53,40 @@
 }
 
 // begin adds a request to the budget.
-func (l *Limiter) begin(wake func()) *Request {
-	r := &Request{limiter: l, wake: wake}
+func (l *Limiter) begin(c *conn, wake func()) *Request {
+	r := &Request{limiter: l, conn: c, wake: wake}
+	var entry *intake.Connection
+	if c != nil {
+		entry = c.entry
+	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	r.held = l.budget.Begin(nil, l.now(), func() { l.giveWay = append(l.giveWay, r) })
+	r.held = l.budget.Begin(entry, l.now(), func() { l.giveWay = append(l.giveWay, r) })
 	return r
 }
 
 // Begin begins a request that a server passes to its handler.
 func (l *Limiter) Begin(w http.ResponseWriter, request *http.Request) *Request {
+	c, _ := request.Context().Value(connKey{}).(*conn)
+	if request.ProtoMajor > 1 {
+		// Requests share the connection.
+		c = nil
+	}
 	controller := http.NewResponseController(w)
 	wake := func() { _ = controller.SetReadDeadline(past) }
-	r := l.begin(wake)
+	var r *Request
+	if c != nil && c.request != nil {
+		r = c.request
+		r.mu.Lock()
+		r.wake = wake
+		r.mu.Unlock()
+	} else {
+		r = l.begin(c, wake)
+	}
 	r.controller, r.request = controller, request
+	if c != nil {
+		c.request = r
+	}
 	if request.Body == nil || request.ContentLength == 0 {
 		r.whole()
 	}
@@ -124,11 +145,14 @@
 }
 
 // Refuse prepares a response to a request whose body was not read whole: what still arrives is thrown
-// away for a short time only.
-func (r *Request) Refuse() {
+// away for a short time only. If closes is true, the server closes the connection after the response.
+func (r *Request) Refuse(closes bool) {
 	if !r.received {
 		_ = r.controller.SetReadDeadline(time.Now().Add(lingerTimeout))
 	}
+	if closes && r.conn != nil {
+		r.conn.setPhase(intake.PhaseClosing)
+	}
 }
 
 // LargestBody returns the largest body that a request can have on this host.
--- a/internal/transport/installation/installation.go
+++ b/internal/transport/installation/installation.go
@@ -69,7 +69,7 @@
 	if s.Listen.Metrics != "" {
 		mux := http.NewServeMux()
 		mux.Handle("GET /metrics", promhttp.HandlerFor(p.registry, promhttp.HandlerOpts{}))
-		if err := p.listen(s.Listen.Metrics, mux); err != nil {
+		if err := p.listen(s.Listen.Metrics, intake.ListenerPublic, mux); err != nil {
 			return nil, err
 		}
 	}
@@ -95,12 +95,12 @@
 }
 
 // listen serves requests without bodies on an address, with the default connection limits.
-func (p *process) listen(address string, handler http.Handler) error {
-	return p.listenWithLimits(address, p.inbound.WithoutBodies(handler), func() catalog.Limits { return catalog.Limits{} })
+func (p *process) listen(address string, kind intake.Listener, handler http.Handler) error {
+	return p.listenWithLimits(address, kind, p.inbound.WithoutBodies(handler), func() catalog.Limits { return catalog.Limits{} })
 }
 
 // listenWithLimits serves on an address with connection limits that may change.
-func (p *process) listenWithLimits(address string, handler http.Handler, limits func() catalog.Limits) error {
+func (p *process) listenWithLimits(address string, kind intake.Listener, handler http.Handler, limits func() catalog.Limits) error {
 	listener, err := net.Listen("tcp4", address)
 	if err != nil {
 		return fmt.Errorf("listen on %s: %w", address, err)
@@ -108,11 +108,17 @@
 	connLimits := newConnLimits(limits)
 	server := &http.Server{
 		Handler: connLimits.guard(handler), DisableGeneralOptionsHandler: true, ReadHeaderTimeout: maxHeaderTimeout, IdleTimeout: maxIdleTimeout, MaxHeaderBytes: maxHeaderBytes,
-		ConnState: connLimits.onStateChange, ConnContext: connLimits.connContext,
+		ConnState: func(c net.Conn, state http.ConnState) {
+			connLimits.onStateChange(c, state)
+			p.inbound.OnStateChange(c, state)
+		},
+		ConnContext: func(ctx context.Context, c net.Conn) context.Context {
+			return p.inbound.ConnContext(connLimits.connContext(ctx, c), c)
+		},
 		ErrorLog: zap.NewStdLog(p.log.WithOptions(zap.IncreaseLevel(zap.ErrorLevel))),
 	}
 	p.servers = append(p.servers, server)
-	go (&serveTask{server: server, listener: listener, errs: p.serveErrs}).run()
+	go (&serveTask{server: server, listener: p.inbound.Listen(listener, kind), errs: p.serveErrs}).run()
 	return nil
 }
 
--- a/internal/transport/installation/roles.go
+++ b/internal/transport/installation/roles.go
@@ -13,6 +13,7 @@
 	"go.uber.org/zap"
 
 	"github.com/filbertlever/filbertlever"
+	"github.com/filbertlever/filbertlever/internal/coordination/intake"
 	"github.com/filbertlever/filbertlever/internal/settings"
 	"github.com/filbertlever/filbertlever/internal/transport/gateway"
 	"github.com/filbertlever/filbertlever/internal/transport/network"
@@ -110,19 +111,19 @@
 	ports.Routes(platform, g)
 	peers := http.NewServeMux()
 	g.PeerRoutes(peers)
-	if err := p.listenWithLimits(s.Listen.Callers, newAnswerGuard(g, p.log), g.Limits); err != nil {
+	if err := p.listenWithLimits(s.Listen.Callers, intake.ListenerCallers, newAnswerGuard(g, p.log), g.Limits); err != nil {
 		return err
 	}
-	if err := p.listen(s.Listen.Peers, peers); err != nil {
+	if err := p.listen(s.Listen.Peers, intake.ListenerPeers, peers); err != nil {
 		return err
 	}
-	if err := p.listen(s.Listen.Ready, platform); err != nil {
+	if err := p.listen(s.Listen.Ready, intake.ListenerPublic, platform); err != nil {
 		return err
 	}
 	if s.Listen.Locate == s.Listen.Ready {
 		return nil
 	}
-	return p.listen(s.Listen.Locate, platform)
+	return p.listen(s.Listen.Locate, intake.ListenerPublic, platform)
 }
 
 func gatewayConfig(s *settings.Installation) gateway.Config {
@@ -167,7 +168,7 @@
 	pieces := http.NewServeMux()
 	agent.Routes(pieces)
 	// Entries request pieces from the address that the agent's reports are sent from.
-	if err := p.listen(s.Listen.Datagrams, pieces); err != nil {
+	if err := p.listen(s.Listen.Datagrams, intake.ListenerPeers, pieces); err != nil {
 		return err
 	}
 	r := &settingsReloader{path: file.Path, use: settings.UseAgent, process: p, reload: file.Reload, apply: func(*settings.Installation) {}}
