--- a/internal/transport/inbound/limiter.go
+++ b/internal/transport/inbound/limiter.go
@@ -3,6 +3,7 @@
 package inbound
 
 import (
+	"crypto/tls"
 	"net"
 	"net/http"
 	"sync"
@@ -100,6 +101,7 @@
 // open adds a connection; nil if it must be closed.
 func (l *Limiter) open(raw net.Conn, kind intake.Listener) *conn {
 	c := &conn{Conn: raw, limiter: l}
+	c.inHeader.Store(true)
 	l.mu.Lock()
 	var stalled *intake.Connection
 	if l.connections.Full(kind) {
@@ -136,9 +138,14 @@
 	}
 	switch state {
 	case http.StateActive:
+		conn.inHeader.Store(false)
 		conn.setPhase(intake.PhaseActive)
 	case http.StateIdle:
 		conn.endRequest()
+		if !multiplexed(c) {
+			conn.headerBytes = 0
+			conn.inHeader.Store(true)
+		}
 		conn.setPhase(intake.PhaseIdle)
 	case http.StateClosed, http.StateHijacked:
 		conn.endRequest()
@@ -159,3 +166,9 @@
 		}
 	}
 }
+
+// multiplexed reports whether requests share a connection, whose headers the server bounds itself.
+func multiplexed(c net.Conn) bool {
+	secured, ok := c.(*tls.Conn)
+	return ok && secured.ConnectionState().NegotiatedProtocol == "h2"
+}
