Let large bodies be processed in turns

Bodies in chunks of one byte cost some six bytes on the wire and a hundred nanoseconds for each byte. With 200 of them arriving, all goroutines of the process were ready to run, and a few ordinary requests took 28 s on.

Beyond its first segment a body is processed only while it has the turn, which it gives up whenever it waits for the network. So one large body at a time competes with all other work. Waiting for the turn does not count against the least rate.

--- a/internal/transport/inbound/conn.go
+++ b/internal/transport/inbound/conn.go
@@ -4,7 +4,9 @@
 	"context"
 	"errors"
 	"net"
+	"sync"
 	"sync/atomic"
+	"time"
 
 	"github.com/filbertlever/filbertlever/internal/coordination/intake"
 )
@@ -30,11 +32,21 @@
 	headerBytes int64
 	// request is the request whose header or body is held; nil if there is none.
 	request *Request
+
+	// holdsTurn is true while the connection's request has the turn, and turns counts the turns that it
+	// has had. The server may begin to wait for the next request during a turn, in a goroutine of its own.
+	turnMu    sync.Mutex
+	holdsTurn bool
+	turns     int
 }
 
-// Read reads from the connection.
+// Read reads from the connection. It does not keep the turn while it waits.
 func (c *conn) Read(data []byte) (int, error) {
+	turn, yielded := c.yieldTurn()
 	n, err := c.Conn.Read(data)
+	if yielded {
+		c.resumeTurn(turn)
+	}
 	if n > 0 && c.inHeader.Load() {
 		if headerErr := c.chargeHeader(int64(n)); headerErr != nil {
 			return 0, headerErr
@@ -93,6 +105,52 @@
 // closeRaw closes the connection, which the server then notices.
 func (c *conn) closeRaw() { _ = c.Conn.Close() }
 
+// takeTurn waits until the connection's request may process a part of its body, and returns how long it
+// waited. A crowd of bodies in tiny chunks would otherwise leave other requests no processor time.
+func (c *conn) takeTurn() time.Duration {
+	startedAt := time.Now()
+	c.limiter.turn.Lock()
+	c.turnMu.Lock()
+	defer c.turnMu.Unlock()
+	c.holdsTurn = true
+	return time.Since(startedAt)
+}
+
+// endTurn ends the turn.
+func (c *conn) endTurn() {
+	c.turnMu.Lock()
+	defer c.turnMu.Unlock()
+	c.turns++
+	if c.holdsTurn {
+		c.holdsTurn = false
+		c.limiter.turn.Unlock()
+	}
+}
+
+// yieldTurn gives the turn to another request while this one waits for data.
+func (c *conn) yieldTurn() (turn int, yielded bool) {
+	c.turnMu.Lock()
+	defer c.turnMu.Unlock()
+	if !c.holdsTurn {
+		return c.turns, false
+	}
+	c.holdsTurn = false
+	c.limiter.turn.Unlock()
+	return c.turns, true
+}
+
+// resumeTurn takes the turn again unless it has been ended.
+func (c *conn) resumeTurn(turn int) {
+	c.limiter.turn.Lock()
+	c.turnMu.Lock()
+	defer c.turnMu.Unlock()
+	if c.turns != turn {
+		c.limiter.turn.Unlock()
+		return
+	}
+	c.holdsTurn = true
+}
+
 // connKey is the key of a request's connection in its context.
 type connKey struct{}
 
--- a/internal/transport/inbound/limiter.go
+++ b/internal/transport/inbound/limiter.go
@@ -21,6 +21,8 @@
 	started time.Time
 	metrics *metrics
 	notices *notices
+	// turn is held by the one request with a large body whose bytes are being processed.
+	turn sync.Mutex
 
 	mu          sync.Mutex
 	budget      *intake.Budget
--- a/internal/transport/inbound/limiter_test.go
+++ b/internal/transport/inbound/limiter_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -219,6 +220,30 @@
 	}
 }
 
+// The turn must return when the server begins to wait for the next request during it, and the memory when
+// requests end, however many share a connection.
+func TestLargeBodiesTakeTurns(t *testing.T) {
+	s := newTestServer(t)
+	var group sync.WaitGroup
+	for n := range 4 {
+		group.Go(func() {
+			conn := s.dial(s.address)
+			framing, body, want := "Content-Length: 40000", text(40000), "40000"
+			if n%2 == 0 {
+				framing, body, want = "Transfer-Encoding: chunked", strings.Repeat("1\r\nx\r\n", 40000)+"0\r\n\r\n", "40000"
+			}
+			for range 10 {
+				status, got := conn.request(post("/", framing) + body)
+				s.Check(status, qt.Equals, 200)
+				s.Check(got, qt.Equals, want)
+			}
+		})
+	}
+	group.Wait()
+	s.eventuallyHolds(0)
+	s.Check(s.turn.TryLock(), qt.IsTrue)
+}
+
 // Connections beyond the bound must replace those that send nothing, and must not be accepted without end.
 func TestConnectionsAreBounded(t *testing.T) {
 	s := newTestServer(t)
--- a/internal/transport/inbound/request.go
+++ b/internal/transport/inbound/request.go
@@ -217,7 +217,7 @@
 		}
 		// Only the end follows what was announced.
 		segment := make([]byte, max(size, 1))
-		n, err := r.fill(segment, deadline, &due)
+		n, err := r.fill(segment, len(body) > 0, deadline, &due)
 		if n > 0 {
 			body = append(body, segment[:n])
 		}
@@ -233,15 +233,21 @@
 	}
 }
 
-// fill fills a segment.
-func (r *Request) fill(segment []byte, deadline time.Time, due *time.Time) (int, error) {
+// fill fills a segment, in turns with other large bodies.
+func (r *Request) fill(segment []byte, large bool, deadline time.Time, due *time.Time) (int, error) {
 	filled := 0
 	for filled < len(segment) {
 		if deadline.Before(*due) {
 			*due = deadline
 		}
 		r.setReadDeadline(*due)
+		if large && r.conn != nil {
+			r.excuse(r.conn.takeTurn())
+		}
 		n, err := r.request.Body.Read(segment[filled:])
+		if large && r.conn != nil {
+			r.conn.endTurn()
+		}
 		filled += n
 		*due = r.arrived(int64(n))
 		if err != nil {
@@ -250,3 +256,14 @@
 	}
 	return filled, nil
 }
+
+// excuse records how long the request waited for its turn.
+func (r *Request) excuse(waited time.Duration) {
+	const noticeable = time.Millisecond
+	if waited < noticeable {
+		return
+	}
+	r.limiter.mu.Lock()
+	defer r.limiter.mu.Unlock()
+	r.limiter.budget.Excuse(r.held, waited)
+}
