Bound what is received on connections of clients and not read

The system grows the receive buffer of a connection to megabytes. Bytes that were received and not read count as memory of the process: 198 MB were held in buffers of 200 refused bodies far over the limit, 105 MB beside large headers, in part on connections that were not accepted yet.

Listeners for callers and for the public have a buffer of 16 KiB, which connections inherit. The price is the rate of one large body on a long link, about 16 to 32 KiB a round trip.

--- a/internal/transport/inbound/limiter.go
+++ b/internal/transport/inbound/limiter.go
@@ -7,10 +7,12 @@
 	"net"
 	"net/http"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
 	"go.uber.org/zap"
+	"golang.org/x/sys/unix"
 
 	"github.com/filbertlever/filbertlever/internal/coordination/intake"
 )
@@ -74,9 +76,19 @@
 	return ok
 }
 
+// receiveBuffer is the size of the receive buffer of a client's connection. Bytes that were received and
+// not read count as memory of the process, also before a connection is accepted.
+const receiveBuffer = 16 << 10
+
 // Listen returns a listener whose connections are bounded. The server must report their states to
 // OnStateChange.
 func (l *Limiter) Listen(inner net.Listener, kind intake.Listener) net.Listener {
+	if socket, ok := inner.(syscall.Conn); ok && kind != intake.ListenerPeers {
+		if raw, err := socket.SyscallConn(); err == nil {
+			// Connections inherit the size. Without the option, the system bounds the buffer.
+			_ = raw.Control(func(fd uintptr) { _ = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, receiveBuffer) })
+		}
+	}
 	return &listener{Listener: inner, limiter: l, kind: kind}
 }
 
