Bound answers that callers do not read

An answer of up to 256 KiB is read whole before it is forwarded, with a buffer that grows to twice that; only connections bounded how many. And a caller that reads nothing kept its connection until a second after the request's deadline, a minute at most.

The buffer beyond 32 KiB is charged to the memory for requests; without room the answer is forwarded as it arrives. A caller must take 64 KiB of a large answer in 5 s, and the connection of one that has not read for 0.5 s may be replaced if all are in use (TestCallerThatDoesNotReadIsCutOff).

--- a/internal/transport/gateway/attempt.go
+++ b/internal/transport/gateway/attempt.go
@@ -23,6 +23,10 @@
 	// maxBufferedResponse is how much of a response is read before any of it is forwarded. A response
 	// that is truncated before that can still be requested from another server.
 	maxBufferedResponse = 256 << 10
+	// freeResponse is the part of it that needs no reservation of memory, and bufferedResponseCost what
+	// the whole buffer costs as it grows.
+	freeResponse         = 32 << 10
+	bufferedResponseCost = 2 * maxBufferedResponse
 )
 
 // attempt is one request to one backend server.
@@ -63,6 +67,8 @@
 	event event
 	empty bool
 	body  []byte
+	// whole is true if body is the whole body.
+	whole bool
 }
 
 // newAttempt registers an attempt at a chosen server. The attempt must be ended with end.
@@ -180,21 +186,36 @@
 // lowestPriority is the lowest priority that engines support.
 const lowestPriority = 9
 
-// receiveBody reads a response that is not a stream, up to maxBufferedResponse.
+// receiveBody reads a response that is not a stream, up to maxBufferedResponse. If memory is short, it
+// reads less, and the rest is forwarded as it arrives.
 func (t *attempt) receiveBody(reply *Reply) (beginning, forward.End) {
-	body, err := io.ReadAll(io.LimitReader(reply.Body, maxBufferedResponse+1))
-	if err == nil && len(body) <= maxBufferedResponse {
+	body, whole, err := t.bufferBody(reply.Body)
+	if err == nil && whole {
 		err = t.confirmEnd(reply)
 	}
 	if err != nil {
 		reply.Finish(false)
 		return beginning{}, t.handleFailure(forward.EndLost, err)
 	}
-	if len(body) <= maxBufferedResponse {
+	if whole {
 		reply.Finish(true)
 		reply.Finish = func(bool) {}
 	}
-	return beginning{reply: reply, body: body}, 0
+	return beginning{reply: reply, body: body, whole: whole}, 0
+}
+
+// bufferBody reads the beginning of a body, and reports whether it is the whole one.
+func (t *attempt) bufferBody(from io.Reader) ([]byte, bool, error) {
+	body, err := io.ReadAll(io.LimitReader(from, freeResponse+1))
+	if err != nil || len(body) <= freeResponse {
+		return body, err == nil, err
+	}
+	if !t.held.Reserve(bufferedResponseCost) {
+		return body, false, nil
+	}
+	rest, err := io.ReadAll(io.LimitReader(from, int64(maxBufferedResponse+1-len(body))))
+	body = append(body, rest...)
+	return body, err == nil && len(body) <= maxBufferedResponse, err
 }
 
 // handleSendError classifies an attempt that got no response.
--- a/internal/transport/gateway/attempts.go
+++ b/internal/transport/gateway/attempts.go
@@ -181,7 +181,7 @@
 
 // keepFailure keeps the response of a server that answered with a failure. A later one replaces it.
 func (a *attempts) keepFailure(t *attempt, failure beginning) {
-	if failure.reply != nil && len(failure.body) <= maxBufferedResponse {
+	if failure.reply != nil && failure.whole {
 		a.failed, a.failure = t, failure
 	}
 }
@@ -324,7 +324,7 @@
 	id, reply, body := t.Backend.ID, received.reply, received.body
 	t.firstByteAt = time.Now()
 	copyHeader(t.writer.Header(), reply.Header)
-	if len(body) <= maxBufferedResponse {
+	if received.whole {
 		reply.Finish(true)
 		t.noteAnswered()
 		if len(t.call.PromptParts) > 0 && reply.Status < http.StatusInternalServerError {
@@ -333,7 +333,7 @@
 		t.writer.Header().Set("Content-Length", strconv.Itoa(len(body)))
 		t.writer.WriteHeader(reply.Status)
 		// The HTTP server notices a caller that does not read its response.
-		_, _ = t.writer.Write(body)
+		_, _ = t.held.Write(t.writer, body, t.writeDeadline())
 		t.recordOutcome(reply.Status, "", zap.String("Backend", id))
 		return 0
 	}
@@ -342,7 +342,7 @@
 		t.writer.Header().Set("Content-Length", strconv.FormatInt(reply.Length, 10))
 	}
 	t.writer.WriteHeader(reply.Status)
-	caller := callerWriter{t.writer}
+	caller := callerWriter{t.exchange}
 	_, err := caller.Write(body)
 	if err == nil {
 		_, err = io.Copy(caller, reply.Body)
@@ -360,10 +360,10 @@
 }
 
 // callerWriter writes to a caller. Its errors are told apart from those of reading from a server.
-type callerWriter struct{ io.Writer }
+type callerWriter struct{ *exchange }
 
 func (w callerWriter) Write(data []byte) (int, error) {
-	n, err := w.Writer.Write(data)
+	n, err := w.held.Write(w.writer, data, w.writeDeadline())
 	if err != nil {
 		err = fmt.Errorf("%w: %w", errWriteToCaller, err)
 	}
--- a/internal/transport/inbound/limiter_test.go
+++ b/internal/transport/inbound/limiter_test.go
@@ -65,6 +65,10 @@
 	if request.URL.Path == "/hold" {
 		<-request.Context().Done()
 	}
+	if request.URL.Path == "/large" {
+		_, _ = r.Write(w, make([]byte, 64<<20), time.Now().Add(testTimeout))
+		return
+	}
 	_, _ = fmt.Fprint(w, body.Len())
 }
 
@@ -185,6 +189,25 @@
 	s.eventuallyHolds(0)
 }
 
+// A caller that does not read its response must not keep its connection and memory.
+func TestCallerThatDoesNotReadIsCutOff(t *testing.T) {
+	s := newTestServer(t)
+	conn := s.dial(s.address)
+	conn.send("GET /large HTTP/1.1\r\nHost: h\r\n\r\n")
+	startedAt := time.Now()
+	open := func() int {
+		s.Limiter.mu.Lock()
+		defer s.Limiter.mu.Unlock()
+		return s.connections.Count(intake.ListenerCallers)
+	}
+	for time.Since(startedAt) < testTimeout/2 && (open() > 0 || time.Since(startedAt) < testGrace) {
+		time.Sleep(time.Millisecond)
+	}
+	s.Check(open(), qt.Equals, 0)
+	status, _ := s.dial(s.address).request("GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+	s.Check(status, qt.Equals, 200)
+}
+
 func (t *testConn) request(text string) (int, string) {
 	t.send(text)
 	return t.status()
--- a/internal/transport/inbound/request.go
+++ b/internal/transport/inbound/request.go
@@ -4,6 +4,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"os"
 	"sync"
 	"time"
 
@@ -155,6 +156,40 @@
 	}
 }
 
+// sendStep is how much of a response is written before the caller must have read a part of it.
+const sendStep = 64 << 10
+
+// Write writes a part of a response's body. A caller that reads slower than the least rate is cut off, and
+// deadline is when the response must be written in any case.
+func (r *Request) Write(w io.Writer, data []byte, deadline time.Time) (int, error) {
+	written := 0
+	for len(data) > 0 {
+		step := data[:min(len(data), sendStep)]
+		if len(step) > freeHeaderBytes && r.conn != nil {
+			due := time.Now().Add(r.limiter.limits.Grace)
+			if deadline.Before(due) {
+				due = deadline
+			}
+			_ = r.controller.SetWriteDeadline(due)
+			r.conn.setPhase(intake.PhaseSending)
+		}
+		n, err := w.Write(step)
+		written += n
+		if r.conn != nil {
+			r.conn.setPhase(intake.PhaseActive)
+		}
+		if err != nil {
+			if errors.Is(err, os.ErrDeadlineExceeded) {
+				r.limiter.refused(boundRate, "Response")
+			}
+			return written, err
+		}
+		data = data[n:]
+	}
+	_ = r.controller.SetWriteDeadline(deadline)
+	return written, nil
+}
+
 // LargestBody returns the largest body that a request can have on this host.
 func (l *Limiter) LargestBody() int64 { return l.limits.LargestRequest() - largestHeaderCost }
 
