Bound messages, streams and connections of the project's own interface

An entry of the project's own programs read messages of up to 4 MiB, of callers without a token as well, and decoded them whole; nothing bounded how many at once. 100 messages that stop just short of their end held 447 MB, 431 MB over HTTP/2, on a host with 128 MiB.

Messages are read through the same budget before the handler is called, for the organisation of their token; without a token the caller gets its error before the message is read. What decoding costs is reserved: three times the size, or that of the largest message if it is compressed. Without room the caller gets ResourceExhausted with Retry-After, which pkg/client takes as not run. An HTTP/2 connection receives 128 KiB ahead (1 MiB before). All listeners have bounds for connections. Machine.Memory and Machine.Descriptors are settings of these programs too; without them GOMEMLIMIT, the control group or the machine states the memory.

--- a/internal/settings/installation.go
+++ b/internal/settings/installation.go
@@ -30,7 +30,7 @@
 	FirstStart  bool        `yaml:"FirstStart"`
 	ModelServer ModelServer `yaml:"ModelServer"`
 	Bounds      Bounds      `yaml:"Bounds"`
-	Machine     Machine     `yaml:"Machine"`
+	Machine     OwnMachine  `yaml:"Machine"`
 	Log         Log         `yaml:"Log"`
 }
 
@@ -80,13 +80,10 @@
 	Stop document.Duration `yaml:"Stop"`
 }
 
-// Machine holds the resources that the host grants a process.
-type Machine struct {
-	Cores int `yaml:"Cores"`
-	// Memory and Descriptors bound what the process holds of what clients send. 0 means as much as the
-	// system states.
-	Memory      document.Size `yaml:"Memory"`
-	Descriptors int           `yaml:"Descriptors"`
+// OwnMachine is the Machine of a process that has its host for itself, and uses all its cores.
+type OwnMachine struct {
+	Cores   int `yaml:"Cores"`
+	Machine `yaml:",inline"`
 }
 
 // DefaultInstallation returns the default settings, which a file overrides.
@@ -98,7 +95,7 @@
 			Keep:        document.Duration(2 * time.Second),
 			Stop:        document.Duration(8 * time.Second),
 		},
-		Machine: Machine{Cores: 1},
+		Machine: OwnMachine{Cores: 1},
 		Log:     Log{Level: "Info", Format: "JSON"},
 	}
 }
@@ -160,6 +157,5 @@
 	c.Require(s.Bounds.Keep > 0, "Bounds.Keep", time.Duration(s.Bounds.Keep), "expected more than 0")
 	c.Require(s.Bounds.Stop > 0, "Bounds.Stop", time.Duration(s.Bounds.Stop), "expected more than 0")
 	c.Require(s.Machine.Cores > 0, "Machine.Cores", s.Machine.Cores, "expected 1 or more")
-	c.Require(s.Machine.Memory >= 0, "Machine.Memory", s.Machine.Memory, "expected 0 or more")
-	c.Require(s.Machine.Descriptors >= 0, "Machine.Descriptors", s.Machine.Descriptors, "expected 0 or more")
+	s.Machine.check(c)
 }
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -37,9 +37,10 @@
 	// Agent holds the settings that only agents use.
 	Agent Agent `yaml:"Agent"`
 	// Entry holds the settings that only entries use.
-	Entry Entry `yaml:"Entry"`
-	Stop  Stop  `yaml:"Stop"`
-	Log   Log   `yaml:"Log"`
+	Entry   Entry   `yaml:"Entry"`
+	Machine Machine `yaml:"Machine"`
+	Stop    Stop    `yaml:"Stop"`
+	Log     Log     `yaml:"Log"`
 }
 
 // Listener is an address to listen on.
@@ -114,6 +115,18 @@
 	Timeout document.Duration `yaml:"Timeout"`
 }
 
+// Machine holds the resources that the host grants a process. They bound what the process holds of what
+// clients send. 0 means as much as the system states.
+type Machine struct {
+	Memory      document.Size `yaml:"Memory"`
+	Descriptors int           `yaml:"Descriptors"`
+}
+
+func (m Machine) check(c *document.Checker) {
+	c.Require(m.Memory >= 0, "Machine.Memory", m.Memory, "expected 0 or more")
+	c.Require(m.Descriptors >= 0, "Machine.Descriptors", m.Descriptors, "expected 0 or more")
+}
+
 // Stop holds the timing of a planned stop.
 type Stop struct {
 	// Grace is how long new requests are still accepted after the stop was
--- a/internal/transport/entry/entry.go
+++ b/internal/transport/entry/entry.go
@@ -22,6 +22,7 @@
 	"github.com/filbertlever/filbertlever/internal/coordination/routing"
 	"github.com/filbertlever/filbertlever/internal/protocol/control"
 	"github.com/filbertlever/filbertlever/internal/protocol/peer/v1/peerv1connect"
+	"github.com/filbertlever/filbertlever/internal/transport/inbound"
 	"github.com/filbertlever/filbertlever/internal/transport/node"
 	"github.com/filbertlever/filbertlever/internal/transport/peer"
 	"github.com/filbertlever/filbertlever/internal/transport/platform"
@@ -106,10 +107,10 @@
 // messages with single tokens took a third of the CPU time of a request.
 const minCompressBytes = 8 << 10
 
-// CallerRoutes registers the handlers for callers on a mux.
-func (e *Entry) CallerRoutes(mux *http.ServeMux) {
+// CallerRoutes registers the handlers for callers on a mux. The limiter bounds the messages.
+func (e *Entry) CallerRoutes(mux *http.ServeMux, limiter *inbound.Limiter) {
 	path, handler := filbertleverv1connect.NewCallerServiceHandler(e, connect.WithReadMaxBytes(maxMessageBytes), connect.WithCompressMinBytes(minCompressBytes))
-	mux.Handle(path, handler)
+	mux.Handle(path, limiter.Messages(handler, e.allowMessage, refuseMessage))
 }
 
 // PeerRoutes registers the handlers for other processes on a mux.
--- a/internal/transport/process/process.go
+++ b/internal/transport/process/process.go
@@ -4,12 +4,14 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"errors"
 	"fmt"
 	"net"
 	"net/http"
 	"net/http/pprof"
 	"os"
+	"runtime/debug"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -22,10 +24,12 @@
 	"github.com/filbertlever/filbertlever"
 	"github.com/filbertlever/filbertlever/internal/coordination/distribution"
 	"github.com/filbertlever/filbertlever/internal/coordination/drain"
+	"github.com/filbertlever/filbertlever/internal/coordination/intake"
 	"github.com/filbertlever/filbertlever/internal/coordination/routing"
 	"github.com/filbertlever/filbertlever/internal/settings"
 	"github.com/filbertlever/filbertlever/internal/transport/agent"
 	"github.com/filbertlever/filbertlever/internal/transport/entry"
+	"github.com/filbertlever/filbertlever/internal/transport/inbound"
 	"github.com/filbertlever/filbertlever/internal/transport/network"
 	"github.com/filbertlever/filbertlever/internal/transport/node"
 	"github.com/filbertlever/filbertlever/internal/transport/peer"
@@ -38,6 +42,8 @@
 	readHeaderTimeout = 5 * time.Second
 	idleTimeout       = 2 * time.Minute
 	maxHeaderBytes    = 64 << 10
+	// receiveBuffer is how much of the bodies on an HTTP/2 connection is received before it is read.
+	receiveBuffer = 128 << 10
 	// drainTimeout bounds a planned stop. The platform kills the process later
 	// in any case.
 	drainTimeout = 10 * time.Minute
@@ -82,6 +88,7 @@
 	node     *node.Node
 	log      *zap.Logger
 	registry *prometheus.Registry
+	inbound  *inbound.Limiter
 	servers  []*http.Server
 	// serveErrs receives the error of each listener that fails.
 	serveErrs chan error
@@ -111,12 +118,12 @@
 	config.Routing = routingConfig
 	e := entry.New(config, p.node, client, p.log, entry.NewMetrics(p.registry))
 	callerMux, peerMux := http.NewServeMux(), http.NewServeMux()
-	e.CallerRoutes(callerMux)
+	e.CallerRoutes(callerMux, p.inbound)
 	e.PeerRoutes(peerMux)
-	if err := p.listenTLS(s.Callers.Address, callerMux, keys, false); err != nil {
+	if err := p.listenTLS(s.Callers.Address, intake.ListenerCallers, callerMux, keys.CallerConfig()); err != nil {
 		return err
 	}
-	if err := p.listenTLS(s.Peer.Address, peerMux, keys, true); err != nil {
+	if err := p.listenTLS(s.Peer.Address, intake.ListenerPeers, peerMux, keys.ServerConfig()); err != nil {
 		return err
 	}
 	return p.run(ctx, e)
@@ -146,7 +153,7 @@
 	a := agent.New(config, p.node, client, p.log, agent.NewMetrics(p.registry))
 	peerMux := http.NewServeMux()
 	a.Routes(peerMux)
-	if err := p.listenTLS(s.Peer.Address, peerMux, keys, true); err != nil {
+	if err := p.listenTLS(s.Peer.Address, intake.ListenerPeers, peerMux, keys.ServerConfig()); err != nil {
 		return err
 	}
 	if s.Agent.Engine != "" {
@@ -187,7 +194,10 @@
 	}, client, keys, hostNetwork, log)
 	registry := prometheus.NewRegistry()
 	registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
-	p := &process{settings: s, network: hostNetwork, node: n, log: log, registry: registry, serveErrs: make(chan error, 4)}
+	host := inbound.HostOf(int64(s.Machine.Memory), s.Machine.Descriptors)
+	debug.SetMemoryLimit(intake.SoftLimit(host.Memory))
+	p := &process{settings: s, network: hostNetwork, node: n, log: log, registry: registry, serveErrs: make(chan error, 4),
+		inbound: inbound.New(intake.LimitsOf(host), log, registry)}
 	cleanup := func() {
 		for _, server := range p.servers {
 			_ = server.Close()
@@ -251,26 +261,22 @@
 	r.role.Serve(ctx)
 }
 
-// listenTLS serves an address over TLS, with the configuration for peers or the
-// one for callers.
-func (p *process) listenTLS(address string, handler http.Handler, keys *peer.Keys, forPeers bool) error {
-	server := newServer(handler)
-	server.TLSConfig = keys.CallerConfig()
-	if forPeers {
-		server.TLSConfig = keys.ServerConfig()
-	}
-	return p.startServer(server, address, func(l net.Listener) error { return server.ServeTLS(l, "", "") })
+// listenTLS serves an address over TLS.
+func (p *process) listenTLS(address string, kind intake.Listener, handler http.Handler, config *tls.Config) error {
+	server := p.newServer(handler)
+	server.TLSConfig = config
+	return p.startServer(server, address, kind, func(l net.Listener) error { return server.ServeTLS(l, "", "") })
 }
 
-// listen serves an address without TLS.
+// listen serves requests without bodies on an address without TLS.
 func (p *process) listen(address string, handler http.Handler) error {
-	server := newServer(handler)
-	return p.startServer(server, address, server.Serve)
+	server := p.newServer(p.inbound.WithoutBodies(handler))
+	return p.startServer(server, address, intake.ListenerPublic, server.Serve)
 }
 
 // newServer returns an HTTP server that limits the time and size of request
 // headers, so that a slow or hostile client cannot hold connections and memory.
-func newServer(handler http.Handler) *http.Server {
+func (p *process) newServer(handler http.Handler) *http.Server {
 	discard, _ := zap.NewStdLogAt(zap.NewNop(), zap.ErrorLevel)
 	return &http.Server{
 		Handler:           handler,
@@ -278,6 +284,9 @@
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
 		ErrorLog:          discard,
+		ConnState:         p.inbound.OnStateChange,
+		ConnContext:       p.inbound.ConnContext,
+		HTTP2:             &http.HTTP2Config{MaxReceiveBufferPerConnection: receiveBuffer, MaxReceiveBufferPerStream: receiveBuffer},
 	}
 }
 
@@ -296,13 +305,13 @@
 }
 
 // startServer opens a listener and serves it in the background.
-func (p *process) startServer(server *http.Server, address string, serve func(net.Listener) error) error {
+func (p *process) startServer(server *http.Server, address string, kind intake.Listener, serve func(net.Listener) error) error {
 	listener, err := p.network.Listen(address)
 	if err != nil {
 		return fmt.Errorf("listen on %s: %w", address, err)
 	}
 	p.servers = append(p.servers, server)
-	runner := &serverRunner{serve: serve, listener: listener, errs: p.serveErrs}
+	runner := &serverRunner{serve: serve, listener: p.inbound.Listen(listener, kind), errs: p.serveErrs}
 	go runner.run()
 	return nil
 }
--- a/pkg/client/order.go
+++ b/pkg/client/order.go
@@ -4,8 +4,10 @@
 	"context"
 	"errors"
 	"fmt"
+	"strconv"
 	"time"
 
+	"connectrpc.com/connect"
 	"google.golang.org/protobuf/types/known/durationpb"
 
 	filbertleverv1 "github.com/filbertlever/filbertlever/pkg/api/filbertlever/v1"
@@ -82,12 +84,31 @@
 		message.Timeout = durationpb.New(time.Until(deadline))
 	}
 	response, err := c.service(address).Order(ctx, withToken(message, c.config.Token))
+	if refusal := refusalOf(err); refusal != nil {
+		return &filbertleverv1.OrderResponse{
+			Outcome: filbertleverv1.Outcome_OUTCOME_NOT_RUN, Reason: refusal.Reason, RetryAfter: durationpb.New(refusal.RetryAfter),
+		}, nil
+	}
 	if err != nil {
 		return nil, err
 	}
 	return response.Msg, nil
 }
 
+// refusalOf returns the refusal of an entry that did not read the message for lack of memory; nil if an
+// error is none.
+func refusalOf(err error) *Refusal {
+	var refused *connect.Error
+	if !errors.As(err, &refused) || refused.Code() != connect.CodeResourceExhausted {
+		return nil
+	}
+	seconds, err := strconv.ParseFloat(refused.Meta().Get("Retry-After"), 64)
+	if err != nil {
+		return nil
+	}
+	return &Refusal{Reason: refused.Message(), RetryAfter: time.Duration(seconds * float64(time.Second))}
+}
+
 // Lookup returns the answer of an order sent earlier, without running it. The
 // error is ErrNotRun if the order did not run, and ErrUnknown if it may have run.
 func (c *Client) Lookup(ctx context.Context, key string) ([]byte, error) {
