Bound the log's queue in bytes

The queue held 4,096 lines whatever their length, and callers choose parts of them: the ID of a request may have as many bytes as the header may. With IDs of 60 KiB and an output that blocks, the queue took 252 MB (TestLongLinesAreBounded on the code before).

The queue is bounded to 2 MiB besides; what does not fit is dropped and counted, as before. Of an ID and of a model's name 128 bytes are logged.

--- a/internal/transport/gateway/announcements.go
+++ b/internal/transport/gateway/announcements.go
@@ -52,7 +52,7 @@
 	if !first {
 		return
 	}
-	fields := []zap.Field{zap.String("Request", t.call.ID), zap.String("Backend", backend.ID),
+	fields := []zap.Field{zap.String("Request", t.call.logID()), zap.String("Backend", backend.ID),
 		zap.String("What", kind), zap.Int("Status", reply.Status), zap.Duration("For", reply.RetryAfter)}
 	if reply.RateLimit != nil {
 		fields = append(fields, zap.Float64("PerSecond", *reply.RateLimit))
@@ -65,7 +65,7 @@
 func (t *attempt) recordRateLimit(reply *Reply, answer fleet.Answer, now time.Duration) {
 	g, backend := t.gateway, t.Backend
 	if reply.RateLimitErr != nil {
-		g.log.Warn("unreadable rate limit of a backend server", zap.String("Request", t.call.ID), zap.String("Backend", backend.ID), zap.Error(reply.RateLimitErr))
+		g.log.Warn("unreadable rate limit of a backend server", zap.String("Request", t.call.logID()), zap.String("Backend", backend.ID), zap.Error(reply.RateLimitErr))
 		return
 	}
 	if reply.RateLimit == nil && (!reply.Verified || reply.Status >= http.StatusMultipleChoices) {
--- a/internal/transport/gateway/attempt.go
+++ b/internal/transport/gateway/attempt.go
@@ -240,12 +240,12 @@
 	case forward.EndedByServer:
 		t.reportServerFailure(end, err)
 	case forward.EndedByHedge:
-		g.log.Info("attempt withdrawn", zap.String("Request", t.call.ID), zap.String("Backend", t.Backend.ID), zap.Duration("Silent", t.silent))
+		g.log.Info("attempt withdrawn", zap.String("Request", t.call.logID()), zap.String("Backend", t.Backend.ID), zap.Duration("Silent", t.silent))
 	case forward.EndedByQuarantine:
-		g.log.Info("attempt taken back", zap.String("Request", t.call.ID), zap.String("Backend", t.Backend.ID), zap.String("EndedBy", string(t.endedBy)))
+		g.log.Info("attempt taken back", zap.String("Request", t.call.logID()), zap.String("Backend", t.Backend.ID), zap.String("EndedBy", string(t.endedBy)))
 	case forward.EndedByStartDeadline:
 		g.metrics.cancelledAttempts.WithLabelValues(t.service).Inc()
-		g.log.Info("attempt taken back", zap.String("Request", t.call.ID), zap.String("Backend", t.Backend.ID),
+		g.log.Info("attempt taken back", zap.String("Request", t.call.logID()), zap.String("Backend", t.Backend.ID),
 			zap.Uint64("Holds", t.HeldVersion), zap.Duration("Predicted", t.PredictedLatency), zap.Duration("Waited", boottime.Now()-t.placedAt), zap.String("EndedBy", string(t.endedBy)))
 	}
 	return end
@@ -261,7 +261,7 @@
 // already known. The new process must not be avoided for a request that it never received.
 func (t *attempt) reportServerFailure(end forward.End, err error) {
 	g, id := t.gateway, t.Backend.ID
-	g.log.Warn("attempt failed", zap.String("Request", t.call.ID), zap.Stringer("Fingerprint", t.fingerprint()),
+	g.log.Warn("attempt failed", zap.String("Request", t.call.logID()), zap.Stringer("Fingerprint", t.fingerprint()),
 		zap.String("Backend", id), zap.Int64("Boot", int64(t.Backend.Boot)), zap.Stringer("End", end),
 		zap.Bool("Begun", t.phase.hasStarted()), zap.String("EndedBy", string(t.endedBy)), zap.Duration("Silent", t.silent),
 		zap.Strings("Parts", loggedParts(t.call.PromptParts)), zap.Error(err))
@@ -304,7 +304,7 @@
 // from the server without the requested model.
 func (t *attempt) handleMisdirected(reply *Reply) {
 	g, id := t.gateway, t.Backend.ID
-	g.log.Info("a different server answered at the address", zap.String("Request", t.call.ID), zap.String("Backend", id), zap.String("Found", reply.ActualServer))
+	g.log.Info("a different server answered at the address", zap.String("Request", t.call.logID()), zap.String("Backend", id), zap.String("Found", reply.ActualServer))
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if g.fleet.Superseded(t.Backend) {
--- a/internal/transport/gateway/attempts.go
+++ b/internal/transport/gateway/attempts.go
@@ -235,7 +235,7 @@
 	step := a.NextStep(end, g.retryBudget(a.service), a.remaining(), boottime.Now(), true)
 	sent := a.Sent()
 	g.mu.Unlock()
-	g.log.Info("attempt ended", zap.String("Request", a.call.ID), zap.String("Backend", t.Backend.ID),
+	g.log.Info("attempt ended", zap.String("Request", a.call.logID()), zap.String("Backend", t.Backend.ID),
 		zap.Stringer("End", end), zap.Stringer("Step", step), zap.Int("Sent", sent),
 		zap.String("EndedBy", string(t.endedBy)), zap.Duration("Silent", t.silent), zap.Duration("Left", a.remaining()))
 	if step == forward.StepRetry {
--- a/internal/transport/gateway/ending.go
+++ b/internal/transport/gateway/ending.go
@@ -109,7 +109,7 @@
 		zap.Int("Status", status), zap.Duration("Took", now.Sub(x.arrived)),
 	}
 	if x.call != nil {
-		fields = append(fields, zap.String("Request", x.call.ID), zap.String("Model", x.call.Model))
+		fields = append(fields, zap.String("Request", x.call.logID()), zap.String("Model", shortened(x.call.Model)))
 	}
 	if x.state != nil {
 		age, _ := g.stateAge(boottime.Now())
--- a/internal/transport/gateway/hedge.go
+++ b/internal/transport/gateway/hedge.go
@@ -68,7 +68,7 @@
 func (h *hedge) set(state hedgeState) {
 	h.state = state
 	h.gateway.metrics.hedges.WithLabelValues(h.service, string(h.reason), hedgeResults[state]).Inc()
-	h.gateway.log.Info("second attempt ended", zap.String("Request", h.call.ID), zap.String("Second", h.Backend.ID), zap.String("Backend", h.current.Backend.ID),
+	h.gateway.log.Info("second attempt ended", zap.String("Request", h.call.logID()), zap.String("Second", h.Backend.ID), zap.String("Backend", h.current.Backend.ID),
 		zap.String("Result", hedgeResults[state]), zap.Duration("Took", boottime.Now()-h.placedAt))
 }
 
@@ -163,7 +163,7 @@
 		return
 	}
 	server := h.chosenServer
-	g.log.Info("second attempt started", zap.String("Request", a.call.ID), zap.String("Backend", w.current.Backend.ID), zap.String("Second", server.Backend.ID),
+	g.log.Info("second attempt started", zap.String("Request", a.call.logID()), zap.String("Backend", w.current.Backend.ID), zap.String("Second", server.Backend.ID),
 		zap.String("Why", string(reason)), zap.Duration("Silent", status.Silent), zap.Bool("Begun", status.Begun), zap.Bool("Stalled", status.Stalled),
 		zap.Bool("Replaced", status.Replaced), zap.Int("Ahead", server.QueuePosition), zap.Duration("Left", a.remaining()))
 	go h.run()
--- a/internal/transport/gateway/liveness.go
+++ b/internal/transport/gateway/liveness.go
@@ -200,7 +200,7 @@
 // logEndCheck logs a check whose outcome decides whether a response is complete.
 func (t *attempt) logEndCheck(c *processCheck, outcome liveness.Outcome, endedAt time.Duration) {
 	t.gateway.metrics.endChecks.WithLabelValues(t.service, outcome.String()).Inc()
-	t.gateway.log.Info("end of a response without a length checked", zap.String("Request", t.call.ID), zap.String("Backend", t.Backend.ID),
+	t.gateway.log.Info("end of a response without a length checked", zap.String("Request", t.call.logID()), zap.String("Backend", t.Backend.ID),
 		zap.Int64("Boot", int64(t.Backend.Boot)), zap.Stringer("Outcome", outcome), zap.String("Evidence", c.found.Evidence()),
 		zap.String("Found", c.found.Server), zap.Int64("FoundBoot", int64(c.found.Boot)), zap.Duration("Took", boottime.Now()-endedAt),
 		zap.Duration("Left", t.remaining()), zap.String("LastEvent", t.delivered.snapshot().lastEvent), zap.Error(c.err))
--- a/internal/transport/gateway/placement.go
+++ b/internal/transport/gateway/placement.go
@@ -28,7 +28,7 @@
 		g.retryBudget(a.service).RecordRequest(now)
 	}
 	placement := a.choose(now)
-	fields := []zap.Field{zap.String("Request", a.call.ID), zap.String("Service", a.service),
+	fields := []zap.Field{zap.String("Request", a.call.logID()), zap.String("Service", a.service),
 		zap.String("Backend", placement.Backend.ID), zap.Duration("Predicted", placement.PredictedLatency), zap.Int("Ahead", placement.QueuePosition),
 		zap.Int("Weighed", placement.Candidates), zap.Duration("ReportAge", placement.ReportAge), zap.String("Why", string(placement.Reason)), zap.Bool("Cut", placement.WillInterrupt), zap.Duration("Reading", placement.PrefillWait)}
 	fields = append(fields, placement.startFields(now)...)
--- a/internal/transport/gateway/ports.go
+++ b/internal/transport/gateway/ports.go
@@ -50,6 +50,14 @@
 	Body      intake.Body
 }
 
+// maxLoggedBytes is how much of what a caller sent is repeated in a log line.
+const maxLoggedBytes = 128
+
+// logID returns the ID as it is logged.
+func (c *Call) logID() string { return shortened(c.ID) }
+
+func shortened(text string) string { return text[:min(len(text), maxLoggedBytes)] }
+
 // Codec parses the head of callers' requests.
 type Codec interface {
 	Parse(r *http.Request) (*Call, error)
--- a/internal/transport/gateway/waitqueue.go
+++ b/internal/transport/gateway/waitqueue.go
@@ -92,7 +92,7 @@
 		placement, ok = g.cancelQueued(id, queued)
 	}
 	now := boottime.Now()
-	fields := []zap.Field{zap.String("Request", a.call.ID), zap.Bool("Placed", ok),
+	fields := []zap.Field{zap.String("Request", a.call.logID()), zap.Bool("Placed", ok),
 		zap.Duration("Waited", now-start), zap.String("Backend", placement.Backend.ID)}
 	if ok {
 		fields = append(fields, placement.startFields(now)...)
--- a/internal/transport/logsink/logsink.go
+++ b/internal/transport/logsink/logsink.go
@@ -7,8 +7,11 @@
 	"sync/atomic"
 )
 
-// maxQueuedLines is the capacity of the queue: 1.2 MB at about 300 bytes per line.
-const maxQueuedLines = 4096
+// Bounds of the queue. A line has about 300 bytes, but what callers send may be part of it.
+const (
+	maxQueuedLines = 4096
+	maxQueuedBytes = 2 << 20
+)
 
 // writeBatchBytes is the approximate size of one write, so that a busy process makes few
 // system calls for its log.
@@ -20,6 +23,8 @@
 	lines   chan []byte
 	stop    chan struct{}
 	stopped chan struct{}
+	// queued is the number of bytes in lines.
+	queued  atomic.Int64
 	dropped atomic.Int64
 }
 
@@ -33,11 +38,15 @@
 
 // Write queues a copy of line; it is dropped and counted if the queue is full.
 func (s *Sink) Write(line []byte) (int, error) {
-	select {
-	case s.lines <- append([]byte(nil), line...):
-	default:
-		s.dropped.Add(1)
+	if s.queued.Add(int64(len(line))) <= maxQueuedBytes {
+		select {
+		case s.lines <- append([]byte(nil), line...):
+			return len(line), nil
+		default:
+		}
 	}
+	s.queued.Add(-int64(len(line)))
+	s.dropped.Add(1)
 	return len(line), nil
 }
 
@@ -53,6 +62,7 @@
 	for {
 		select {
 		case line := <-s.lines:
+			s.queued.Add(-int64(len(line)))
 			batch = s.appendQueued(append(batch[:0], line...))
 			// An error cannot be logged, because this is the log.
 			_, _ = s.out.Write(batch)
@@ -70,6 +80,7 @@
 	for len(batch) < writeBatchBytes {
 		select {
 		case line := <-s.lines:
+			s.queued.Add(-int64(len(line)))
 			batch = append(batch, line...)
 		default:
 			return batch
--- a/internal/transport/logsink/logsink_test.go
+++ b/internal/transport/logsink/logsink_test.go
@@ -39,6 +39,23 @@
 	c.Assert(sink.Dropped() > 0, qt.IsTrue)
 }
 
+// Callers choose parts of log lines, such as the IDs of requests. Long lines must not fill the memory while
+// the output blocks.
+func TestLongLinesAreBounded(t *testing.T) {
+	c := qt.New(t)
+	out := &blockedOutput{release: make(chan struct{})}
+	sink, stop := New(out)
+	line := bytes.Repeat([]byte("x"), 60<<10)
+	for range maxQueuedLines {
+		_, _ = sink.Write(line)
+	}
+	close(out.release)
+	stop()
+	c.Assert(out.written.Len() <= maxQueuedBytes+writeBatchBytes+2*len(line), qt.IsTrue, qt.Commentf("%d bytes", out.written.Len()))
+	c.Assert(sink.Dropped() > 0, qt.IsTrue)
+	c.Assert(sink.queued.Load(), qt.Equals, int64(0))
+}
+
 // A process that stops must still write its last lines.
 func TestStopFlushesQueue(t *testing.T) {
 	c := qt.New(t)
