Charge the fields of headers, and read no more than 1,024

Found by going through the inventory of what grows.

Each line beyond 32 costs 512 bytes of the memory for requests, also if it arrived with the request before; a header with more than 1,024 lines gets 400. A header that meets the end of the memory ends with its connection, without a status that would tell the caller not to come back. What follows a header in the same read is no longer counted as header.

Connections of other processes get a receive buffer of 64 KiB.

--- a/internal/transport/inbound/conn.go
+++ b/internal/transport/inbound/conn.go
@@ -1,6 +1,7 @@
 package inbound
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"net"
@@ -17,19 +18,58 @@
 	freeHeaderBytes = 4 << 10
 	headerFactor    = 2
 	headerStep      = 4 << 10
+	// fieldBytes is what each line of a header costs besides, beyond the first freeFields. A header with
+	// more than maxFields lines is not read on.
+	fieldBytes = 512
+	freeFields = 32
+	maxFields  = 1 << 10
 )
 
-// errGaveWay means that a request has given way to others, or that there was no memory for it.
-var errGaveWay = errors.New("the memory for requests is used up")
+// Errors of reading a header.
+var (
+	// errGaveWay means that a request has given way to others, or that there was no memory for it.
+	errGaveWay       = errors.New("the memory for requests is used up")
+	errTooManyFields = errors.New("the header has too many fields")
+)
+
+// headerSize is the size of a header so far.
+type headerSize struct {
+	bytes, lines int64
+	// charged is what it has been charged.
+	charged int64
+	// ended is true once the empty line has been read. What follows belongs to the body. atLineStart is true
+	// if the last byte that counts ended a line.
+	ended, atLineStart bool
+}
+
+// add adds a part of a header, or of a header and what follows it.
+func (h *headerSize) add(part []byte) {
+	for !h.ended && len(part) > 0 {
+		line, rest, found := bytes.Cut(part, []byte{'\n'})
+		h.bytes += int64(len(part) - len(rest))
+		if found {
+			h.lines++
+			h.ended = h.atLineStart && len(bytes.TrimSuffix(line, []byte{'\r'})) == 0
+		}
+		// A line that is cut after its carriage return is still empty.
+		h.atLineStart = found || h.atLineStart && string(line) == "\r"
+		part = rest
+	}
+}
+
+// cost returns what the header costs beyond its connection.
+func (h *headerSize) cost() int64 {
+	return headerFactor*max(h.bytes-freeHeaderBytes, 0) + fieldBytes*max(h.lines-freeFields, 0)
+}
 
 // conn is a bounded connection. Its fields are used by the server's goroutine of the connection.
 type conn struct {
 	net.Conn
 	limiter *Limiter
 	entry   *intake.Connection
-	// inHeader is true while a header is awaited or read. headerBytes is its size so far.
-	inHeader    atomic.Bool
-	headerBytes int64
+	// inHeader is true while a header is awaited or read.
+	inHeader atomic.Bool
+	header   headerSize
 	// request is the request whose header or body is held; nil if there is none.
 	request *Request
 
@@ -48,33 +88,51 @@
 		c.resumeTurn(turn)
 	}
 	if n > 0 && c.inHeader.Load() {
-		if headerErr := c.chargeHeader(int64(n)); headerErr != nil {
+		if headerErr := c.chargeHeader(data[:n]); headerErr != nil {
 			return 0, headerErr
 		}
 	}
 	return n, err
 }
 
-// chargeHeader accounts for bytes of a header.
-func (c *conn) chargeHeader(n int64) error {
-	before := max(c.headerBytes-freeHeaderBytes, 0)
-	c.headerBytes += n
-	after := max(c.headerBytes-freeHeaderBytes, 0)
-	if after == 0 {
+// chargeHeader accounts for a part of a header.
+func (c *conn) chargeHeader(part []byte) error {
+	c.header.add(part)
+	if c.header.lines > maxFields {
+		c.limiter.refused(boundFields, "Header")
+		return errTooManyFields
+	}
+	cost := c.header.cost()
+	if cost == 0 {
 		return nil
 	}
 	if c.request == nil {
 		c.request = c.limiter.begin(c, func() { c.closeRaw() })
 	}
-	c.request.arrived(n)
-	steps := (after+headerStep-1)/headerStep - (before+headerStep-1)/headerStep
-	if steps > 0 && !c.limiter.grow(c.request, steps*headerStep*headerFactor) {
-		c.limiter.refused(boundBytes, "Header")
-		return errGaveWay
+	c.request.arrived(int64(len(part)))
+	if !c.charge(cost) {
+		// The server closes the connection after an error of the network, without a status, so that the
+		// caller may come back.
+		return &net.OpError{Op: "read", Net: "tcp", Err: errGaveWay}
 	}
 	return nil
 }
 
+// charge charges the request for its header, unless that has been done. It returns false if there is no
+// memory.
+func (c *conn) charge(cost int64) bool {
+	if cost <= c.header.charged {
+		return true
+	}
+	charge := (cost - c.header.charged + headerStep - 1) / headerStep * headerStep
+	if !c.limiter.grow(c.request, charge) {
+		c.limiter.refused(boundBytes, "Header")
+		return false
+	}
+	c.header.charged += charge
+	return true
+}
+
 // endRequest releases what the connection's request holds.
 func (c *conn) endRequest() {
 	if c.request != nil {
--- a/internal/transport/inbound/handlers.go
+++ b/internal/transport/inbound/handlers.go
@@ -73,7 +73,7 @@
 	if err != nil {
 		return nil, err
 	}
-	if r.request.ProtoMajor > 1 && !r.Reserve(streamBytes+headerSize(r.request.Header)*headerFactor) {
+	if r.request.ProtoMajor > 1 && !r.Reserve(streamBytes+headerCost(r.request.Header)) {
 		r.limiter.refused(boundBytes, "Stream")
 		return nil, ErrNoMemory
 	}
@@ -94,14 +94,15 @@
 	return body, nil
 }
 
-func headerSize(header http.Header) int64 {
-	n := 0
+// headerCost returns what a header costs that was received on a connection of several requests.
+func headerCost(header http.Header) int64 {
+	cost := 0
 	for name, values := range header {
 		for _, value := range values {
-			n += len(name) + len(value)
+			cost += fieldBytes + headerFactor*(len(name)+len(value))
 		}
 	}
-	return int64(n)
+	return int64(cost)
 }
 
 // isCompressed reports whether a message is larger once it is decoded.
--- a/internal/transport/inbound/limiter.go
+++ b/internal/transport/inbound/limiter.go
@@ -53,6 +53,7 @@
 	boundBytes       = "Bytes"
 	boundRate        = "LeastRate"
 	boundSize        = "MaxBodyBytes"
+	boundFields      = "HeaderFields"
 	boundConnections = "Connections"
 )
 
@@ -76,17 +77,25 @@
 	return ok
 }
 
-// receiveBuffer is the size of the receive buffer of a client's connection. Bytes that were received and
-// not read count as memory of the process, also before a connection is accepted.
-const receiveBuffer = 16 << 10
+// receiveBuffer is the size of the receive buffer of a client's connection, and peerReceiveBuffer that of
+// another process's. Bytes that were received and not read count as memory of the process, also before a
+// connection is accepted.
+const (
+	receiveBuffer     = 16 << 10
+	peerReceiveBuffer = 64 << 10
+)
 
 // Listen returns a listener whose connections are bounded. The server must report their states to
 // OnStateChange.
 func (l *Limiter) Listen(inner net.Listener, kind intake.Listener) net.Listener {
-	if socket, ok := inner.(syscall.Conn); ok && kind != intake.ListenerPeers {
+	size := receiveBuffer
+	if kind == intake.ListenerPeers {
+		size = peerReceiveBuffer
+	}
+	if socket, ok := inner.(syscall.Conn); ok {
 		if raw, err := socket.SyscallConn(); err == nil {
 			// Connections inherit the size. Without the option, the system bounds the buffer.
-			_ = raw.Control(func(fd uintptr) { _ = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, receiveBuffer) })
+			_ = raw.Control(func(fd uintptr) { _ = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, size) })
 		}
 	}
 	return &listener{Listener: inner, limiter: l, kind: kind}
@@ -157,7 +166,7 @@
 	case http.StateIdle:
 		conn.endRequest()
 		if !multiplexed(c) {
-			conn.headerBytes = 0
+			conn.header = headerSize{}
 			conn.inHeader.Store(true)
 		}
 		conn.setPhase(intake.PhaseIdle)
--- a/internal/transport/inbound/limiter_test.go
+++ b/internal/transport/inbound/limiter_test.go
@@ -35,8 +35,11 @@
 }
 
 func newTestServer(t *testing.T) *testServer {
-	limits := intake.Limits{Bytes: 320 << 10, Reserve: 32 << 10, SmallBytes: 16 << 10, LeastRate: 64 << 10, Grace: testGrace,
-		Patience: 50 * time.Millisecond, Connections: [3]int{6, 2, 2}}
+	return newTestServerOf(t, intake.Limits{Bytes: 320 << 10, Reserve: 32 << 10, SmallBytes: 16 << 10, LeastRate: 64 << 10, Grace: testGrace,
+		Patience: 50 * time.Millisecond, Connections: [3]int{6, 2, 2}})
+}
+
+func newTestServerOf(t *testing.T, limits intake.Limits) *testServer {
 	s := &testServer{C: qt.New(t), Limiter: New(limits, zap.NewNop(), prometheus.NewRegistry())}
 	s.address = s.serve(intake.ListenerCallers, http.HandlerFunc(s.handle))
 	return s
@@ -267,6 +270,58 @@
 	s.Check(s.turn.TryLock(), qt.IsTrue)
 }
 
+// Only the header counts as such, however its bytes and those of the body arrive.
+func TestHeaderSize(t *testing.T) {
+	for _, test := range []struct {
+		text  string
+		bytes int64
+		lines int64
+		ended bool
+	}{
+		{"GET / HTTP/1.1\r\nHost: h\r\n", 25, 2, false},
+		{"GET / HTTP/1.1\r\nHost: h\r\n\r\n", 27, 3, true},
+		{"GET / HTTP/1.1\nHost: h\n\nbody\n\n", 24, 3, true},
+		{"GET / HTTP/1.1\r\nHost: h\r\n\r\n1\r\nx\r\n", 27, 3, true},
+		{"a\r\r\n\r\n\n", 6, 2, true},
+	} {
+		c := qt.New(t)
+		for size := range len(test.text) {
+			var h headerSize
+			for rest := test.text; len(rest) > 0; {
+				n := min(size+1, len(rest))
+				h.add([]byte(rest[:n]))
+				rest = rest[n:]
+			}
+			c.Check([]int64{h.bytes, h.lines}, qt.DeepEquals, []int64{test.bytes, test.lines}, qt.Commentf("%q in pieces of %d", test.text, size+1))
+			c.Check(h.ended, qt.Equals, test.ended)
+		}
+	}
+}
+
+// A header that arrives with the request before must be charged too.
+func TestPipelinedHeaderIsCharged(t *testing.T) {
+	s := newTestServer(t)
+	conn := s.dial(s.address)
+	conn.send(post("/", "Content-Length: 0") + "GET /hold HTTP/1.1\r\nHost: h\r\n" + strings.Repeat("a:\r\n", 500) + "\r\n")
+	status, _ := conn.status()
+	s.Check(status, qt.Equals, 200)
+	s.eventuallyHolds((500 + 1 - freeFields + 7) / 8 * 8 * fieldBytes)
+	_ = conn.Close()
+	s.eventuallyHolds(0)
+}
+
+// Thousands of short fields cost many times their bytes, and must not be read.
+func TestHeaderWithThousandsOfFieldsIsNotRead(t *testing.T) {
+	for _, test := range []struct {
+		fields, status int
+	}{{100, 200}, {1000, 200}, {5000, 400}} {
+		s := newTestServerOf(t, intake.LimitsOf(intake.Host{Memory: 128 << 20, Descriptors: 100}))
+		status, _ := s.dial(s.address).request("GET / HTTP/1.1\r\nHost: h\r\n" + strings.Repeat("a:\r\n", test.fields) + "\r\n")
+		s.Check(status, qt.Equals, test.status)
+		s.eventuallyHolds(0)
+	}
+}
+
 // Connections beyond the bound must replace those that send nothing, and must not be accepted without end.
 func TestConnectionsAreBounded(t *testing.T) {
 	s := newTestServer(t)
--- a/internal/transport/inbound/request.go
+++ b/internal/transport/inbound/request.go
@@ -44,8 +44,9 @@
 	conn       *conn
 	controller *http.ResponseController
 	request    *http.Request
-	// received is true once the request was received whole. Only its handler uses it.
-	received bool
+	// received is true once the request was received whole, and headerRefused if there was no memory for its
+	// header. Only its handler uses them.
+	received, headerRefused bool
 
 	mu sync.Mutex
 	// gaveWay is true once the request has given way to another one. wake ends what it is waiting for.
@@ -87,6 +88,8 @@
 	r.controller, r.request = controller, request
 	if c != nil {
 		c.request = r
+		// A part of the header may have arrived with the request before.
+		r.headerRefused = !c.charge(fieldBytes * max(fieldCount(request.Header)-freeFields, 0))
 	}
 	if request.Body == nil || request.ContentLength == 0 {
 		r.whole()
@@ -94,6 +97,15 @@
 	return r
 }
 
+// fieldCount returns the number of lines of a header.
+func fieldCount(header http.Header) int64 {
+	n := 0
+	for _, values := range header {
+		n += len(values)
+	}
+	return int64(n)
+}
+
 // giveUp ends what the request is waiting for, because it has given way to another one.
 func (r *Request) giveUp() {
 	r.mu.Lock()
@@ -196,6 +208,9 @@
 // ReadBody reads the whole body of a request of a group, of at most limit bytes and until a deadline. Its
 // error is one of this package's.
 func (r *Request) ReadBody(group intake.Group, limit int64, deadline time.Time) (intake.Body, error) {
+	if r.headerRefused {
+		return nil, ErrNoMemory
+	}
 	if r.received {
 		return nil, nil
 	}
