--- a/internal/settings/installation.go
+++ b/internal/settings/installation.go
@@ -30,7 +30,7 @@
 	FirstStart  bool        `yaml:"FirstStart"`
 	ModelServer ModelServer `yaml:"ModelServer"`
 	Bounds      Bounds      `yaml:"Bounds"`
-	Machine     OwnMachine  `yaml:"Machine"`
+	Machine     CoreMachine `yaml:"Machine"`
 	Log         Log         `yaml:"Log"`
 }
 
@@ -80,10 +80,12 @@
 	Stop document.Duration `yaml:"Stop"`
 }
 
-// OwnMachine is the Machine of a process that has its host for itself, and uses all its cores.
-type OwnMachine struct {
-	Cores   int `yaml:"Cores"`
-	Machine `yaml:",inline"`
+// CoreMachine is a Machine of which a process uses a number of cores.
+type CoreMachine struct {
+	Cores int `yaml:"Cores"`
+	// Memory and Descriptors are those of Machine.
+	Memory      document.Size `yaml:"Memory"`
+	Descriptors int           `yaml:"Descriptors"`
 }
 
 // DefaultInstallation returns the default settings, which a file overrides.
@@ -95,7 +97,7 @@
 			Keep:        document.Duration(2 * time.Second),
 			Stop:        document.Duration(8 * time.Second),
 		},
-		Machine: OwnMachine{Cores: 1},
+		Machine: CoreMachine{Cores: 1},
 		Log:     Log{Level: "Info", Format: "JSON"},
 	}
 }
@@ -157,5 +159,5 @@
 	c.Require(s.Bounds.Keep > 0, "Bounds.Keep", time.Duration(s.Bounds.Keep), "expected more than 0")
 	c.Require(s.Bounds.Stop > 0, "Bounds.Stop", time.Duration(s.Bounds.Stop), "expected more than 0")
 	c.Require(s.Machine.Cores > 0, "Machine.Cores", s.Machine.Cores, "expected 1 or more")
-	s.Machine.check(c)
+	Machine{Memory: s.Machine.Memory, Descriptors: s.Machine.Descriptors}.check(c)
 }
