--- a/cmd/filbertlever-soak/main.go
+++ b/cmd/filbertlever-soak/main.go
@@ -99,8 +99,8 @@
 	for _, b := range result.Violations {
 		counts[b.Guarantee]++
 	}
-	fmt.Printf("seed=%d faults=%d requests=%d served=%d refused=%d routes=%v broken=%d %v\n",
-		seed, result.Faults, result.Requests, result.Served, result.Refused, result.Routes, len(result.Violations), counts)
+	fmt.Printf("seed=%d faults=%d requests=%d served=%d refused=%d memory=%dMB routes=%v broken=%d %v\n",
+		seed, result.Faults, result.Requests, result.Served, result.Refused, result.PeakMemory>>20, result.Routes, len(result.Violations), counts)
 	listed := map[string]int{}
 	for _, b := range result.Violations {
 		if listed[b.Guarantee]++; listed[b.Guarantee] <= maxListed {
--- a/internal/proof/crowd/process.go
+++ b/internal/proof/crowd/process.go
@@ -119,7 +119,7 @@
 
 func (p *Process) sample() {
 	folder := filepath.Join("/proc", strconv.Itoa(p.command.Process.Pid))
-	resident, peak := residentMemory(folder)
+	resident, peak := ResidentMemory(folder)
 	unread := p.unreadBytes()
 	memory := max(peak, resident+unread)
 	descriptors, _ := os.ReadDir(filepath.Join(folder, "fd"))
@@ -131,8 +131,9 @@
 	p.usage.Descriptors = max(p.usage.Descriptors, len(descriptors))
 }
 
-// residentMemory returns the resident memory of a process and its peak, in bytes.
-func residentMemory(folder string) (resident, peak int64) {
+// ResidentMemory returns the resident memory of a process and its peak, in bytes. The folder is that of the
+// process in /proc.
+func ResidentMemory(folder string) (resident, peak int64) {
 	status, _ := os.ReadFile(filepath.Join(folder, "status"))
 	for line := range strings.Lines(string(status)) {
 		name, value, _ := strings.Cut(line, ":")
