--- a/internal/coordination/intake/budget.go
+++ b/internal/coordination/intake/budget.go
@@ -16,7 +16,7 @@
 	// expected is the size that was announced; negative if none was.
 	expected int64
 	arrived  int64
-	// arriving is true until the request has been received whole. Whole requests do not give way, because
+	// arriving is true until the request has been received whole. Whole requests are not evicted, because
 	// they may be running.
 	arriving  bool
 	startedAt time.Duration
@@ -32,7 +32,7 @@
 // Held returns the memory that the request uses.
 func (r *Request) Held() int64 { return r.held }
 
-// Evicted reports whether the request has given way to another one, or has ended.
+// Evicted reports whether the request was evicted, or has ended.
 func (r *Request) Evicted() bool { return r.evicted }
 
 // Lag returns how far the request is behind the least rate.
@@ -49,15 +49,15 @@
 // Budget divides the memory for headers and bodies among requests.
 //
 // Nothing waits in a Budget: a request that needs more memory gets it at once, or is refused. A large
-// request gets the memory for all that it has announced, so that it can finish unless it gives way. Whole
-// requests never give way.
+// request gets the memory for all that it has announced, so that it can finish unless it is evicted. Whole
+// requests never are.
 type Budget struct {
 	limits Limits
 	// total is what all requests are charged, and large the part of those that use more than SmallBytes.
 	total, large int64
 	// byGroup is the part of large of each group.
 	byGroup map[Group]int64
-	// arriving are the requests that may give way, in no order.
+	// arriving are the requests that may be evicted, in no order.
 	arriving []*Request
 }
 
@@ -68,7 +68,7 @@
 func (b *Budget) Held() int64 { return b.total }
 
 // Begin adds a request on a connection, which is nil if other requests share it. evict is called if the
-// request must give way; it must not call the budget.
+// request is evicted; it must not call the budget.
 func (b *Budget) Begin(connection *Connection, now time.Duration, evict func()) *Request {
 	r := &Request{connection: connection, expected: -1, arriving: true, startedAt: now, paidUntil: now, position: len(b.arriving), evict: evict}
 	b.arriving = append(b.arriving, r)
@@ -99,7 +99,7 @@
 // Deadline returns when a request has fallen behind the least rate by the grace period.
 func (b *Budget) Deadline(r *Request) time.Duration { return r.paidUntil + b.limits.Grace }
 
-// Grow gives a request more memory, or returns false if it must be refused. Others may give way.
+// Grow gives a request more memory, or returns false if it must be refused. Others may be evicted.
 func (b *Budget) Grow(r *Request, n int64, now time.Duration) bool {
 	if r.evicted {
 		return false
@@ -134,7 +134,7 @@
 	return max(needed, min(2*needed, b.limits.LargestRequest()))
 }
 
-// Whole records that a request has been received whole. It does not give way from then on.
+// Whole records that a request has been received whole. It is not evicted from then on.
 func (b *Budget) Whole(r *Request) {
 	if !r.evicted {
 		b.removeArriving(r)
@@ -181,14 +181,14 @@
 	return n <= 0 || b.total+n <= b.limits.Bytes && (large <= b.limits.LargestRequest() || large == b.large)
 }
 
-// A request gives way to a faster one of its group if it is slower by paceFactor, and slower than
+// A request is evicted for a faster one of its group if it is slower by paceFactor, and slower than
 // slowFactor times the least rate.
 const (
 	paceFactor = 2
 	slowFactor = 4
 )
 
-// victim returns the request that gives way so that r can be charged n more bytes; nil if r must be
+// victim returns the request that is evicted so that r can be charged n more bytes; nil if r must be
 // refused. It is the one that is farthest behind the least rate; if none is by more than the patience, the
 // slowest large one of the group that holds most, or a slow one of the same group.
 func (b *Budget) victim(r *Request, n int64, now time.Duration) *Request {
--- a/internal/coordination/intake/budget_test.go
+++ b/internal/coordination/intake/budget_test.go
@@ -23,7 +23,7 @@
 	return true
 }
 
-func TestStalledRequestGivesWay(t *testing.T) {
+func TestStalledRequestIsEvicted(t *testing.T) {
 	for _, test := range []struct {
 		name string
 		// held is what another request has received at 0, and then nothing more. group and whole describe it.
@@ -34,8 +34,8 @@
 		at    time.Duration
 		needs int64
 		// fast is true if the request is faster by a factor than the other one.
-		fast              bool
-		granted, givesWay bool
+		fast             bool
+		granted, evicted bool
 	}{
 		{"there is room", 300, "a", false, time.Minute, 500, false, true, false},
 		{"stalled", 600, "a", false, 2 * time.Second, 300, false, true, true},
@@ -48,21 +48,21 @@
 		{"larger than the memory", 10, "a", false, 2 * time.Second, 900, true, false, false},
 	} {
 		t.Run(test.name, func(t *testing.T) {
-			c, b, gaveWay := qt.New(t), NewBudget(testLimits()), false
-			other := b.Begin(nil, 0, func() { gaveWay = true })
+			c, b, evicted := qt.New(t), NewBudget(testLimits()), false
+			other := b.Begin(nil, 0, func() { evicted = true })
 			b.Expect(other, test.group, test.held)
 			c.Assert(receive(b, other, test.held, 0), qt.IsTrue)
 			if test.whole {
 				b.Whole(other)
 			}
-			r := b.Begin(nil, test.at, func() { t.Fatal("gave way to itself") })
+			r := b.Begin(nil, test.at, func() { t.Fatal("was evicted for itself") })
 			b.Expect(r, "a", test.needs)
 			if test.fast {
 				b.Arrived(r, 10000, test.at)
 			}
 			c.Check(b.Grow(r, test.needs, test.at), qt.Equals, test.granted)
-			c.Check(gaveWay, qt.Equals, test.givesWay)
-			c.Check(other.Evicted(), qt.Equals, test.givesWay)
+			c.Check(evicted, qt.Equals, test.evicted)
+			c.Check(other.Evicted(), qt.Equals, test.evicted)
 		})
 	}
 }
@@ -135,16 +135,16 @@
 		r := &modelRequest{size: rapid.Int64Range(1, limits.LargestRequest()).Draw(t, "size")}
 		r.Request = b.Begin(nil, now, func() {
 			if r.whole {
-				t.Fatal("a whole request gave way")
+				t.Fatal("a whole request was evicted")
 			}
 			if r.Lag(now) > limits.Patience {
 				return
 			}
 			if r.group == growing.group && (r.pace(now)*paceFactor >= growing.pace(now) || growing.whole) {
-				t.Fatal("a request that keeps the rate gave way to one of its group that is not faster")
+				t.Fatal("a request that keeps the rate was evicted for one of its group that is not faster")
 			}
 			if r.group != growing.group && b.byGroup[r.group] <= b.byGroup[growing.group] {
-				t.Fatal("a request that keeps the rate gave way to a group that holds more")
+				t.Fatal("a request that keeps the rate was evicted for a group that holds more")
 			}
 		})
 		r.announced = rapid.Bool().Draw(t, "announced")
--- a/internal/coordination/intake/limits.go
+++ b/internal/coordination/intake/limits.go
@@ -1,5 +1,5 @@
 // Package intake decides what a process holds of what clients send: which requests may use the memory for
-// headers and bodies, which connections stay open, and what gives way when a bound is reached.
+// headers and bodies, which connections stay open, and what is evicted when a bound is reached.
 package intake
 
 import "time"
@@ -45,7 +45,7 @@
 	// far one may fall behind it.
 	LeastRate int64
 	Grace     time.Duration
-	// Patience is how far a request may fall behind LeastRate before it gives way to others.
+	// Patience is how far a request may fall behind LeastRate before it may be evicted.
 	Patience time.Duration
 }
 
--- a/internal/coordination/intake/policies_test.go
+++ b/internal/coordination/intake/policies_test.go
@@ -94,9 +94,9 @@
 		new  func() memory
 	}{
 		{"first come", simple(limits.Bytes, first)},
-		{"the largest gives way", simple(limits.Bytes, largest)},
-		{"the slowest gives way", simple(limits.Bytes, slowest)},
-		{"the one behind gives way", simple(limits.Bytes, behind)},
+		{"the largest is evicted", simple(limits.Bytes, largest)},
+		{"the slowest is evicted", simple(limits.Bytes, slowest)},
+		{"the one behind is evicted", simple(limits.Bytes, behind)},
 		{"a quarter for each organisation", simple(limits.Bytes, share)},
 		{"chosen", func() memory { return NewBudget(limits) }},
 	}
--- a/internal/transport/inbound/conn.go
+++ b/internal/transport/inbound/conn.go
@@ -27,9 +27,9 @@
 
 // Errors of reading a header.
 var (
-	// errGaveWay means that a request has given way to others, or that there was no memory for it.
-	errGaveWay       = errors.New("the memory for requests is used up")
-	errTooManyFields = errors.New("the header has too many fields")
+	// errNoHeaderMemory means that the request was evicted, or that there was no memory for it.
+	errNoHeaderMemory = errors.New("the memory for requests is used up")
+	errTooManyFields  = errors.New("the header has too many fields")
 )
 
 // headerSize is the size of a header so far.
@@ -113,7 +113,7 @@
 	if !c.charge(cost) {
 		// The server closes the connection after an error of the network, without a status, so that the
 		// caller may come back.
-		return &net.OpError{Op: "read", Net: "tcp", Err: errGaveWay}
+		return &net.OpError{Op: "read", Net: "tcp", Err: errNoHeaderMemory}
 	}
 	return nil
 }
--- a/internal/transport/inbound/limiter.go
+++ b/internal/transport/inbound/limiter.go
@@ -29,8 +29,8 @@
 	mu          sync.Mutex
 	budget      *intake.Budget
 	connections *intake.Connections
-	// giveWay are the requests that must be woken because they give way to others.
-	giveWay []*Request
+	// evicted are the requests that must be woken because they were evicted.
+	evicted []*Request
 }
 
 // New returns a limiter.
@@ -67,12 +67,12 @@
 func (l *Limiter) grow(r *Request, n int64) bool {
 	l.mu.Lock()
 	ok := l.budget.Grow(r.held, n, l.now())
-	giveWay := l.giveWay
-	l.giveWay = nil
+	evicted := l.evicted
+	l.evicted = nil
 	l.mu.Unlock()
-	for _, other := range giveWay {
-		l.refused(boundBytes, "GaveWay")
-		other.giveUp()
+	for _, other := range evicted {
+		l.refused(boundBytes, "Evicted")
+		other.wakeEvicted()
 	}
 	return ok
 }
--- a/internal/transport/inbound/request.go
+++ b/internal/transport/inbound/request.go
@@ -49,8 +49,8 @@
 	received, headerRefused bool
 
 	mu sync.Mutex
-	// gaveWay is true once the request has given way to another one. wake ends what it is waiting for.
-	gaveWay bool
+	// evicted is true once the request was evicted. wake ends what it is waiting for.
+	evicted bool
 	wake    func()
 }
 
@@ -63,7 +63,7 @@
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	r.held = l.budget.Begin(entry, l.now(), func() { l.giveWay = append(l.giveWay, r) })
+	r.held = l.budget.Begin(entry, l.now(), func() { l.evicted = append(l.evicted, r) })
 	return r
 }
 
@@ -106,19 +106,19 @@
 	return int64(n)
 }
 
-// giveUp ends what the request is waiting for, because it has given way to another one.
-func (r *Request) giveUp() {
+// wakeEvicted ends what the request is waiting for, because it was evicted.
+func (r *Request) wakeEvicted() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.gaveWay = true
+	r.evicted = true
 	r.wake()
 }
 
-// setReadDeadline sets the deadline for reading, unless the request has given way.
+// setReadDeadline sets the deadline for reading, unless the request was evicted.
 func (r *Request) setReadDeadline(deadline time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if !r.gaveWay {
+	if !r.evicted {
 		_ = r.controller.SetReadDeadline(deadline)
 	}
 }
@@ -224,7 +224,7 @@
 		return body, nil
 	case errors.Is(err, ErrTooLarge):
 		r.limiter.refused(boundSize, "Body")
-	case r.hasGivenWay(), errors.Is(err, ErrNoMemory):
+	case r.wasEvicted(), errors.Is(err, ErrNoMemory):
 		err = ErrNoMemory
 		r.limiter.refused(boundBytes, "Body")
 	default:
@@ -241,10 +241,10 @@
 	r.limiter.budget.Expect(r.held, group, r.request.ContentLength)
 }
 
-func (r *Request) hasGivenWay() bool {
+func (r *Request) wasEvicted() bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.gaveWay
+	return r.evicted
 }
 
 // read reads the body into segments.
