Bound the entries that are known by their messages only

An entry without a row in the store counts against a bound that follows from the host's memory (2 in 100, 2 KiB each); at the bound it replaces the one that has been silent for longest, and what that one reported is dropped. Entries that the store lists are not counted. That made-up entries are believed at all is not changed.

--- a/internal/coordination/intake/limits.go
+++ b/internal/coordination/intake/limits.go
@@ -41,6 +41,8 @@
 	SmallBytes int64
 	// Connections is the number of open connections of each listener.
 	Connections [listenerCount]int
+	// Unregistered is the number of other entries that are known by their messages only.
+	Unregistered int
 	// LeastRate is the rate in bytes per second at which headers and bodies must arrive, and Grace how
 	// far one may fall behind it.
 	LeastRate int64
@@ -68,6 +70,11 @@
 	connectionBytes = 16 << 10
 	connectionShare = 0.12
 	minConnections  = 4
+
+	// unregisteredBytes is what an entry costs that is known by its messages only, and unregisteredShare the
+	// part of the memory for these.
+	unregisteredBytes = 2 << 10
+	unregisteredShare = 0.02
 	// maxFileDescriptors are kept for files; on a host with few descriptors an eighth of them.
 	maxFileDescriptors = 200
 
@@ -93,7 +100,7 @@
 	bytes := max(min(int64(bytesShare*float64(h.Memory)), beside), minBytes)
 	l := Limits{
 		Bytes: bytes, Reserve: int64(reserveShare * float64(bytes)), SmallBytes: min(maxSmallBytes, bytes/16),
-		LeastRate: leastRate, Grace: grace, Patience: patience,
+		Unregistered: int(unregisteredShare * float64(h.Memory) / unregisteredBytes), LeastRate: leastRate, Grace: grace, Patience: patience,
 	}
 	sockets := h.Descriptors - min(maxFileDescriptors, h.Descriptors/8)
 	affordable := int(connectionShare * float64(h.Memory) / connectionBytes)
--- a/internal/transport/gateway/datagrams.go
+++ b/internal/transport/gateway/datagrams.go
@@ -9,6 +9,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/filbertlever/filbertlever"
 	"github.com/filbertlever/filbertlever/internal/coordination/quarantine"
 	"github.com/filbertlever/filbertlever/internal/transport/boottime"
 )
@@ -51,6 +52,7 @@
 			// A process that has just started discovers the others by their replies.
 			g.reply(Datagram{Heartbeat: g.ownHeartbeat(now)}, from)
 		}
+		g.forget(g.peers.takeReplaced(), now)
 		if d.Heartbeat.ReportsRegion && d.Heartbeat.Entry.Region != g.config.Self.Region {
 			g.peers.observeRegionReport(d.Heartbeat.Entry, d.Heartbeat.Down, now)
 		}
@@ -185,11 +187,7 @@
 // timed out.
 func (g *Gateway) sendHeartbeat(now time.Duration, addresses []string) {
 	g.mu.Lock()
-	for _, host := range g.peers.timedOut(now) {
-		g.fleet.SetPeerCounts(host, nil, now)
-		g.fleet.SetPeerSilent(host, nil, now)
-		g.removeDemand(host)
-	}
+	g.forget(g.peers.timedOut(now), now)
 	heartbeat := g.ownHeartbeat(now)
 	g.metrics.quarantined.Set(float64(g.crashes.HeldCount(quarantine.KindRequest, now)))
 	g.metrics.quarantinedParts.Set(float64(g.crashes.HeldCount(quarantine.KindOrganisationPart, now) + g.crashes.HeldCount(quarantine.KindPart, now)))
@@ -199,6 +197,15 @@
 	g.sendTo(Datagram{Heartbeat: heartbeat}, addresses)
 }
 
+// forget drops what other entries have reported. The caller holds the lock.
+func (g *Gateway) forget(hosts []filbertlever.HostID, now time.Duration) {
+	for _, host := range hosts {
+		g.fleet.SetPeerCounts(host, nil, now)
+		g.fleet.SetPeerSilent(host, nil, now)
+		g.removeDemand(host)
+	}
+}
+
 // addressesOf returns the datagram addresses of the entries in a scope.
 func (g *Gateway) addressesOf(to scope) []string {
 	g.mu.Lock()
--- a/internal/transport/gateway/gateway.go
+++ b/internal/transport/gateway/gateway.go
@@ -144,6 +144,7 @@
 		retryBudgets: map[string]*retry.Window{}, outages: map[string]*admission.Outage{}, waitQueue: newWaitQueue(), levelled: map[string]*levelledService{}, crashes: newCrashes(), peers: newPeers(config.Self, boottime.Now()), versionsByModel: map[string][]namedVersion{},
 		stop: drain.New(drain.Config{GracePeriod: config.DrainGracePeriod, MoveStreamsAfter: config.DrainTimeout}),
 	}
+	g.peers.maxUnregistered = limiter.Unregistered()
 	g.revocationDelay.Store(int64(config.RevocationDelay))
 	g.applyDelay.Store(int64(config.ApplyDelay))
 	g.feeds.rowKey = store.RowKey
--- a/internal/transport/gateway/peers.go
+++ b/internal/transport/gateway/peers.go
@@ -45,6 +45,11 @@
 	// startedAt is when this entry started.
 	startedAt time.Duration
 	byHost    map[filbertlever.HostID]*peer
+	// unregistered counts the entries of byHost without a row of the store. Messages may name any number;
+	// maxUnregistered bounds them.
+	unregistered, maxUnregistered int
+	// replaced are the entries that others have replaced at that bound.
+	replaced []filbertlever.HostID
 	// order caches the entries of byHost sorted by host, and regionCount how many of them
 	// are in this entry's region. order is nil if it is out of date.
 	order       []*peer
@@ -57,8 +62,9 @@
 	entry Entry
 	// discoveredAt is when this entry discovered the other one.
 	discoveredAt time.Duration
-	// listed is true while the store has a row for the entry.
-	listed bool
+	// listed is true while the entry counts as one of the installation, and registered once the store had a
+	// row for it.
+	listed, registered bool
 	// heartbeatAt is when the last heartbeat arrived; 0 if none has.
 	heartbeatAt time.Duration
 	// reportedAliveAt is when an entry of its region last reported it as alive; 0 if none has.
@@ -74,7 +80,40 @@
 }
 
 func newPeers(self Entry, now time.Duration) *peers {
-	return &peers{self: self, startedAt: now, byHost: map[filbertlever.HostID]*peer{}}
+	return &peers{self: self, startedAt: now, byHost: map[filbertlever.HostID]*peer{}, maxUnregistered: defaultMaxUnregistered}
+}
+
+// defaultMaxUnregistered is maxUnregistered of a host whose limits are not known.
+const defaultMaxUnregistered = 4096
+
+// addUnregistered adds an entry that is known by a message only. At the bound it replaces the one that has
+// been silent for longest.
+func (p *peers) addUnregistered(entry Entry, now time.Duration) *peer {
+	if p.unregistered >= p.maxUnregistered {
+		var oldest *peer
+		for _, other := range p.byHost {
+			if !other.registered && (oldest == nil || max(other.heartbeatAt, other.discoveredAt) < max(oldest.heartbeatAt, oldest.discoveredAt)) {
+				oldest = other
+			}
+		}
+		if oldest != nil {
+			p.remove(oldest)
+			p.replaced = append(p.replaced, oldest.entry.Host)
+		}
+	}
+	other := &peer{entry: entry, listed: true, discoveredAt: now}
+	p.byHost[entry.Host] = other
+	p.unregistered++
+	p.order = nil
+	return other
+}
+
+func (p *peers) remove(other *peer) {
+	delete(p.byHost, other.entry.Host)
+	if !other.registered {
+		p.unregistered--
+	}
+	p.order = nil
 }
 
 // applyRows applies changes of the store's entry table: added or changed entries, and the
@@ -90,11 +129,14 @@
 			continue
 		}
 		other, ok := p.byHost[entry.Host]
-		if !ok {
+		switch {
+		case !ok:
 			other = &peer{discoveredAt: now}
 			p.byHost[entry.Host] = other
+		case !other.registered:
+			p.unregistered--
 		}
-		other.entry, other.listed = entry, true
+		other.entry, other.listed, other.registered = entry, true, true
 		p.order = nil
 	}
 	for _, host := range removed {
@@ -102,10 +144,9 @@
 			other.listed = false
 		}
 	}
-	for host, other := range p.byHost {
+	for _, other := range p.byHost {
 		if !other.listed {
-			delete(p.byHost, host)
-			p.order = nil
+			p.remove(other)
 		}
 	}
 }
@@ -116,14 +157,20 @@
 	var added []Entry
 	for _, entry := range entries {
 		if _, ok := p.byHost[entry.Host]; !ok && entry.Host != p.self.Host {
-			p.byHost[entry.Host] = &peer{entry: entry, listed: true, discoveredAt: now}
-			p.order = nil
+			p.addUnregistered(entry, now)
 			added = append(added, entry)
 		}
 	}
 	return added
 }
 
+// takeReplaced returns the entries that were replaced since the last call.
+func (p *peers) takeReplaced() []filbertlever.HostID {
+	replaced := p.replaced
+	p.replaced = nil
+	return replaced
+}
+
 // discoveryElapsed reports whether this entry has run long enough to have discovered the others.
 func (p *peers) discoveryElapsed(now time.Duration) bool { return now-p.startedAt > startupGrace }
 
@@ -133,10 +180,9 @@
 	other, ok := p.byHost[entry.Host]
 	if !ok {
 		// The entry is alive, but its row has not been read yet.
-		other = &peer{listed: true, discoveredAt: now}
-		p.byHost[entry.Host] = other
+		other = p.addUnregistered(entry, now)
 	}
-	if !ok || other.entry.Region != entry.Region {
+	if other.entry.Region != entry.Region {
 		p.order = nil
 	}
 	first = other.heartbeatAt == 0 || other.entry.Incarnation != entry.Incarnation
--- a/internal/transport/gateway/peers_test.go
+++ b/internal/transport/gateway/peers_test.go
@@ -316,3 +316,24 @@
 	c.Check(countsDue(some, some, heartbeatTimeout), qt.IsTrue)
 	c.Check(countsDue(none, none, time.Minute), qt.IsFalse)
 }
+
+// Messages may name any number of entries. Those that the store lists must stay, and of the others the ones
+// that send.
+func TestEntriesKnownByMessagesAreBounded(t *testing.T) {
+	c := qt.New(t)
+	p := newPeers(Entry{Host: "self"}, 0)
+	p.maxUnregistered = 10
+	p.applyRows([]Entry{{Host: "listed"}}, nil, true, 0)
+	for n := range 1000 {
+		now := time.Duration(n) * time.Millisecond
+		p.observeHeartbeat(Entry{Host: "sending"}, true, false, now)
+		p.observeHeartbeat(Entry{Host: filbertlever.HostID(fmt.Sprint("made-up-", n))}, true, false, now)
+		c.Assert(len(p.byHost) <= 11, qt.IsTrue)
+	}
+	c.Check(p.byHost["listed"], qt.IsNotNil)
+	c.Check(p.byHost["sending"], qt.IsNotNil)
+	c.Check(p.takeReplaced(), qt.HasLen, 991)
+	p.applyRows([]Entry{{Host: "listed"}, {Host: "sending"}}, nil, true, time.Second)
+	c.Check(p.byHost, qt.HasLen, 2)
+	c.Check(p.unregistered, qt.Equals, 0)
+}
--- a/internal/transport/inbound/limiter.go
+++ b/internal/transport/inbound/limiter.go
@@ -45,6 +45,9 @@
 	return l
 }
 
+// Unregistered returns the number of other entries that may be known by their messages only.
+func (l *Limiter) Unregistered() int { return l.limits.Unregistered }
+
 // now returns the time on a clock that stands still while the host is suspended, as what clients send does.
 func (l *Limiter) now() time.Duration { return time.Since(l.started) }
 
