Do not take a response for complete after its connection was reset

Callers saw: a server answered a long upload at once with a 200 without a length, sent a part of the body and reset the connection while the upload was being written. The caller got the part as a complete answer; streams ended as complete after the events that had arrived.

Cause: one goroutine writes the upload while another reads the response. The kernel reports a reset once, to whichever call comes first. The health check that confirms such an end only shows that the server's process runs.

A server that ends its side and reads on is answered in full.

--- a/internal/transport/channel/channel.go
+++ b/internal/transport/channel/channel.go
@@ -132,9 +132,9 @@
 	openedAt time.Duration
 	// used is true once a response was read completely on the connection.
 	used bool
-	// bodyWritten is closed when the body has been written. It is nil if the body was
+	// upload is the body that is written while the response is read. It is nil if the body was
 	// written together with the head.
-	bodyWritten chan struct{}
+	upload *upload
 }
 
 // Response is a server's response. Finish must be called once.
@@ -247,16 +247,15 @@
 // A server may respond before it has read a long body, and read the rest later. It
 // would then take the next request on the connection for the rest of that body.
 func (c *conn) written() bool {
-	if c.bodyWritten == nil {
+	if c.upload == nil {
 		return true
 	}
-	select {
-	case <-c.bodyWritten:
-		c.bodyWritten = nil
-		return true
-	default:
+	written, err := c.upload.result()
+	if !written || err != nil {
 		return false
 	}
+	c.upload = nil
+	return true
 }
 
 func (c *conn) write(request *Request) error {
@@ -281,22 +280,11 @@
 	if _, err := c.Write(head.Bytes()); err != nil {
 		return err
 	}
-	c.bodyWritten = make(chan struct{})
-	go c.writeBody(request.Body)
+	c.upload = &upload{done: make(chan struct{})}
+	go c.upload.run(c.Conn, request.Body)
 	return nil
 }
 
-// writeBody writes a long body while Do waits for the response. If the write fails,
-// bodyWritten is never closed, so that the connection is not reused, and reading the
-// response fails too.
-func (c *conn) writeBody(body intake.Body) {
-	// Writing consumes the list of segments, which a further attempt needs.
-	segments := net.Buffers(slices.Clone(body))
-	if _, err := segments.WriteTo(c.Conn); err == nil {
-		close(c.bodyWritten)
-	}
-}
-
 // read returns the head of the next response and skips informational (1xx) responses.
 //
 // A faulty server may send a head, or informational responses, without end.
@@ -337,8 +325,10 @@
 	if err != nil {
 		return nil, err
 	}
-	head := &headReader{reader: raw, total: &p.largeHeads}
-	return &conn{Conn: raw, reader: bufio.NewReaderSize(head, readBufferSize), head: head, server: server, openedAt: boottime.Now()}, nil
+	c := &conn{Conn: raw, server: server, openedAt: boottime.Now()}
+	c.head = &headReader{reader: c, total: &p.largeHeads}
+	c.reader = bufio.NewReaderSize(c.head, readBufferSize)
+	return c, nil
 }
 
 // healthy reports whether an idle connection is open and has no unread data.
--- a/internal/transport/channel/channel_test.go
+++ b/internal/transport/channel/channel_test.go
@@ -255,6 +255,23 @@
 	c.Assert(err, qt.IsNotNil)
 }
 
+// The connection is reset while a long body is written: the write gets the error and the read the end, so that
+// a part passed as the whole response.
+func TestResetDuringAnUploadIsAnError(t *testing.T) {
+	s := newScriptedServer(t, func(_ int, r *http.Request, conn net.Conn) {
+		_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nId: %s\r\n\r\nhalf", r.Header.Get("Id"))
+		_ = conn.(*net.TCPConn).SetLinger(0)
+		_ = conn.Close()
+	})
+	pool, closePool := New()
+	defer closePool()
+	for range 50 {
+		request := &Request{Method: http.MethodPost, Target: "/x", Host: "h", Header: http.Header{"Id": {"1"}}, Body: intake.Body{[]byte(strings.Repeat("x", 3<<20))}}
+		_, err := do(pool, s, "1", request)
+		qt.Check(t, err, qt.IsNotNil)
+	}
+}
+
 // A paused server resumes and starts requests whose callers disconnected long ago, because
 // they were unread in its host's buffers. Cancelling must reset the connection at once, which
 // discards unread data. An orderly close would not.
--- a/internal/transport/gateway/liveness.go
+++ b/internal/transport/gateway/liveness.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -131,7 +132,12 @@
 	case t.remaining() < deadlineTolerance:
 		return errAtDeadline
 	case reply.UntilClose:
-		return t.confirmEndAt(t.ctx, boottime.Now())
+		err := t.confirmEndAt(t.ctx, boottime.Now())
+		if reply.Failure == nil {
+			return err
+		}
+		// A server that closes before it has read the request resets the connection when the rest arrives.
+		return cmp.Or(reply.Failure(), err)
 	}
 	return nil
 }
--- a/internal/transport/gateway/ports.go
+++ b/internal/transport/gateway/ports.go
@@ -116,6 +116,9 @@
 	RateLimitErr error
 	// Version is the version of the weights that answer; 0 if unknown.
 	Version uint64
+	// Failure returns why the connection did not end in an orderly way; nil if nothing shows that. It may be nil,
+	// and must not be called after Finish.
+	Failure func() error
 	// Finish releases the connection, which is reused only if the response was read completely.
 	Finish func(whole bool)
 }
