Refuse responses whose status line is not one of a response

Callers saw: a server answered with status 000, and callers got bytes of that response's body as the answer, if they were themselves a response with the request's id and the receipt.

Cause: every status below 200 counted as informational, so that what followed it was read as the next response. net/http also takes "+20" for a number, two blanks before the status, any HTTP version and control bytes in the text.

Change: heads are read as they were sent and checked once, where they are read (package httphead), before net/http parses them. A status line has the form of RFC 9112, section 4, and a status from 100 to 599 but 101, as no request asks for another protocol. Anything else fails the attempt: the connection is reset and not read again, the server counts as failing, and the request is sent to another server only where it may be repeated; else the caller gets 502.

--- a/internal/transport/channel/channel.go
+++ b/internal/transport/channel/channel.go
@@ -219,7 +219,7 @@
 		c.abort()
 		return
 	}
-	if !notCancelled || r.unmatched || r.Response.Close || c.reader.Buffered() > 0 || !c.written() {
+	if !notCancelled || r.unmatched || r.Response.Close || c.unreadBytes() > 0 || !c.written() {
 		_ = c.Close()
 		return
 	}
@@ -285,25 +285,6 @@
 	return nil
 }
 
-// read returns the head of the next response and skips informational (1xx) responses.
-//
-// A faulty server may send a head, or informational responses, without end.
-func (c *conn) read(request *Request) (*http.Response, error) {
-	c.head.begin()
-	defer c.head.end()
-	for range maxInformational + 1 {
-		response, err := http.ReadResponse(c.reader, &http.Request{Method: request.Method})
-		if err != nil && c.head.exceeded {
-			// The line that was cut off may be reported as malformed.
-			return nil, ErrHeadTooLarge
-		}
-		if err != nil || response.StatusCode >= 200 {
-			return response, err
-		}
-	}
-	return nil, ErrHeadTooLarge
-}
-
 // get returns a healthy idle connection to the same process, or a new connection.
 //
 // A server may restart under the same ID, and a network partition may hide that its
--- a/internal/transport/channel/head.go
+++ b/internal/transport/channel/head.go
@@ -1,10 +1,14 @@
 package channel
 
 import (
+	"bufio"
 	"errors"
 	"io"
+	"net/http"
+	"slices"
 	"sync/atomic"
 
+	"github.com/filbertlever/filbertlever/internal/protocol/httphead"
 	"github.com/filbertlever/filbertlever/internal/transport/network"
 )
 
@@ -31,6 +35,8 @@
 	left    int
 	// exceeded is true once the head has exceeded a limit.
 	exceeded bool
+	// unread holds bytes that are read again before further ones from reader.
+	unread []byte
 }
 
 // begin begins the head of a response, which includes the informational responses before it.
@@ -43,6 +49,13 @@
 }
 
 func (r *headReader) Read(data []byte) (int, error) {
+	if len(r.unread) > 0 {
+		n := copy(data, r.unread)
+		if r.unread = r.unread[n:]; len(r.unread) == 0 {
+			r.unread = nil
+		}
+		return n, nil
+	}
 	if !r.reading {
 		return r.reader.Read(data)
 	}
@@ -62,3 +75,59 @@
 	}
 	return n, err
 }
+
+// readHead reads a head up to the empty line that ends it.
+func readHead(reader *bufio.Reader) ([]byte, error) {
+	var head []byte
+	for lineStart := 0; ; {
+		part, err := reader.ReadSlice('\n')
+		head = append(head, part...)
+		switch {
+		case errors.Is(err, bufio.ErrBufferFull):
+			continue
+		case err == io.EOF:
+			return nil, io.ErrUnexpectedEOF
+		case err != nil:
+			return nil, err
+		}
+		if line := head[lineStart:]; len(line) == 1 || string(line) == "\r\n" {
+			return head, nil
+		}
+		lineStart = len(head)
+	}
+}
+
+// read returns the head of the next response and skips informational (1xx) responses.
+//
+// A faulty server may send a head, or informational responses, without end.
+func (c *conn) read(request *Request) (*http.Response, error) {
+	c.head.begin()
+	defer c.head.end()
+	for range maxInformational + 1 {
+		head, err := readHead(c.reader)
+		if err != nil {
+			return nil, err
+		}
+		status, err := httphead.Check(head)
+		if err != nil {
+			return nil, err
+		}
+		if httphead.Informational(status) {
+			continue
+		}
+		c.unread(head)
+		return http.ReadResponse(c.reader, &http.Request{Method: request.Method})
+	}
+	return nil, ErrHeadTooLarge
+}
+
+// unread puts bytes that were read back in front of the reader.
+func (c *conn) unread(data []byte) {
+	// Peek cannot fail for what is buffered.
+	buffered, _ := c.reader.Peek(c.reader.Buffered())
+	c.head.unread = slices.Concat(data, buffered, c.head.unread)
+	c.reader.Reset(c.head)
+}
+
+// unreadBytes returns how many bytes were received and not read.
+func (c *conn) unreadBytes() int { return c.reader.Buffered() + len(c.head.unread) }
