Refuse heads of responses with a line that is not a field

Callers saw: a response whose head had a blank in the name of a field passed as an answer, without that line; where the line framed the body ("Content-Length : 4", "Transfer-Encoding : chunked") the caller got a body that was not the server's.

Cause: net/http keeps a name with a blank as it is when it reads a head, does not recognise it as Content-Length or Transfer-Encoding, and drops it when it writes the head to the caller. It also lets a transfer coding override a length, ignores transfer codings in HTTP/1.0, joins continued lines, and takes what follows an informational response with a length for the next response.

Change: httphead checks each line of a head: names are tokens, values have no control characters, no line continues another, and the end of the body can be read in one way only (RFC 9112, sections 5.1, 5.2, 6.1, 6.3). Informational responses are checked alike and state no body.

--- a/Makefile
+++ b/Makefile
@@ -68,6 +68,7 @@
 	go test -run '^$$' -fuzz '^FuzzStaged$$' -fuzztime 10s ./platform
 	go test -run '^$$' -fuzz '^FuzzDatagram$$' -fuzztime 10s ./internal/transport/gateway
 	go test -run '^$$' -fuzz '^FuzzFeed$$' -fuzztime 10s ./internal/transport/gateway
+	go test -run '^$$' -fuzz '^FuzzCheck$$' -fuzztime 10s ./internal/protocol/httphead
 
 bench-weights: build ## measure bursts, live requests under them, and rolls (about 75 s)
 	@$(BIN)/filbertlever-bench weights --plot docs/measurements/weights.png
--- a/internal/protocol/httphead/httphead.go
+++ b/internal/protocol/httphead/httphead.go
@@ -7,6 +7,7 @@
 import (
 	"bytes"
 	"fmt"
+	"strings"
 )
 
 // maxErrorText is how many bytes of a line an Error holds.
@@ -33,12 +34,90 @@
 // Check returns the status of a response whose head was received, including the empty line that ends it. The
 // error is an *Error.
 func Check(head []byte) (status int, err error) {
-	line, _ := nextLine(head)
+	line, rest := nextLine(head)
 	status, reason := checkStatusLine(line)
 	if reason != "" {
 		return 0, newError(1, line, reason)
 	}
-	return status, nil
+	f := framing{oldVersion: bytes.HasPrefix(line, []byte("HTTP/1.0")), interim: Informational(status)}
+	for number := 2; ; number++ {
+		if line, rest = nextLine(rest); len(line) == 0 {
+			return status, nil
+		}
+		name, value, reason := parseField(line)
+		if reason == "" {
+			reason = f.add(name, value)
+		}
+		if reason != "" {
+			return 0, newError(number, line, reason)
+		}
+	}
+}
+
+// parseField returns the name and the value of a field line, or what is wrong with it. A line that continues the
+// one before is obsolete (RFC 9112, section 5.2).
+func parseField(line []byte) (name, value []byte, reason string) {
+	name, value, found := bytes.Cut(line, []byte(":"))
+	switch {
+	case !found:
+		return nil, nil, "expected a field"
+	case !IsName(string(name)):
+		return nil, nil, "not the name of a field"
+	case !isText(value):
+		return nil, nil, "control character"
+	}
+	return name, bytes.Trim(value, " \t"), ""
+}
+
+// IsName reports whether a text is the name of a field: a token (RFC 9110, section 5.6.2).
+func IsName(name string) bool {
+	for _, b := range []byte(name) {
+		if !isDigit(b) && (b|0x20 < 'a' || 'z' < b|0x20) && !strings.ContainsRune("!#$%&'*+-.^_`|~", rune(b)) {
+			return false
+		}
+	}
+	return name != ""
+}
+
+// framing is what the fields of a head state about the end of the body (RFC 9112, section 6).
+type framing struct {
+	// oldVersion is true for HTTP/1.0, which has no transfer codings, and interim for an informational
+	// response, which has no body.
+	oldVersion, interim bool
+	// length is the length that was stated; nil if none was. chunked is true if a transfer coding was.
+	length  []byte
+	chunked bool
+}
+
+// add adds a field, and returns what is wrong with it beside those before. Fields from which the end of a body
+// can be read in two ways are wrong, because another reader of the connection reads it in the other.
+func (f *framing) add(name, value []byte) (reason string) {
+	switch {
+	case bytes.EqualFold(name, []byte("Content-Length")):
+		switch {
+		case len(value) == 0 || strings.Trim(string(value), "0123456789") != "":
+			return "not a length"
+		case f.length != nil && !bytes.Equal(f.length, value):
+			return "a second length"
+		case f.interim && strings.Trim(string(value), "0") != "":
+			return "a body of an informational response"
+		}
+		f.length = value
+	case bytes.EqualFold(name, []byte("Transfer-Encoding")):
+		switch {
+		case f.oldVersion:
+			return "a transfer coding in HTTP/1.0"
+		case f.interim:
+			return "a body of an informational response"
+		case f.chunked || !bytes.EqualFold(value, []byte("chunked")):
+			return "not the transfer coding chunked"
+		}
+		f.chunked = true
+	}
+	if f.length != nil && f.chunked {
+		return "both a length and a transfer coding"
+	}
+	return ""
 }
 
 func newError(number int, line []byte, reason string) *Error {
