Refuse bodies in chunks whose trailer has a malformed name

Callers saw: a body in chunks passed as complete although the fields after it had a name with a blank, and its connection was used again.

Cause: net/http reads such a name into the trailer, and the entry drops trailers. Names without a colon and control characters were refused already.

Change: the trailer's names are checked when the body ends. A malformed one is an error, so that the response is not complete and its connection is closed.

Evidence: TestResponseWithMalformedTrailerIsNotComplete failed before (200) and passes (502).

--- a/internal/transport/channel/head.go
+++ b/internal/transport/channel/head.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"slices"
@@ -116,11 +117,37 @@
 			continue
 		}
 		c.unread(head)
-		return http.ReadResponse(c.reader, &http.Request{Method: request.Method})
+		response, err := http.ReadResponse(c.reader, &http.Request{Method: request.Method})
+		if err == nil {
+			response.Body = &checkedBody{ReadCloser: response.Body, response: response}
+		}
+		return response, err
 	}
 	return nil, ErrHeadTooLarge
 }
 
+// errTrailer means that the fields after a body in chunks are malformed.
+var errTrailer = errors.New("malformed trailer")
+
+// checkedBody is a body whose trailer is checked when it ends.
+type checkedBody struct {
+	io.ReadCloser
+	response *http.Response
+}
+
+func (b *checkedBody) Read(data []byte) (int, error) {
+	n, err := b.ReadCloser.Read(data)
+	if err != io.EOF {
+		return n, err
+	}
+	for name := range b.response.Trailer {
+		if !httphead.IsName(name) {
+			return n, fmt.Errorf("%w: %.40q", errTrailer, name)
+		}
+	}
+	return n, err
+}
+
 // unread puts bytes that were read back in front of the reader.
 func (c *conn) unread(data []byte) {
 	// Peek cannot fail for what is buffered.
