Check heads and resets wherever responses are read with net/http

Cause: the store, model servers beside an agent, origins, other entries and the product's own processes are called through net/http, which returns status 000 and names with a blank as they are, so that a malformed head could acknowledge a write, refuse an order (409) or remove a version (410), and which has the same race of the write and the read of a connection that is reset as the entry had.

Change: network.NewClient refuses responses whose status is not one of a response or whose fields have malformed names; all clients of processes are made with it. Connections report a reset, or that this process has closed them after a failed write, instead of an orderly end.

--- a/internal/transport/agent/agent.go
+++ b/internal/transport/agent/agent.go
@@ -78,7 +78,7 @@
 
 // New returns an agent that uses n to communicate with other processes.
 func New(config Config, n *node.Node, client Platform, log *zap.Logger, m *metrics) *Agent {
-	httpClient := &http.Client{Transport: &http.Transport{DialContext: config.Network.DialContext, MaxIdleConnsPerHost: 64, IdleConnTimeout: time.Minute, MaxResponseHeaderBytes: network.MaxResponseHead}}
+	httpClient := network.NewClient(&http.Transport{DialContext: config.Network.DialContext, MaxIdleConnsPerHost: 64, IdleConnTimeout: time.Minute, MaxResponseHeaderBytes: network.MaxResponseHead})
 	a := &Agent{
 		config:     config,
 		node:       n,
--- a/internal/transport/installation/roles.go
+++ b/internal/transport/installation/roles.go
@@ -143,9 +143,9 @@
 func newClient() *http.Client {
 	dialer := &net.Dialer{Timeout: dialTimeout, KeepAliveConfig: net.KeepAliveConfig{
 		Enable: true, Idle: time.Second, Interval: 500 * time.Millisecond, Count: 3}}
-	return &http.Client{Transport: &http.Transport{
-		DialContext: dialer.DialContext, DisableCompression: true, MaxIdleConnsPerHost: 8, IdleConnTimeout: 30 * time.Second,
-		MaxResponseHeaderBytes: network.MaxResponseHead}}
+	return network.NewClient(&http.Transport{
+		DialContext: network.ReportResets(dialer.DialContext), DisableCompression: true, MaxIdleConnsPerHost: 8, IdleConnTimeout: 30 * time.Second,
+		MaxResponseHeaderBytes: network.MaxResponseHead})
 }
 
 // RunAgent runs an agent until ctx is cancelled.
--- a/internal/transport/network/network.go
+++ b/internal/transport/network/network.go
@@ -28,7 +28,7 @@
 // DialContext connects to IP:port.
 func (t TCP) DialContext(ctx context.Context, network, address string) (net.Conn, error) {
 	dialer := net.Dialer{Timeout: t.DialTimeout, KeepAlive: keepAliveInterval}
-	return dialer.DialContext(ctx, network, address)
+	return ReportResets(dialer.DialContext)(ctx, network, address)
 }
 
 // MaxResponseHead is the largest head of a response, including the informational responses before
--- a/internal/transport/peer/clients.go
+++ b/internal/transport/peer/clients.go
@@ -50,7 +50,7 @@
 	if ok {
 		return client
 	}
-	client = &http.Client{Transport: c.transport(host)}
+	client = network.NewClient(c.transport(host))
 	c.clients[host] = client
 	return client
 }
@@ -67,7 +67,7 @@
 	transport := c.transport(host)
 	transport.ForceAttemptHTTP2 = true
 	transport.HTTP2 = &http.HTTP2Config{SendPingTimeout: pingIdleTime, PingTimeout: pingTimeout}
-	client = &http.Client{Transport: transport}
+	client = network.NewClient(transport)
 	c.requestClients[host] = client
 	return client
 }
--- a/internal/transport/platform/platform.go
+++ b/internal/transport/platform/platform.go
@@ -38,7 +38,7 @@
 
 // New returns a client for the platform at a base URL. The timeout applies to each call.
 func New(base string, timeout time.Duration, links network.Network) *Client {
-	client := &http.Client{Transport: &http.Transport{DialContext: links.DialContext, MaxIdleConnsPerHost: 16, IdleConnTimeout: time.Minute, MaxResponseHeaderBytes: network.MaxResponseHead}}
+	client := network.NewClient(&http.Transport{DialContext: links.DialContext, MaxIdleConnsPerHost: 16, IdleConnTimeout: time.Minute, MaxResponseHeaderBytes: network.MaxResponseHead})
 	return &Client{
 		base:    base,
 		http:    client,
