Bound messages that are read from engines, services, the platform and entries

Operators of other systems saw: a faulty server sent bytes without end, the process that had called it kept them all and ran out of memory, and the requests of other callers ended with it. On the product's own interface that could happen here.

Cause: clients of remote calls had no limit for the size of a message; only handlers had one. A response without end was kept up to the call's deadline.

Change: agents, entries, the platform's client and pkg/client read messages of at most 32 MiB (network.MaxMessage).

--- a/internal/transport/agent/agent.go
+++ b/internal/transport/agent/agent.go
@@ -96,12 +96,7 @@
 	sources := &weights.HTTPSources{Peers: a, Origin: config.Origin, Store: config.Store, Client: httpClient, Pacer: a.inbound}
 	self := distribution.Peer{ID: config.Host.ID, Site: config.Host.Site}
 	a.fetcher = weights.NewFetcher(config.Fetch, self, a.chunkLibrary, sources, log)
-	if config.EngineURL != "" {
-		a.engine = enginev1connect.NewEngineServiceClient(httpClient, config.EngineURL)
-	}
-	if config.ServiceURL != "" {
-		a.service = servicev1connect.NewPlainServiceClient(httpClient, config.ServiceURL)
-	}
+	a.engine, a.service = newServerClients(httpClient, config.EngineURL, config.ServiceURL)
 	a.loader = newLoader(a)
 	a.reporter = newReporter(a)
 	n.OnAdopted(a.applyBundle)
@@ -123,6 +118,20 @@
 	mux.Handle(peer.ControlPath, a.node.Control())
 }
 
+// newServerClients returns clients of the backend server's engine and service; nil for those without a URL.
+func newServerClients(client *http.Client, engineURL, serviceURL string) (enginev1connect.EngineServiceClient, servicev1connect.PlainServiceClient) {
+	limit := connect.WithReadMaxBytes(network.MaxMessage)
+	var engine enginev1connect.EngineServiceClient
+	var service servicev1connect.PlainServiceClient
+	if engineURL != "" {
+		engine = enginev1connect.NewEngineServiceClient(client, engineURL, limit)
+	}
+	if serviceURL != "" {
+		service = servicev1connect.NewPlainServiceClient(client, serviceURL, limit)
+	}
+	return engine, service
+}
+
 // maxMessageBytes is the maximum size of a message from an entry.
 const maxMessageBytes = 4 << 20
 
--- a/internal/transport/entry/entry.go
+++ b/internal/transport/entry/entry.go
@@ -23,6 +23,7 @@
 	"github.com/filbertlever/filbertlever/internal/protocol/control"
 	"github.com/filbertlever/filbertlever/internal/protocol/peer/v1/peerv1connect"
 	"github.com/filbertlever/filbertlever/internal/transport/inbound"
+	"github.com/filbertlever/filbertlever/internal/transport/network"
 	"github.com/filbertlever/filbertlever/internal/transport/node"
 	"github.com/filbertlever/filbertlever/internal/transport/peer"
 	"github.com/filbertlever/filbertlever/internal/transport/platform"
@@ -154,7 +155,7 @@
 // of the host is known.
 func (e *Entry) agentClient(host filbertlever.HostID) (peerv1connect.AgentServiceClient, bool) {
 	address, ok := e.node.PeerAddress(host)
-	return peerv1connect.NewAgentServiceClient(e.node.Clients().ForRequests(host), "https://"+address), ok
+	return peerv1connect.NewAgentServiceClient(e.node.Clients().ForRequests(host), "https://"+address, connect.WithReadMaxBytes(network.MaxMessage)), ok
 }
 
 // retryBudget is the entry's retry budget. It is safe for concurrent use.
--- a/internal/transport/network/network.go
+++ b/internal/transport/network/network.go
@@ -34,3 +34,6 @@
 // MaxResponseHead is the largest head of a response, including the informational responses before
 // it, that is read from any server.
 const MaxResponseHead = 32 << 10
+
+// MaxMessage is the largest message of a remote call that is read from any server.
+const MaxMessage = 32 << 20
--- a/internal/transport/platform/platform.go
+++ b/internal/transport/platform/platform.go
@@ -42,7 +42,7 @@
 	return &Client{
 		base:    base,
 		http:    client,
-		table:   platformv1connect.NewTableServiceClient(client, base),
+		table:   platformv1connect.NewTableServiceClient(client, base, connect.WithReadMaxBytes(network.MaxMessage)),
 		timeout: timeout,
 	}
 }
--- a/pkg/client/client.go
+++ b/pkg/client/client.go
@@ -98,6 +98,9 @@
 	pingTimeout        = 2 * time.Second
 )
 
+// maxMessageBytes is the largest message that is read from an entry.
+const maxMessageBytes = 32 << 20
+
 // New returns a client and a function that closes its idle connections.
 func New(config Config) (*Client, func()) {
 	if config.DialTimeout == 0 {
@@ -240,7 +243,7 @@
 }
 
 func (c *Client) service(address string) filbertleverv1connect.CallerServiceClient {
-	return filbertleverv1connect.NewCallerServiceClient(c.http, "https://"+address)
+	return filbertleverv1connect.NewCallerServiceClient(c.http, "https://"+address, connect.WithReadMaxBytes(maxMessageBytes))
 }
 
 func withToken[T any](message *T, token string) *connect.Request[T] {
