--- a/internal/transport/channel/head.go
+++ b/internal/transport/channel/head.go
@@ -22,6 +22,8 @@
 	// maxLargeHeads limits the bytes of all heads being read, beyond the first readBufferSize of
 	// each.
 	maxLargeHeads = 16 << 20
+	// usualHead is enough for most heads.
+	usualHead = 1 << 10
 )
 
 // headReader reads from a connection and limits the size of the head of each response.
@@ -79,7 +81,7 @@
 
 // readHead reads a head up to the empty line that ends it.
 func readHead(reader *bufio.Reader) ([]byte, error) {
-	var head []byte
+	head := make([]byte, 0, usualHead)
 	for lineStart := 0; ; {
 		part, err := reader.ReadSlice('\n')
 		head = append(head, part...)
