Name the revision of a build in its version, log and metrics

Builds with -buildvcs=false, which GOFLAGS may set, lack the revision, so the build lines ask for it. Where Git refuses to answer, -buildvcs=auto fails the build ("error obtaining VCS status: exit status 128", seen in a clone that belongs to another user), so the build lines ask Git first.

--- a/Makefile
+++ b/Makefile
@@ -2,6 +2,8 @@
 
 STATICCHECK := honnef.co/go/tools/cmd/staticcheck@v0.8.2
 BIN := bin
+# Names the revision in the programs, where Git can be asked for it.
+BUILD := go build -buildvcs=$(shell git rev-parse HEAD >/dev/null 2>&1 && echo auto || echo false)
 
 .PHONY: help build demo platform-demo check fmt vet lint test layers docs docs-check generate guards matrix fuzz bench-weights bench-requests bench-control soak soak-known soak-guards
 
@@ -9,7 +11,7 @@
 	@awk -F': .*## ' '/^[a-z-]+:.*## / {printf "%-14s %s\n", $$1, $$2}' $(MAKEFILE_LIST)
 
 build: ## build the two programs into bin/
-	go build -o $(BIN)/ ./cmd/...
+	$(BUILD) -o $(BIN)/ ./cmd/...
 
 demo: ## start the whole path on this machine and show it
 	@scripts/demo.sh
@@ -82,13 +84,13 @@
 SEEDS ?= 10
 
 soak: ## run the real programs under SEEDS random series of faults, 40 s each
-	go build -o $(BIN)/ ./cmd/filbertlever ./cmd/filbertlever-soak
+	$(BUILD) -o $(BIN)/ ./cmd/filbertlever ./cmd/filbertlever-soak
 	$(BIN)/filbertlever-soak --binary $(BIN)/filbertlever --seeds $(SEEDS) $(SOAK)
 
 soak-known: ## run the seeds that once failed
-	go build -o $(BIN)/ ./cmd/filbertlever ./cmd/filbertlever-soak
+	$(BUILD) -o $(BIN)/ ./cmd/filbertlever ./cmd/filbertlever-soak
 	$(BIN)/filbertlever-soak --binary $(BIN)/filbertlever --known platform/soak/seeds.yaml $(SOAK)
 
 soak-guards: ## take parts out of the product and see the soak notice
-	go build -o $(BIN)/ ./cmd/filbertlever-soak
+	$(BUILD) -o $(BIN)/ ./cmd/filbertlever-soak
 	go run ./cmd/filbertlever-proof soak
--- a/cmd/filbertlever/main.go
+++ b/cmd/filbertlever/main.go
@@ -7,12 +7,12 @@
 	"fmt"
 	"os"
 	"os/signal"
-	"runtime/debug"
 	"syscall"
 
 	"github.com/alecthomas/kong"
 	kongcompletion "github.com/jotaen/kong-completion"
 
+	"github.com/filbertlever/filbertlever/internal/release"
 	"github.com/filbertlever/filbertlever/internal/transport/hangup"
 )
 
@@ -85,18 +85,8 @@
 	return kong.New(&arguments{},
 		kong.Name("filbertlever"),
 		kong.Description(description),
-		kong.Vars{"version": version()},
+		kong.Vars{"version": "filbertlever " + release.Current().String()},
 		kong.BindTo(ctx, (*context.Context)(nil)),
 		kong.ConfigureHelp(kong.HelpOptions{Compact: true}),
 	)
 }
-
-// releaseVersion is the version of this source tree.
-const releaseVersion = "0.1.0"
-
-func version() string {
-	if info, ok := debug.ReadBuildInfo(); ok {
-		return "filbertlever " + releaseVersion + " " + info.GoVersion
-	}
-	return "filbertlever " + releaseVersion
-}
--- a/internal/transport/installation/installation.go
+++ b/internal/transport/installation/installation.go
@@ -23,6 +23,7 @@
 	"github.com/filbertlever/filbertlever"
 	"github.com/filbertlever/filbertlever/internal/coordination/catalog"
 	"github.com/filbertlever/filbertlever/internal/coordination/intake"
+	"github.com/filbertlever/filbertlever/internal/release"
 	"github.com/filbertlever/filbertlever/internal/settings"
 	"github.com/filbertlever/filbertlever/internal/transport/inbound"
 	"github.com/filbertlever/filbertlever/internal/transport/logsink"
@@ -61,7 +62,7 @@
 	p.cleanups = append(p.cleanups, flush)
 	p.log = zap.New(zapcore.NewCore(zapcore.NewJSONEncoder(encoderConfig()), sink, p.level)).
 		With(zap.String("Host", string(s.Host)), zap.String("Role", string(role)))
-	p.registry.MustRegister(collectors.NewGoCollector(), prometheus.NewCounterFunc(prometheus.CounterOpts{
+	p.registry.MustRegister(release.Current().Collector(), collectors.NewGoCollector(), prometheus.NewCounterFunc(prometheus.CounterOpts{
 		Name: "filbertlever_log_dropped_total",
 		Help: "Log lines dropped because the output could not take them.",
 	}, func() float64 { return float64(sink.Dropped()) }))
@@ -76,6 +77,11 @@
 	return p, nil
 }
 
+// logStarted logs that the process serves, and which build of the program it is.
+func (p *process) logStarted(fields ...zap.Field) {
+	p.log.Info("started", append(fields, release.Current().Fields()...)...)
+}
+
 func encoderConfig() zapcore.EncoderConfig {
 	config := zap.NewProductionEncoderConfig()
 	config.EncodeTime = zapcore.RFC3339NanoTimeEncoder
--- a/internal/transport/installation/roles.go
+++ b/internal/transport/installation/roles.go
@@ -82,7 +82,7 @@
 	r := &settingsReloader{path: file.Path, use: settings.UseEntry, process: p, reload: file.Reload,
 		apply: func(s *settings.Installation) { g.Reconfigure(gatewayConfig(s)) }}
 	go r.run(runCtx)
-	p.log.Info("started", zap.String("Callers", s.Listen.Callers), zap.String("Peers", s.Listen.Peers))
+	p.logStarted(zap.String("Callers", s.Listen.Callers), zap.String("Peers", s.Listen.Peers))
 	select {
 	case <-ctx.Done():
 	case err := <-p.serveErrs:
@@ -173,7 +173,7 @@
 	}
 	r := &settingsReloader{path: file.Path, use: settings.UseAgent, process: p, reload: file.Reload, apply: func(*settings.Installation) {}}
 	go r.run(runCtx)
-	p.log.Info("started", zap.String("ModelServer", s.ModelServer.Address), zap.String("Service", s.ModelServer.Service))
+	p.logStarted(zap.String("ModelServer", s.ModelServer.Address), zap.String("Service", s.ModelServer.Service))
 	select {
 	case <-ctx.Done():
 	case err := <-p.serveErrs:
--- a/internal/transport/process/process.go
+++ b/internal/transport/process/process.go
@@ -26,6 +26,7 @@
 	"github.com/filbertlever/filbertlever/internal/coordination/drain"
 	"github.com/filbertlever/filbertlever/internal/coordination/intake"
 	"github.com/filbertlever/filbertlever/internal/coordination/routing"
+	"github.com/filbertlever/filbertlever/internal/release"
 	"github.com/filbertlever/filbertlever/internal/settings"
 	"github.com/filbertlever/filbertlever/internal/transport/agent"
 	"github.com/filbertlever/filbertlever/internal/transport/entry"
@@ -193,7 +194,7 @@
 		Stop:         drain.Config{GracePeriod: time.Duration(s.Stop.Grace), MoveStreamsAfter: time.Duration(s.Stop.Move)},
 	}, client, keys, hostNetwork, log)
 	registry := prometheus.NewRegistry()
-	registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+	registry.MustRegister(release.Current().Collector(), collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	host := inbound.HostOf(int64(s.Machine.Memory), s.Machine.Descriptors)
 	debug.SetMemoryLimit(intake.SoftLimit(host.Memory))
 	p := &process{settings: s, network: hostNetwork, node: n, log: log, registry: registry, serveErrs: make(chan error, 4),
@@ -221,7 +222,7 @@
 	roleDone := make(chan struct{})
 	runner := roleRunner{role: r, done: roleDone}
 	go runner.run(roleCtx)
-	p.log.Info("started", zap.String("Role", string(p.node.Self().Host.Role)), zap.String("Peer", p.settings.Peer.Address))
+	p.log.Info("started", append(release.Current().Fields(), zap.String("Role", string(p.node.Self().Host.Role)), zap.String("Peer", p.settings.Peer.Address))...)
 	select {
 	case <-ctx.Done():
 		p.node.RequestStop("signal")
