Estimate the naming of versions in answers of slow calls

Cause: a call that was answered after more than 150 ms counted as one with which the store had waited for a change, so a version in the answer counted as named at that moment. It may just have been slow to reach the store.

A naming is observed only if the store was allowed to wait and the view was current when the call was made; else it is estimated from the last confirmation.

--- a/internal/coordination/switchover/switchover.go
+++ b/internal/coordination/switchover/switchover.go
@@ -113,16 +113,43 @@
 	Estimated bool
 }
 
-// NamingOf returns when a target was set that is in an answer of the store for the first time. The call was
-// sent at sentAt and answered at answeredAt, and the view before was confirmed at confirmedAt.
+// StoreCall is a call with which an entry asks the store for changes.
+type StoreCall struct {
+	SentAt     time.Duration
+	AnsweredAt time.Duration
+	// MaxWait is how long the store may wait for a change before it answers.
+	MaxWait time.Duration
+}
+
+// waited reports whether the store certainly waited for a change before it answered, given that the view was
+// confirmed at confirmedAt.
+//
+// That the answer took long does not show it: the call may have been slow to reach the store, which then
+// answered at once with a change that was made long before. So the store must have been allowed to wait, and the
+// view must have been current when the call was made.
+func (c StoreCall) waited(confirmedAt time.Duration) bool {
+	return c.MaxWait > propagationDelay && c.AnsweredAt-c.SentAt > propagationDelay && isCurrent(confirmedAt, c.SentAt)
+}
+
+// isCurrent reports whether a view that was confirmed at confirmedAt lacks no change that was made long before.
+func isCurrent(confirmedAt, now time.Duration) bool { return now-confirmedAt <= propagationDelay }
+
+// ConfirmFirst reports whether the view is confirmed with a call that does not wait before one that does, because
+// the answer to the latter could not tell when a change was made. A view that was confirmed by such a call just now
+// is not confirmed again.
+func ConfirmFirst(confirmedAt, now time.Duration, justConfirmed bool) bool {
+	return !justConfirmed && !isCurrent(confirmedAt, now)
+}
+
+// NamingOf returns when a target was set that is in the answer to a call for the first time. The view before
+// was confirmed at confirmedAt.
 //
-// The store answers a call that waits for changes as soon as there is one. A target in an answer that came
-// without waiting may have been set at any time since the view was confirmed, which is long ago if the sources
-// of this entry had failed.
-func NamingOf(sentAt, answeredAt, confirmedAt time.Duration) Naming {
+// The store answers a call that waits for changes as soon as there is one. A target in any other answer may have
+// been set at any time since the view was confirmed, which is long ago if the sources of this entry had failed.
+func NamingOf(call StoreCall, confirmedAt time.Duration) Naming {
 	earliest := confirmedAt + propagationDelay
-	if answeredAt-sentAt > propagationDelay || earliest >= answeredAt {
-		return Naming{At: answeredAt}
+	if call.waited(confirmedAt) || earliest >= call.AnsweredAt {
+		return Naming{At: call.AnsweredAt}
 	}
 	return Naming{At: earliest, Estimated: true}
 }
--- a/internal/transport/gateway/watch.go
+++ b/internal/transport/gateway/watch.go
@@ -89,6 +89,8 @@
 	suspects map[filbertlever.HostID]time.Duration
 	// confirmedAt is the latest time at which the view was certainly current; 0 before the first read.
 	confirmedAt time.Duration
+	// justConfirmed is true if the last call to the store did not wait for changes.
+	justConfirmed bool
 	// restoredAfter is a time before the last restoration of the store; 0 if there was none.
 	restoredAfter time.Duration
 	// position is that of this entry among size entries in the tree, when it last asked others.
@@ -187,9 +189,11 @@
 func (w *tableWatch) follow(ctx context.Context) (Rows, time.Duration, error) {
 	g := w.gateway
 	sent, wait := boottime.Now(), w.wait
-	if age := g.feeds.age(w.table, sent); age > w.wait+followGrace || w.isDue(sent) {
+	confirmFirst := w.table == TableDesired && switchover.ConfirmFirst(w.changesFrom(), sent, w.justConfirmed)
+	if age := g.feeds.age(w.table, sent); age > w.wait+followGrace || w.isDue(sent) || confirmFirst {
 		wait = confirmWait
 	}
+	w.justConfirmed = wait == confirmWait
 	var firstByteAt atomic.Int64
 	late := time.AfterFunc(wait+followGrace, func() {
 		if firstByteAt.Load() == 0 {
@@ -220,7 +224,7 @@
 		rows.waited, rows.transferred = arrivingAt-sent, boottime.Now()-arrivingAt
 	}
 	answeredAt := max(sent, rows.AnsweredAt)
-	rows.changed = switchover.NamingOf(sent, answeredAt, w.changesFrom())
+	rows.changed = switchover.NamingOf(switchover.StoreCall{SentAt: sent, AnsweredAt: answeredAt, MaxWait: wait}, w.changesFrom())
 	return rows, answeredAt, err
 }
 
@@ -247,7 +251,7 @@
 func (w *tableWatch) applyRows(rows Rows, at time.Duration, whole bool) error {
 	after, started := w.revision, boottime.Now()
 	if rows.changed.At == 0 {
-		rows.changed = switchover.NamingOf(at, at, w.changesFrom())
+		rows.changed = switchover.NamingOf(switchover.StoreCall{SentAt: at, AnsweredAt: at}, w.changesFrom())
 	}
 	confirmedAt := w.confirmedAt
 	w.confirmedAt = max(w.confirmedAt, at)
--- a/internal/transport/gateway/watch_test.go
+++ b/internal/transport/gateway/watch_test.go
@@ -171,3 +171,23 @@
 	c.Assert(waits[0] < followWait/10, qt.IsTrue)
 	c.Assert(waits[1], qt.Equals, followWait)
 }
+
+// A call that waits and is made long after the view was confirmed cannot tell when a version in its answer was named.
+func TestOldViewIsConfirmedBeforeACallWaits(t *testing.T) {
+	c := qt.New(t)
+	var waits []time.Duration
+	store := fakeStore{follow: func(_ context.Context, _ uint64, wait time.Duration) (Rows, error) {
+		waits = append(waits, wait)
+		return Rows{AnsweredAt: boottime.Now()}, nil
+	}}
+	g := &Gateway{crashes: newCrashes(), store: store, feeds: newFeeds(), log: zap.NewNop()}
+	now := boottime.Now()
+	g.feeds.reset(TableDesired, rows(5, `[]`), now)
+	w := &tableWatch{gateway: g, table: TableDesired, wait: followWait, revision: 5, confirmedAt: now - 300*time.Millisecond}
+	for range 3 {
+		_, at, err := w.follow(context.Background())
+		c.Assert(err, qt.IsNil)
+		w.confirmedAt = at
+	}
+	c.Check(waits, qt.DeepEquals, []time.Duration{confirmWait, followWait, followWait})
+}
