Check keys also where the desired state has no list of tenants

After a desired state without a list of tenants, requests with a removed key and with keys that no state ever held ran at all entries (reported for: the removed key until 9 s after the ack and on).

Cause: without the list the key was not looked at, although only requests without a key are meant to run then. A request that carries a key now runs only if a tenant holds it, so without a list it gets 401. Forms of the list that are there are unchanged.

TestFieldsThatTheNextStateLacksAreNotCarriedOver plays routes, regions, limits and keys that the next state lacks; it passes before and after.

--- a/internal/coordination/catalog/catalog.go
+++ b/internal/coordination/catalog/catalog.go
@@ -165,7 +165,8 @@
 // Callers determines whose requests are accepted.
 type Callers struct {
 	// RequireKeys is true if requests need a key. It does not depend on whether any organisation holds
-	// one: without any, no request with a route that needs a key is accepted.
+	// one: without any, no request with a route that needs a key is accepted. If it is false, requests without
+	// a key are accepted.
 	RequireKeys bool
 	// Organisations are the organisations with their keys.
 	Organisations []Organisation
@@ -269,6 +270,12 @@
 // Regions returns the regions that all routes of a host allow.
 func (s *State) Regions(host string) filbertlever.Regions { return s.regions[host] }
 
+// ChecksKey reports whether a request runs only if an organisation holds its key. Where requests need no key, one
+// that carries a key nevertheless is checked: the key may have been removed together with the last organisation.
+func (s *State) ChecksKey(route *Route, key string) bool {
+	return !route.Anonymous && (s.RequireKeys || key != "")
+}
+
 // Organisation returns the organisation that holds a key. Nobody holds the empty key, which stands for
 // requests without one.
 func (s *State) Organisation(key string) (Organisation, bool) {
--- a/internal/transport/gateway/serve.go
+++ b/internal/transport/gateway/serve.go
@@ -222,7 +222,7 @@
 // checkKey finds the organisation that the request's key belongs to.
 func (x *exchange) checkKey() *errorResponse {
 	x.priority, x.regions = x.route.Priority, x.route.Regions
-	if !x.state.RequireKeys || x.route.Anonymous {
+	if !x.state.ChecksKey(x.route, x.call.Key) {
 		return nil
 	}
 	if !x.gateway.keysFresh(boottime.Now()) {
