--- a/internal/coordination/catalog/catalog.go
+++ b/internal/coordination/catalog/catalog.go
@@ -270,6 +270,9 @@
 // Regions returns the regions that all routes of a host allow.
 func (s *State) Regions(host string) filbertlever.Regions { return s.regions[host] }
 
+// KeyCount returns the number of keys that organisations hold.
+func (s *State) KeyCount() int { return len(s.keys) }
+
 // ChecksKey reports whether a request runs only if an organisation holds its key. Where requests need no key, one
 // that carries a key nevertheless is checked: the key may have been removed together with the last organisation.
 func (s *State) ChecksKey(route *Route, key string) bool {
--- a/internal/transport/gateway/datagrams.go
+++ b/internal/transport/gateway/datagrams.go
@@ -60,7 +60,7 @@
 		isCurrent := !g.peers.suspensions.Interrupted(now, now)
 		for _, n := range d.Heartbeat.Named {
 			if isCurrent {
-				g.mergeNamedAge(n.Model, n.Version, n.Age, n.Known, now)
+				g.mergeNamedAge(n, d.Heartbeat.Entry.Host, now)
 			}
 		}
 		g.noteHoldsRestored(d.Heartbeat, now)
--- a/internal/transport/gateway/deadline_test.go
+++ b/internal/transport/gateway/deadline_test.go
@@ -67,7 +67,7 @@
 	g := newEntryWithServer(t, 1)
 	now := boottime.Now()
 	g.mu.Lock()
-	g.setNamed([]catalog.ModelVersion{{Model: switchoverModel, Version: 3}}, true, switchover.Naming{}, now-6*time.Second)
+	g.setNamed([]catalog.ModelVersion{{Model: switchoverModel, Version: 3}}, true, switchover.Naming{}, sourceStore, now-6*time.Second)
 	g.mu.Unlock()
 	age := switchoverBound + 100*time.Millisecond
 	g.handleDatagram(&Datagram{Heartbeat: &Heartbeat{Entry: Entry{Host: "peer", Datagrams: g.socket.Address().String()}, Named: []NamedAge{
@@ -87,12 +87,12 @@
 	g := newEntryWithServer(t, 1)
 	now := boottime.Now()
 	g.mu.Lock()
-	g.setNamed([]catalog.ModelVersion{{Model: switchoverModel, Version: 2}}, false, switchover.Naming{}, now-25*time.Second)
+	g.setNamed([]catalog.ModelVersion{{Model: switchoverModel, Version: 2}}, false, switchover.Naming{}, sourceStore, now-25*time.Second)
 	g.mu.Unlock()
 	found, _ := g.placeTypicalRequest(now)
 	c.Assert(found, qt.IsFalse)
 	g.mu.Lock()
-	g.setNamed([]catalog.ModelVersion{{Model: switchoverModel, Version: 3}}, false, switchover.Naming{}, now)
+	g.setNamed([]catalog.ModelVersion{{Model: switchoverModel, Version: 3}}, false, switchover.Naming{}, sourceStore, now)
 	g.mu.Unlock()
 	found, _ = g.placeTypicalRequest(now)
 	c.Assert(found, qt.IsFalse, qt.Commentf("sent to version 1, 14.7 s after the deadline of version 2"))
@@ -110,7 +110,7 @@
 	g.fleet.Apply([]catalog.Backend{{ID: "order-1", Boot: 1, Revision: 3, Service: "orders", Address: "10.0.0.2:1", Site: "a", Slots: 6}}, nil, false, now)
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.setNamed([]catalog.ModelVersion{{Model: switchoverModel, Version: 2}}, false, switchover.Naming{}, now-25*time.Second)
+	g.setNamed([]catalog.ModelVersion{{Model: switchoverModel, Version: 2}}, false, switchover.Naming{}, sourceStore, now-25*time.Second)
 	a := newSwitchoverAttempt(g, 0, false)
 	a.service = "orders"
 	c.Assert(a.choose(now).Found, qt.IsTrue)
--- a/internal/transport/gateway/ending.go
+++ b/internal/transport/gateway/ending.go
@@ -10,7 +10,6 @@
 	"go.uber.org/zap"
 
 	"github.com/filbertlever/filbertlever/internal/coordination/forward"
-	"github.com/filbertlever/filbertlever/internal/transport/boottime"
 )
 
 // Every request ends in this file or with its complete answer, in forwardBody or endStream.
@@ -111,10 +110,7 @@
 	if x.call != nil {
 		fields = append(fields, zap.String("Request", x.call.logID()), zap.String("Model", shortened(x.call.Model)))
 	}
-	if x.state != nil {
-		age, _ := g.stateAge(boottime.Now())
-		fields = append(fields, zap.Uint64("StateVersion", x.state.Version), zap.Duration("StateAge", age))
-	}
+	fields = append(fields, x.stateFields...)
 	if x.route != nil {
 		fields = append(fields, zap.String("Route", x.route.Name), zap.String("Service", x.service),
 			zap.String("Organisation", string(x.organisation.ID)))
--- a/internal/transport/gateway/gateway.go
+++ b/internal/transport/gateway/gateway.go
@@ -77,6 +77,8 @@
 	// stateConfirmedAt is when the last read that confirmed the state was sent; 0 if there was
 	// none.
 	stateConfirmedAt atomic.Int64
+	// stateConfirmedBy is the entry whose answer confirmed the state then, or sourceStore.
+	stateConfirmedBy atomic.Pointer[filbertlever.HostID]
 	// inFlight is the number of callers' requests being served.
 	inFlight atomic.Int64
 	// readerSuspendedUntil is the time until which another entry should read the store for the
@@ -166,6 +168,16 @@
 	return now - time.Duration(confirmed), confirmed != 0
 }
 
+// stateFields returns log fields with the state that a request is judged by, its age, and who confirmed it then.
+func (g *Gateway) stateFields(now time.Duration) []zap.Field {
+	state, by := g.state.Load(), g.stateConfirmedBy.Load()
+	if state == nil || by == nil {
+		return nil
+	}
+	age, _ := g.stateAge(now)
+	return []zap.Field{zap.Uint64("StateVersion", state.Version), zap.Duration("StateAge", age), zap.String("StateSource", string(*by))}
+}
+
 // revokeMargin allows for the time a request takes from the caller to this process.
 const revokeMargin = 200 * time.Millisecond
 
--- a/internal/transport/gateway/named.go
+++ b/internal/transport/gateway/named.go
@@ -7,6 +7,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/filbertlever/filbertlever"
 	"github.com/filbertlever/filbertlever/internal/coordination/catalog"
 	"github.com/filbertlever/filbertlever/internal/coordination/fleet"
 	"github.com/filbertlever/filbertlever/internal/coordination/switchover"
@@ -77,9 +78,9 @@
 	return cancelAt, true
 }
 
-// setNamed adds versions that operators have named at the time changed. first is true if they come from
-// the first read of the store. The caller holds the lock.
-func (g *Gateway) setNamed(versions []catalog.ModelVersion, first bool, changed switchover.Naming, now time.Duration) {
+// setNamed adds versions that operators have named at the time changed, according to rows from source. first is true
+// if they come from the first read of the store. The caller holds the lock.
+func (g *Gateway) setNamed(versions []catalog.ModelVersion, first bool, changed switchover.Naming, source filbertlever.HostID, now time.Duration) {
 	for _, v := range versions {
 		if v.Version <= g.newestVersion(v.Model) {
 			continue
@@ -90,7 +91,7 @@
 			// so its deadline may have passed already.
 			n.namedAt, n.estimated, n.beforeStart = now-g.config.MaxStaleness, true, true
 		}
-		g.addNamed(v.Model, n, now)
+		g.addNamed(v.Model, n, n.basis(), source, now)
 		if !first {
 			g.relay.AddVersion(v)
 		}
@@ -101,13 +102,46 @@
 	}
 }
 
+// namingBasis is why a version is taken as named at a time.
+type namingBasis string
+
+// The bases.
+const (
+	// basisObserved: the answer of the store, to this entry or to the one that passed it on, came as soon as the
+	// version was named.
+	basisObserved namingBasis = "Observed"
+	// basisEstimated: it may have been named at any time since the view was confirmed, and counts from there.
+	basisEstimated namingBasis = "Estimated"
+	// basisReported: another entry, or a row of the store that entries wrote, states the age.
+	basisReported namingBasis = "Reported"
+	// basisBeforeStart: it was named before this entry started.
+	basisBeforeStart namingBasis = "BeforeStart"
+)
+
+// basis returns why a version from rows of the operators counts from its time.
+func (n namedVersion) basis() namingBasis {
+	switch {
+	case n.beforeStart:
+		return basisBeforeStart
+	case n.estimated:
+		return basisEstimated
+	}
+	return basisObserved
+}
+
+// logNaming logs a change of the time from which a version counts.
+func (g *Gateway) logNaming(message, model string, n namedVersion, basis namingBasis, source filbertlever.HostID, now time.Duration, more ...zap.Field) {
+	g.log.Info(message, append([]zap.Field{zap.String("Model", model), zap.Uint64("Version", n.version), zap.Duration("Age", now-n.namedAt),
+		zap.Bool("Estimated", n.estimated), zap.Bool("BeforeStart", n.beforeStart), zap.String("Basis", string(basis)), zap.String("Source", string(source))}, more...)...)
+}
+
 // addNamed adds a version that is not known yet, and keeps the list in the order of versions.
-func (g *Gateway) addNamed(model string, n namedVersion, now time.Duration) {
+func (g *Gateway) addNamed(model string, n namedVersion, basis namingBasis, source filbertlever.HostID, now time.Duration) {
 	list := append(slices.Clone(g.versionsByModel[model]), n)
 	slices.SortFunc(list, func(a, b namedVersion) int { return cmp.Compare(a.version, b.version) })
 	g.versionsByModel[model] = pruneSuperseded(list, g.config.MaxStaleness, now)
 	g.fleet.SetNamedVersions(model, g.namedVersions(model), now)
-	g.log.Info("version named", zap.String("Model", model), zap.Uint64("Version", n.version), zap.Duration("Age", now-n.namedAt), zap.Bool("Estimated", n.estimated), zap.Bool("BeforeStart", n.beforeStart))
+	g.logNaming("version named", model, n, basis, source, now)
 	for _, newer := range g.versionsByModel[model] {
 		g.supersedeOlder(catalog.ModelVersion{Model: model, Version: newer.version}, newer.namedAt)
 	}
@@ -177,7 +211,7 @@
 	return versions
 }
 
-// mergeNamedAge merges a peer's report of when a version was named. The caller holds the lock.
+// mergeNamedAge merges a report of when a version was named, by another entry or sourceStore. The caller holds the lock.
 //
 // The earliest report that is known counts. A host that was disconnected observes a version late, and a deadline
 // counted from then would be too late.
@@ -187,16 +221,19 @@
 //
 // An estimated report counts only for an entry that has no estimate of its own. Estimates of several entries are not
 // combined: each report arrives with a delay, and the latest one would become later with each.
-func (g *Gateway) mergeNamedAge(model string, version uint64, age time.Duration, known bool, now time.Duration) {
-	list := g.versionsByModel[model]
-	i := slices.IndexFunc(list, func(n namedVersion) bool { return n.version == version })
+func (g *Gateway) mergeNamedAge(report NamedAge, source filbertlever.HostID, now time.Duration) {
+	list := g.versionsByModel[report.Model]
+	i := slices.IndexFunc(list, func(n namedVersion) bool { return n.version == report.Version })
+	reported := namedVersion{version: report.Version, namedAt: now - report.Age, estimated: !report.Known}
 	switch {
-	case i < 0 && (!known || g.isSuperseded(list, version, now)):
+	case i < 0 && (!report.Known || g.isSuperseded(list, report.Version, now)):
 	case i < 0:
-		g.addNamed(model, namedVersion{version: version, namedAt: now - age}, now)
-	case known && (list[i].estimated || now-age < list[i].namedAt-ageTolerance), !known && list[i].beforeStart && age < g.config.MaxStaleness:
-		list[i] = namedVersion{version: version, namedAt: now - age, estimated: !known}
-		g.updateRelayPlan(model)
+		g.addNamed(report.Model, reported, basisReported, source, now)
+	case report.Known && (list[i].estimated || reported.namedAt < list[i].namedAt-ageTolerance), !report.Known && list[i].beforeStart && report.Age < g.config.MaxStaleness:
+		before := list[i]
+		list[i] = reported
+		g.logNaming("naming time replaced", report.Model, reported, basisReported, source, now, zap.Duration("AgeBefore", now-before.namedAt), zap.String("BasisBefore", string(before.basis())))
+		g.updateRelayPlan(report.Model)
 	}
 }
 
--- a/internal/transport/gateway/named_test.go
+++ b/internal/transport/gateway/named_test.go
@@ -3,17 +3,21 @@
 import (
 	"context"
 	"net"
+	"net/http"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
 	"github.com/prometheus/client_golang/prometheus"
 	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
 
+	"github.com/filbertlever/filbertlever"
 	"github.com/filbertlever/filbertlever/internal/coordination/catalog"
 	"github.com/filbertlever/filbertlever/internal/coordination/fleet"
 	"github.com/filbertlever/filbertlever/internal/coordination/forward"
 	"github.com/filbertlever/filbertlever/internal/coordination/relays"
+	"github.com/filbertlever/filbertlever/internal/coordination/switchover"
 	"github.com/filbertlever/filbertlever/internal/transport/boottime"
 	"github.com/filbertlever/filbertlever/internal/transport/relay"
 )
@@ -23,13 +27,13 @@
 func TestEarliestReportedNamingTimeWins(t *testing.T) {
 	c := qt.New(t)
 	const now, age = 25 * time.Second, 7 * time.Second
-	g := &Gateway{crashes: newCrashes(), versionsByModel: map[string][]namedVersion{"drafter": {{version: 2, namedAt: now}}},
+	g := &Gateway{crashes: newCrashes(), log: zap.NewNop(), versionsByModel: map[string][]namedVersion{"drafter": {{version: 2, namedAt: now}}},
 		relay: relay.New(relays.Entry{}, nil, nil, nil, zap.NewNop(), prometheus.NewRegistry())}
-	g.mergeNamedAge("drafter", 2, age, true, now)
+	g.mergeNamedAge(NamedAge{Model: "drafter", Version: 2, Age: age, Known: true}, "entry-2", now)
 	c.Assert(g.versionsByModel["drafter"][0].namedAt, qt.Equals, now-age)
 	// Neither a later naming time nor the propagation delay changes anything.
-	g.mergeNamedAge("drafter", 2, time.Second, true, now)
-	g.mergeNamedAge("drafter", 2, age+ageTolerance/2, true, now)
+	g.mergeNamedAge(NamedAge{Model: "drafter", Version: 2, Age: time.Second, Known: true}, "entry-2", now)
+	g.mergeNamedAge(NamedAge{Model: "drafter", Version: 2, Age: age + ageTolerance/2, Known: true}, "entry-2", now)
 	c.Assert(g.versionsByModel["drafter"][0].namedAt, qt.Equals, now-age)
 }
 
@@ -55,14 +59,14 @@
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			c := qt.New(t)
-			g := &Gateway{crashes: newCrashes(), config: Config{MaxStaleness: staleness}, versionsByModel: map[string][]namedVersion{"drafter": {test.before}},
+			g := &Gateway{crashes: newCrashes(), log: zap.NewNop(), config: Config{MaxStaleness: staleness}, versionsByModel: map[string][]namedVersion{"drafter": {test.before}},
 				relay: relay.New(relays.Entry{}, nil, nil, nil, zap.NewNop(), prometheus.NewRegistry())}
-			g.mergeNamedAge("drafter", 2, test.age, test.known, now)
+			g.mergeNamedAge(NamedAge{Model: "drafter", Version: 2, Age: test.age, Known: test.known}, "entry-2", now)
 			got := g.versionsByModel["drafter"][0]
 			c.Check(now-got.namedAt, qt.Equals, test.wantAge)
 			c.Check(got.estimated, qt.Equals, test.wantEstimate)
 			// A version that is not known yet is learned from the store.
-			g.mergeNamedAge("drafter", 3, time.Second, false, now)
+			g.mergeNamedAge(NamedAge{Model: "drafter", Version: 3, Age: time.Second, Known: false}, "entry-2", now)
 			c.Check(g.versionsByModel["drafter"], qt.HasLen, 1)
 		})
 	}
@@ -221,3 +225,61 @@
 	g.handleDatagram(heartbeat, peer.Address())
 	c.Check(g.versionsByModel[switchoverModel], qt.HasLen, 1)
 }
+
+// The log did not say why a version counted from its time, nor that a report had replaced it, so that an entry with a wrong
+// report could not be told from one that had heard late.
+func TestLogSaysWhyAVersionCountsFromItsTime(t *testing.T) {
+	const now, staleness = 25 * time.Second, 8 * time.Second
+	for _, test := range []struct {
+		name    string
+		first   bool
+		changed switchover.Naming
+		basis   string
+	}{
+		{"observed", false, switchover.Naming{At: now - time.Second}, "Observed"},
+		{"estimated", false, switchover.Naming{At: now - time.Second, Estimated: true}, "Estimated"},
+		{"before the start", true, switchover.Naming{}, "BeforeStart"},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			g := newEntryWithServer(t, 1)
+			core, lines := observer.New(zap.InfoLevel)
+			g.log, g.config.MaxStaleness = zap.New(core), staleness
+			g.setNamed([]catalog.ModelVersion{{Model: switchoverModel, Version: 2}}, test.first, test.changed, "entry-2", now)
+			named := lines.FilterMessage("version named").All()
+			c.Assert(named, qt.HasLen, 1)
+			fields := named[0].ContextMap()
+			c.Check(fields["Basis"], qt.Equals, test.basis)
+			c.Check(fields["Source"], qt.Equals, "entry-2")
+			for _, source := range []filbertlever.HostID{"entry-3", "entry-4"} {
+				g.mergeNamedAge(NamedAge{Model: switchoverModel, Version: 2, Age: 5 * time.Second, Known: true}, source, now)
+			}
+			replaced := lines.FilterMessage("naming time replaced").All()
+			c.Assert(replaced, qt.HasLen, 1)
+			fields = replaced[0].ContextMap()
+			c.Check(fields["Basis"], qt.Equals, "Reported")
+			c.Check(fields["BasisBefore"], qt.Equals, test.basis)
+			c.Check(fields["Source"], qt.Equals, "entry-3")
+			c.Check(fields["Age"], qt.Equals, 5*time.Second)
+		})
+	}
+}
+
+// The end of a request stated the age of the view at that time, not the age and the source of the one that it was judged by.
+func TestLogSaysWhichStateJudgedARequest(t *testing.T) {
+	c := qt.New(t)
+	g := newEntryWithServer(t, 1)
+	core, lines := observer.New(zap.InfoLevel)
+	g.log = zap.New(core)
+	source := filbertlever.HostID("entry-2")
+	g.stateConfirmedBy.Store(&source)
+	g.stateConfirmedAt.Store(int64(boottime.Now() - time.Second))
+	x := &exchange{gateway: g, arrived: time.Now(), stateFields: g.stateFields(boottime.Now())}
+	g.stateConfirmedAt.Store(int64(boottime.Now()))
+	x.recordOutcome(http.StatusOK, "")
+	fields := lines.FilterMessage("request ended").All()[0].ContextMap()
+	c.Check(fields["StateVersion"], qt.Equals, g.state.Load().Version)
+	c.Check(fields["StateSource"], qt.Equals, "entry-2")
+	age := fields["StateAge"].(time.Duration)
+	c.Check(age >= time.Second && age < 2*time.Second, qt.IsTrue, qt.Commentf("%v", age))
+}
--- a/internal/transport/gateway/ports.go
+++ b/internal/transport/gateway/ports.go
@@ -4,6 +4,7 @@
 package gateway
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
@@ -190,6 +191,12 @@
 	waited, transferred time.Duration
 }
 
+// sourceStore stands for the store where the source of rows is logged.
+const sourceStore filbertlever.HostID = "Store"
+
+// sourceName returns who sent the rows.
+func (r *Rows) sourceName() filbertlever.HostID { return cmp.Or(r.source, sourceStore) }
+
 // Cause is why a row cannot be used.
 type Cause string
 
--- a/internal/transport/gateway/serve.go
+++ b/internal/transport/gateway/serve.go
@@ -99,8 +99,10 @@
 	// arrivedAt is when the request arrived, on the clock of deadlineAt.
 	arrivedAt time.Duration
 
-	call         *Call
-	state        *catalog.State
+	call  *Call
+	state *catalog.State
+	// stateFields are the log fields of the state when the request was judged by it.
+	stateFields  []zap.Field
 	route        *catalog.Route
 	service      string
 	organisation catalog.Organisation
@@ -139,7 +141,9 @@
 		return &errorResponse{status: http.StatusServiceUnavailable, reason: reasonNoState, retryAfter: retryAfterNoState}
 	}
 	current := false
-	if x.state, current = g.awaitCurrentState(x.request.Context(), x.arrivedAt); !current {
+	x.state, current = g.awaitCurrentState(x.request.Context(), x.arrivedAt)
+	x.stateFields = g.stateFields(boottime.Now())
+	if !current {
 		return &errorResponse{status: http.StatusServiceUnavailable, reason: reasonStaleState, retryAfter: retryAfterLocal, closeConnection: true}
 	}
 	if response := x.checkSize(); response != nil {
--- a/internal/transport/gateway/versions.go
+++ b/internal/transport/gateway/versions.go
@@ -98,7 +98,7 @@
 	for _, n := range ages {
 		// A row of another program may contain a version that operators have not named.
 		if n.Version <= g.newestVersion(n.Model) {
-			g.mergeNamedAge(n.Model, n.Version, n.Age, n.Known, sentAt)
+			g.mergeNamedAge(n, sourceStore, sentAt)
 		}
 	}
 	g.log.Info("naming times of versions restored", zap.Int("Versions", len(ages)))
--- a/internal/transport/gateway/watch.go
+++ b/internal/transport/gateway/watch.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"cmp"
 	"context"
 	"errors"
 	"strconv"
@@ -59,8 +58,8 @@
 	// apply applies rows newer than after. whole is true if they are the complete table,
 	// and initial on the first call.
 	apply func(rows Rows, after uint64, whole, initial bool) error
-	// onConfirmed is called with a time at which the view was current. It may be nil.
-	onConfirmed func(at time.Duration)
+	// onConfirmed is called with a time at which the view was current, and who said so. It may be nil.
+	onConfirmed func(at time.Duration, source filbertlever.HostID)
 
 	// revision is the revision of the view; 0 if the whole table must be read.
 	revision uint64
@@ -269,7 +268,7 @@
 	w.initial, w.era = false, era
 	w.revision = max(w.revision, rows.Revision)
 	if w.onConfirmed != nil {
-		w.onConfirmed(at)
+		w.onConfirmed(at, rows.sourceName())
 	}
 	return nil
 }
@@ -287,7 +286,7 @@
 		}
 	}
 	w.gateway.log.Info("table changed", append([]zap.Field{zap.String("Table", string(w.table))}, append(revisionFields(rows.Revision),
-		zap.String("Source", string(cmp.Or(rows.source, "Store"))), zap.Bool("Whole", whole), zap.Int("Bytes", bytes), zap.Duration("Waited", rows.waited),
+		zap.String("Source", string(rows.sourceName())), zap.Bool("Whole", whole), zap.Int("Bytes", bytes), zap.Duration("Waited", rows.waited),
 		zap.Duration("Transferred", rows.transferred), zap.Duration("Applied", boottime.Now()-applyStarted), zap.Duration("SinceReader", boottime.Now()-applyStarted+rows.observedAge))...)...)
 }
 
@@ -334,9 +333,12 @@
 // runDesired follows the table of desired states.
 func (g *Gateway) runDesired(ctx context.Context) {
 	w := &tableWatch{gateway: g, table: TableDesired, wait: followWait, apply: g.applyDesired,
-		onConfirmed: func(at time.Duration) {
+		onConfirmed: func(at time.Duration, source filbertlever.HostID) {
 			// The view of the region's reader may be older than one read from the store.
-			g.stateConfirmedAt.Store(max(g.stateConfirmedAt.Load(), int64(at)))
+			if int64(at) > g.stateConfirmedAt.Load() {
+				g.stateConfirmedBy.Store(&source)
+				g.stateConfirmedAt.Store(int64(at))
+			}
 		}}
 	w.run(ctx)
 }
@@ -366,11 +368,12 @@
 		if old == nil {
 			close(g.stateKnown)
 		}
-		g.log.Info("desired state in force", append([]zap.Field{zap.Uint64("Version", desired.State.Version)}, revisionFields(rows.Revision)...)...)
+		g.log.Info("desired state in force", append([]zap.Field{zap.Uint64("Version", desired.State.Version), zap.Bool("RequireKeys", desired.State.RequireKeys), zap.Int("Keys", desired.State.KeyCount()),
+			zap.String("Source", string(rows.sourceName()))}, revisionFields(rows.Revision)...)...)
 	}
 	// The copy may lack an evacuation that the operator asked for since.
 	g.setEvacuated(desired, whole && !restored, now)
-	g.setNamed(desired.Named, initial, rows.changed, now)
+	g.setNamed(desired.Named, initial, rows.changed, rows.sourceName(), now)
 	g.reportBadRows(desired.Bad)
 	return nil
 }
