Test naming times with every kind of the store's clock

A property test has clocks that are absent, constant, steady, fast or slow within their bound, restarted, set back and set forward, two versions named in one pause, answers that wait in the socket of a suspended process, and gaps between calls. It passes: no version counts later than its naming, but for a clock set forward beside a suspension, by at most that step.

--- a/internal/coordination/switchover/switchover_test.go
+++ b/internal/coordination/switchover/switchover_test.go
@@ -344,3 +344,81 @@
 	c.Check(Naming{}.Earlier(exact), qt.Equals, exact)
 	c.Check(exact.Earlier(Naming{}), qt.Equals, exact)
 }
+
+// An entry in touch with the store took a version for named too late, whose requests then began after its deadline: with each kind of
+// clock that a store may state, and if a version is replaced by the next one before it is seen.
+func TestNamingIsInTimeWhateverTheStoresClock(t *testing.T) {
+	const lead = time.Hour
+	type remoteTime func(at time.Duration) time.Duration
+	drifting := func(ppm int) remoteTime {
+		return func(at time.Duration) time.Duration {
+			return (lead + at + at*time.Duration(ppm)/1e6).Truncate(ms)
+		}
+	}
+	stepping := func(at, by time.Duration) remoteTime {
+		return func(now time.Duration) time.Duration {
+			if now < at {
+				by = 0
+			}
+			return (lead + now + by).Truncate(ms)
+		}
+	}
+	rapid.Check(t, func(t *rapid.T) {
+		duration := func(name string, from, to time.Duration) time.Duration {
+			return time.Duration(rapid.IntRange(int(from/ms), int(to/ms)).Draw(t, name)) * ms
+		}
+		stepAt := duration("step", second, 40*second)
+		// forward is by how much a clock that does not keep to its promise is set forward.
+		forward := duration("forward", 0, 5*second)
+		kinds := map[string]remoteTime{"absent": nil, "steady": drifting(0), "fast": drifting(500), "slow": drifting(-500),
+			"restarted": func(at time.Duration) time.Duration {
+				if at < stepAt {
+					return lead + at
+				}
+				return at - stepAt + ms
+			}, "set back": stepping(stepAt, -5*second), "set forward": stepping(stepAt, forward), "constant": func(time.Duration) time.Duration { return lead }}
+		kind := rapid.SampledFrom([]string{"absent", "steady", "fast", "slow", "restarted", "set back", "set forward", "constant"}).Draw(t, "clock")
+		setAt := []time.Duration{duration("second", 5*second, 40*second)}
+		setAt = append(setAt, setAt[0]+duration("third", 0, 3*second))
+		var clock freshness.RemoteClock
+		confirmedAt, justConfirmed, seen := second, false, 0
+		for sentAt := second; seen < len(setAt); {
+			call := StoreCall{SentAt: sentAt, MaxWait: second}
+			if ConfirmFirst(confirmedAt, sentAt, justConfirmed) {
+				call.MaxWait = ms
+			}
+			justConfirmed = call.MaxWait == ms
+			arrivesAt := sentAt + duration("outward", 0, propagationDelay)
+			givenAt := arrivesAt + call.MaxWait
+			if setAt[seen] <= givenAt {
+				givenAt = max(arrivesAt, setAt[seen])
+			}
+			now := seen
+			for now < len(setAt) && setAt[now] <= givenAt {
+				now++
+			}
+			back := duration("back", 0, 100*ms)
+			if rapid.IntRange(0, 9).Draw(t, "suspended") == 0 {
+				back += duration("suspension", 0, 4*second)
+			}
+			call.AnsweredAt = sentAt
+			if remote := kinds[kind]; remote != nil {
+				call.AnsweredAt = clock.AnsweredAt(sentAt, givenAt+back, remote(givenAt))
+			}
+			if now > seen {
+				// The deadlines of all versions that are seen here count at least from the oldest one.
+				naming := NamingOf(call, confirmedAt)
+				late := naming.At - propagationDelay - setAt[seen]
+				if late > 0 && (kind != "set forward" || late > forward) {
+					t.Fatalf("%s clock: set at %v, %+v, view of %v, counts from %v", kind, setAt[seen], call, confirmedAt, naming.At)
+				}
+			}
+			seen = now
+			confirmedAt = max(confirmedAt, call.AnsweredAt)
+			sentAt = givenAt + back + duration("pause", 0, 90*ms)
+			if rapid.IntRange(0, 9).Draw(t, "failed") == 0 {
+				sentAt += duration("gap", 0, 2*second)
+			}
+		}
+	})
+}
