Keep the basis of a naming time with it, and log the state that judged

A time that had been reported was logged as observed when another report replaced it. A state that arrived while a request was judged by the former one could be logged in its place.

--- a/internal/transport/gateway/gateway.go
+++ b/internal/transport/gateway/gateway.go
@@ -169,8 +169,8 @@
 }
 
 // stateFields returns log fields with the state that a request is judged by, its age, and who confirmed it then.
-func (g *Gateway) stateFields(now time.Duration) []zap.Field {
-	state, by := g.state.Load(), g.stateConfirmedBy.Load()
+func (g *Gateway) stateFields(state *catalog.State, now time.Duration) []zap.Field {
+	by := g.stateConfirmedBy.Load()
 	if state == nil || by == nil {
 		return nil
 	}
--- a/internal/transport/gateway/named.go
+++ b/internal/transport/gateway/named.go
@@ -24,8 +24,26 @@
 	// earliest possible time. beforeStart is true if no process is known to have an estimate either: the
 	// version was named before this one started.
 	estimated, beforeStart bool
+	// basis is why namedAt is the time from which the version counts.
+	basis namingBasis
 }
 
+// namingBasis is why a version counts from a time.
+type namingBasis string
+
+// The bases.
+const (
+	// basisObserved: the answer of the store, to this entry or to the one that passed it on, came as soon as the
+	// version was named.
+	basisObserved namingBasis = "Observed"
+	// basisEstimated: it may have been named at any time since the view was confirmed, and counts from there.
+	basisEstimated namingBasis = "Estimated"
+	// basisReported: another entry, or a row of the store that entries wrote, states the age.
+	basisReported namingBasis = "Reported"
+	// basisBeforeStart: it was named before this entry started.
+	basisBeforeStart namingBasis = "BeforeStart"
+)
+
 // minVersion returns the oldest version of a model that may answer now, or 0 if any may.
 func (g *Gateway) minVersion(model string, now time.Duration) uint64 {
 	if g.config.MaxStaleness <= 0 {
@@ -85,13 +103,16 @@
 		if v.Version <= g.newestVersion(v.Model) {
 			continue
 		}
-		n := namedVersion{version: v.Version, namedAt: min(cmp.Or(changed.At, now), now), estimated: changed.Estimated}
+		n := namedVersion{version: v.Version, namedAt: min(cmp.Or(changed.At, now), now), estimated: changed.Estimated, basis: basisObserved}
+		if n.estimated {
+			n.basis = basisEstimated
+		}
 		if first {
 			// The version was named at an unknown time before this process started,
 			// so its deadline may have passed already.
-			n.namedAt, n.estimated, n.beforeStart = now-g.config.MaxStaleness, true, true
+			n.namedAt, n.estimated, n.beforeStart, n.basis = now-g.config.MaxStaleness, true, true, basisBeforeStart
 		}
-		g.addNamed(v.Model, n, n.basis(), source, now)
+		g.addNamed(v.Model, n, source, now)
 		if !first {
 			g.relay.AddVersion(v)
 		}
@@ -102,46 +123,19 @@
 	}
 }
 
-// namingBasis is why a version is taken as named at a time.
-type namingBasis string
-
-// The bases.
-const (
-	// basisObserved: the answer of the store, to this entry or to the one that passed it on, came as soon as the
-	// version was named.
-	basisObserved namingBasis = "Observed"
-	// basisEstimated: it may have been named at any time since the view was confirmed, and counts from there.
-	basisEstimated namingBasis = "Estimated"
-	// basisReported: another entry, or a row of the store that entries wrote, states the age.
-	basisReported namingBasis = "Reported"
-	// basisBeforeStart: it was named before this entry started.
-	basisBeforeStart namingBasis = "BeforeStart"
-)
-
-// basis returns why a version from rows of the operators counts from its time.
-func (n namedVersion) basis() namingBasis {
-	switch {
-	case n.beforeStart:
-		return basisBeforeStart
-	case n.estimated:
-		return basisEstimated
-	}
-	return basisObserved
-}
-
 // logNaming logs a change of the time from which a version counts.
-func (g *Gateway) logNaming(message, model string, n namedVersion, basis namingBasis, source filbertlever.HostID, now time.Duration, more ...zap.Field) {
+func (g *Gateway) logNaming(message, model string, n namedVersion, source filbertlever.HostID, now time.Duration, more ...zap.Field) {
 	g.log.Info(message, append([]zap.Field{zap.String("Model", model), zap.Uint64("Version", n.version), zap.Duration("Age", now-n.namedAt),
-		zap.Bool("Estimated", n.estimated), zap.Bool("BeforeStart", n.beforeStart), zap.String("Basis", string(basis)), zap.String("Source", string(source))}, more...)...)
+		zap.Bool("Estimated", n.estimated), zap.Bool("BeforeStart", n.beforeStart), zap.String("Basis", string(n.basis)), zap.String("Source", string(source))}, more...)...)
 }
 
 // addNamed adds a version that is not known yet, and keeps the list in the order of versions.
-func (g *Gateway) addNamed(model string, n namedVersion, basis namingBasis, source filbertlever.HostID, now time.Duration) {
+func (g *Gateway) addNamed(model string, n namedVersion, source filbertlever.HostID, now time.Duration) {
 	list := append(slices.Clone(g.versionsByModel[model]), n)
 	slices.SortFunc(list, func(a, b namedVersion) int { return cmp.Compare(a.version, b.version) })
 	g.versionsByModel[model] = pruneSuperseded(list, g.config.MaxStaleness, now)
 	g.fleet.SetNamedVersions(model, g.namedVersions(model), now)
-	g.logNaming("version named", model, n, basis, source, now)
+	g.logNaming("version named", model, n, source, now)
 	for _, newer := range g.versionsByModel[model] {
 		g.supersedeOlder(catalog.ModelVersion{Model: model, Version: newer.version}, newer.namedAt)
 	}
@@ -224,15 +218,15 @@
 func (g *Gateway) mergeNamedAge(report NamedAge, source filbertlever.HostID, now time.Duration) {
 	list := g.versionsByModel[report.Model]
 	i := slices.IndexFunc(list, func(n namedVersion) bool { return n.version == report.Version })
-	reported := namedVersion{version: report.Version, namedAt: now - report.Age, estimated: !report.Known}
+	reported := namedVersion{version: report.Version, namedAt: now - report.Age, estimated: !report.Known, basis: basisReported}
 	switch {
 	case i < 0 && (!report.Known || g.isSuperseded(list, report.Version, now)):
 	case i < 0:
-		g.addNamed(report.Model, reported, basisReported, source, now)
+		g.addNamed(report.Model, reported, source, now)
 	case report.Known && (list[i].estimated || reported.namedAt < list[i].namedAt-ageTolerance), !report.Known && list[i].beforeStart && report.Age < g.config.MaxStaleness:
 		before := list[i]
 		list[i] = reported
-		g.logNaming("naming time replaced", report.Model, reported, basisReported, source, now, zap.Duration("AgeBefore", now-before.namedAt), zap.String("BasisBefore", string(before.basis())))
+		g.logNaming("naming time replaced", report.Model, reported, source, now, zap.Duration("AgeBefore", now-before.namedAt), zap.String("BasisBefore", string(before.basis)))
 		g.updateRelayPlan(report.Model)
 	}
 }
--- a/internal/transport/gateway/named_test.go
+++ b/internal/transport/gateway/named_test.go
@@ -274,7 +274,7 @@
 	source := filbertlever.HostID("entry-2")
 	g.stateConfirmedBy.Store(&source)
 	g.stateConfirmedAt.Store(int64(boottime.Now() - time.Second))
-	x := &exchange{gateway: g, arrived: time.Now(), stateFields: g.stateFields(boottime.Now())}
+	x := &exchange{gateway: g, arrived: time.Now(), stateFields: g.stateFields(g.state.Load(), boottime.Now())}
 	g.stateConfirmedAt.Store(int64(boottime.Now()))
 	x.recordOutcome(http.StatusOK, "")
 	fields := lines.FilterMessage("request ended").All()[0].ContextMap()
--- a/internal/transport/gateway/restored.go
+++ b/internal/transport/gateway/restored.go
@@ -61,7 +61,7 @@
 	if err == nil && response.Age > maxAgeOf(w.table) {
 		err = errOldView
 	}
-	return Rows{Revision: response.Revision, Raw: joinRows(response.Raw)}, err
+	return Rows{Revision: response.Revision, Raw: joinRows(response.Raw), source: host}, err
 }
 
 // errOldView means that the view of another entry is too old.
--- a/internal/transport/gateway/serve.go
+++ b/internal/transport/gateway/serve.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"net/http"
@@ -142,7 +143,7 @@
 	}
 	current := false
 	x.state, current = g.awaitCurrentState(x.request.Context(), x.arrivedAt)
-	x.stateFields = g.stateFields(boottime.Now())
+	x.stateFields = g.stateFields(cmp.Or(x.state, g.state.Load()), boottime.Now())
 	if !current {
 		return &errorResponse{status: http.StatusServiceUnavailable, reason: reasonStaleState, retryAfter: retryAfterLocal, closeConnection: true}
 	}
