--- a/internal/coordination/switchover/switchover_test.go
+++ b/internal/coordination/switchover/switchover_test.go
@@ -345,8 +345,8 @@
 	c.Check(exact.Earlier(Naming{}), qt.Equals, exact)
 }
 
-// An entry in touch with the store took a version for named too late, whose requests then began after its deadline: with each kind of
-// clock that a store may state, and if a version is replaced by the next one before it is seen.
+// A deadline must not count from later than the naming of its version, with any kind of clock that the store may state,
+// nor if the next version replaces it before it is seen.
 func TestNamingIsInTimeWhateverTheStoresClock(t *testing.T) {
 	const lead = time.Hour
 	type remoteTime func(at time.Duration) time.Duration
@@ -368,7 +368,7 @@
 			return time.Duration(rapid.IntRange(int(from/ms), int(to/ms)).Draw(t, name)) * ms
 		}
 		stepAt := duration("step", second, 40*second)
-		// forward is by how much a clock that does not keep to its promise is set forward.
+		// forward is by how much a clock is set forward that should be steady.
 		forward := duration("forward", 0, 5*second)
 		kinds := map[string]remoteTime{"absent": nil, "steady": drifting(0), "fast": drifting(500), "slow": drifting(-500),
 			"restarted": func(at time.Duration) time.Duration {
